--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- /dev/null
+++ b/src/sequoiachute/__main__.py
@@ -0,0 +1,25 @@
+"""Entry point of the program."""
+
+import os
+import sys
+
+os.environ["EVENTLET_HUB"] = "asyncio"
+
+
+def run() -> None:
+    """Run the command line and exit with its status."""
+    import warnings
+
+    warnings.filterwarnings("ignore", message="(?s).*Eventlet is deprecated")
+    import eventlet
+
+    eventlet.monkey_patch()
+
+    from sequoiachute.core import main
+    from sequoiachute.environment import create_environment
+
+    sys.exit(main(sys.argv[1:], create_environment()))
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/sequoiachute/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line, apart from the engine."""
--- /dev/null
+++ b/src/sequoiachute/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that decide: placement, routing, announcing, following the log."""
--- /dev/null
+++ b/src/sequoiachute/core.py
@@ -0,0 +1,50 @@
+"""Runs one command and turns every error into an exit status."""
+
+from collections.abc import Sequence
+
+import typer
+from typer.exceptions import Abort, TyperException
+
+from sequoiachute.cli.app import create_cli
+from sequoiachute.cli.client import CallRefusedError, EntryUnreachableError
+from sequoiachute.environment import Environment
+from sequoiachute.errors import CatalogueError, SequoiachuteError, SettingsError
+from sequoiachute.status import ExitStatus
+
+PROGRAM_NAME = "sequoiachute"
+
+
+def main(arguments: Sequence[str], environment: Environment) -> ExitStatus:
+    """Run the command line ``arguments`` and return the exit status."""
+    command = typer.main.get_command(create_cli())
+    try:
+        status = command.main(
+            args=list(arguments),
+            prog_name=PROGRAM_NAME,
+            standalone_mode=False,
+            obj=environment,
+        )
+    except Exception as error:
+        message, failed = _describe(error)
+        environment.stderr.write(f"{PROGRAM_NAME}: error: {message}\n")
+        return failed
+    except KeyboardInterrupt:
+        return ExitStatus.INTERRUPTED
+    return ExitStatus(status or ExitStatus.OK)
+
+
+def _describe(error: Exception) -> tuple[str, ExitStatus]:
+    """Return the message and the exit status of an error that was foreseen."""
+    if isinstance(error, Abort):
+        return "interrupted", ExitStatus.INTERRUPTED
+    if isinstance(error, TyperException):
+        return str(error), ExitStatus.USAGE
+    if isinstance(error, SettingsError | CatalogueError):
+        return str(error), ExitStatus.INVALID_INPUT
+    if isinstance(error, EntryUnreachableError):
+        return str(error), ExitStatus.UNAVAILABLE
+    if isinstance(error, CallRefusedError):
+        return str(error), error.exit_status
+    if isinstance(error, SequoiachuteError | OSError):
+        return str(error), ExitStatus.ERROR
+    raise error
--- /dev/null
+++ b/src/sequoiachute/errors.py
@@ -0,0 +1,69 @@
+"""Typed errors; every message names its remedy."""
+
+from typing import NamedTuple
+
+
+class SequoiachuteError(Exception):
+    """Base of the errors that end a command or a request."""
+
+
+class SettingsError(SequoiachuteError):
+    """A settings file was refused.
+
+    Parameters
+    ----------
+    path : str
+        File that was read.
+    key : str
+        Path of the key inside the file.
+    reason : str
+        What is wrong, with the offending value.
+    remedy : str
+        What to write instead.
+    """
+
+    def __init__(self, path: str, key: str, reason: str, remedy: str) -> None:
+        super().__init__(f"{path}: {key}: {reason}; {remedy}")
+        self.path = path
+        self.key = key
+        self.reason = reason
+        self.remedy = remedy
+
+
+class CatalogueError(SequoiachuteError):
+    """A catalogue was refused; nothing has changed."""
+
+
+class LogUnavailableError(SequoiachuteError):
+    """The log service did not take or give records.
+
+    Parameters
+    ----------
+    reason : str
+        What happened.
+    maybe_applied : bool
+        Whether an append may have taken effect all the same.
+    """
+
+    def __init__(self, reason: str, maybe_applied: bool = False) -> None:
+        super().__init__(f"log service unavailable: {reason}; try again later")
+        self.reason = reason
+        self.maybe_applied = maybe_applied
+
+
+class RpcError(NamedTuple):
+    """A call to another process failed.
+
+    Parameters
+    ----------
+    peer : str
+        Address that was called.
+    reason : str
+        What happened.
+    delivered : bool
+        False when the call certainly never reached the peer.
+    """
+
+    peer: str
+    reason: str
+    delivered: bool
--- /dev/null
+++ b/src/sequoiachute/http/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface of an entry instance."""
--- /dev/null
+++ b/src/sequoiachute/http/operators.py
@@ -0,0 +1,94 @@
+"""Operators' calls: the catalogue and the data centres in service."""
+
+import falcon
+import msgspec
+
+from sequoiachute.coordination.entry import Entry
+from sequoiachute.coordination.log import new_record_id
+from sequoiachute.http.keys import Keyring
+from sequoiachute.protocol.catalogue import Catalogue
+from sequoiachute.protocol.records import CONFIGURATION_STREAM
+from sequoiachute.transport.web import ProblemError, problem, write_json
+
+
+class CatalogueResource:
+    """Shows and publishes the catalogue."""
+
+    def __init__(self, entry: Entry, keyring: Keyring) -> None:
+        self._entry = entry
+        self._keyring = keyring
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Show the catalogue in force and its offset."""
+        self._keyring.require_operator(request)
+        configuration = self._entry.configuration
+        body = {
+            "offset": configuration.catalogue_offset,
+            "catalogue": configuration.catalogue,
+            "out_of_service": sorted(configuration.out_of_service),
+        }
+        write_json(response, body)
+
+    def on_put(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Publish a catalogue based on the offset in ``If-Match``."""
+        identity = self._keyring.require_operator(request)
+        configuration = self._entry.configuration
+        base = request.get_header("If-Match")
+        try:
+            catalogue = msgspec.json.decode(
+                request.bounded_stream.read(), type=Catalogue
+            )
+            based_on = int(base) if base else configuration.catalogue_offset
+        except (msgspec.DecodeError, ValueError) as error:
+            raise problem(400, f"refused: {error}", "mend it and publish") from error
+        record = {
+            "kind": "catalogue-published",
+            "record_id": new_record_id(),
+            "base": based_on,
+            "operator": identity.account,
+            "catalogue": catalogue,
+        }
+        offset = append_configuration(self._entry, record)
+        if configuration.catalogue_offset != offset:
+            remedy = "show the catalogue, merge and publish again"
+            raise problem(409, "another operator published first", remedy)
+        write_json(response, {"offset": offset})
+
+
+class DataCentreResource:
+    """Takes a data centre out of service or brings it back."""
+
+    def __init__(self, entry: Entry, keyring: Keyring, in_service: bool) -> None:
+        self._entry = entry
+        self._keyring = keyring
+        self._in_service = in_service
+
+    def on_post(
+        self, request: falcon.Request, response: falcon.Response, data_centre: str
+    ) -> None:
+        """Record the switch; it holds once this answers."""
+        identity = self._keyring.require_operator(request)
+        known = self._entry.configuration.catalogue["data_centres"]
+        if data_centre not in known:
+            remedy = f"name one of: {', '.join(sorted(known)) or 'none published'}"
+            raise problem(404, f"no data centre {data_centre!r}", remedy)
+        record = {
+            "kind": "data-centre-switched",
+            "record_id": new_record_id(),
+            "operator": identity.account,
+            "data_centre": data_centre,
+            "in_service": self._in_service,
+        }
+        offset = append_configuration(self._entry, record)
+        write_json(response, {"offset": offset})
+
+
+def append_configuration(entry: Entry, record: dict) -> int:
+    """Append an operator's record and return its offset."""
+    outcome = entry.writer(CONFIGURATION_STREAM).append(record)
+    if outcome.is_err():
+        error = outcome.unwrap_err()
+        ran = None if error.maybe_applied else False
+        remedy = "show the catalogue to see whether it took effect, then retry"
+        raise ProblemError(503, error.reason, remedy, ran, 1.0)
+    return outcome.unwrap()
--- /dev/null
+++ b/src/sequoiachute/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, log records and their codecs."""
--- /dev/null
+++ b/src/sequoiachute/protocol/catalogue.py
@@ -0,0 +1,66 @@
+"""The catalogue that operators publish."""
+
+from typing import Literal, NotRequired, TypedDict
+
+Within = Literal["worker", "rack", "data_centre"]
+
+
+class Shape(TypedDict):
+    """Adjacent accelerators of a guarantee.
+
+    ``accelerators`` of them lie inside one ``within``; ``speed_class`` limits
+    the workers that count.
+    """
+
+    accelerators: int
+    within: Within
+    speed_class: NotRequired[str]
+
+
+class Limits(TypedDict, total=False):
+    """Bounds of a client account; a missing key takes the default."""
+
+    queued_requests: int
+    running_requests: int
+    queued_jobs: int
+    accelerators: int
+
+
+class JobClass(TypedDict):
+    """A class of work and its objective.
+
+    ``priority`` orders classes, larger first. ``objective_seconds`` is the
+    completion time promised for ``objective_share`` of the work.
+    """
+
+    priority: int
+    objective_seconds: float
+    objective_share: NotRequired[float]
+    urgent: NotRequired[bool]
+
+
+class Account(TypedDict):
+    """A client account: owner, class, limits and guaranteed shapes."""
+
+    owner: str
+    job_class: str
+    limits: NotRequired[Limits]
+    weight: NotRequired[float]
+    guarantees: NotRequired[list[Shape]]
+
+
+class DataCentre(TypedDict):
+    """A data centre and the region it lies in."""
+
+    region: str
+
+
+class Catalogue(TypedDict):
+    """Everything that operators publish, whole."""
+
+    classes: dict[str, JobClass]
+    accounts: dict[str, Account]
+    data_centres: dict[str, DataCentre]
+
+
+EMPTY_CATALOGUE: Catalogue = {"classes": {}, "accounts": {}, "data_centres": {}}
--- /dev/null
+++ b/src/sequoiachute/protocol/codec.py
@@ -0,0 +1,31 @@
+"""MessagePack codec over typed messages."""
+
+from typing import Any
+
+import msgspec
+from grpclib.encoding.base import CodecBase
+
+
+class MessageCodec(CodecBase):
+    """Encodes ``NamedTuple`` messages as MessagePack arrays.
+
+    A message from a newer peer may carry more fields than this version knows:
+    the trailing ones are ignored. Fields added later therefore need defaults.
+    """
+
+    __content_subtype__ = "msgpack"
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """Return the encoded message."""
+        return msgspec.msgpack.encode(message)
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        """Return the message in ``data``; raise ``msgspec.ValidationError``."""
+        try:
+            return msgspec.msgpack.decode(data, type=message_type)
+        except msgspec.ValidationError:
+            fields = msgspec.msgpack.decode(data)
+            known = len(message_type._fields)
+            if not isinstance(fields, list) or len(fields) <= known:
+                raise
+            return msgspec.convert(fields[:known], message_type)
--- /dev/null
+++ b/src/sequoiachute/protocol/messages.py
@@ -0,0 +1,217 @@
+"""Messages between entry instances and agents."""
+
+from typing import Any, NamedTuple
+
+from sequoiachute.protocol.catalogue import Catalogue
+
+
+class Method(NamedTuple):
+    """A unary method: its path and its message types."""
+
+    path: str
+    request: Any
+    reply: Any
+
+
+class Occupant(NamedTuple):
+    """A task that holds a slot and accelerators of a worker.
+
+    ``guaranteed`` work is never evicted for another account; all else is
+    borrowed and can be reclaimed.
+    """
+
+    job_id: str
+    attempt: int
+    account: str
+    accelerators: tuple[int, ...]
+    guaranteed: bool
+    started: bool
+
+
+class TaskReport(NamedTuple):
+    """How a task stands, repeated until the entry acknowledges its end."""
+
+    job_id: str
+    attempt: int
+    member: int
+    state: str
+    reason: str = ""
+    result: str = ""
+    done_seconds: float = 0.0
+
+
+class Announcement(NamedTuple):
+    """What an agent tells every entry about its backend server."""
+
+    worker_id: str
+    incarnation: str
+    address: str
+    region: str
+    data_centre: str
+    rack: str
+    position: int
+    accelerators: int
+    slots: int
+    connections: int
+    speed_class: str
+    speed: float
+    sequence: int
+    config_offset: int
+    leaving: bool
+    open_connections: int
+    occupants: tuple[Occupant, ...]
+    reports: tuple[TaskReport, ...]
+
+
+class AnnouncementReply(NamedTuple):
+    """Where the entry's configuration stands and how fresh that view is.
+
+    ``confirmed_age`` is the time in seconds since the entry last confirmed
+    the end of the configuration stream.
+    """
+
+    entry_id: str
+    config_offset: int
+    confirmed_age: float
+    entries: tuple[str, ...]
+    acknowledged: tuple[tuple[str, int, int], ...]
+
+
+class ConfigurationRequest(NamedTuple):
+    """Asks for the configuration in force."""
+
+    known_offset: int
+
+
+class ConfigurationReply(NamedTuple):
+    """The configuration in force at ``offset``."""
+
+    offset: int
+    confirmed_age: float
+    catalogue: Catalogue
+    out_of_service: tuple[str, ...]
+
+
+class Reserve(NamedTuple):
+    """Asks an agent to hold accelerators for one member of a gang."""
+
+    job_id: str
+    attempt: int
+    member: int
+    account: str
+    guaranteed: bool
+    accelerators: tuple[int, ...]
+    term: int
+    config_offset: int
+    hold_seconds: float
+
+
+class ReserveReply(NamedTuple):
+    """``token`` fences the reservation; zero when refused with ``reason``."""
+
+    token: int
+    reason: str = ""
+
+
+class GangMember(NamedTuple):
+    """One member of a gang, as its first member starts it."""
+
+    member: int
+    worker_id: str
+    address: str
+    token: int
+
+
+class Commit(NamedTuple):
+    """Starts a gang whose members are all reserved; sent to the first member."""
+
+    job_id: str
+    attempt: int
+    term: int
+    config_offset: int
+    payload: str
+    run_seconds: float
+    done_seconds: float
+    members: tuple[GangMember, ...]
+
+
+class CommitReply(NamedTuple):
+    """Whether the gang was committed; a refusal means that nothing ran."""
+
+    committed: bool
+    reason: str = ""
+
+
+class Start(NamedTuple):
+    """Starts a reserved member of a committed gang."""
+
+    job_id: str
+    attempt: int
+    member: int
+    token: int
+    payload: str
+    run_seconds: float
+    done_seconds: float
+    first_address: str
+
+
+class Stop(NamedTuple):
+    """Stops a task or drops its reservation, after a checkpoint if asked."""
+
+    job_id: str
+    attempt: int
+    checkpoint: bool
+    reason: str
+
+
+class StopReply(NamedTuple):
+    """Whether the agent knew the task."""
+
+    known: bool
+
+
+class Execute(NamedTuple):
+    """A request for a backend server.
+
+    ``deadline`` is the time left in seconds. ``token`` fences the attempt.
+    """
+
+    request_id: str
+    attempt_id: str
+    incarnation: str
+    account: str
+    idempotent: bool
+    deadline: float
+    config_offset: int
+    content_type: str
+    body: bytes
+
+
+class ExecuteReply(NamedTuple):
+    """The answer of one attempt.
+
+    ``outcome`` is ``answered``, ``not-run`` or ``unknown``. ``digest`` is the
+    SHA-256 of ``body`` in hexadecimal.
+    """
+
+    request_id: str
+    attempt_id: str
+    outcome: str
+    status: int
+    content_type: str
+    digest: str
+    length: int
+    body: bytes
+    reason: str = ""
+    service_seconds: float = 0.0
+
+
+ANNOUNCE = Method("/sequoiachute.Entry/Announce", Announcement, AnnouncementReply)
+CONFIGURATION = Method(
+    "/sequoiachute.Entry/Configuration", ConfigurationRequest, ConfigurationReply
+)
+RESERVE = Method("/sequoiachute.Agent/Reserve", Reserve, ReserveReply)
+COMMIT = Method("/sequoiachute.Agent/Commit", Commit, CommitReply)
+START = Method("/sequoiachute.Agent/Start", Start, CommitReply)
+STOP = Method("/sequoiachute.Agent/Stop", Stop, StopReply)
+EXECUTE = Method("/sequoiachute.Agent/Execute", Execute, ExecuteReply)
--- /dev/null
+++ b/src/sequoiachute/protocol/records.py
@@ -0,0 +1,218 @@
+"""Records in the log's streams.
+
+A record is a JSON object. ``kind`` selects its type and ``record_id`` is
+unique, so that a lost append reply can be settled by reading back. Unknown
+kinds, newer versions and broken records decode to ``None`` and are skipped.
+"""
+
+from typing import Any, Literal, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+
+from sequoiachute.protocol.catalogue import Catalogue, Within
+
+FORMAT_VERSION = 1
+
+CONFIGURATION_STREAM = "configuration"
+JOBS_STREAM = "jobs"
+INTENTS_STREAM = "intents"
+LEASES_STREAM = "leases"
+SERVICE_LEVELS_STREAM = "service-levels"
+
+
+class Position(NamedTuple):
+    """A record's place in its stream."""
+
+    offset: int
+    appended_at: float
+
+
+class CataloguePublished(TypedDict):
+    """A whole catalogue that replaces the one accepted at ``base``."""
+
+    kind: Literal["catalogue-published"]
+    record_id: str
+    base: int
+    operator: str
+    catalogue: Catalogue
+
+
+class DataCentreSwitched(TypedDict):
+    """A data centre taken out of service or brought back."""
+
+    kind: Literal["data-centre-switched"]
+    record_id: str
+    operator: str
+    data_centre: str
+    in_service: bool
+
+
+class ConfigurationSnapshot(TypedDict):
+    """The configuration in force at ``base``, appended before retention ends."""
+
+    kind: Literal["configuration-snapshot"]
+    record_id: str
+    base: int
+    catalogue: Catalogue
+    out_of_service: list[str]
+
+
+class JobSpec(TypedDict):
+    """What a caller asks to run.
+
+    ``tasks`` tasks of ``accelerators`` accelerators each run as one gang
+    inside one ``within``. ``run_seconds`` is the caller's own estimate.
+    """
+
+    tasks: int
+    accelerators: int
+    within: Within
+    run_seconds: float
+    payload: str
+    checkpointable: NotRequired[bool]
+    speed_class: NotRequired[str]
+
+
+class JobAccepted(TypedDict):
+    """A job that will run or be answered for."""
+
+    kind: Literal["job-accepted"]
+    record_id: str
+    job_id: str
+    account: str
+    job_class: str
+    idempotency_key: str
+    body_digest: str
+    submitted_at: float
+    spec: JobSpec
+
+
+class JobCancelled(TypedDict):
+    """A caller's cancellation of a job."""
+
+    kind: Literal["job-cancelled"]
+    record_id: str
+    job_id: str
+
+
+class JobStarted(TypedDict):
+    """A gang attempt that has been committed."""
+
+    kind: Literal["job-started"]
+    record_id: str
+    job_id: str
+    attempt: int
+    started_at: float
+    workers: list[str]
+
+
+class JobRequeued(TypedDict):
+    """A running attempt ended without finishing the job."""
+
+    kind: Literal["job-requeued"]
+    record_id: str
+    job_id: str
+    attempt: int
+    reason: str
+    done_seconds: float
+
+
+class JobEnded(TypedDict):
+    """The end of a job: finished, failed or cancelled."""
+
+    kind: Literal["job-ended"]
+    record_id: str
+    job_id: str
+    outcome: Literal["finished", "failed", "cancelled"]
+    reason: str
+    result: str
+    ended_at: float
+
+
+class IntentRecorded(TypedDict):
+    """The sole permission to run a non-idempotent request."""
+
+    kind: Literal["intent-recorded"]
+    record_id: str
+    account: str
+    idempotency_key: str
+    body_digest: str
+    request_id: str
+    attempt_id: str
+    worker_id: str
+    incarnation: str
+    recorded_at: float
+
+
+class IntentAnswered(TypedDict):
+    """The answer to a non-idempotent request, kept for its key."""
+
+    kind: Literal["intent-answered"]
+    record_id: str
+    account: str
+    idempotency_key: str
+    attempt_id: str
+    outcome: Literal["answered", "not-run", "unknown"]
+    status: int
+    content_type: str
+    answer: str
+
+
+class LeaseClaimed(TypedDict):
+    """A claim or renewal of a named lease by compare-and-set on ``base``."""
+
+    kind: Literal["lease-claimed"]
+    record_id: str
+    name: str
+    base: int
+    holder: str
+    address: str
+    duration: float
+
+
+Record = (
+    CataloguePublished
+    | DataCentreSwitched
+    | ConfigurationSnapshot
+    | JobAccepted
+    | JobCancelled
+    | JobStarted
+    | JobRequeued
+    | JobEnded
+    | IntentRecorded
+    | IntentAnswered
+    | LeaseClaimed
+)
+
+_TYPES: dict[str, Any] = {
+    "catalogue-published": CataloguePublished,
+    "data-centre-switched": DataCentreSwitched,
+    "configuration-snapshot": ConfigurationSnapshot,
+    "job-accepted": JobAccepted,
+    "job-cancelled": JobCancelled,
+    "job-started": JobStarted,
+    "job-requeued": JobRequeued,
+    "job-ended": JobEnded,
+    "intent-recorded": IntentRecorded,
+    "intent-answered": IntentAnswered,
+    "lease-claimed": LeaseClaimed,
+}
+
+
+def encode_record(record: Any) -> bytes:
+    """Return ``record`` as JSON with the format version."""
+    return msgspec.json.encode({"format": FORMAT_VERSION, **record})
+
+
+def decode_record(data: bytes) -> Any | None:
+    """Return the typed record in ``data``, or ``None`` if it must be skipped."""
+    try:
+        fields = msgspec.json.decode(data)
+        if not isinstance(fields, dict) or fields.get("format") != FORMAT_VERSION:
+            return None
+        record_type = _TYPES.get(fields.get("kind"))
+        if record_type is None:
+            return None
+        return msgspec.convert(fields, record_type)
+    except (msgspec.DecodeError, msgspec.ValidationError, TypeError):
+        return None
--- /dev/null
+++ b/src/sequoiachute/state/__init__.py
@@ -0,0 +1,1 @@
+"""State held in memory and the rules that change it."""
--- /dev/null
+++ b/src/sequoiachute/state/fleet.py
@@ -0,0 +1,94 @@
+"""The workers as their agents announce them."""
+
+from typing import NamedTuple
+
+from sequoiachute.protocol.messages import Announcement, Occupant
+
+
+class Worker(NamedTuple):
+    """A worker as placement and routing see it.
+
+    ``speed`` is relative to the declared run time of a job: a worker of speed
+    2 finishes in half of it. ``heard_at`` is clock time in seconds.
+    """
+
+    worker_id: str
+    incarnation: str
+    address: str
+    region: str
+    data_centre: str
+    rack: str
+    position: int
+    accelerators: int
+    slots: int
+    connections: int
+    speed_class: str
+    speed: float
+    leaving: bool
+    open_connections: int
+    occupants: tuple[Occupant, ...]
+    sequence: int
+    config_offset: int
+    heard_at: float
+
+    @property
+    def free_accelerators(self) -> tuple[int, ...]:
+        """Indices of the accelerators that no task holds, ascending."""
+        taken = set()
+        for occupant in self.occupants:
+            taken.update(occupant.accelerators)
+        return tuple(i for i in range(self.accelerators) if i not in taken)
+
+    @property
+    def free_slots(self) -> int:
+        """Slots that no task holds."""
+        return self.slots - len(self.occupants)
+
+
+class Fleet:
+    """Every worker heard of lately, by the identity of its agent."""
+
+    def __init__(self, silent_after: float) -> None:
+        self._workers: dict[str, Worker] = {}
+        self._silent_after = silent_after
+
+    def announce(self, message: Announcement, now: float) -> bool:
+        """Take an announcement; return whether it was newer than the last."""
+        known = self._workers.get(message.worker_id)
+        same = known is not None and known.incarnation == message.incarnation
+        if same and message.sequence <= known.sequence:
+            return False
+        self._workers[message.worker_id] = Worker(
+            worker_id=message.worker_id,
+            incarnation=message.incarnation,
+            address=message.address,
+            region=message.region,
+            data_centre=message.data_centre,
+            rack=message.rack,
+            position=message.position,
+            accelerators=message.accelerators,
+            slots=message.slots,
+            connections=message.connections,
+            speed_class=message.speed_class,
+            speed=message.speed,
+            leaving=message.leaving,
+            open_connections=message.open_connections,
+            occupants=message.occupants,
+            sequence=message.sequence,
+            config_offset=message.config_offset,
+            heard_at=now,
+        )
+        return True
+
+    def get(self, worker_id: str) -> Worker | None:
+        """Return the worker, ``None`` if it was never heard of."""
+        return self._workers.get(worker_id)
+
+    def live(self, now: float) -> list[Worker]:
+        """Return the workers heard of lately, ordered by identity."""
+        workers = []
+        for worker_id in sorted(self._workers):
+            worker = self._workers[worker_id]
+            if now - worker.heard_at <= self._silent_after:
+                workers.append(worker)
+        return workers
--- /dev/null
+++ b/src/sequoiachute/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP and RPC: bytes in and out, no decisions."""
--- /dev/null
+++ b/src/sequoiachute/transport/backend.py
@@ -0,0 +1,131 @@
+"""Client of the backend server beside an agent."""
+
+from typing import Any
+
+import msgspec
+import urllib3
+from result import Err, Ok, Result
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from sequoiachute.errors import RpcError
+from sequoiachute.transport.ports import BackendAnswer, BackendTask
+
+CONNECT_SECONDS = 1.0
+TASK_CALL_SECONDS = 3.0
+
+
+class BackendClient:
+    """Calls the backend server at ``url``.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the backend server.
+    connections : int
+        Connections that the backend server accepts; never exceeded.
+    """
+
+    def __init__(self, url: str, connections: int) -> None:
+        self._url = url.rstrip("/")
+        self._pool = urllib3.PoolManager(maxsize=connections, block=True, retries=False)
+
+    def execute(
+        self,
+        request_id: str,
+        attempt_id: str,
+        content_type: str,
+        body: bytes,
+        timeout: float,
+    ) -> Result[BackendAnswer, RpcError]:
+        """Run a request and return its whole answer."""
+        headers = {
+            "Content-Type": content_type,
+            "X-Request-Id": request_id,
+            "X-Attempt-Id": attempt_id,
+        }
+        answered = self._send("POST", "/requests", body, headers, timeout)
+        if answered.is_err():
+            return answered
+        response = answered.unwrap()
+        if response.headers.get("X-Attempt-Id", attempt_id) != attempt_id:
+            reason = "the answer belongs to another attempt"
+            return Err(RpcError(self._url, reason, True))
+        kind = response.headers.get("Content-Type", "application/octet-stream")
+        return Ok(BackendAnswer(response.status, kind, response.data))
+
+    def start_task(
+        self,
+        task_id: str,
+        token: int,
+        accelerators: tuple[int, ...],
+        payload: str,
+        run_seconds: float,
+        done_seconds: float,
+    ) -> Result[None, RpcError]:
+        """Start a task; the same ``task_id`` and ``token`` start it once."""
+        body = {
+            "task_id": task_id,
+            "token": token,
+            "accelerators": accelerators,
+            "payload": payload,
+            "run_seconds": run_seconds,
+            "done_seconds": done_seconds,
+        }
+        answered = self._send_json("POST", "/tasks", body)
+        if answered.is_err():
+            return answered
+        response = answered.unwrap()
+        if response.status != 200:
+            reason = f"start answered {response.status}"
+            return Err(RpcError(self._url, reason, response.status >= 500))
+        return Ok(None)
+
+    def task(self, task_id: str) -> Result[BackendTask | None, RpcError]:
+        """Return how a task stands, ``None`` if it is not known."""
+        return self._task_call("GET", f"/tasks/{task_id}", None)
+
+    def stop_task(
+        self, task_id: str, checkpoint: bool
+    ) -> Result[BackendTask | None, RpcError]:
+        """Stop a task, after a checkpoint if asked, and return its end."""
+        body = {"checkpoint": checkpoint}
+        return self._task_call("POST", f"/tasks/{task_id}/stop", body)
+
+    def _task_call(
+        self, method: str, path: str, body: Any
+    ) -> Result[BackendTask | None, RpcError]:
+        answered = self._send_json(method, path, body)
+        if answered.is_err():
+            return answered
+        response = answered.unwrap()
+        if response.status == 404:
+            return Ok(None)
+        try:
+            return Ok(msgspec.json.decode(response.data, type=BackendTask))
+        except msgspec.DecodeError as error:
+            return Err(RpcError(self._url, f"broken reply: {error}", True))
+
+    def _send_json(self, method: str, path: str, body: Any) -> Result[Any, RpcError]:
+        data = msgspec.json.encode(body)
+        headers = {"Content-Type": "application/json"}
+        return self._send(method, path, data, headers, TASK_CALL_SECONDS)
+
+    def _send(
+        self, method: str, path: str, body: bytes, headers: dict, timeout: float
+    ) -> Result[Any, RpcError]:
+        limits = urllib3.Timeout(connect=CONNECT_SECONDS, total=timeout)
+        try:
+            return Ok(
+                self._pool.request(
+                    method,
+                    self._url + path,
+                    body=body,
+                    headers=headers,
+                    timeout=limits,
+                    enforce_content_length=True,
+                )
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            return Err(RpcError(self._url, f"no connection: {error}", False))
+        except HTTPError as error:
+            return Err(RpcError(self._url, f"{type(error).__name__}: {error}", True))
--- /dev/null
+++ b/src/sequoiachute/transport/logservice.py
@@ -0,0 +1,90 @@
+"""Client of the platform's log service over HTTP."""
+
+from typing import NamedTuple
+
+import msgspec
+import urllib3
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from sequoiachute.errors import LogUnavailableError
+from sequoiachute.transport.ports import LogEntry, LogPage
+
+CONNECT_SECONDS = 1.0
+ANSWER_SECONDS = 2.0
+CONNECTIONS = 8
+MAX_RECORDS_PER_READ = 1000
+
+
+class _WireRecord(NamedTuple):
+    offset: int
+    appended_at: float
+    data: str
+
+
+class _WirePage(NamedTuple):
+    first: int
+    next: int
+    records: tuple[_WireRecord, ...]
+
+
+class LogServiceClient:
+    """Appends to and reads from the log service at ``url``.
+
+    Appends are never repeated here: a lost reply may hide an append that took
+    effect, which only the caller can settle by reading back.
+    """
+
+    def __init__(self, url: str) -> None:
+        self._url = url.rstrip("/")
+        self._pool = urllib3.PoolManager(maxsize=CONNECTIONS, retries=False)
+
+    def append(self, stream: str, records: list[bytes]) -> int:
+        """Append ``records``; raise ``LogUnavailableError``."""
+        body = msgspec.json.encode([record.decode() for record in records])
+        timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=ANSWER_SECONDS)
+        url = f"{self._url}/streams/{stream}"
+        try:
+            response = self._pool.request("POST", url, body=body, timeout=timeout)
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            raise LogUnavailableError(_describe(error)) from error
+        except HTTPError as error:
+            raise LogUnavailableError(_describe(error), maybe_applied=True) from error
+        if response.status >= 500:
+            reason = f"append answered {response.status}"
+            raise LogUnavailableError(reason, maybe_applied=True)
+        if response.status != 200:
+            raise LogUnavailableError(f"append answered {response.status}")
+        try:
+            return msgspec.json.decode(response.data, type=int)
+        except msgspec.DecodeError as error:
+            raise LogUnavailableError("broken reply", maybe_applied=True) from error
+
+    def read(self, stream: str, offset: int, wait: float) -> LogPage:
+        """Return records from ``offset`` on; raise ``LogUnavailableError``."""
+        timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=ANSWER_SECONDS + wait)
+        url = f"{self._url}/streams/{stream}"
+        fields = {
+            "from": str(offset),
+            "wait": str(wait),
+            "limit": str(MAX_RECORDS_PER_READ),
+        }
+        try:
+            response = self._pool.request("GET", url, fields=fields, timeout=timeout)
+        except HTTPError as error:
+            raise LogUnavailableError(_describe(error)) from error
+        if response.status != 200:
+            raise LogUnavailableError(f"read answered {response.status}")
+        try:
+            page = msgspec.json.decode(response.data, type=_WirePage)
+        except msgspec.DecodeError as error:
+            raise LogUnavailableError("broken reply") from error
+        entries = []
+        for record in page.records:
+            entries.append(
+                LogEntry(record.offset, record.appended_at, record.data.encode())
+            )
+        return LogPage(page.first, page.next, tuple(entries))
+
+
+def _describe(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"
--- /dev/null
+++ b/src/sequoiachute/transport/rpc.py
@@ -0,0 +1,149 @@
+"""Unary RPC between the system's processes: grpclib under eventlet tasks."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import eventlet
+from eventlet.asyncio import spawn_for_awaitable
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.const import Cardinality, Handler, Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server
+from loguru import logger
+from result import Err, Ok, Result
+
+from sequoiachute.errors import RpcError
+from sequoiachute.protocol.codec import MessageCodec
+from sequoiachute.protocol.messages import Method
+
+CONNECT_SECONDS = 1.0
+
+RpcHandler = Callable[[Any], Any]
+
+
+class RpcServer:
+    """Serves methods, each call in a task of its own.
+
+    Parameters
+    ----------
+    handlers : mapping of Method to callable
+        Each takes the request message and returns the reply message.
+    """
+
+    def __init__(self, handlers: Mapping[Method, RpcHandler]) -> None:
+        self._handlers = handlers
+        self._server: Server | None = None
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the table that grpclib dispatches on."""
+        table = {}
+        for method, handler in self._handlers.items():
+            table[method.path] = Handler(
+                _serve_with(handler),
+                Cardinality.UNARY_UNARY,
+                method.request,
+                method.reply,
+            )
+        return table
+
+    def start(self, host: str, port: int) -> None:
+        """Listen on ``host`` and ``port``; raise ``OSError`` if that fails."""
+        self._server = Server([self], codec=MessageCodec())
+        spawn_for_awaitable(self._server.start(host, port)).wait()
+
+    def stop(self) -> None:
+        """Stop listening and wait until the calls in progress have ended."""
+        if self._server is None:
+            return
+        self._server.close()
+        spawn_for_awaitable(self._server.wait_closed()).wait()
+
+
+def _serve_with(handler: RpcHandler) -> Callable[[Any], Any]:
+    async def serve(stream: Any) -> None:
+        message = await stream.recv_message()
+        future = asyncio.get_running_loop().create_future()
+        eventlet.spawn(_run_handler, handler, message, future)
+        reply = await future
+        await stream.send_message(reply)
+
+    return serve
+
+
+def _run_handler(handler: RpcHandler, message: Any, future: asyncio.Future) -> None:
+    try:
+        reply = handler(message)
+    except Exception as error:
+        logger.exception("RPC handler failed for {}", type(message).__name__)
+        if not future.done():
+            future.set_exception(GRPCError(Status.INTERNAL, str(error)))
+        return
+    if not future.done():
+        future.set_result(reply)
+
+
+class RpcClient:
+    """Calls the methods of one peer over one connection, redialled as needed."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        host, _, port = address.rpartition(":")
+        self._channel = Channel(host, int(port), codec=MessageCodec())
+
+    def call(
+        self, method: Method, message: Any, timeout: float
+    ) -> Result[Any, RpcError]:
+        """Call ``method`` and return its reply within ``timeout`` seconds."""
+        task = spawn_for_awaitable(self._call(method, message, timeout))
+        return task.wait()
+
+    async def _call(
+        self, method: Method, message: Any, timeout: float
+    ) -> Result[Any, RpcError]:
+        try:
+            async with asyncio.timeout(min(CONNECT_SECONDS, timeout)):
+                await self._channel.__connect__()
+        except (OSError, TimeoutError) as error:
+            return Err(RpcError(self.address, f"no connection: {error}", False))
+        call = UnaryUnaryMethod(
+            self._channel, method.path, method.request, method.reply
+        )
+        try:
+            return Ok(await call(message, timeout=timeout))
+        except GRPCError as error:
+            return Err(RpcError(self.address, f"{error.status.name}", True))
+        except (OSError, TimeoutError, StreamTerminatedError) as error:
+            reason = f"{type(error).__name__}: {error}"
+            return Err(RpcError(self.address, reason, True))
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._channel.close()
+
+
+class RpcPool:
+    """One client for each address."""
+
+    def __init__(self) -> None:
+        self._clients: dict[str, RpcClient] = {}
+
+    def call(
+        self, address: str, method: Method, message: Any, timeout: float
+    ) -> Result[Any, RpcError]:
+        """Call ``method`` at ``address``."""
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = RpcClient(address)
+        return client.call(method, message, timeout)
+
+    def forget(self, address: str) -> None:
+        """Close the connection to ``address``, if there is one."""
+        client = self._clients.pop(address, None)
+        if client is not None:
+            client.close()
+
+    def close(self) -> None:
+        """Close every connection."""
+        for address in list(self._clients):
+            self.forget(address)
--- /dev/null
+++ b/standins/cluster.py
@@ -0,0 +1,262 @@
+"""Starts the system's processes and the stand-ins on loopback.
+
+Used by the demo, the tests on real processes and the benchmarks. Every
+process is ended by its own pid.
+"""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+import urllib3
+import yaml
+
+HOST = "127.0.0.1"
+OPERATOR_KEY = "operator-key-for-tests"
+START_SECONDS = 20.0
+STOP_SECONDS = 40.0
+REGION = "bavaria"
+DATA_CENTRES = ("muc-1", "muc-2", "muc-3")
+WORKERS_PER_RACK = 3
+
+
+class Process(NamedTuple):
+    """A started process and where it listens."""
+
+    name: str
+    popen: subprocess.Popen
+    address: str
+
+    def kill(self) -> None:
+        """End it at once."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def freeze(self) -> None:
+        """Pause it, as a long stall would."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a paused process go on."""
+        self.popen.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> int:
+        """Ask it to stop and return its exit status."""
+        self.popen.send_signal(signal.SIGTERM)
+        return self.popen.wait(STOP_SECONDS)
+
+
+def free_address() -> str:
+    """Return a loopback address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return f"{HOST}:{probe.getsockname()[1]}"
+
+
+def caller_key(account: str) -> str:
+    """Return the key of a client account."""
+    return f"caller-key-of-{account}"
+
+
+class Cluster:
+    """Processes of one run: log service, workers, agents and entries.
+
+    Parameters
+    ----------
+    accounts : sequence of str
+        Client accounts that get a key each.
+    workers : int
+        Workers with an agent each, spread over ``DATA_CENTRES``.
+    """
+
+    def __init__(
+        self,
+        accounts: tuple[str, ...],
+        workers: int = 11,
+        entries: int = 2,
+        entry_settings: dict[str, Any] | None = None,
+        agent_settings: dict[str, Any] | None = None,
+        retention: float = 3600.0,
+    ) -> None:
+        self.accounts = accounts
+        self.log: Process | None = None
+        self.workers: list[Process] = []
+        self.agents: list[Process] = []
+        self.entries: list[Process] = []
+        self._count = workers
+        self._entry_count = entries
+        self._entry_settings = entry_settings or {}
+        self._agent_settings = agent_settings or {}
+        self._retention = retention
+        self._folder = tempfile.TemporaryDirectory(prefix="sequoiachute-")
+        self._rpc_addresses: list[str] = []
+        self._http = urllib3.PoolManager(retries=False)
+
+    def __enter__(self) -> "Cluster":
+        self.start()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.close()
+
+    def start(self) -> None:
+        """Start everything and wait until every entry is ready."""
+        self.log = self._start_standin(
+            "log", "logservice", ["--retention", str(self._retention)]
+        )
+        self._rpc_addresses = [free_address() for _ in range(self._entry_count)]
+        for index in range(self._entry_count):
+            self.entries.append(self.start_entry(index))
+        for index in range(self._count):
+            self.workers.append(self.start_worker(index))
+            self.agents.append(self.start_agent(index))
+        self.wait_ready()
+
+    def start_entry(self, index: int) -> Process:
+        """Start an entry instance and return it."""
+        settings = {
+            "entry_id": f"entry-{index}",
+            "region": REGION,
+            "data_centre": DATA_CENTRES[index % len(DATA_CENTRES)],
+            "http_address": free_address(),
+            "rpc_address": self._rpc_addresses[index],
+            "log_service": f"http://{self.log.address}",
+            "keys": self._keys(),
+            **self._entry_settings,
+        }
+        return self._start_program("entry", settings, settings["http_address"])
+
+    def start_worker(self, index: int) -> Process:
+        """Start a worker stand-in and return it; speeds are uneven."""
+        speed = 1.0 + 0.5 * (index % 3)
+        options = ["--speed", str(speed), "--seed", str(index)]
+        return self._start_standin(f"worker-{index}", "worker", options)
+
+    def start_agent(self, index: int) -> Process:
+        """Start the agent beside worker ``index`` and return it."""
+        data_centre = DATA_CENTRES[index % len(DATA_CENTRES)]
+        place = index // len(DATA_CENTRES)
+        settings = {
+            "worker_id": f"worker-{index}",
+            "region": REGION,
+            "data_centre": data_centre,
+            "rack": f"{data_centre}-rack-{place // WORKERS_PER_RACK}",
+            "position": place % WORKERS_PER_RACK,
+            "rpc_address": free_address(),
+            "backend_server": f"http://{self.workers[index].address}",
+            "entries": self._rpc_addresses,
+            "accelerators": 8,
+            "slots": 8,
+            "connections": 64,
+            "speed": 1.0 + 0.5 * (index % 3),
+            **self._agent_settings,
+        }
+        return self._start_program("agent", settings, settings["rpc_address"])
+
+    def wait_ready(self) -> None:
+        """Wait until every entry says that it is ready."""
+        for entry in self.entries:
+            self.wait_until(lambda e=entry: self._is_ready(e), START_SECONDS)
+
+    def wait_until(self, condition: Any, seconds: float) -> None:
+        """Wait until ``condition`` holds; raise ``TimeoutError``."""
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            if condition():
+                return
+            time.sleep(0.05)
+        raise TimeoutError(f"still waiting after {seconds} s")
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        key: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+        entry: int = 0,
+        timeout: float = 40.0,
+    ) -> tuple[int, Any, bytes]:
+        """Call an entry; return status, headers and body."""
+        data = body if isinstance(body, bytes) else msgspec.json.encode(body)
+        response = self._http.request(
+            method,
+            f"http://{self.entries[entry].address}{path}",
+            body=data if body is not None else None,
+            headers={"Authorization": f"Bearer {key}", **(headers or {})},
+            timeout=timeout,
+        )
+        return response.status, response.headers, response.data
+
+    def set_faults(self, process: Process, **faults: Any) -> None:
+        """Set the faults of a stand-in; none restores it."""
+        self._http.request(
+            "POST", f"http://{process.address}/faults", body=msgspec.json.encode(faults)
+        )
+
+    def history(self, worker: Process) -> list[dict[str, Any]]:
+        """Return what ran on a worker stand-in."""
+        response = self._http.request("GET", f"http://{worker.address}/history")
+        return msgspec.json.decode(response.data)
+
+    def close(self) -> dict[str, int]:
+        """Stop everything gracefully; return the exit statuses by name."""
+        statuses = {}
+        for process in [*self.entries, *self.agents]:
+            if process.popen.poll() is None:
+                process.thaw()
+                process.popen.send_signal(signal.SIGTERM)
+        for process in [*self.entries, *self.agents]:
+            statuses[process.name] = process.popen.wait(STOP_SECONDS)
+        for process in [*self.workers, self.log]:
+            if process is not None:
+                process.kill()
+        self._folder.cleanup()
+        return statuses
+
+    def _keys(self) -> list[dict[str, str]]:
+        keys = [{"key": OPERATOR_KEY, "role": "operator", "account": "operator"}]
+        for account in self.accounts:
+            keys.append(
+                {"key": caller_key(account), "role": "caller", "account": account}
+            )
+        return keys
+
+    def _is_ready(self, entry: Process) -> bool:
+        try:
+            response = self._http.request(
+                "GET", f"http://{entry.address}/readyz", timeout=1.0
+            )
+        except urllib3.exceptions.HTTPError:
+            return False
+        return response.status == 200
+
+    def _start_program(
+        self, command: str, settings: dict[str, Any], address: str
+    ) -> Process:
+        name = settings.get("entry_id") or settings["worker_id"]
+        path = Path(self._folder.name) / f"{command}-{name}.yaml"
+        path.write_text(yaml.safe_dump(settings), encoding="utf-8")
+        arguments = [sys.executable, "-m", "sequoiachute", command]
+        arguments += ["--settings", str(path)]
+        return self._spawn(f"{command} {name}", arguments, address)
+
+    def _start_standin(self, name: str, module: str, options: list[str]) -> Process:
+        address = free_address()
+        arguments = [sys.executable, "-m", f"standins.{module}", "--listen", address]
+        return self._spawn(name, [*arguments, *options], address)
+
+    def _spawn(self, name: str, arguments: list[str], address: str) -> Process:
+        output = None
+        if not os.environ.get("SEQUOIACHUTE_SHOW_LOGS"):
+            output = subprocess.DEVNULL
+        root = Path(__file__).resolve().parent.parent
+        popen = subprocess.Popen(arguments, cwd=root, stdout=output, stderr=output)
+        return Process(name, popen, address)
--- /dev/null
+++ b/standins/memory.py
@@ -0,0 +1,248 @@
+"""In-memory stand-ins that run on the paused clock, all in one process."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import eventlet
+from eventlet import hubs
+from eventlet.event import Event
+from eventlet.hubs.hub import BaseHub
+from result import Err, Ok, Result
+
+from sequoiachute import clock
+from sequoiachute.errors import LogUnavailableError, RpcError
+from sequoiachute.protocol.messages import Method
+from sequoiachute.transport.ports import (
+    BackendAnswer,
+    BackendTask,
+    LogEntry,
+    LogPage,
+)
+
+
+class PausedHub(BaseHub):
+    """An eventlet hub whose clock stands still but for what tasks wait for.
+
+    When every task waits, the clock jumps to the next timer. Nothing sleeps,
+    so that minutes of protocol time pass in milliseconds and every run is the
+    same.
+    """
+
+    def __init__(self) -> None:
+        self._time = 0.0
+        super().__init__(clock=lambda: self._time)
+
+    def wait(self, seconds: float | None = None) -> None:
+        """Advance the clock instead of sleeping."""
+        if not self.timers and not self.next_timers:
+            raise RuntimeError("every task waits and no timer is set")
+        if seconds is not None and seconds > 0:
+            self._time += seconds
+
+
+def install_paused_clock() -> None:
+    """Give this thread a new hub whose clock starts at zero."""
+    hubs.use_hub(PausedHub)
+
+
+class MemoryLog:
+    """The log service in memory.
+
+    ``down`` refuses every call, ``reads_fail`` refuses reads, ``lose_replies``
+    lets appends take effect and then fail, ``delay`` slows every call.
+    ``appends`` counts the calls.
+    """
+
+    def __init__(self, delay: float = 0.001) -> None:
+        self.down = False
+        self.reads_fail = False
+        self.lose_replies = False
+        self.delay = delay
+        self.appends = 0
+        self._streams: dict[str, list[LogEntry]] = {}
+        self._firsts: dict[str, int] = {}
+        self._waiters: dict[str, Event] = {}
+
+    def append(self, stream: str, records: list[bytes]) -> int:
+        """Append ``records``; return the offset of the first."""
+        clock.sleep(self.delay)
+        if self.down:
+            raise LogUnavailableError("down")
+        entries = self._streams.setdefault(stream, [])
+        first = self._firsts.get(stream, 0) + len(entries)
+        for index, data in enumerate(records):
+            entries.append(LogEntry(first + index, clock.wall_time(), data))
+        self.appends += 1
+        waiter = self._waiters.pop(stream, None)
+        if waiter is not None:
+            waiter.send(None)
+        if self.lose_replies:
+            raise LogUnavailableError("the reply is lost", maybe_applied=True)
+        return first
+
+    def read(self, stream: str, offset: int, wait: float) -> LogPage:
+        """Return records from ``offset`` on."""
+        clock.sleep(self.delay)
+        if self.down or self.reads_fail:
+            raise LogUnavailableError("down")
+        if offset >= self._next(stream) and wait > 0:
+            waiter = self._waiters.setdefault(stream, Event())
+            with eventlet.Timeout(wait, False):
+                waiter.wait()
+        first = self._firsts.get(stream, 0)
+        entries = self._streams.get(stream, [])[max(0, offset - first) :]
+        return LogPage(first, self._next(stream), tuple(entries))
+
+    def drop_before(self, stream: str, offset: int) -> None:
+        """Forget the records before ``offset``, as limited retention does."""
+        first = self._firsts.get(stream, 0)
+        self._streams[stream] = self._streams.get(stream, [])[offset - first :]
+        self._firsts[stream] = offset
+
+    def _next(self, stream: str) -> int:
+        return self._firsts.get(stream, 0) + len(self._streams.get(stream, []))
+
+
+class MemoryNetwork:
+    """Carries calls between processes by address, with faults.
+
+    ``cut`` and ``lose_replies`` hold (source, destination) pairs; ``frozen``
+    holds addresses whose calls wait until they are thawed.
+    """
+
+    def __init__(self, delay: float = 0.001) -> None:
+        self.delay = delay
+        self.cut: set[tuple[str, str]] = set()
+        self.lose_replies: set[tuple[str, str]] = set()
+        self.frozen: set[str] = set()
+        self._handlers: dict[str, Mapping[Method, Callable[[Any], Any]]] = {}
+
+    def serve(
+        self, address: str, handlers: Mapping[Method, Callable[[Any], Any]]
+    ) -> None:
+        """Serve ``handlers`` at ``address``."""
+        self._handlers[address] = handlers
+
+    def remove(self, address: str) -> None:
+        """Let nothing listen at ``address`` any more."""
+        self._handlers.pop(address, None)
+
+    def caller(self, source: str) -> "MemoryCaller":
+        """Return the caller that the process at ``source`` uses."""
+        return MemoryCaller(self, source)
+
+    def deliver(
+        self, source: str, address: str, method: Method, message: Any
+    ) -> Result[Any, RpcError]:
+        """Carry one call there and back."""
+        clock.sleep(self.delay)
+        handlers = self._handlers.get(address)
+        if handlers is None or (source, address) in self.cut:
+            return Err(RpcError(address, "no connection", False))
+        while address in self.frozen:
+            clock.sleep(0.05)
+        reply = handlers[method](message)
+        clock.sleep(self.delay)
+        if (source, address) in self.lose_replies:
+            return Err(RpcError(address, "the reply is lost", True))
+        return Ok(reply)
+
+
+class MemoryCaller:
+    """Calls through a ``MemoryNetwork`` from one source address."""
+
+    def __init__(self, network: MemoryNetwork, source: str) -> None:
+        self._network = network
+        self._source = source
+
+    def call(
+        self, address: str, method: Method, message: Any, timeout: float
+    ) -> Result[Any, RpcError]:
+        """Call ``method``; the handler goes on after a timeout."""
+        task = eventlet.spawn(
+            self._network.deliver, self._source, address, method, message
+        )
+        with eventlet.Timeout(timeout, False):
+            return task.wait()
+        return Err(RpcError(address, "timeout", True))
+
+
+class MemoryBackend:
+    """A backend server in memory; ``starts`` and ``runs`` tell what ran."""
+
+    def __init__(self, speed: float = 1.0) -> None:
+        self.speed = speed
+        self.fails_tasks = False
+        self.fails_starts = False
+        self.service_seconds = 0.01
+        self.starts: list[tuple[str, int, float]] = []
+        self.runs: list[tuple[str, str]] = []
+        self._tasks: dict[str, tuple[float, float, float]] = {}
+        self._ended: dict[str, BackendTask] = {}
+
+    def execute(
+        self,
+        request_id: str,
+        attempt_id: str,
+        content_type: str,
+        body: bytes,
+        timeout: float,
+    ) -> Result[BackendAnswer, RpcError]:
+        """Answer with the body."""
+        self.runs.append((request_id, attempt_id))
+        clock.sleep(min(timeout, self.service_seconds / self.speed))
+        return Ok(BackendAnswer(200, content_type, body))
+
+    def start_task(
+        self,
+        task_id: str,
+        token: int,
+        accelerators: tuple[int, ...],
+        payload: str,
+        run_seconds: float,
+        done_seconds: float,
+    ) -> Result[None, RpcError]:
+        """Start a task once."""
+        if self.fails_starts:
+            return Err(RpcError("backend", "start refused", False))
+        if task_id not in self._tasks:
+            self._tasks[task_id] = (clock.now(), run_seconds, done_seconds)
+            self.starts.append((task_id, token, clock.now()))
+        return Ok(None)
+
+    def task(self, task_id: str) -> Result[BackendTask | None, RpcError]:
+        """Return how a task stands."""
+        if task_id not in self._tasks:
+            return Ok(None)
+        return Ok(self._state(task_id))
+
+    def stop_task(
+        self, task_id: str, checkpoint: bool
+    ) -> Result[BackendTask | None, RpcError]:
+        """Stop a task and return its end."""
+        if task_id not in self._tasks:
+            return Ok(None)
+        state = self._state(task_id)
+        if state.state == "running":
+            done = state.done_seconds if checkpoint else self._tasks[task_id][2]
+            self._ended[task_id] = BackendTask("stopped", "stopped", "", done)
+        return Ok(self._state(task_id))
+
+    def running(self) -> list[str]:
+        """Return the tasks that run now."""
+        running = []
+        for task_id in self._tasks:
+            if self._state(task_id).state == "running":
+                running.append(task_id)
+        return running
+
+    def _state(self, task_id: str) -> BackendTask:
+        if task_id in self._ended:
+            return self._ended[task_id]
+        started_at, run_seconds, done_seconds = self._tasks[task_id]
+        if self.fails_tasks:
+            return BackendTask("failed", "the worker fails it", "", done_seconds)
+        ran = (clock.now() - started_at) * self.speed
+        if done_seconds + ran >= run_seconds:
+            return BackendTask("finished", "", "done", run_seconds)
+        return BackendTask("running", "", "", done_seconds + ran)
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,151 @@
+"""A whole site in one process on the paused clock: entries, agents, stand-ins."""
+
+from typing import Any
+
+from sequoiachute import clock
+from sequoiachute.coordination.agent import Agent
+from sequoiachute.coordination.entry import Entry
+from sequoiachute.coordination.log import new_record_id
+from sequoiachute.coordination.policy import FirstFitPolicy, Policy
+from sequoiachute.protocol.catalogue import Catalogue
+from sequoiachute.protocol.records import (
+    CONFIGURATION_STREAM,
+    JOBS_STREAM,
+    encode_record,
+)
+from sequoiachute.settings import AgentSettings, EntrySettings
+from standins.memory import MemoryBackend, MemoryLog, MemoryNetwork
+
+DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
+WORKERS_PER_RACK = 3
+REGION = "bavaria"
+
+
+def create_catalogue(**accounts: Any) -> Catalogue:
+    """Return a catalogue of ``accounts`` with one class and three data centres."""
+    return {
+        "classes": {"batch": {"priority": 1, "objective_seconds": 60.0}},
+        "accounts": accounts,
+        "data_centres": {name: {"region": REGION} for name in DATA_CENTRES},
+    }
+
+
+class Site:
+    """Entries and agents joined by a ``MemoryNetwork`` and a ``MemoryLog``.
+
+    Install the paused clock first.
+    """
+
+    def __init__(
+        self, workers: int = 3, entries: int = 2, policy: Policy | None = None
+    ) -> None:
+        self.log = MemoryLog()
+        self.network = MemoryNetwork()
+        self.policy = policy or FirstFitPolicy()
+        self.entries: list[Entry] = []
+        self.agents: list[Agent] = []
+        self.backends: list[MemoryBackend] = []
+        self._entry_addresses = tuple(entry_address(i) for i in range(entries))
+        for index in range(entries):
+            self.entries.append(self.start_entry(index))
+        for index in range(workers):
+            self.backends.append(MemoryBackend())
+            self.agents.append(self.start_agent(index))
+
+    def start_entry(self, index: int) -> Entry:
+        """Start an entry instance and return it."""
+        address = entry_address(index)
+        settings = EntrySettings(
+            entry_id=f"entry-{index}",
+            region=REGION,
+            data_centre=DATA_CENTRES[index % len(DATA_CENTRES)],
+            http_address=f"10.0.1.{index}:80",
+            rpc_address=address,
+            log_service="http://10.0.2.1:80",
+            keys=(),
+        )
+        entry = Entry(settings, self.log, self.network.caller(address), self.policy)
+        self.network.serve(address, entry.handlers())
+        entry.run()
+        return entry
+
+    def start_agent(self, index: int) -> Agent:
+        """Start an agent beside backend server ``index`` and return it."""
+        data_centre = DATA_CENTRES[index % len(DATA_CENTRES)]
+        place = index // len(DATA_CENTRES)
+        address = agent_address(index)
+        settings = AgentSettings(
+            worker_id=f"worker-{index}",
+            region=REGION,
+            data_centre=data_centre,
+            rack=f"{data_centre}-rack-{place // WORKERS_PER_RACK}",
+            position=place % WORKERS_PER_RACK,
+            rpc_address=address,
+            backend_server="http://10.0.3.1:80",
+            entries=self._entry_addresses,
+            accelerators=8,
+            slots=8,
+            connections=64,
+        )
+        agent = Agent(settings, self.network.caller(address), self.backends[index])
+        self.network.serve(address, agent.handlers())
+        agent.run()
+        return agent
+
+    def publish(self, catalogue: Catalogue, base: int = -1) -> None:
+        """Append a catalogue to the configuration stream."""
+        record = {
+            "kind": "catalogue-published",
+            "record_id": new_record_id(),
+            "base": base,
+            "operator": "test",
+            "catalogue": catalogue,
+        }
+        self.log.append(CONFIGURATION_STREAM, [encode_record(record)])
+
+    def switch(self, data_centre: str, in_service: bool) -> None:
+        """Take a data centre out or bring it back."""
+        record = {
+            "kind": "data-centre-switched",
+            "record_id": new_record_id(),
+            "operator": "test",
+            "data_centre": data_centre,
+            "in_service": in_service,
+        }
+        self.log.append(CONFIGURATION_STREAM, [encode_record(record)])
+
+    def submit(self, job_id: str, account: str = "brocach", **spec: Any) -> None:
+        """Append an accepted job to the jobs stream."""
+        record = {
+            "kind": "job-accepted",
+            "record_id": new_record_id(),
+            "job_id": job_id,
+            "account": account,
+            "job_class": "batch",
+            "idempotency_key": job_id,
+            "body_digest": "",
+            "submitted_at": clock.wall_time(),
+            "spec": {
+                "tasks": 1,
+                "accelerators": 1,
+                "within": "rack",
+                "run_seconds": 1.0,
+                "payload": "",
+                **spec,
+            },
+        }
+        self.log.append(JOBS_STREAM, [encode_record(record)])
+
+    def run_for(self, seconds: float) -> None:
+        """Let the clock advance by ``seconds``."""
+        clock.sleep(seconds)
+
+
+def entry_address(index: int) -> str:
+    """Return the address of an entry instance."""
+    return f"10.1.0.{index}:7000"
+
+
+def agent_address(index: int) -> str:
+    """Return the address of an agent."""
+    return f"10.2.{index // 250}.{index % 250}:7001"
--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,152 @@
+"""Stand-in for a worker with its backend server.
+
+``POST /requests`` answers with the body it was sent, after ``payload`` seconds
+divided by the worker's speed if the body is a JSON object with ``seconds``.
+``/tasks`` runs tasks that take ``run_seconds`` divided by the speed. Every
+execution is kept for ``GET /history``. ``POST /faults`` sets ``fail_tasks``,
+``fail_requests`` (share of requests), ``truncate`` and ``slow_seconds``.
+"""
+
+import argparse
+import os
+import random
+import time
+import warnings
+
+os.environ["EVENTLET_HUB"] = "asyncio"
+warnings.filterwarnings("ignore", message="(?s).*Eventlet is deprecated")
+
+import eventlet  # noqa: E402
+
+eventlet.monkey_patch()
+
+import msgspec  # noqa: E402
+from eventlet import wsgi  # noqa: E402
+from urllib3.util import parse_url  # noqa: E402
+
+from standins.web import read_json, reply  # noqa: E402
+
+
+class Worker:
+    """Runs requests and tasks in memory."""
+
+    def __init__(self, speed: float, seed: int) -> None:
+        self.speed = speed
+        self.faults: dict = {}
+        self.history: list[dict] = []
+        self.open_requests = 0
+        self.most_open_requests = 0
+        self._random = random.Random(seed)
+        self._tasks: dict[str, dict] = {}
+
+    def serve(self, environ, start_response):
+        path = environ["PATH_INFO"]
+        if path == "/requests":
+            return self._serve_request(environ, start_response)
+        if path == "/tasks":
+            return self._start_task(read_json(environ), start_response)
+        if path.startswith("/tasks/"):
+            return self._serve_task(environ, start_response, path.split("/"))
+        if path == "/faults":
+            self.faults = read_json(environ)
+            return reply(start_response, 200, {})
+        if path == "/history":
+            return reply(start_response, 200, self.history)
+        return reply(start_response, 404, {})
+
+    def _serve_request(self, environ, start_response):
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = environ["wsgi.input"].read(length)
+        attempt = environ.get("HTTP_X_ATTEMPT_ID", "")
+        if self._random.random() < self.faults.get("fail_requests", 0):
+            return reply(start_response, 500, {"error": "failing"})
+        self.open_requests += 1
+        self.most_open_requests = max(self.most_open_requests, self.open_requests)
+        self.history.append(
+            {
+                "what": "request",
+                "request_id": environ.get("HTTP_X_REQUEST_ID", ""),
+                "attempt_id": attempt,
+                "at": time.time(),
+                "open": self.open_requests,
+            }
+        )
+        eventlet.sleep(_seconds(body) / self.speed + self.faults.get("slow_seconds", 0))
+        self.open_requests -= 1
+        headers = [
+            ("Content-Type", environ.get("CONTENT_TYPE") or "text/plain"),
+            ("Content-Length", str(len(body))),
+            ("X-Attempt-Id", attempt),
+        ]
+        start_response("200 OK", headers)
+        if self.faults.get("truncate"):
+            return [body[: len(body) // 2]]
+        return [body]
+
+    def _start_task(self, task, start_response):
+        known = self._tasks.get(task["task_id"])
+        if known is None:
+            self._tasks[task["task_id"]] = {
+                "started_at": time.time(),
+                "need": max(0, task["run_seconds"] - task["done_seconds"]),
+                "done": task["done_seconds"],
+                "ended": None,
+                "fails": bool(self.faults.get("fail_tasks"))
+                or task["payload"].startswith("fail"),
+            }
+            self.history.append(
+                {
+                    "what": "task",
+                    "task_id": task["task_id"],
+                    "token": task["token"],
+                    "accelerators": task["accelerators"],
+                    "at": time.time(),
+                }
+            )
+        return reply(start_response, 200, {})
+
+    def _serve_task(self, environ, start_response, parts):
+        task = self._tasks.get(parts[2])
+        if task is None:
+            return reply(start_response, 404, {})
+        if len(parts) == 4 and self._state(task)[0] == "running":
+            checkpoint = read_json(environ)["checkpoint"]
+            progress = self._state(task)[3] if checkpoint else task["done"]
+            task["ended"] = ("stopped", "stopped", "", progress)
+        return reply(start_response, 200, self._state(task))
+
+    def _state(self, task):
+        if task["ended"] is not None:
+            return task["ended"]
+        if task["fails"]:
+            return ("failed", "the worker fails this task", "", task["done"])
+        ran = (time.time() - task["started_at"]) * self.speed
+        if ran >= task["need"]:
+            return ("finished", "", "done", task["done"] + task["need"])
+        return ("running", "", "", task["done"] + ran)
+
+
+def _seconds(body: bytes) -> float:
+    try:
+        fields = msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return 0.0
+    if not isinstance(fields, dict):
+        return 0.0
+    return float(fields.get("seconds", 0.0))
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--listen", required=True)
+    parser.add_argument("--speed", type=float, default=1.0)
+    parser.add_argument("--seed", type=int, default=0)
+    options = parser.parse_args()
+    url = parse_url(f"http://{options.listen}")
+    worker = Worker(options.speed, options.seed)
+    listener = eventlet.listen((url.host, url.port))
+    wsgi.server(listener, worker.serve, log_output=False, max_size=4096)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,24 @@
+import os
+import warnings
+
+os.environ.setdefault("EVENTLET_HUB", "asyncio")
+warnings.filterwarnings("ignore", message="(?s).*Eventlet is deprecated")
+
+import pytest  # noqa: E402
+from hypothesis import HealthCheck, settings  # noqa: E402
+
+settings.register_profile(
+    "ci",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+)
+settings.load_profile("ci")
+
+
+@pytest.fixture
+def paused_clock():
+    from standins.memory import install_paused_clock
+
+    install_paused_clock()
