--- /dev/null
+++ b/src/sequoiachute/coordination/freshness.py
@@ -0,0 +1,81 @@
+"""What an agent knows of the configuration, and whether it may act on it."""
+
+from loguru import logger
+
+from sequoiachute import clock
+from sequoiachute.protocol.messages import (
+    CONFIGURATION,
+    AnnouncementReply,
+    ConfigurationRequest,
+)
+from sequoiachute.state.configuration import Configuration
+from sequoiachute.transport.ports import Caller
+
+CALL_SECONDS = 2.0
+
+
+class ConfigurationView:
+    """The configuration as entry instances tell it to an agent.
+
+    Parameters
+    ----------
+    caller : Caller
+        Reaches the entry instances.
+    data_centre : str
+        Where the agent runs.
+    freshness_seconds : float
+        Oldest confirmation on which a task may still start.
+    """
+
+    def __init__(
+        self, caller: Caller, data_centre: str, freshness_seconds: float
+    ) -> None:
+        self.configuration = Configuration()
+        self._caller = caller
+        self._data_centre = data_centre
+        self._freshness_seconds = freshness_seconds
+
+    @property
+    def in_service(self) -> bool:
+        """Whether the agent's data centre is in service, as far as known."""
+        return self.configuration.in_service(self._data_centre)
+
+    def refusal(self, config_offset: int) -> str:
+        """Return why no task may start here now, empty if it may.
+
+        Parameters
+        ----------
+        config_offset : int
+            Offset of the configuration that the sender acts under.
+        """
+        if self.configuration.offset < config_offset:
+            return "the agent's configuration is older than the sender's"
+        if self.configuration.age(clock.now()) > self._freshness_seconds:
+            return "the agent's configuration is not confirmed as the newest"
+        if not self.in_service:
+            return "the data centre is out of service"
+        return ""
+
+    def take_reply(
+        self, address: str, reply: AnnouncementReply, sent_at: float
+    ) -> None:
+        """Confirm the view, or fetch the newer one from ``address``."""
+        if reply.config_offset > self.configuration.offset:
+            self._fetch(address)
+            return
+        if reply.config_offset == self.configuration.offset:
+            self.configuration.confirm(sent_at - reply.confirmed_age)
+
+    def _fetch(self, address: str) -> None:
+        sent_at = clock.now()
+        request = ConfigurationRequest(self.configuration.offset)
+        outcome = self._caller.call(address, CONFIGURATION, request, CALL_SECONDS)
+        if outcome.is_err():
+            return
+        reply = outcome.unwrap()
+        if self.configuration.adopt(
+            reply.offset, reply.catalogue, reply.out_of_service
+        ):
+            logger.bind(config_offset=reply.offset).info("configuration in force")
+        if self.configuration.offset == reply.offset:
+            self.configuration.confirm(sent_at - reply.confirmed_age)
