Report service-level burn from counts kept in the log

Entries keep nothing, so every entry appends what it counted to the stream service-levels: objective counts with causes, HdrHistograms, accelerator use. Ends of jobs are counted by compare-and-set on the jobs stream's offset, so a change of placer counts none twice; an append whose reply was lost is repeated under the same record id and counts once. Rollups replace an hour's summaries.

Ruled out: merging kept-back counts into the next summary after a lost reply, which counts twice if the append had taken effect.

Tests: the report against an example worked by hand; figures survive a new entry and a log outage; the demo prints the report (18 s, exit 0).

--- a/src/sequoiachute/cli/app.py
+++ b/src/sequoiachute/cli/app.py
@@ -2,7 +2,7 @@
 
 import typer
 
-from sequoiachute.cli import caller, daemons, operator, settings
+from sequoiachute.cli import caller, daemons, operator, report, settings
 
 
 def create_cli() -> typer.Typer:
@@ -24,6 +24,7 @@
     cli.command()(operator.drain)
     cli.command()(operator.restore)
     cli.add_typer(_create_catalogue_cli(), name="catalogue")
+    cli.add_typer(_create_report_cli(), name="report")
     cli.add_typer(_create_settings_cli(), name="settings")
     return cli
 
@@ -36,6 +37,13 @@
     return cli
 
 
+def _create_report_cli() -> typer.Typer:
+    cli = typer.Typer(no_args_is_help=True, help="Reports for operators.")
+    cli.callback()(lambda: None)
+    cli.command()(report.burn)
+    return cli
+
+
 def _create_settings_cli() -> typer.Typer:
     cli = typer.Typer(no_args_is_help=True, help="Check settings files.")
     cli.callback()(lambda: None)
--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -7,10 +7,12 @@
 from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.causes import ObservedPolicy
 from sequoiachute.coordination.log import StreamFollower, StreamWriter
 from sequoiachute.coordination.placer import Placer, PlacerState, PlacerStreams
 from sequoiachute.coordination.policy import Policy
 from sequoiachute.coordination.router import Router
+from sequoiachute.coordination.service_levels import ServiceLevelRecorder
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
     CONFIGURATION,
@@ -25,6 +27,7 @@
     INTENTS_STREAM,
     JOBS_STREAM,
     LEASES_STREAM,
+    SERVICE_LEVELS_STREAM,
 )
 from sequoiachute.settings import EntrySettings
 from sequoiachute.state.configuration import Configuration
@@ -32,6 +35,7 @@
 from sequoiachute.state.intents import IntentTable
 from sequoiachute.state.jobs import JobTable
 from sequoiachute.state.leases import LeaseTable
+from sequoiachute.state.service_levels import ServiceLevelTable
 from sequoiachute.transport.ports import Caller, LogStream
 
 
@@ -50,6 +54,7 @@
         self.jobs = JobTable()
         self.intents = IntentTable()
         self.leases = LeaseTable()
+        self.service_levels = ServiceLevelTable()
         self.fleet = Fleet(settings.worker_silent_seconds)
         self._followers = {
             CONFIGURATION_STREAM: StreamFollower(
@@ -61,6 +66,9 @@
             JOBS_STREAM: StreamFollower(log, JOBS_STREAM, self._apply_job),
             INTENTS_STREAM: StreamFollower(log, INTENTS_STREAM, self._apply_intent),
             LEASES_STREAM: StreamFollower(log, LEASES_STREAM, self._apply_lease),
+            SERVICE_LEVELS_STREAM: StreamFollower(
+                log, SERVICE_LEVELS_STREAM, self._apply_service_level
+            ),
         }
         self._writers = {}
         for stream, follower in self._followers.items():
@@ -72,6 +80,7 @@
             self._writers[INTENTS_STREAM],
             caller,
         )
+        observed = ObservedPolicy(policy, self.configuration)
         self.placer = Placer(
             settings.entry_id,
             settings.rpc_address,
@@ -85,7 +94,16 @@
                 self._followers[LEASES_STREAM],
             ),
             caller,
-            policy,
+            observed,
+        )
+        self.recorder = ServiceLevelRecorder(
+            settings.entry_id,
+            settings.service_level_seconds,
+            self.service_levels,
+            self.configuration,
+            observed,
+            self._writers[SERVICE_LEVELS_STREAM],
+            lambda: self.placer.holds_lease,
         )
         self._leaving = False
         self._open_requests = 0
@@ -111,6 +129,7 @@
         for writer in self._writers.values():
             eventlet.spawn(writer.run)
         eventlet.spawn(self.placer.run)
+        eventlet.spawn(self.recorder.run)
 
     def writer(self, stream: str) -> StreamWriter:
         """Return the writer of ``stream``."""
@@ -133,6 +152,7 @@
         deadline = clock.now() + timeout
         while clock.now() < deadline:
             if self._open_requests == 0:
+                self.recorder.flush()
                 return True
             clock.sleep(0.05)
         return False
@@ -170,7 +190,16 @@
             logger.bind(config_offset=offset).info("configuration in force")
 
     def _apply_job(self, offset: int, record: Any) -> None:
-        self.jobs.apply(record)
+        if not self.jobs.apply(record):
+            return
+        job = self.jobs.get(record["job_id"])
+        if record["kind"] == "job-started":
+            self.recorder.note_start(job)
+        elif record["kind"] == "job-ended":
+            self.recorder.note_end(offset, job)
+
+    def _apply_service_level(self, offset: int, record: Any) -> None:
+        self.service_levels.apply(offset, record)
 
     def _apply_intent(self, offset: int, record: Any) -> None:
         self.intents.apply(record)
--- a/src/sequoiachute/http/requests.py
+++ b/src/sequoiachute/http/requests.py
@@ -5,6 +5,7 @@
 import falcon
 
 from sequoiachute import clock
+from sequoiachute.coordination.causes import FAILURE, LOG_OUTAGE, SHED
 from sequoiachute.coordination.entry import Entry
 from sequoiachute.coordination.router import ANSWERED, UNKNOWN, Answer, Request
 from sequoiachute.http.keys import Keyring
@@ -28,10 +29,14 @@
         work = read_request(request, identity.account)
         if not self._entry.begin_request():
             raise ProblemError(503, "the entry is leaving", "retry", False, 1.0)
+        began = clock.now()
         try:
             answer = self._entry.router.serve(work)
         finally:
             self._entry.end_request()
+        self._entry.recorder.count_answer(
+            identity.account, clock.now() - began, missed_answer(answer)
+        )
         write_answer(response, work, answer)
 
 
@@ -72,6 +77,15 @@
     return seconds
 
 
+def missed_answer(answer: Answer) -> str:
+    """Return what kept the caller from a whole answer, empty if nothing did."""
+    if answer.outcome == ANSWERED:
+        return ""
+    if "log service" in answer.reason:
+        return LOG_OUTAGE
+    return FAILURE if answer.outcome == UNKNOWN else SHED
+
+
 def write_answer(response: falcon.Response, work: Request, answer: Answer) -> None:
     """Answer the caller; raise a refusal where there is no answer."""
     response.set_header("X-Request-Id", work.request_id)
--- a/src/sequoiachute/protocol/catalogue.py
+++ b/src/sequoiachute/protocol/catalogue.py
@@ -30,13 +30,19 @@
     """A class of work and its objective.
 
     ``priority`` orders classes, larger first. ``objective_seconds`` is the
-    completion time promised for ``objective_share`` of the work.
+    completion time promised for ``objective_share`` of the jobs and
+    ``request_seconds`` that of requests. ``guarantee_share`` of the covered
+    jobs start within the reclaim bound; ``answer_share`` of the requests get
+    their whole answer.
     """
 
     priority: int
     objective_seconds: float
     objective_share: NotRequired[float]
     urgent: NotRequired[bool]
+    request_seconds: NotRequired[float]
+    guarantee_share: NotRequired[float]
+    answer_share: NotRequired[float]
 
 
 class Account(TypedDict):
--- a/src/sequoiachute/protocol/records.py
+++ b/src/sequoiachute/protocol/records.py
@@ -10,6 +10,10 @@
 import msgspec
 
 from sequoiachute.protocol.catalogue import Catalogue, Within
+from sequoiachute.protocol.service_levels import (
+    ServiceLevelRollup,
+    ServiceLevelSummary,
+)
 
 FORMAT_VERSION = 1
 
@@ -182,6 +186,8 @@
     | IntentRecorded
     | IntentAnswered
     | LeaseClaimed
+    | ServiceLevelRollup
+    | ServiceLevelSummary
 )
 
 _TYPES: dict[str, Any] = {
@@ -196,6 +202,8 @@
     "intent-recorded": IntentRecorded,
     "intent-answered": IntentAnswered,
     "lease-claimed": LeaseClaimed,
+    "service-level-rollup": ServiceLevelRollup,
+    "service-level-summary": ServiceLevelSummary,
 }
 
 
--- /dev/null
+++ b/src/sequoiachute/report/__init__.py
@@ -0,0 +1,1 @@
+"""The report on service-level burn."""
--- a/src/sequoiachute/settings.py
+++ b/src/sequoiachute/settings.py
@@ -140,6 +140,7 @@
     freshness_seconds: Seconds = 3.0
     worker_silent_seconds: Seconds = 5.0
     placer_lease_seconds: Seconds = 3.0
+    service_level_seconds: Seconds = 30.0
 
 
 class AgentSettings(NamedTuple):
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,7 +1,11 @@
-"""The main job, end to end, on the stand-ins: run by ``make demo``."""
+"""The main job, end to end, on the stand-ins: run by ``make demo``.
+
+With a file name it also writes the burn report there as an HTML page.
+"""
 
 import sys
 import time
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -33,12 +37,14 @@
     },
 }
 JOB_SECONDS = 60.0
+SERVICE_LEVEL_SECONDS = 1.0
 GANG = {"tasks": 2, "accelerators": 4, "within": "rack", "payload": "engrave"}
 
 
 def main() -> int:
     began = time.monotonic()
-    cluster = Cluster(ACCOUNTS)
+    settings = {"service_level_seconds": SERVICE_LEVEL_SECONDS}
+    cluster = Cluster(ACCOUNTS, entry_settings=settings)
     try:
         cluster.start()
         _show(began, "log service, 11 workers with agents and 2 entries are up")
@@ -84,6 +90,16 @@
     _show(began, f"{data_centre} brought back")
     gang = _submit(cluster, "gang-3", run_seconds=1.0)
     _show(began, f"gang finished on {_wait_ended(cluster, gang)['workers']}")
+    _print_report(cluster)
+
+
+def _print_report(cluster: Cluster) -> None:
+    time.sleep(2 * SERVICE_LEVEL_SECONDS)
+    path = "/v1/report/burn?format="
+    print(_expect(cluster.call("GET", f"{path}text", OPERATOR_KEY), 200).decode())
+    if len(sys.argv) > 1:
+        page = _expect(cluster.call("GET", f"{path}html", OPERATOR_KEY), 200)
+        Path(sys.argv[1]).write_bytes(page)
 
 
 def _submit(cluster: Cluster, key: str, run_seconds: float) -> str:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -11,7 +11,8 @@
     "transport": {"protocol"},
     "state": {"protocol"},
     "coordination": {"protocol", "transport", "state"},
-    "http": {"protocol", "transport", "state", "coordination"},
+    "report": {"protocol", "state"},
+    "http": {"protocol", "transport", "state", "coordination", "report"},
 }
 
 
