--- a/src/sequoiachute/coordination/causes.py
+++ b/src/sequoiachute/coordination/causes.py
@@ -104,8 +104,10 @@
         out = sorted(self._configuration.out_of_service)
         free, unusable = unusable_accelerators(view)
         use = self._uses.setdefault(
-            tuple(out), {"free": 0.0, "unusable": 0.0, "work": {}, "out": out}
+            tuple(out),
+            {"seconds": 0.0, "free": 0.0, "unusable": 0.0, "work": {}, "out": out},
         )
+        use["seconds"] += seconds
         use["free"] += free * seconds
         use["unusable"] += unusable * seconds
         for worker in view.workers:
--- a/src/sequoiachute/protocol/service_levels.py
+++ b/src/sequoiachute/protocol/service_levels.py
@@ -29,13 +29,14 @@
 
 
 class FleetUse(TypedDict):
-    """What the accelerators did, in accelerator-seconds.
+    """What the accelerators did in ``seconds``, in accelerator-seconds.
 
     ``unusable`` is the part of ``free`` that the largest waiting gang could
     not use. ``work`` is by data centre; ``out`` are the data centres that were
     out of service.
     """
 
+    seconds: float
     free: float
     unusable: float
     work: dict[str, float]
--- a/src/sequoiachute/report/burn.py
+++ b/src/sequoiachute/report/burn.py
@@ -85,13 +85,14 @@
 
 
 class FleetLine(NamedTuple):
-    """Use of accelerators while ``out`` were out of service.
+    """Use of accelerators in the ``seconds`` while ``out`` were out of service.
 
     ``unusable_share`` is the share of free accelerator time that the largest
     waiting gang could not use; ``work`` is in accelerator-seconds.
     """
 
     out: tuple[str, ...]
+    seconds: float
     unusable_share: float
     work: tuple[tuple[str, float], ...]
 
@@ -214,7 +215,7 @@
     for use in merge_fleet_use(periods):
         share = use["unusable"] / use["free"] if use["free"] else 0.0
         work = tuple(sorted(use["work"].items()))
-        lines.append(FleetLine(tuple(use["out"]), share, work))
+        lines.append(FleetLine(tuple(use["out"]), use["seconds"], share, work))
     return tuple(lines)
 
 
--- a/src/sequoiachute/report/html.py
+++ b/src/sequoiachute/report/html.py
@@ -108,6 +108,7 @@
         parts.append(f"{escape(name)} {seconds:.0f} s ({share:.0%})")
     cells = (
         escape(", ".join(line.out)) or "none",
+        format_duration(line.seconds),
         f"{line.unusable_share:.1%}",
         ", ".join(parts) or "–",
     )
--- a/src/sequoiachute/report/text.py
+++ b/src/sequoiachute/report/text.py
@@ -43,11 +43,14 @@
         )
     lines += _align(rows)
     lines += ["", "Accelerators", ""]
-    rows = [("out of service", "unusable of free", "work in accelerator-seconds")]
+    rows = [
+        ("out of service", "for", "unusable of free", "work in accelerator-seconds")
+    ]
     for line in report.fleet:
         work = ", ".join(f"{name} {seconds:.0f}" for name, seconds in line.work)
         out = ", ".join(line.out) or "none"
-        rows.append((out, f"{line.unusable_share:.1%}", work))
+        unusable = f"{line.unusable_share:.1%}"
+        rows.append((out, format_duration(line.seconds), unusable, work))
     lines += _align(rows)
     return "\n".join(lines) + "\n"
 
--- a/src/sequoiachute/state/service_levels.py
+++ b/src/sequoiachute/state/service_levels.py
@@ -157,6 +157,7 @@
             if total is None:
                 merged[key] = {**use, "work": dict(use["work"])}
                 continue
+            total["seconds"] += use["seconds"]
             total["free"] += use["free"]
             total["unusable"] += use["unusable"]
             for data_centre, seconds in use["work"].items():
--- a/tests/test_burn_report.py
+++ b/tests/test_burn_report.py
@@ -54,7 +54,13 @@
 
 
 def report():
-    use = {"free": 200.0, "unusable": 50.0, "work": {"dc-1": 300.0}, "out": ["dc-2"]}
+    use = {
+        "seconds": 75.0,
+        "free": 200.0,
+        "unusable": 50.0,
+        "work": {"dc-1": 300.0},
+        "out": ["dc-2"],
+    }
     periods = [
         period(NOW - 29 * DAY, count(0, 500, drain=500)),
         period(NOW - 10 * DAY, count(898, 2, drain=2)),
@@ -90,6 +96,7 @@
     assert times.count == 4
     assert times.p50 == pytest.approx(4.0, rel=0.02)
     assert merged.fleet[0].out == ("dc-2",)
+    assert merged.fleet[0].seconds == 150.0
     assert merged.fleet[0].unusable_share == 0.25
     assert merged.fleet[0].work == (("dc-1", 600.0),)
 
