--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -8,8 +8,8 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.log import StreamFollower, StreamWriter
+from sequoiachute.coordination.placement import Policy
 from sequoiachute.coordination.placer import Placer, PlacerState, PlacerStreams
-from sequoiachute.coordination.policy import Policy
 from sequoiachute.coordination.router import Router
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
--- /dev/null
+++ b/src/sequoiachute/coordination/placement/__init__.py
@@ -0,0 +1,25 @@
+"""Placement policies: which job goes where, and who must make room."""
+
+from sequoiachute.coordination.placement.baselines import FirstFitPolicy
+from sequoiachute.coordination.placement.model import (
+    Decision,
+    Eviction,
+    MemberPlacement,
+    Placement,
+    PlacementView,
+    Policy,
+    Unplaceable,
+    domain_of,
+)
+
+__all__ = [
+    "Decision",
+    "Eviction",
+    "FirstFitPolicy",
+    "MemberPlacement",
+    "Placement",
+    "PlacementView",
+    "Policy",
+    "Unplaceable",
+    "domain_of",
+]
--- a/src/sequoiachute/coordination/placer.py
+++ b/src/sequoiachute/coordination/placer.py
@@ -7,7 +7,7 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.log import StreamFollower, StreamWriter, new_record_id
-from sequoiachute.coordination.policy import (
+from sequoiachute.coordination.placement import (
     Decision,
     Placement,
     PlacementView,
--- a/src/sequoiachute/daemon.py
+++ b/src/sequoiachute/daemon.py
@@ -8,7 +8,7 @@
 
 from sequoiachute.coordination.agent import Agent
 from sequoiachute.coordination.entry import Entry
-from sequoiachute.coordination.policy import FirstFitPolicy
+from sequoiachute.coordination.placement import FirstFitPolicy
 from sequoiachute.http.app import create_entry_app
 from sequoiachute.logs import configure_logging
 from sequoiachute.settings import AgentSettings, EntrySettings
--- a/standins/site.py
+++ b/standins/site.py
@@ -6,7 +6,7 @@
 from sequoiachute.coordination.agent import Agent
 from sequoiachute.coordination.entry import Entry
 from sequoiachute.coordination.log import new_record_id
-from sequoiachute.coordination.policy import FirstFitPolicy, Policy
+from sequoiachute.coordination.placement import FirstFitPolicy, Policy
 from sequoiachute.protocol.catalogue import Catalogue
 from sequoiachute.protocol.records import (
     CONFIGURATION_STREAM,
