Show policies the placements under way, the absent workers and run times

The view gains fields with defaults, so that nobody has to fill them yet: a placement under way that no worker reports would otherwise be decided twice over the same accelerators, and 'never' could not be told from 'not while a data centre is out'.

--- a/src/sequoiachute/coordination/placement/__init__.py
+++ b/src/sequoiachute/coordination/placement/__init__.py
@@ -8,7 +8,9 @@
     Placement,
     PlacementView,
     Policy,
+    Shortfall,
     Unplaceable,
+    Waiting,
     domain_of,
 )
 
@@ -20,6 +22,8 @@
     "Placement",
     "PlacementView",
     "Policy",
+    "Shortfall",
     "Unplaceable",
+    "Waiting",
     "domain_of",
 ]
--- a/src/sequoiachute/coordination/placement/model.py
+++ b/src/sequoiachute/coordination/placement/model.py
@@ -2,9 +2,12 @@
 
 from typing import NamedTuple, Protocol
 
-from sequoiachute.protocol.catalogue import Catalogue
+from sequoiachute.protocol.catalogue import Catalogue, Shape
 from sequoiachute.state.fleet import Worker
 from sequoiachute.state.jobs import Job
+from sequoiachute.state.observed import RunTimes
+
+NO_RUN_TIMES = RunTimes()
 
 
 class MemberPlacement(NamedTuple):
@@ -38,11 +41,31 @@
     reason: str
 
 
+class Waiting(NamedTuple):
+    """A queued job that only operators can help, with what would."""
+
+    job_id: str
+    reason: str
+
+
+class Shortfall(NamedTuple):
+    """A guaranteed shape that the workers in service cannot hold now."""
+
+    account: str
+    shape: Shape
+
+
 class Decision(NamedTuple):
-    """Everything decided in one round."""
+    """Everything decided in one round.
+
+    ``waiting`` and ``shortfalls`` tell how things stand; nothing is to be done
+    about them but to tell operators and callers.
+    """
 
     placements: tuple[Placement, ...] = ()
     unplaceable: tuple[Unplaceable, ...] = ()
+    waiting: tuple[Waiting, ...] = ()
+    shortfalls: tuple[Shortfall, ...] = ()
 
 
 class PlacementView(NamedTuple):
@@ -50,7 +73,9 @@
 
     ``workers`` are live and in service; ``running`` are started jobs and
     ``queued`` waits in order of acceptance. ``now`` is wall time in seconds,
-    the time base of the jobs' stamps.
+    the time base of the jobs' stamps. ``starting`` are placements decided
+    earlier that the workers do not report yet, and ``out`` the known workers
+    that may not start anything: out of service, leaving or silent.
     """
 
     workers: tuple[Worker, ...]
@@ -58,6 +83,9 @@
     running: tuple[Job, ...]
     catalogue: Catalogue
     now: float
+    starting: tuple[Placement, ...] = ()
+    out: tuple[Worker, ...] = ()
+    run_times: RunTimes = NO_RUN_TIMES
 
 
 class Policy(Protocol):
