--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -9,8 +9,8 @@
 from sequoiachute import clock
 from sequoiachute.coordination.causes import ObservedPolicy
 from sequoiachute.coordination.log import StreamFollower, StreamWriter
+from sequoiachute.coordination.placement import Policy
 from sequoiachute.coordination.placer import Placer, PlacerState, PlacerStreams
-from sequoiachute.coordination.policy import Policy
 from sequoiachute.coordination.router import Router
 from sequoiachute.coordination.service_levels import ServiceLevelRecorder
 from sequoiachute.protocol.messages import (
