--- a/src/sequoiachute/coordination/agent.py
+++ b/src/sequoiachute/coordination/agent.py
@@ -13,6 +13,7 @@
 from sequoiachute.coordination.gangs import GangKeeper
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
+    ATTEMPT,
     COMMIT,
     EXECUTE,
     RESERVE,
@@ -24,10 +25,12 @@
 from sequoiachute.settings import AgentSettings
 from sequoiachute.state.configuration import Configuration
 from sequoiachute.state.grants import GrantTable
+from sequoiachute.transport.backend import request_connections
 from sequoiachute.transport.ports import BackendServer, Caller
 
 CALL_SECONDS = 2.0
 LEAVE_POLL_SECONDS = 0.25
+LEAVE_LINGER_SECONDS = 0.5
 
 
 class Agent:
@@ -52,7 +55,10 @@
         )
         self._grants = GrantTable(settings.accelerators, settings.slots)
         self._executor = Executor(
-            self._incarnation, settings.connections, self._view, backend
+            self._incarnation,
+            request_connections(settings.connections),
+            self._view,
+            backend,
         )
         self._gangs = GangKeeper(
             settings.worker_id,
@@ -90,6 +96,7 @@
             START: self._gangs.start,
             STOP: self._gangs.stop,
             EXECUTE: self._executor.execute,
+            ATTEMPT: self._executor.attempt,
         }
 
     def run(self) -> None:
@@ -106,6 +113,8 @@
         deadline = clock.now() + timeout
         while clock.now() < deadline:
             if self._executor.open_connections == 0 and self._gangs.is_idle:
+                # The last answers are still on their way.
+                clock.sleep(LEAVE_LINGER_SECONDS)
                 return True
             clock.sleep(LEAVE_POLL_SECONDS)
         return False
@@ -125,7 +134,7 @@
             position=settings.position,
             accelerators=settings.accelerators,
             slots=settings.slots,
-            connections=settings.connections,
+            connections=request_connections(settings.connections),
             speed_class=settings.speed_class,
             speed=settings.speed,
             sequence=self._sequence,
@@ -134,6 +143,8 @@
             open_connections=self._executor.open_connections,
             occupants=self._grants.occupants(),
             reports=self._gangs.reports,
+            agent_clock=clock.now(),
+            entries=len(settings.entries),
         )
 
     def _announce_to(self, address: str) -> None:
--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -34,6 +34,8 @@
 from sequoiachute.state.leases import LeaseTable
 from sequoiachute.transport.ports import Caller, LogStream
 
+LEAVE_LINGER_SECONDS = 0.5
+
 
 class Entry:
     """State and tasks of one entry instance."""
@@ -132,7 +134,9 @@
         self._leaving = True
         deadline = clock.now() + timeout
         while clock.now() < deadline:
-            if self._open_requests == 0:
+            if self._open_requests == 0 and not self.router.pending_records:
+                # The last answers are still on their way.
+                clock.sleep(LEAVE_LINGER_SECONDS)
                 return True
             clock.sleep(0.05)
         return False
--- /dev/null
+++ b/src/sequoiachute/coordination/routing/retries.py
@@ -0,0 +1,39 @@
+"""How many requests may be tried again."""
+
+RETRY_SHARE = 0.1  # retries for each request
+MAX_TOKENS = 20.0
+
+
+class RetryBudget:
+    """A token bucket filled by requests and emptied by their retries.
+
+    Parameters
+    ----------
+    share : float
+        Retries that each request pays for.
+    capacity : float
+        Most tokens kept for a burst.
+    """
+
+    def __init__(
+        self, share: float = RETRY_SHARE, capacity: float = MAX_TOKENS
+    ) -> None:
+        self._share = share
+        self._capacity = capacity
+        self._tokens = capacity
+
+    @property
+    def tokens(self) -> float:
+        """Retries that may be made now."""
+        return self._tokens
+
+    def fill(self) -> None:
+        """Count a request."""
+        self._tokens = min(self._capacity, self._tokens + self._share)
+
+    def spend(self) -> bool:
+        """Take one retry; return whether there was one."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
--- a/src/sequoiachute/http/requests.py
+++ b/src/sequoiachute/http/requests.py
@@ -1,18 +1,23 @@
 """``POST /v1/requests``: short work with an answer."""
 
-from uuid import uuid4
+from uuid import UUID, uuid4
 
 import falcon
 
 from sequoiachute import clock
 from sequoiachute.coordination.entry import Entry
-from sequoiachute.coordination.router import ANSWERED, UNKNOWN, Answer, Request
+from sequoiachute.coordination.router import ANSWERED, NOT_RUN, RAN, Answer, Request
 from sequoiachute.http.keys import Keyring
 from sequoiachute.transport.web import ProblemError, problem
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 DEFAULT_DEADLINE_SECONDS = 30.0
 MAX_DEADLINE_SECONDS = 600.0
+MAX_EPOCH_SECONDS = 1e11
+MAX_KEY_LENGTH = 256  # characters
+TIMED_UUID_VERSION = 7
+UUID_TIME_SHIFT = 80  # bits below the time in a version 7 UUID
+MILLISECONDS = 1000
 
 
 class RequestsResource:
@@ -47,17 +52,58 @@
     if flag == "false" and not key:
         remedy = "send Idempotency-Key, or X-Idempotent: true"
         raise problem(400, "no idempotency key", remedy)
+    if len(key) > MAX_KEY_LENGTH:
+        remedy = f"send at most {MAX_KEY_LENGTH} characters"
+        raise problem(400, "the idempotency key is too long", remedy)
     return Request(
         request_id=uuid4().hex,
         account=account,
         idempotent=flag == "true",
         idempotency_key=key,
         content_type=request.content_type or "application/octet-stream",
-        body=request.bounded_stream.read(),
+        body=_read_body(request),
         deadline=clock.now() + _deadline_seconds(request),
+        key_created_at=_key_created_at(request, key),
     )
 
 
+def _key_created_at(request: falcon.Request, key: str) -> float:
+    """Return when the caller made its key, in seconds since the epoch.
+
+    It is the header's, else that inside a version 7 UUID, else zero.
+    """
+    text = request.get_header("Idempotency-Key-Created")
+    if text is None:
+        return _uuid_time(key)
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0.0
+    if not 0 < seconds < MAX_EPOCH_SECONDS:
+        remedy = "send seconds since the epoch"
+        raise problem(400, f"Idempotency-Key-Created {text!r} is refused", remedy)
+    return seconds
+
+
+def _uuid_time(key: str) -> float:
+    try:
+        parsed = UUID(key)
+    except ValueError:
+        return 0.0
+    if parsed.version != TIMED_UUID_VERSION:
+        return 0.0
+    return (parsed.int >> UUID_TIME_SHIFT) / MILLISECONDS
+
+
+def _read_body(request: falcon.Request) -> bytes:
+    """Return the whole body; a caller that left early sent only a part."""
+    body = request.bounded_stream.read()
+    if request.content_length is not None and len(body) != request.content_length:
+        remedy = "send as many bytes as Content-Length says"
+        raise problem(400, "the body was cut short", remedy)
+    return body
+
+
 def _deadline_seconds(request: falcon.Request) -> float:
     text = request.get_header("X-Deadline-Seconds")
     if text is None:
@@ -81,6 +127,19 @@
         response.set_header("X-Attempt-Id", answer.attempt_id)
         response.data = answer.body
         return
-    ran = None if answer.outcome == UNKNOWN else False
-    remedy = "come back later" if answer.retry_after else "do not repeat it unchanged"
-    raise ProblemError(answer.status, answer.reason, remedy, ran, answer.retry_after)
+    raise ProblemError(
+        answer.status,
+        answer.reason,
+        _remedy(answer),
+        {NOT_RUN: False, RAN: True}.get(answer.outcome),
+        answer.retry_after,
+    )
+
+
+def _remedy(answer: Answer) -> str:
+    if answer.outcome == RAN:
+        return "do not send it again; it has been run"
+    if not answer.retry_after:
+        return "do not repeat it unchanged"
+    seconds = f"{answer.retry_after:.0f}"
+    return f"come back in {seconds} s, with the same idempotency key if there is one"
--- a/src/sequoiachute/protocol/messages.py
+++ b/src/sequoiachute/protocol/messages.py
@@ -41,7 +41,11 @@
 
 
 class Announcement(NamedTuple):
-    """What an agent tells every entry about its backend server."""
+    """What an agent tells every entry about its backend server.
+
+    ``agent_clock`` is the agent's own clock in seconds, on which the validity
+    of attempts is judged. ``entries`` is the number of entries announced to.
+    """
 
     worker_id: str
     incarnation: str
@@ -61,6 +65,8 @@
     open_connections: int
     occupants: tuple[Occupant, ...]
     reports: tuple[TaskReport, ...]
+    agent_clock: float = 0.0
+    entries: int = 1
 
 
 class AnnouncementReply(NamedTuple):
@@ -173,7 +179,8 @@
 class Execute(NamedTuple):
     """A request for a backend server.
 
-    ``deadline`` is the time left in seconds. ``token`` fences the attempt.
+    ``deadline`` is the time left in seconds. The agent refuses the attempt
+    once its own clock has passed ``valid_until``, zero meaning never.
     """
 
     request_id: str
@@ -185,13 +192,30 @@
     config_offset: int
     content_type: str
     body: bytes
+    valid_until: float = 0.0
+
+
+class AttemptQuery(NamedTuple):
+    """Asks an agent what became of an attempt, waiting for its end.
+
+    An attempt that the agent has not seen is fenced: it will never run.
+    ``wait`` is in seconds.
+    """
+
+    request_id: str
+    attempt_id: str
+    incarnation: str
+    valid_until: float
+    wait: float = 0.0
 
 
 class ExecuteReply(NamedTuple):
     """The answer of one attempt.
 
-    ``outcome`` is ``answered``, ``not-run`` or ``unknown``. ``digest`` is the
-    SHA-256 of ``body`` in hexadecimal.
+    ``outcome`` is ``answered``, ``not-run``, ``running`` or ``unknown``.
+    ``digest`` is the SHA-256 of ``body`` in hexadecimal. ``held`` is false
+    where the attempt was answered but its body is no longer kept.
+    ``open_connections`` counts the requests in progress at the agent.
     """
 
     request_id: str
@@ -204,6 +228,8 @@
     body: bytes
     reason: str = ""
     service_seconds: float = 0.0
+    held: bool = True
+    open_connections: int = 0
 
 
 ANNOUNCE = Method("/sequoiachute.Entry/Announce", Announcement, AnnouncementReply)
@@ -215,3 +241,4 @@
 START = Method("/sequoiachute.Agent/Start", Start, CommitReply)
 STOP = Method("/sequoiachute.Agent/Stop", Stop, StopReply)
 EXECUTE = Method("/sequoiachute.Agent/Execute", Execute, ExecuteReply)
+ATTEMPT = Method("/sequoiachute.Agent/Attempt", AttemptQuery, ExecuteReply)
--- a/src/sequoiachute/protocol/records.py
+++ b/src/sequoiachute/protocol/records.py
@@ -130,7 +130,10 @@
 
 
 class IntentRecorded(TypedDict):
-    """The sole permission to run a non-idempotent request."""
+    """The sole permission to run a non-idempotent request.
+
+    ``address`` is the agent's, ``valid_until`` is on its clock.
+    """
 
     kind: Literal["intent-recorded"]
     record_id: str
@@ -142,10 +145,15 @@
     worker_id: str
     incarnation: str
     recorded_at: float
+    address: NotRequired[str]
+    valid_until: NotRequired[float]
 
 
 class IntentAnswered(TypedDict):
-    """The answer to a non-idempotent request, kept for its key."""
+    """The answer to a non-idempotent request, kept for its key.
+
+    ``held`` is false where the answer was too large to be recorded.
+    """
 
     kind: Literal["intent-answered"]
     record_id: str
@@ -156,6 +164,8 @@
     status: int
     content_type: str
     answer: str
+    held: NotRequired[bool]
+    answer_bytes: NotRequired[int]
 
 
 class LeaseClaimed(TypedDict):
--- a/src/sequoiachute/state/fleet.py
+++ b/src/sequoiachute/state/fleet.py
@@ -30,6 +30,8 @@
     sequence: int
     config_offset: int
     heard_at: float
+    agent_clock: float = 0.0
+    entries: int = 1
 
     @property
     def free_accelerators(self) -> tuple[int, ...]:
@@ -77,6 +79,8 @@
             sequence=message.sequence,
             config_offset=message.config_offset,
             heard_at=now,
+            agent_clock=message.agent_clock,
+            entries=message.entries,
         )
         return True
 
@@ -84,6 +88,13 @@
         """Return the worker, ``None`` if it was never heard of."""
         return self._workers.get(worker_id)
 
+    def is_live(self, worker: Worker, now: float) -> bool:
+        """Return whether this incarnation of a worker was heard of lately."""
+        known = self._workers.get(worker.worker_id)
+        if known is None or known.incarnation != worker.incarnation:
+            return False
+        return now - known.heard_at <= self._silent_after
+
     def live(self, now: float) -> list[Worker]:
         """Return the workers heard of lately, ordered by identity."""
         workers = []
--- a/src/sequoiachute/transport/backend.py
+++ b/src/sequoiachute/transport/backend.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import eventlet
 import msgspec
 import urllib3
 from result import Err, Ok, Result
@@ -12,6 +13,17 @@
 
 CONNECT_SECONDS = 1.0
 TASK_CALL_SECONDS = 3.0
+TASK_CONNECTIONS = 2
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+
+
+def request_connections(connections: int) -> int:
+    """Return how many of ``connections`` are left for requests.
+
+    Calls about tasks have connections of their own, so that no request waits
+    for one and both together stay within what the backend server accepts.
+    """
+    return max(0, connections - TASK_CONNECTIONS)
 
 
 class BackendClient:
@@ -27,7 +39,11 @@
 
     def __init__(self, url: str, connections: int) -> None:
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(maxsize=connections, block=True, retries=False)
+        own = max(1, request_connections(connections))
+        self._pool = urllib3.PoolManager(maxsize=own, block=True, retries=False)
+        self._task_pool = urllib3.PoolManager(
+            maxsize=TASK_CONNECTIONS, block=True, retries=False
+        )
 
     def execute(
         self,
@@ -37,21 +53,51 @@
         body: bytes,
         timeout: float,
     ) -> Result[BackendAnswer, RpcError]:
-        """Run a request and return its whole answer."""
+        """Run a request and return its whole answer.
+
+        An answer that is cut short, has no length, is too large or carries
+        another attempt's identity is an error: the request may have run.
+        """
         headers = {
             "Content-Type": content_type,
             "X-Request-Id": request_id,
             "X-Attempt-Id": attempt_id,
         }
-        answered = self._send("POST", "/requests", body, headers, timeout)
-        if answered.is_err():
-            return answered
-        response = answered.unwrap()
-        if response.headers.get("X-Attempt-Id", attempt_id) != attempt_id:
-            reason = "the answer belongs to another attempt"
+        late = Err(RpcError(self._url, f"no answer within {timeout:.1f} s", True))
+        if timeout <= 0:
+            return Err(RpcError(self._url, "no time left", False))
+        # The library's timeout covers one read; this one the whole answer.
+        with eventlet.Timeout(timeout, False):
+            answered = self._send(
+                self._pool, "POST", "/requests", body, headers, timeout, False
+            )
+            if answered.is_err():
+                return answered
+            return self._read_answer(answered.unwrap(), attempt_id)
+        return late
+
+    def _read_answer(
+        self, response: Any, attempt_id: str
+    ) -> Result[BackendAnswer, RpcError]:
+        reason = _fault_of(response, attempt_id)
+        if reason:
+            response.close()
             return Err(RpcError(self._url, reason, True))
+        try:
+            body = response.read(MAX_ANSWER_BYTES + 1, decode_content=False)
+            whole = len(body) <= MAX_ANSWER_BYTES and not response.read(1)
+        except HTTPError as error:
+            response.close()
+            return Err(RpcError(self._url, f"{type(error).__name__}: {error}", True))
+        except BaseException:
+            response.close()
+            raise
+        if not whole:
+            response.close()
+            return Err(RpcError(self._url, "the answer is too large", True))
+        response.release_conn()
         kind = response.headers.get("Content-Type", "application/octet-stream")
-        return Ok(BackendAnswer(response.status, kind, response.data))
+        return Ok(BackendAnswer(response.status, kind, body))
 
     def start_task(
         self,
@@ -108,20 +154,30 @@
     def _send_json(self, method: str, path: str, body: Any) -> Result[Any, RpcError]:
         data = msgspec.json.encode(body)
         headers = {"Content-Type": "application/json"}
-        return self._send(method, path, data, headers, TASK_CALL_SECONDS)
+        return self._send(
+            self._task_pool, method, path, data, headers, TASK_CALL_SECONDS, True
+        )
 
     def _send(
-        self, method: str, path: str, body: bytes, headers: dict, timeout: float
+        self,
+        pool: urllib3.PoolManager,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+        timeout: float,
+        preload: bool,
     ) -> Result[Any, RpcError]:
         limits = urllib3.Timeout(connect=CONNECT_SECONDS, total=timeout)
         try:
             return Ok(
-                self._pool.request(
+                pool.request(
                     method,
                     self._url + path,
                     body=body,
                     headers=headers,
                     timeout=limits,
+                    preload_content=preload,
                     enforce_content_length=True,
                 )
             )
@@ -129,3 +185,18 @@
             return Err(RpcError(self._url, f"no connection: {error}", False))
         except HTTPError as error:
             return Err(RpcError(self._url, f"{type(error).__name__}: {error}", True))
+
+
+def _fault_of(response: Any, attempt_id: str) -> str:
+    """Return why the answer can't be taken, empty if it can."""
+    if response.headers.get("X-Attempt-Id", attempt_id) != attempt_id:
+        return "the answer belongs to another attempt"
+    length = response.headers.get("Content-Length")
+    chunked = "chunked" in response.headers.get("Transfer-Encoding", "")
+    if chunked:
+        return ""
+    if length is None or not length.isdigit():
+        return "the answer has no length"
+    if int(length) > MAX_ANSWER_BYTES:
+        return "the answer is too large"
+    return ""
--- a/standins/site.py
+++ b/standins/site.py
@@ -1,5 +1,6 @@
 """A whole site in one process on the paused clock: entries, agents, stand-ins."""
 
+from collections.abc import Callable
 from typing import Any
 
 from sequoiachute import clock
@@ -37,7 +38,11 @@
     """
 
     def __init__(
-        self, workers: int = 3, entries: int = 2, policy: Policy | None = None
+        self,
+        workers: int = 3,
+        entries: int = 2,
+        policy: Policy | None = None,
+        create_backend: Callable[[], MemoryBackend] = MemoryBackend,
     ) -> None:
         self.log = MemoryLog()
         self.network = MemoryNetwork()
@@ -49,7 +54,7 @@
         for index in range(entries):
             self.entries.append(self.start_entry(index))
         for index in range(workers):
-            self.backends.append(MemoryBackend())
+            self.backends.append(create_backend())
             self.agents.append(self.start_agent(index))
 
     def start_entry(self, index: int) -> Entry:
