--- a/src/sequoiachute/http/operators.py
+++ b/src/sequoiachute/http/operators.py
@@ -3,6 +3,7 @@
 import falcon
 import msgspec
 
+from sequoiachute import clock
 from sequoiachute.coordination.entry import Entry
 from sequoiachute.coordination.log import new_record_id
 from sequoiachute.http.keys import Keyring
@@ -92,3 +93,32 @@
         remedy = "show the catalogue to see whether it took effect, then retry"
         raise ProblemError(503, error.reason, remedy, ran, 1.0)
     return outcome.unwrap()
+
+
+class WorkersResource:
+    """Shows the workers heard of lately."""
+
+    def __init__(self, entry: Entry, keyring: Keyring) -> None:
+        self._entry = entry
+        self._keyring = keyring
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """List the workers, where they are and what they hold."""
+        self._keyring.require_operator(request)
+        workers = []
+        for worker in self._entry.fleet.live(clock.now()):
+            workers.append(
+                {
+                    "worker_id": worker.worker_id,
+                    "data_centre": worker.data_centre,
+                    "rack": worker.rack,
+                    "accelerators": worker.accelerators,
+                    "free_accelerators": len(worker.free_accelerators),
+                    "free_slots": worker.free_slots,
+                    "open_connections": worker.open_connections,
+                    "speed_class": worker.speed_class,
+                    "leaving": worker.leaving,
+                    "config_offset": worker.config_offset,
+                }
+            )
+        write_json(response, {"workers": workers})
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -90,6 +90,7 @@
         self.workers: list[Process] = []
         self.agents: list[Process] = []
         self.entries: list[Process] = []
+        self.fakes: list[Process] = []
         self._count = workers
         self._entry_count = entries
         self._entry_settings = entry_settings or {}
@@ -160,6 +161,19 @@
         }
         return self._start_program("agent", settings, settings["rpc_address"])
 
+    def start_fake_agents(self, first: int, count: int) -> Process:
+        """Start ``count`` agents in one process, with workers in memory."""
+        arguments = [sys.executable, "-m", "standins.agents"]
+        arguments += ["--first", str(first), "--count", str(count)]
+        arguments += ["--entries", *self._rpc_addresses]
+        process = self._spawn(f"agents from {first}", arguments, "")
+        self.fakes.append(process)
+        return process
+
+    def rpc_port(self, entry: int) -> int:
+        """Return the port that the entry serves agents on."""
+        return int(self._rpc_addresses[entry].rpartition(":")[2])
+
     def wait_ready(self) -> None:
         """Wait until every entry says that it is ready."""
         for entry in self.entries:
@@ -215,7 +229,7 @@
                 process.popen.send_signal(signal.SIGTERM)
         for process in [*self.entries, *self.agents]:
             statuses[process.name] = process.popen.wait(STOP_SECONDS)
-        for process in [*self.workers, self.log]:
+        for process in [*self.fakes, *self.workers, self.log]:
             if process is not None:
                 process.kill()
         self._folder.cleanup()
