--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -7,10 +7,13 @@
 from loguru import logger
 
 from sequoiachute import clock
-from sequoiachute.coordination.log import StreamFollower, StreamWriter
+from sequoiachute.coordination.catchup import confirmed_age, tell_configuration
+from sequoiachute.coordination.log import StreamWriter
+from sequoiachute.coordination.membership import EntryDirectory, PeerConfirmation
 from sequoiachute.coordination.placer import Placer, PlacerState, PlacerStreams
 from sequoiachute.coordination.policy import Policy
 from sequoiachute.coordination.router import Router
+from sequoiachute.coordination.streams import StateStreams
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
     CONFIGURATION,
@@ -25,6 +28,7 @@
     INTENTS_STREAM,
     JOBS_STREAM,
     LEASES_STREAM,
+    Position,
 )
 from sequoiachute.settings import EntrySettings
 from sequoiachute.state.configuration import Configuration
@@ -51,25 +55,22 @@
         self.intents = IntentTable()
         self.leases = LeaseTable()
         self.fleet = Fleet(settings.worker_silent_seconds)
-        self._followers = {
-            CONFIGURATION_STREAM: StreamFollower(
-                log,
-                CONFIGURATION_STREAM,
-                self._apply_configuration,
-                self.configuration.confirm,
-            ),
-            JOBS_STREAM: StreamFollower(log, JOBS_STREAM, self._apply_job),
-            INTENTS_STREAM: StreamFollower(log, INTENTS_STREAM, self._apply_intent),
-            LEASES_STREAM: StreamFollower(log, LEASES_STREAM, self._apply_lease),
-        }
-        self._writers = {}
-        for stream, follower in self._followers.items():
-            self._writers[stream] = StreamWriter(log, stream, follower)
+        self._streams = StateStreams(log, settings.log_retention_seconds)
+        self._follow_streams()
+        self.directory = EntryDirectory(
+            settings,
+            self.leases,
+            self._streams.follower(LEASES_STREAM),
+            self._streams.writer(LEASES_STREAM),
+        )
+        self._peer_confirmation = PeerConfirmation(
+            self.configuration, self.directory.peers, caller
+        )
         self.router = Router(
             self.fleet,
             self.configuration,
             self.intents,
-            self._writers[INTENTS_STREAM],
+            self._streams.writer(INTENTS_STREAM),
             caller,
         )
         self.placer = Placer(
@@ -79,10 +80,10 @@
             settings.freshness_seconds,
             PlacerState(self.configuration, self.jobs, self.fleet, self.leases),
             PlacerStreams(
-                self._writers[JOBS_STREAM],
-                self._writers[LEASES_STREAM],
-                self._followers[JOBS_STREAM],
-                self._followers[LEASES_STREAM],
+                self._streams.writer(JOBS_STREAM),
+                self._streams.writer(LEASES_STREAM),
+                self._streams.follower(JOBS_STREAM),
+                self._streams.follower(LEASES_STREAM),
             ),
             caller,
             policy,
@@ -93,12 +94,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send requests here."""
-        if self._leaving:
-            return False
-        for follower in self._followers.values():
-            if follower.confirmed_at == float("-inf"):
-                return False
-        return True
+        return self._streams.is_caught_up and not self._leaving
 
     def handlers(self) -> Mapping[Method, Callable[[Any], Any]]:
         """Return the methods that this entry serves to agents."""
@@ -106,15 +102,14 @@
 
     def run(self) -> None:
         """Start following the log and placing."""
-        for follower in self._followers.values():
-            eventlet.spawn(follower.run)
-        for writer in self._writers.values():
-            eventlet.spawn(writer.run)
+        self._streams.run()
+        eventlet.spawn(self.directory.run)
+        eventlet.spawn(self._peer_confirmation.run)
         eventlet.spawn(self.placer.run)
 
     def writer(self, stream: str) -> StreamWriter:
         """Return the writer of ``stream``."""
-        return self._writers[stream]
+        return self._streams.writer(stream)
 
     def begin_request(self) -> bool:
         """Count a caller's request in; return whether it may be served."""
@@ -130,6 +125,7 @@
     def leave(self, timeout: float) -> bool:
         """Take no new requests and wait for those in progress."""
         self._leaving = True
+        self.directory.leave()
         deadline = clock.now() + timeout
         while clock.now() < deadline:
             if self._open_requests == 0:
@@ -148,32 +144,49 @@
         return AnnouncementReply(
             entry_id=self.settings.entry_id,
             config_offset=self.configuration.offset,
-            confirmed_age=self._confirmed_age(),
-            entries=(),
+            confirmed_age=confirmed_age(self.configuration),
+            entries=self.directory.addresses(),
             acknowledged=tuple(acknowledged),
         )
 
     def tell_configuration(self, message: ConfigurationRequest) -> ConfigurationReply:
         """Return the configuration in force."""
-        return ConfigurationReply(
-            offset=self.configuration.offset,
-            confirmed_age=self._confirmed_age(),
-            catalogue=self.configuration.catalogue,
-            out_of_service=tuple(sorted(self.configuration.out_of_service)),
+        return tell_configuration(self.configuration, message)
+
+    def _follow_streams(self) -> None:
+        self._streams.add(
+            CONFIGURATION_STREAM,
+            self._apply_configuration,
+            self.configuration.snapshot,
+            self.configuration.restore,
+            self.configuration.confirm,
+        )
+        self._streams.add(
+            JOBS_STREAM, self._apply_job, self.jobs.snapshot, self.jobs.restore
+        )
+        self._streams.add(
+            INTENTS_STREAM,
+            self._apply_intent,
+            self.intents.snapshot,
+            self.intents.restore,
+        )
+        self._streams.add(
+            LEASES_STREAM,
+            self._apply_lease,
+            self.leases.snapshot,
+            lambda items: self.leases.restore(items, clock.now()),
         )
 
-    def _confirmed_age(self) -> float:
-        return min(self.configuration.age(clock.now()), 1e9)
-
-    def _apply_configuration(self, offset: int, record: Any) -> None:
-        if self.configuration.apply(offset, record):
-            logger.bind(config_offset=offset).info("configuration in force")
+    def _apply_configuration(self, position: Position, record: Any) -> None:
+        if self.configuration.apply(position.offset, record):
+            log = logger.bind(config_offset=position.offset)
+            log.info("configuration in force")
 
-    def _apply_job(self, offset: int, record: Any) -> None:
-        self.jobs.apply(record)
+    def _apply_job(self, position: Position, record: Any) -> None:
+        self.jobs.apply(record, position.appended_at)
 
-    def _apply_intent(self, offset: int, record: Any) -> None:
+    def _apply_intent(self, position: Position, record: Any) -> None:
         self.intents.apply(record)
 
-    def _apply_lease(self, offset: int, record: Any) -> None:
-        self.leases.apply(offset, record, clock.now())
+    def _apply_lease(self, position: Position, record: Any) -> None:
+        self.leases.apply(position.offset, record, clock.now())
--- a/src/sequoiachute/coordination/freshness.py
+++ b/src/sequoiachute/coordination/freshness.py
@@ -1,18 +1,11 @@
 """What an agent knows of the configuration, and whether it may act on it."""
 
-from loguru import logger
-
 from sequoiachute import clock
-from sequoiachute.protocol.messages import (
-    CONFIGURATION,
-    AnnouncementReply,
-    ConfigurationRequest,
-)
+from sequoiachute.coordination.catchup import ask_configuration
+from sequoiachute.protocol.messages import AnnouncementReply
 from sequoiachute.state.configuration import Configuration
 from sequoiachute.transport.ports import Caller
 
-CALL_SECONDS = 2.0
-
 
 class ConfigurationView:
     """The configuration as entry instances tell it to an agent.
@@ -61,21 +54,7 @@
     ) -> None:
         """Confirm the view, or fetch the newer one from ``address``."""
         if reply.config_offset > self.configuration.offset:
-            self._fetch(address)
+            ask_configuration(self._caller, address, self.configuration)
             return
         if reply.config_offset == self.configuration.offset:
             self.configuration.confirm(sent_at - reply.confirmed_age)
-
-    def _fetch(self, address: str) -> None:
-        sent_at = clock.now()
-        request = ConfigurationRequest(self.configuration.offset)
-        outcome = self._caller.call(address, CONFIGURATION, request, CALL_SECONDS)
-        if outcome.is_err():
-            return
-        reply = outcome.unwrap()
-        if self.configuration.adopt(
-            reply.offset, reply.catalogue, reply.out_of_service
-        ):
-            logger.bind(config_offset=reply.offset).info("configuration in force")
-        if self.configuration.offset == reply.offset:
-            self.configuration.confirm(sent_at - reply.confirmed_age)
--- a/src/sequoiachute/errors.py
+++ b/src/sequoiachute/errors.py
@@ -43,12 +43,18 @@
         What happened.
     maybe_applied : bool
         Whether an append may have taken effect all the same.
+    retry_after : float
+        Seconds after which another try makes sense.
     """
 
-    def __init__(self, reason: str, maybe_applied: bool = False) -> None:
-        super().__init__(f"log service unavailable: {reason}; try again later")
+    def __init__(
+        self, reason: str, maybe_applied: bool = False, retry_after: float = 1.0
+    ) -> None:
+        remedy = f"try again in {max(1, round(retry_after))} s"
+        super().__init__(f"log service unavailable: {reason}; {remedy}")
         self.reason = reason
         self.maybe_applied = maybe_applied
+        self.retry_after = retry_after
 
 
 class RpcError(NamedTuple):
--- a/src/sequoiachute/http/operators.py
+++ b/src/sequoiachute/http/operators.py
@@ -10,6 +10,9 @@
 from sequoiachute.protocol.records import CONFIGURATION_STREAM
 from sequoiachute.transport.web import ProblemError, problem, write_json
 
+OPERATOR_SETTLE_SECONDS = 10.0
+SWITCH_TRIES = 3
+
 
 class CatalogueResource:
     """Shows and publishes the catalogue."""
@@ -49,7 +52,7 @@
             "catalogue": catalogue,
         }
         offset = append_configuration(self._entry, record)
-        if configuration.catalogue_offset != offset:
+        if not configuration.took_effect(offset):
             remedy = "show the catalogue, merge and publish again"
             raise problem(409, "another operator published first", remedy)
         write_json(response, {"offset": offset})
@@ -72,23 +75,36 @@
         if data_centre not in known:
             remedy = f"name one of: {', '.join(sorted(known)) or 'none published'}"
             raise problem(404, f"no data centre {data_centre!r}", remedy)
+        for _ in range(SWITCH_TRIES):
+            offset = self._switch(identity.account, data_centre)
+            if self._entry.configuration.took_effect(offset):
+                break
+        else:
+            remedy = "show the catalogue, then switch again if it is still wanted"
+            raise problem(409, "other operators switched it first", remedy)
+        write_json(response, {"offset": offset})
+
+    def _switch(self, operator: str, data_centre: str) -> int:
         record = {
             "kind": "data-centre-switched",
             "record_id": new_record_id(),
-            "operator": identity.account,
+            "operator": operator,
             "data_centre": data_centre,
             "in_service": self._in_service,
+            "base": self._entry.configuration.switch_offset(data_centre),
         }
-        offset = append_configuration(self._entry, record)
-        write_json(response, {"offset": offset})
+        return append_configuration(self._entry, record)
 
 
 def append_configuration(entry: Entry, record: dict) -> int:
     """Append an operator's record and return its offset."""
-    outcome = entry.writer(CONFIGURATION_STREAM).append(record)
-    if outcome.is_err():
-        error = outcome.unwrap_err()
-        ran = None if error.maybe_applied else False
+    writer = entry.writer(CONFIGURATION_STREAM)
+    outcome = writer.append(record, timeout=OPERATOR_SETTLE_SECONDS)
+    if outcome.is_ok():
+        return outcome.unwrap()
+    error = outcome.unwrap_err()
+    if error.maybe_applied:
         remedy = "show the catalogue to see whether it took effect, then retry"
-        raise ProblemError(503, error.reason, remedy, ran, 1.0)
-    return outcome.unwrap()
+        raise ProblemError(504, error.reason, remedy, None, error.retry_after)
+    remedy = "nothing has changed; publish again later"
+    raise ProblemError(503, error.reason, remedy, False, error.retry_after)
--- a/src/sequoiachute/protocol/messages.py
+++ b/src/sequoiachute/protocol/messages.py
@@ -84,12 +84,18 @@
 
 
 class ConfigurationReply(NamedTuple):
-    """The configuration in force at ``offset``."""
+    """The configuration in force at ``offset``.
+
+    The catalogue is empty where the asker knows that offset already.
+    ``switch_offsets`` are those of the last switch of each data centre.
+    """
 
     offset: int
     confirmed_age: float
     catalogue: Catalogue
     out_of_service: tuple[str, ...]
+    catalogue_offset: int = -1
+    switch_offsets: tuple[tuple[str, int], ...] = ()
 
 
 class Reserve(NamedTuple):
--- a/src/sequoiachute/protocol/records.py
+++ b/src/sequoiachute/protocol/records.py
@@ -38,23 +38,18 @@
 
 
 class DataCentreSwitched(TypedDict):
-    """A data centre taken out of service or brought back."""
+    """A data centre taken out of service or brought back.
+
+    ``base`` is the offset of the last switch of the same data centre, so that
+    a late append can't undo a newer switch.
+    """
 
     kind: Literal["data-centre-switched"]
     record_id: str
     operator: str
     data_centre: str
     in_service: bool
-
-
-class ConfigurationSnapshot(TypedDict):
-    """The configuration in force at ``base``, appended before retention ends."""
-
-    kind: Literal["configuration-snapshot"]
-    record_id: str
-    base: int
-    catalogue: Catalogue
-    out_of_service: list[str]
+    base: NotRequired[int]
 
 
 class JobSpec(TypedDict):
@@ -170,10 +165,40 @@
     duration: float
 
 
+class RecordsVoided(TypedDict):
+    """Takes effect away from records that come later in the stream."""
+
+    kind: Literal["records-voided"]
+    record_id: str
+    targets: list[str]
+
+
+class SnapshotPart(TypedDict):
+    """Some of the items that a state consists of."""
+
+    kind: Literal["snapshot-part"]
+    record_id: str
+    snapshot_id: str
+    part: int
+    items: list[Any]
+
+
+class SnapshotCompleted(TypedDict):
+    """Completes a snapshot of all records of ``stream`` before ``through``."""
+
+    kind: Literal["snapshot-completed"]
+    record_id: str
+    snapshot_id: str
+    stream: str
+    through: int
+    parts: int
+    items: int
+    voided: list[str]
+
+
 Record = (
     CataloguePublished
     | DataCentreSwitched
-    | ConfigurationSnapshot
     | JobAccepted
     | JobCancelled
     | JobStarted
@@ -182,12 +207,14 @@
     | IntentRecorded
     | IntentAnswered
     | LeaseClaimed
+    | RecordsVoided
+    | SnapshotPart
+    | SnapshotCompleted
 )
 
 _TYPES: dict[str, Any] = {
     "catalogue-published": CataloguePublished,
     "data-centre-switched": DataCentreSwitched,
-    "configuration-snapshot": ConfigurationSnapshot,
     "job-accepted": JobAccepted,
     "job-cancelled": JobCancelled,
     "job-started": JobStarted,
@@ -196,9 +223,17 @@
     "intent-recorded": IntentRecorded,
     "intent-answered": IntentAnswered,
     "lease-claimed": LeaseClaimed,
+    "records-voided": RecordsVoided,
+    "snapshot-part": SnapshotPart,
+    "snapshot-completed": SnapshotCompleted,
 }
 
 
+def snapshots_of(stream: str) -> str:
+    """Return the name of the stream that keeps the snapshots of ``stream``."""
+    return f"{stream}-snapshots"
+
+
 def encode_record(record: Any) -> bytes:
     """Return ``record`` as JSON with the format version."""
     return msgspec.json.encode({"format": FORMAT_VERSION, **record})
--- a/src/sequoiachute/settings.py
+++ b/src/sequoiachute/settings.py
@@ -140,6 +140,9 @@
     freshness_seconds: Seconds = 3.0
     worker_silent_seconds: Seconds = 5.0
     placer_lease_seconds: Seconds = 3.0
+    entries: tuple[Address, ...] = ()
+    entry_lease_seconds: Seconds = 15.0
+    log_retention_seconds: Annotated[float, Meta(gt=0)] = 3600.0
 
 
 class AgentSettings(NamedTuple):
--- a/src/sequoiachute/state/intents.py
+++ b/src/sequoiachute/state/intents.py
@@ -2,6 +2,8 @@
 
 from typing import Any, NamedTuple
 
+from sequoiachute.state.items import from_item, to_item
+
 
 class Intent(NamedTuple):
     """The sole attempt that may run for a key, and its answer if known."""
@@ -30,6 +32,17 @@
         """Return the intent that won for the key."""
         return self._intents.get((account, key))
 
+    def snapshot(self) -> list[Any]:
+        """Return every intent as an item of a snapshot."""
+        return [to_item(intent) for intent in self._intents.values()]
+
+    def restore(self, items: list[Any]) -> None:
+        """Hold the intents of a snapshot and no others."""
+        intents = [from_item(Intent, item) for item in items]
+        self._intents.clear()
+        for intent in intents:
+            self._intents[(intent.account, intent.idempotency_key)] = intent
+
     def apply(self, record: Any) -> bool:
         """Apply one record; return whether it took effect."""
         place = (record["account"], record["idempotency_key"])
--- a/src/sequoiachute/state/jobs.py
+++ b/src/sequoiachute/state/jobs.py
@@ -1,8 +1,12 @@
 """Jobs as the log tells them."""
 
+from heapq import heappop, heappush
 from typing import Any, NamedTuple
 
 from sequoiachute.protocol.records import JobSpec
+from sequoiachute.state.items import from_item, to_item
+
+ENDED_JOB_HOLD_SECONDS = 86400.0  # time that a result can be fetched
 
 QUEUED = "queued"
 RUNNING = "running"
@@ -36,11 +40,22 @@
 
 
 class JobTable:
-    """Every job that the log still tells of."""
+    """Accepted jobs; ended ones are dropped after a hold time.
+
+    What is dropped when follows from the records alone, so that every reader
+    of the same records holds the same jobs.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    hold_seconds : float
+        Time that an ended job is kept.
+    """
+
+    def __init__(self, hold_seconds: float = ENDED_JOB_HOLD_SECONDS) -> None:
         self._jobs: dict[str, Job] = {}
         self._by_key: dict[tuple[str, str], str] = {}
+        self._ended: list[tuple[float, str]] = []
+        self._hold_seconds = hold_seconds
 
     def get(self, job_id: str) -> Job | None:
         """Return the job, ``None`` if it is not known."""
@@ -67,8 +82,25 @@
                 jobs.append(job)
         return jobs
 
-    def apply(self, record: Any) -> bool:
-        """Apply one record; return whether it took effect."""
+    def snapshot(self) -> list[Any]:
+        """Return every job as an item of a snapshot."""
+        return [to_item(job) for job in self._jobs.values()]
+
+    def restore(self, items: list[Any]) -> None:
+        """Hold the jobs of a snapshot and no others."""
+        jobs = [from_item(Job, item) for item in items]
+        self._jobs.clear()
+        self._by_key.clear()
+        self._ended.clear()
+        for job in jobs:
+            self._jobs[job.job_id] = job
+            self._by_key[(job.account, job.idempotency_key)] = job.job_id
+            if job.has_ended:
+                heappush(self._ended, (job.ended_at, job.job_id))
+
+    def apply(self, record: Any, at: float = float("-inf")) -> bool:
+        """Apply one record appended at time ``at``; return whether it counted."""
+        self._drop_ended(at - self._hold_seconds)
         if record["kind"] == "job-accepted":
             return self._accept(record)
         job = self._jobs.get(record.get("job_id", ""))
@@ -78,8 +110,16 @@
         if changed is None:
             return False
         self._jobs[job.job_id] = changed
+        if changed.has_ended:
+            heappush(self._ended, (changed.ended_at, job.job_id))
         return True
 
+    def _drop_ended(self, before: float) -> None:
+        while self._ended and self._ended[0][0] < before:
+            _, job_id = heappop(self._ended)
+            job = self._jobs.pop(job_id)
+            del self._by_key[(job.account, job.idempotency_key)]
+
     def _accept(self, record: Any) -> bool:
         key = (record["account"], record["idempotency_key"])
         if record["job_id"] in self._jobs or key in self._by_key:
--- a/src/sequoiachute/state/leases.py
+++ b/src/sequoiachute/state/leases.py
@@ -2,6 +2,8 @@
 
 from typing import Any, NamedTuple
 
+from sequoiachute.state.items import from_item, to_item
+
 NO_CLAIM = -1  # base of the first claim
 
 
@@ -34,6 +36,17 @@
                 leases.append(self._leases[name])
         return leases
 
+    def snapshot(self) -> list[Any]:
+        """Return every lease as an item of a snapshot."""
+        return [to_item(lease) for lease in self._leases.values()]
+
+    def restore(self, items: list[Any], now: float) -> None:
+        """Hold the leases of a snapshot as if they were claimed ``now``."""
+        leases = [from_item(Lease, item) for item in items]
+        self._leases.clear()
+        for lease in leases:
+            self._leases[lease.name] = lease._replace(seen_at=now)
+
     def apply(self, offset: int, record: Any, now: float) -> bool:
         """Apply a claim; it counts only if based on the claim before it."""
         if record["kind"] != "lease-claimed":
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -19,6 +19,8 @@
     LogPage,
 )
 
+READ_RECORDS = 1000  # most in one page
+
 
 class PausedHub(BaseHub):
     """An eventlet hub whose clock stands still but for what tasks wait for.
@@ -49,15 +51,18 @@
     """The log service in memory.
 
     ``down`` refuses every call, ``reads_fail`` refuses reads, ``lose_replies``
-    lets appends take effect and then fail, ``delay`` slows every call.
-    ``appends`` counts the calls.
+    lets appends take effect and then fail, ``late_seconds`` lets them fail
+    and take effect that much later, ``delay`` slows every call. Records are
+    forgotten after ``retention`` seconds. ``appends`` counts the calls.
     """
 
-    def __init__(self, delay: float = 0.001) -> None:
+    def __init__(self, delay: float = 0.001, retention: float = float("inf")) -> None:
         self.down = False
         self.reads_fail = False
         self.lose_replies = False
+        self.late_seconds = 0.0
         self.delay = delay
+        self.retention = retention
         self.appends = 0
         self._streams: dict[str, list[LogEntry]] = {}
         self._firsts: dict[str, int] = {}
@@ -68,16 +73,24 @@
         clock.sleep(self.delay)
         if self.down:
             raise LogUnavailableError("down")
+        if self.late_seconds:
+            eventlet.spawn_after(self.late_seconds, self.put, stream, records)
+            raise LogUnavailableError("timeout", maybe_applied=True)
+        first = self.put(stream, records)
+        if self.lose_replies:
+            raise LogUnavailableError("the reply is lost", maybe_applied=True)
+        return first
+
+    def put(self, stream: str, records: list[bytes]) -> int:
+        """Let ``records`` take effect now; return the offset of the first."""
+        first = self._next(stream)
         entries = self._streams.setdefault(stream, [])
-        first = self._firsts.get(stream, 0) + len(entries)
         for index, data in enumerate(records):
             entries.append(LogEntry(first + index, clock.wall_time(), data))
         self.appends += 1
         waiter = self._waiters.pop(stream, None)
         if waiter is not None:
             waiter.send(None)
-        if self.lose_replies:
-            raise LogUnavailableError("the reply is lost", maybe_applied=True)
         return first
 
     def read(self, stream: str, offset: int, wait: float) -> LogPage:
@@ -89,9 +102,17 @@
             waiter = self._waiters.setdefault(stream, Event())
             with eventlet.Timeout(wait, False):
                 waiter.wait()
+        self._expire(stream)
         first = self._firsts.get(stream, 0)
         entries = self._streams.get(stream, [])[max(0, offset - first) :]
-        return LogPage(first, self._next(stream), tuple(entries))
+        return LogPage(first, self._next(stream), tuple(entries[:READ_RECORDS]))
+
+    def _expire(self, stream: str) -> None:
+        oldest = clock.wall_time() - self.retention
+        for entry in self._streams.get(stream, [])[:]:
+            if entry.appended_at >= oldest:
+                break
+            self.drop_before(stream, entry.offset + 1)
 
     def drop_before(self, stream: str, offset: int) -> None:
         """Forget the records before ``offset``, as limited retention does."""
