--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -8,11 +8,13 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.catchup import confirmed_age, tell_configuration
+from sequoiachute.coordination.causes import ObservedPolicy
 from sequoiachute.coordination.log import StreamWriter
 from sequoiachute.coordination.membership import EntryDirectory, PeerConfirmation
+from sequoiachute.coordination.placement import Policy
 from sequoiachute.coordination.placer import Placer, PlacerState, PlacerStreams
-from sequoiachute.coordination.policy import Policy
 from sequoiachute.coordination.router import Router
+from sequoiachute.coordination.service_levels import ServiceLevelRecorder
 from sequoiachute.coordination.streams import StateStreams
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
@@ -28,6 +30,7 @@
     INTENTS_STREAM,
     JOBS_STREAM,
     LEASES_STREAM,
+    SERVICE_LEVELS_STREAM,
     Position,
 )
 from sequoiachute.settings import EntrySettings
@@ -36,6 +39,7 @@
 from sequoiachute.state.intents import IntentTable
 from sequoiachute.state.jobs import JobTable
 from sequoiachute.state.leases import LeaseTable
+from sequoiachute.state.service_levels import ServiceLevelTable
 from sequoiachute.transport.ports import Caller, LogStream
 
 
@@ -54,6 +58,7 @@
         self.jobs = JobTable()
         self.intents = IntentTable()
         self.leases = LeaseTable()
+        self.service_levels = ServiceLevelTable()
         self.fleet = Fleet(settings.worker_silent_seconds)
         self._streams = StateStreams(log, settings.log_retention_seconds)
         self._follow_streams()
@@ -73,6 +78,7 @@
             self._streams.writer(INTENTS_STREAM),
             caller,
         )
+        observed = ObservedPolicy(policy, self.configuration)
         self.placer = Placer(
             settings.entry_id,
             settings.rpc_address,
@@ -86,7 +92,16 @@
                 self._streams.follower(LEASES_STREAM),
             ),
             caller,
-            policy,
+            observed,
+        )
+        self.recorder = ServiceLevelRecorder(
+            settings.entry_id,
+            settings.service_level_seconds,
+            self.service_levels,
+            self.configuration,
+            observed,
+            self._streams.writer(SERVICE_LEVELS_STREAM),
+            lambda: self.placer.holds_lease,
         )
         self._leaving = False
         self._open_requests = 0
@@ -106,6 +121,7 @@
         eventlet.spawn(self.directory.run)
         eventlet.spawn(self._peer_confirmation.run)
         eventlet.spawn(self.placer.run)
+        eventlet.spawn(self.recorder.run)
 
     def writer(self, stream: str) -> StreamWriter:
         """Return the writer of ``stream``."""
@@ -129,6 +145,7 @@
         deadline = clock.now() + timeout
         while clock.now() < deadline:
             if self._open_requests == 0:
+                self.recorder.flush()
                 return True
             clock.sleep(0.05)
         return False
@@ -176,6 +193,12 @@
             self.leases.snapshot,
             lambda items: self.leases.restore(items, clock.now()),
         )
+        self._streams.add(
+            SERVICE_LEVELS_STREAM,
+            self._apply_service_level,
+            self.service_levels.snapshot,
+            self.service_levels.restore,
+        )
 
     def _apply_configuration(self, position: Position, record: Any) -> None:
         if self.configuration.apply(position.offset, record):
@@ -183,7 +206,16 @@
             log.info("configuration in force")
 
     def _apply_job(self, position: Position, record: Any) -> None:
-        self.jobs.apply(record, position.appended_at)
+        if not self.jobs.apply(record, position.appended_at):
+            return
+        job = self.jobs.get(record["job_id"])
+        if record["kind"] == "job-started":
+            self.recorder.note_start(job)
+        elif record["kind"] == "job-ended":
+            self.recorder.note_end(position.offset, job)
+
+    def _apply_service_level(self, position: Position, record: Any) -> None:
+        self.service_levels.apply(position.offset, record)
 
     def _apply_intent(self, position: Position, record: Any) -> None:
         self.intents.apply(record)
--- a/src/sequoiachute/protocol/records.py
+++ b/src/sequoiachute/protocol/records.py
@@ -10,6 +10,10 @@
 import msgspec
 
 from sequoiachute.protocol.catalogue import Catalogue, Within
+from sequoiachute.protocol.service_levels import (
+    ServiceLevelRollup,
+    ServiceLevelSummary,
+)
 
 FORMAT_VERSION = 1
 
@@ -210,6 +214,8 @@
     | RecordsVoided
     | SnapshotPart
     | SnapshotCompleted
+    | ServiceLevelRollup
+    | ServiceLevelSummary
 )
 
 _TYPES: dict[str, Any] = {
@@ -226,6 +232,8 @@
     "records-voided": RecordsVoided,
     "snapshot-part": SnapshotPart,
     "snapshot-completed": SnapshotCompleted,
+    "service-level-rollup": ServiceLevelRollup,
+    "service-level-summary": ServiceLevelSummary,
 }
 
 
--- a/src/sequoiachute/settings.py
+++ b/src/sequoiachute/settings.py
@@ -143,6 +143,7 @@
     entries: tuple[Address, ...] = ()
     entry_lease_seconds: Seconds = 15.0
     log_retention_seconds: Annotated[float, Meta(gt=0)] = 3600.0
+    service_level_seconds: Seconds = 30.0
 
 
 class AgentSettings(NamedTuple):
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -124,6 +124,40 @@
         return self._firsts.get(stream, 0) + len(self._streams.get(stream, []))
 
 
+class MemoryLogLink:
+    """One process's way to a ``MemoryLog``.
+
+    ``cut`` refuses every call, ``reads_fail`` refuses reads, ``lose_replies``
+    loses the replies of appends and ``delay`` slows every call.
+    """
+
+    def __init__(self, log: MemoryLog) -> None:
+        self.cut = False
+        self.reads_fail = False
+        self.lose_replies = False
+        self.delay = 0.0
+        self._log = log
+
+    def append(self, stream: str, records: list[bytes]) -> int:
+        """Append ``records``; return the offset of the first."""
+        clock.sleep(self.delay)
+        if self.cut:
+            raise LogUnavailableError("no connection")
+        first = self._log.append(stream, records)
+        if self.lose_replies:
+            raise LogUnavailableError("the reply is lost", maybe_applied=True)
+        return first
+
+    def read(self, stream: str, offset: int, wait: float) -> LogPage:
+        """Return records from ``offset`` on."""
+        if self.cut or self.reads_fail:
+            clock.sleep(self.delay)
+            raise LogUnavailableError("no connection")
+        page = self._log.read(stream, offset, wait)
+        clock.sleep(self.delay)
+        return page
+
+
 class MemoryNetwork:
     """Carries calls between processes by address, with faults.
 
@@ -170,9 +204,13 @@
 
 
 class MemoryCaller:
-    """Calls through a ``MemoryNetwork`` from one source address."""
+    """Calls through a ``MemoryNetwork`` from one source address.
+
+    ``dead`` refuses every call, as when the calling process has ended.
+    """
 
     def __init__(self, network: MemoryNetwork, source: str) -> None:
+        self.dead = False
         self._network = network
         self._source = source
 
@@ -180,6 +218,8 @@
         self, address: str, method: Method, message: Any, timeout: float
     ) -> Result[Any, RpcError]:
         """Call ``method``; the handler goes on after a timeout."""
+        if self.dead:
+            return Err(RpcError(address, "the caller is dead", False))
         task = eventlet.spawn(
             self._network.deliver, self._source, address, method, message
         )
