--- a/src/sequoiachute/http/app.py
+++ b/src/sequoiachute/http/app.py
@@ -6,13 +6,10 @@
 from sequoiachute.http.health import LivenessResource, ReadinessResource
 from sequoiachute.http.jobs import JobResource, JobsResource
 from sequoiachute.http.keys import Keyring
-from sequoiachute.http.operators import (
-    CatalogueResource,
-    DataCentreResource,
-    WorkersResource,
-)
+from sequoiachute.http.operators import CatalogueResource, DataCentreResource
 from sequoiachute.http.report import BurnReportResource
 from sequoiachute.http.requests import RequestsResource
+from sequoiachute.http.workers import WorkersResource
 from sequoiachute.transport.web import create_app
 
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -15,7 +15,13 @@
     encode_record,
 )
 from sequoiachute.settings import AgentSettings, EntrySettings
-from standins.memory import MemoryBackend, MemoryLog, MemoryNetwork
+from standins.memory import (
+    MemoryBackend,
+    MemoryCaller,
+    MemoryLog,
+    MemoryLogLink,
+    MemoryNetwork,
+)
 
 DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
 WORKERS_PER_RACK = 3
@@ -45,6 +51,8 @@
         create_backend: Callable[[], MemoryBackend] = MemoryBackend,
     ) -> None:
         self.log = MemoryLog()
+        self.log_links: dict[int, MemoryLogLink] = {}
+        self._callers: dict[str, MemoryCaller] = {}
         self.network = MemoryNetwork()
         self.policy = policy or FirstFitPolicy()
         self.entries: list[Entry] = []
@@ -68,12 +76,27 @@
             rpc_address=address,
             log_service="http://10.0.2.1:80",
             keys=(),
+            entries=self._entry_addresses,
         )
-        entry = Entry(settings, self.log, self.network.caller(address), self.policy)
+        link = self.log_links[index] = MemoryLogLink(self.log)
+        caller = self._callers[address] = self.network.caller(address)
+        entry = Entry(settings, link, caller, self.policy)
         self.network.serve(address, entry.handlers())
         entry.run()
         return entry
 
+    def kill_entry(self, index: int) -> None:
+        """Let an entry instance do nothing any more."""
+        address = entry_address(index)
+        self.network.remove(address)
+        self._callers[address].dead = True
+        self.log_links[index].cut = True
+
+    def replace_entry(self, index: int) -> None:
+        """Let another instance take the place of an entry instance."""
+        self.kill_entry(index)
+        self.entries[index] = self.start_entry(index)
+
     def start_agent(self, index: int) -> Agent:
         """Start an agent beside backend server ``index`` and return it."""
         data_centre = DATA_CENTRES[index % len(DATA_CENTRES)]
