--- a/tests/test_service_levels.py
+++ b/tests/test_service_levels.py
@@ -65,10 +65,12 @@
 def test_service_levels_outlast_a_log_outage():
     site = started_site()
     site.submit("job", run_seconds=5)
-    site.run_for(3)
+    site.run_for(12)
+    assert site.entries[0].jobs.get("job").state == "finished"
     site.log.down = True
     site.run_for(120)
     site.log.down = False
     site.run_for(120)
-    completion = counts(site.entries[0])["completion"]
-    assert completion["good"] + completion["bad"] == 1
+    for objective in ("completion", "guarantee"):
+        count = counts(site.entries[0])[objective]
+        assert (count["good"], count["bad"]) == (1, 0)
