Keep guarantees by bindings that show all can be reclaimed at once

SharingPolicy binds every guaranteed shape to a block and starts guaranteed work only inside its own account's blocks. Not wired yet.

--- a/src/sequoiachute/coordination/placement/__init__.py
+++ b/src/sequoiachute/coordination/placement/__init__.py
@@ -13,6 +13,7 @@
     Waiting,
     domain_of,
 )
+from sequoiachute.coordination.placement.sharing import SharingPolicy
 
 __all__ = [
     "Decision",
@@ -22,6 +23,7 @@
     "Placement",
     "PlacementView",
     "Policy",
+    "SharingPolicy",
     "Shortfall",
     "Unplaceable",
     "Waiting",
--- /dev/null
+++ b/src/sequoiachute/coordination/placement/victims.py
@@ -0,0 +1,185 @@
+"""Borrowers that can make room, and the work that is lost with each."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from sequoiachute.coordination.placement.board import HeldTask, Node
+from sequoiachute.coordination.placement.model import Eviction, PlacementView
+from sequoiachute.coordination.placement.runs import run_masks
+from sequoiachute.state.jobs import Job
+
+RESTART_SECONDS = 15.0  # lost by a job that stops at a checkpoint and goes on
+
+
+class Victims:
+    """Prices evictions during one round.
+
+    A price is in accelerator-seconds: what the whole job loses. Jobs that an
+    earlier decision already stops cost nothing more.
+    """
+
+    def __init__(self, view: PlacementView, running: dict[str, Job]) -> None:
+        self._running = running
+        self._now = view.now
+        self._prices: dict[str, float] = {}
+        self._urgent = set()
+        for name, job_class in view.catalogue["classes"].items():
+            if job_class.get("urgent"):
+                self._urgent.add(name)
+        for placement in view.starting:
+            for eviction in placement.evictions:
+                self._prices[eviction.job_id] = 0.0
+
+    def settle(self, evictions: Iterable[Eviction]) -> None:
+        """Note evictions decided in this round."""
+        for eviction in evictions:
+            self._prices[eviction.job_id] = 0.0
+
+    def price(self, job_id: str) -> float:
+        """Return the accelerator-seconds lost when ``job_id`` is evicted."""
+        known = self._prices.get(job_id)
+        if known is not None:
+            return known
+        job = self._running.get(job_id)
+        price = 1.0
+        if job is not None:
+            spec = job.spec
+            held = spec["tasks"] * max(1, spec["accelerators"])
+            lost = max(0.0, self._now - job.started_at)
+            if spec.get("checkpointable"):
+                lost = min(lost, RESTART_SECONDS)
+            price += lost * held
+        self._prices[job_id] = price
+        return price
+
+    def may_evict(self, task: HeldTask, for_urgent: bool) -> bool:
+        """Return whether ``task`` must yield.
+
+        Any borrower yields to a guarantee; to urgent work without one only
+        borrowers that are not urgent themselves.
+        """
+        if task.guaranteed or task.starting:
+            return False
+        if not for_urgent:
+            return True
+        job = self._running.get(task.job_id)
+        return job is None or job.job_class not in self._urgent
+
+
+class Room(NamedTuple):
+    """A run on one worker and the jobs that must leave it."""
+
+    price: float
+    mask: int
+    victims: frozenset[str]
+
+
+def rooms_on(
+    node: Node,
+    need: int,
+    usable: int,
+    victims: Victims,
+    for_urgent: bool,
+) -> list[Room]:
+    """Return the runs of ``need`` that evictions can free, cheapest first.
+
+    ``usable`` masks the accelerators that may be considered at all.
+    """
+    evictable = []
+    for task in node.tasks:
+        if victims.may_evict(task, for_urgent):
+            evictable.append(task)
+    room = node.free
+    for task in evictable:
+        room |= task.mask & ~node.fixed
+    usable &= room
+    found = []
+    for mask in run_masks(node.size, need):
+        if mask & usable != mask:
+            continue
+        leaving = {task.job_id for task in evictable if task.mask & mask}
+        price = sum(victims.price(job_id) for job_id in leaving)
+        found.append(Room(price, mask, frozenset(leaving)))
+    found.sort(key=_by_price)
+    return found
+
+
+def take_rooms(
+    node: Node,
+    need: int,
+    count: int,
+    usable: int,
+    victims: Victims,
+    for_urgent: bool,
+) -> list[Room]:
+    """Return up to ``count`` disjoint rooms on ``node``, slots included."""
+    if need == 0:
+        return _take_slots(node, count, victims, for_urgent)
+    taken: list[Room] = []
+    leaving: set[str] = set()
+    for room in rooms_on(node, need, usable, victims, for_urgent):
+        if len(taken) == count:
+            break
+        if any(room.mask & other.mask for other in taken):
+            continue
+        slot = _free_slot(node, len(taken), leaving | room.victims, victims, for_urgent)
+        if slot is None:
+            break
+        leaving |= room.victims | slot
+        price = room.price + sum(victims.price(job_id) for job_id in slot)
+        taken.append(Room(price, room.mask, room.victims | slot))
+    return taken
+
+
+def _take_slots(
+    node: Node, count: int, victims: Victims, for_urgent: bool
+) -> list[Room]:
+    taken: list[Room] = []
+    leaving: set[str] = set()
+    while len(taken) < count:
+        slot = _free_slot(node, len(taken), leaving, victims, for_urgent)
+        if slot is None:
+            break
+        leaving |= slot
+        price = sum(victims.price(job_id) for job_id in slot)
+        taken.append(Room(price, 0, slot))
+    return taken
+
+
+def _free_slot(
+    node: Node, taken: int, leaving: set[str], victims: Victims, for_urgent: bool
+) -> frozenset[str] | None:
+    """Return who must leave besides ``leaving`` for one more slot."""
+    slots = node.slots - taken
+    cheapest = None
+    for task in node.tasks:
+        if task.job_id in leaving:
+            slots += 1
+            continue
+        if not victims.may_evict(task, for_urgent):
+            continue
+        if cheapest is None or victims.price(task.job_id) < victims.price(cheapest):
+            cheapest = task.job_id
+    if slots > 0:
+        return frozenset()
+    return None if cheapest is None else frozenset({cheapest})
+
+
+def evictions_of(
+    victims: Iterable[str], nodes: Iterable[Node], reason: str
+) -> tuple[Eviction, ...]:
+    """Return the evictions of ``victims`` with the attempts that run."""
+    wanted = set(victims)
+    attempts = {}
+    for node in nodes:
+        for task in node.tasks:
+            if task.job_id in wanted and not task.starting:
+                attempts[task.job_id] = task.attempt
+    evictions = []
+    for job_id in sorted(attempts):
+        evictions.append(Eviction(job_id, attempts[job_id], reason))
+    return tuple(evictions)
+
+
+def _by_price(room: Room) -> tuple[float, int]:
+    return (room.price, room.mask)
--- a/src/sequoiachute/protocol/catalogue.py
+++ b/src/sequoiachute/protocol/catalogue.py
@@ -9,12 +9,14 @@
     """Adjacent accelerators of a guarantee.
 
     ``accelerators`` of them lie inside one ``within``; ``speed_class`` limits
-    the workers that count.
+    the workers that count. Over several workers, each worker's part is a
+    multiple of ``per_worker``, one by default.
     """
 
     accelerators: int
     within: Within
     speed_class: NotRequired[str]
+    per_worker: NotRequired[int]
 
 
 class Limits(TypedDict, total=False):
