Read quiet streams less often

An idle entry spent half of its processor time on reading five streams twice a second. Only the configuration's end is confirmed for other processes; the rest waits for news for longer.

Ruled out: 0.9 s for the configuration as well, which makes a confirmation up to 1.8 s old at the entry and with an agent's second leaves no margin to the 3 s of freshness; a test of recovery held that bound and failed.

--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -9,6 +9,7 @@
 from sequoiachute import clock
 from sequoiachute.coordination.catchup import confirmed_age, tell_configuration
 from sequoiachute.coordination.causes import ObservedPolicy
+from sequoiachute.coordination.follower import IDLE_WAIT_SECONDS, STATE_WAIT_SECONDS
 from sequoiachute.coordination.log import StreamWriter
 from sequoiachute.coordination.membership import EntryDirectory, PeerConfirmation
 from sequoiachute.coordination.placement import Policy
@@ -183,25 +184,32 @@
             self.configuration.confirm,
         )
         self._streams.add(
-            JOBS_STREAM, self._apply_job, self.jobs.snapshot, self.jobs.restore
+            JOBS_STREAM,
+            self._apply_job,
+            self.jobs.snapshot,
+            self.jobs.restore,
+            wait=STATE_WAIT_SECONDS,
         )
         self._streams.add(
             INTENTS_STREAM,
             self._apply_intent,
             self.intents.snapshot,
             self.intents.restore,
+            wait=IDLE_WAIT_SECONDS,
         )
         self._streams.add(
             LEASES_STREAM,
             self._apply_lease,
             self.leases.snapshot,
             lambda items: self.leases.restore(items, clock.now()),
+            wait=STATE_WAIT_SECONDS,
         )
         self._streams.add(
             SERVICE_LEVELS_STREAM,
             self._apply_service_level,
             self.service_levels.snapshot,
             self.service_levels.restore,
+            wait=IDLE_WAIT_SECONDS,
         )
 
     def _apply_configuration(self, position: Position, record: Any) -> None:
--- a/src/sequoiachute/coordination/follower.py
+++ b/src/sequoiachute/coordination/follower.py
@@ -14,7 +14,9 @@
 from sequoiachute.protocol.records import Position, decode_record
 from sequoiachute.transport.ports import LogEntry, LogStream
 
-READ_WAIT_SECONDS = 0.5
+FRESH_WAIT_SECONDS = 0.5  # of a read that confirms a view for other processes
+STATE_WAIT_SECONDS = 1.0  # of a read that confirms a view for this process
+IDLE_WAIT_SECONDS = 10.0  # of a read that only waits for news
 BACKOFF_FIRST_SECONDS = 0.1
 BACKOFF_LAST_SECONDS = 1.0
 GAP_WAIT_SECONDS = 30.0
@@ -40,6 +42,9 @@
         Takes the clock time at which nothing newer was in the stream.
     restore : callable, optional
         Takes the items of a snapshot and replaces the state by them.
+    wait : float
+        Longest time in seconds that a read waits for news; the confirmation
+        of the stream's end grows up to twice as old.
     """
 
     def __init__(
@@ -49,8 +54,10 @@
         apply: ApplyRecord,
         confirm: Callable[[float], None] | None = None,
         restore: RestoreItems | None = None,
+        wait: float = FRESH_WAIT_SECONDS,
     ) -> None:
         self._log = log
+        self._wait = wait
         self._confirm = confirm
         self._stream = stream
         self._apply = apply
@@ -106,7 +113,7 @@
         backoff = BACKOFF_FIRST_SECONDS
         while True:
             try:
-                self.read_once(READ_WAIT_SECONDS)
+                self.read_once(self._wait if self._caught_up.ready() else 0.0)
             except LogUnavailableError as error:
                 logger.debug("reading {} failed: {}", self._stream, error.reason)
                 clock.sleep(backoff)
--- a/src/sequoiachute/coordination/streams.py
+++ b/src/sequoiachute/coordination/streams.py
@@ -7,6 +7,7 @@
 
 from sequoiachute.coordination.breaker import AppendRate
 from sequoiachute.coordination.follower import (
+    FRESH_WAIT_SECONDS,
     ApplyRecord,
     RestoreItems,
     StreamFollower,
@@ -49,9 +50,10 @@
         take: Callable[[], list[Any]],
         restore: RestoreItems,
         confirm: Callable[[float], None] | None = None,
+        wait: float = FRESH_WAIT_SECONDS,
     ) -> None:
         """Follow ``stream``; ``take`` and ``restore`` serve its snapshots."""
-        follower = StreamFollower(self._log, stream, apply, confirm, restore)
+        follower = StreamFollower(self._log, stream, apply, confirm, restore, wait)
         self._followers[stream] = follower
         self._writers[stream] = StreamWriter(self._log, stream, follower, self._rate)
         keeper = SnapshotKeeper(
