Hold the baselines to adjacent runs, too

A policy that may scatter a task's accelerators over a worker has an easier task than ours; first-fit and best-fit now take aligned runs. Best-fit passes over what does not fit. Rooms of equal price are taken where they break the smallest block.

--- a/src/sequoiachute/coordination/placement/baselines.py
+++ b/src/sequoiachute/coordination/placement/baselines.py
@@ -1,61 +1,113 @@
-"""Policies that every other policy is measured against."""
+"""Policies that every other policy is measured against.
 
+They take the placements under way into account, but know neither guarantees
+nor evictions.
+"""
+
+from collections.abc import Sequence
+
+from sequoiachute.coordination.placement.board import Board, Node
 from sequoiachute.coordination.placement.model import (
     Decision,
     MemberPlacement,
     Placement,
     PlacementView,
-    domain_of,
 )
-from sequoiachute.state.fleet import Worker
+from sequoiachute.coordination.placement.runs import indices_of, pack_runs, run_masks
 from sequoiachute.state.jobs import Job
 
 
 class FirstFitPolicy:
     """Takes jobs in order of acceptance and the first place that fits.
 
-    The baseline that every other policy is measured against. It knows neither
-    guarantees nor evictions and stops at the first job that does not fit.
+    It stops at the first job that does not fit.
     """
 
+    def __init__(self) -> None:
+        self._board = Board()
+
     def decide(self, view: PlacementView) -> Decision:
         """Return what to start now."""
-        free = {w.worker_id: list(w.free_accelerators) for w in view.workers}
-        slots = {w.worker_id: w.free_slots for w in view.workers}
+        self._board.refresh(view.workers, view.starting, {})
         placements = []
         for job in view.queued:
-            members = _first_fit(job, view.workers, free, slots)
+            members = _first_fit(job, self._board)
             if members is None:
                 break
-            for member in members:
-                slots[member.worker_id] -= 1
-                for index in member.accelerators:
-                    free[member.worker_id].remove(index)
+            self._board.hold(job.job_id, job.account, members, guaranteed=False)
             placements.append(Placement(job.job_id, members, guaranteed=False))
         return Decision(tuple(placements))
 
 
-def _first_fit(
-    job: Job,
-    workers: tuple[Worker, ...],
-    free: dict[str, list[int]],
-    slots: dict[str, int],
+class BestFitPolicy:
+    """Takes every job that fits, where it leaves the fewest accelerators over.
+
+    Jobs that do not fit are passed over, so that large gangs may starve.
+    """
+
+    def __init__(self) -> None:
+        self._board = Board()
+
+    def decide(self, view: PlacementView) -> Decision:
+        """Return what to start now."""
+        self._board.refresh(view.workers, view.starting, {})
+        placements = []
+        for job in view.queued:
+            members = _best_fit(job, self._board)
+            if members is None:
+                continue
+            self._board.hold(job.job_id, job.account, members, guaranteed=False)
+            placements.append(Placement(job.job_id, members, guaranteed=False))
+        return Decision(tuple(placements))
+
+
+def _first_fit(job: Job, board: Board) -> tuple[MemberPlacement, ...] | None:
+    for nodes in board.domains(job.spec["within"]).values():
+        members = _fill(job, nodes, tight=False)
+        if members is not None:
+            return members
+    return None
+
+
+def _best_fit(job: Job, board: Board) -> tuple[MemberPlacement, ...] | None:
+    domains = board.domains(job.spec["within"]).values()
+    for nodes in sorted(domains, key=_free_accelerators):
+        members = _fill(job, sorted(nodes, key=_free_on), tight=True)
+        if members is not None:
+            return members
+    return None
+
+
+def _fill(
+    job: Job, nodes: Sequence[Node], tight: bool
 ) -> tuple[MemberPlacement, ...] | None:
-    need = job.spec["accelerators"]
-    domains: dict[tuple[str, ...], list[MemberPlacement]] = {}
-    for worker in workers:
-        if job.spec.get("speed_class", worker.speed_class) != worker.speed_class:
+    """Return the gang on the first of ``nodes``, ``None`` if it doesn't fit."""
+    tasks = job.spec["tasks"]
+    members: list[MemberPlacement] = []
+    for node in nodes:
+        if job.spec.get("speed_class", node.worker.speed_class) != (
+            node.worker.speed_class
+        ):
             continue
-        members = domains.setdefault(domain_of(worker, job.spec["within"]), [])
-        left = free[worker.worker_id]
-        room = slots[worker.worker_id]
-        if need:
-            room = min(room, len(left) // need)
-        for index in range(room):
-            if len(members) == job.spec["tasks"]:
-                break
-            chosen = tuple(left[index * need : (index + 1) * need])
-            members.append(MemberPlacement(worker.worker_id, chosen))
-        if len(members) == job.spec["tasks"]:
+        room = min(tasks - len(members), max(0, node.slots))
+        for run in _runs(node, job.spec["accelerators"], tight)[:room]:
+            members.append(MemberPlacement(node.worker_id, indices_of(run)))
+        if len(members) == tasks:
             return tuple(members)
     return None
+
+
+def _runs(node: Node, need: int, tight: bool) -> Sequence[int]:
+    if not need:
+        return (0,) * max(0, node.slots)
+    if tight:
+        return pack_runs(node.size, need, node.free)
+    return [run for run in run_masks(node.size, need) if run & node.free == run]
+
+
+def _free_on(node: Node) -> int:
+    return node.free.bit_count()
+
+
+def _free_accelerators(nodes: Sequence[Node]) -> int:
+    return sum(_free_on(node) for node in nodes)
--- a/src/sequoiachute/coordination/placement/runs.py
+++ b/src/sequoiachute/coordination/placement/runs.py
@@ -44,7 +44,7 @@
     for run in run_masks(size, length):
         if run & usable != run:
             continue
-        broken = _block_around(size, run, usable)
+        broken = block_around(size, run, usable)
         if broken < least:
             chosen = run
             least = broken
@@ -72,7 +72,8 @@
     return longest
 
 
-def _block_around(size: int, run: int, usable: int) -> int:
+@lru_cache(CACHED_MASKS)
+def block_around(size: int, run: int, usable: int) -> int:
     """Return the size of the largest aligned usable block that holds ``run``."""
     block = run.bit_count()
     length = 1 << (block - 1).bit_length()
--- a/src/sequoiachute/coordination/placement/victims.py
+++ b/src/sequoiachute/coordination/placement/victims.py
@@ -5,7 +5,7 @@
 
 from sequoiachute.coordination.placement.board import HeldTask, Node
 from sequoiachute.coordination.placement.model import Eviction, PlacementView
-from sequoiachute.coordination.placement.runs import run_masks
+from sequoiachute.coordination.placement.runs import block_around, run_masks
 from sequoiachute.state.jobs import Job
 
 RESTART_SECONDS = 15.0  # lost by a job that stops at a checkpoint and goes on
@@ -70,6 +70,7 @@
     """A run on one worker and the jobs that must leave it."""
 
     price: float
+    broken: int  # length of the free block that the run breaks
     mask: int
     victims: frozenset[str]
 
@@ -99,8 +100,9 @@
             continue
         leaving = {task.job_id for task in evictable if task.mask & mask}
         price = sum(victims.price(job_id) for job_id in leaving)
-        found.append(Room(price, mask, frozenset(leaving)))
-    found.sort(key=_by_price)
+        broken = block_around(node.size, mask, usable)
+        found.append(Room(price, broken, mask, frozenset(leaving)))
+    found.sort(key=lambda room: room[:3])
     return found
 
 
@@ -127,7 +129,7 @@
             break
         leaving |= room.victims | slot
         price = room.price + sum(victims.price(job_id) for job_id in slot)
-        taken.append(Room(price, room.mask, room.victims | slot))
+        taken.append(room._replace(price=price, victims=room.victims | slot))
     return taken
 
 
@@ -142,7 +144,7 @@
             break
         leaving |= slot
         price = sum(victims.price(job_id) for job_id in slot)
-        taken.append(Room(price, 0, slot))
+        taken.append(Room(price, 0, 0, slot))
     return taken
 
 
@@ -179,7 +181,3 @@
     for job_id in sorted(attempts):
         evictions.append(Eviction(job_id, attempts[job_id], reason))
     return tuple(evictions)
-
-
-def _by_price(room: Room) -> tuple[float, int]:
-    return (room.price, room.mask)
