Check settings, catalogues and HTTP input with the same care

Unknown keys of a catalogue or a job were ignored by msgspec's TypedDict, so a strict walk precedes the conversion. Ruled out: Struct types that forbid unknown fields, since every layer reads these as TypedDict. The stop serves on for leave_grace_seconds after readiness went red.

--- a/src/sequoiachute/__main__.py
+++ b/src/sequoiachute/__main__.py
@@ -4,6 +4,7 @@
 import sys
 
 os.environ["EVENTLET_HUB"] = "asyncio"
+os.environ["EVENTLET_NO_GREENDNS"] = "yes"  # peers are named by IP number
 
 
 def run() -> None:
--- a/src/sequoiachute/cli/daemons.py
+++ b/src/sequoiachute/cli/daemons.py
@@ -1,7 +1,7 @@
 """Commands that run the system's processes."""
 
 from sequoiachute.cli.options import SettingsOption
-from sequoiachute.settings import AgentSettings, EntrySettings, load_settings
+from sequoiachute.settings_checks import load_agent_settings, load_entry_settings
 from sequoiachute.status import ExitStatus
 
 
@@ -9,11 +9,11 @@
     """Run an entry instance until SIGTERM."""
     from sequoiachute.daemon import run_entry
 
-    return run_entry(load_settings(settings, EntrySettings))
+    return run_entry(load_entry_settings(settings))
 
 
 def agent(settings: SettingsOption) -> ExitStatus:
     """Run the agent beside a backend server until SIGTERM."""
     from sequoiachute.daemon import run_agent
 
-    return run_agent(load_settings(settings, AgentSettings))
+    return run_agent(load_agent_settings(settings))
--- a/src/sequoiachute/cli/settings.py
+++ b/src/sequoiachute/cli/settings.py
@@ -5,10 +5,10 @@
 import typer
 
 from sequoiachute.cli.options import environment_of
-from sequoiachute.settings import AgentSettings, EntrySettings, load_settings
+from sequoiachute.settings_checks import load_agent_settings, load_entry_settings
 from sequoiachute.status import ExitStatus
 
-_TYPES = {"entry": EntrySettings, "agent": AgentSettings}
+_LOADERS = {"entry": load_entry_settings, "agent": load_agent_settings}
 
 
 def check(
@@ -17,6 +17,6 @@
     file: Annotated[str, typer.Argument(help="Settings file in YAML.")],
 ) -> ExitStatus:
     """Check a settings file and name what is wrong with it."""
-    load_settings(file, _TYPES[role])
+    _LOADERS[role](file)
     environment_of(context).stdout.write(f"{file}: valid\n")
     return ExitStatus.OK
--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -87,13 +87,14 @@
             caller,
             policy,
         )
+        self._unready = False
         self._leaving = False
         self._open_requests = 0
 
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send requests here."""
-        if self._leaving:
+        if self._unready or self._leaving:
             return False
         for follower in self._followers.values():
             if follower.confirmed_at == float("-inf"):
@@ -116,6 +117,10 @@
         """Return the writer of ``stream``."""
         return self._writers[stream]
 
+    def begin_leaving(self) -> None:
+        """Tell the balancer to send nothing more; requests are still served."""
+        self._unready = True
+
     def begin_request(self) -> bool:
         """Count a caller's request in; return whether it may be served."""
         if self._leaving:
@@ -131,11 +136,11 @@
         """Take no new requests and wait for those in progress."""
         self._leaving = True
         deadline = clock.now() + timeout
-        while clock.now() < deadline:
-            if self._open_requests == 0:
-                return True
+        while self._open_requests:
+            if clock.now() >= deadline:
+                return False
             clock.sleep(0.05)
-        return False
+        return True
 
     def announce(self, message: Announcement) -> AnnouncementReply:
         """Take an agent's announcement."""
--- a/src/sequoiachute/daemon.py
+++ b/src/sequoiachute/daemon.py
@@ -1,48 +1,75 @@
 """Running an entry instance or an agent until it is told to stop."""
 
-import signal
-from collections.abc import Callable
-
-from eventlet.event import Event
 from loguru import logger
 
+from sequoiachute import clock
 from sequoiachute.coordination.agent import Agent
 from sequoiachute.coordination.entry import Entry
 from sequoiachute.coordination.policy import FirstFitPolicy
 from sequoiachute.http.app import create_entry_app
 from sequoiachute.logs import configure_logging
 from sequoiachute.settings import AgentSettings, EntrySettings
+from sequoiachute.signals import StopSignals
 from sequoiachute.status import ExitStatus
 from sequoiachute.transport.backend import BackendClient
 from sequoiachute.transport.logservice import LogServiceClient
 from sequoiachute.transport.rpc import RpcPool, RpcServer
-from sequoiachute.transport.web import WebServer
+from sequoiachute.transport.webserver import WebServer
 
 
 def run_entry(settings: EntrySettings) -> ExitStatus:
     """Run an entry instance until SIGTERM; return how it stopped."""
-    configure_logging(settings.logging)
+    signals = StopSignals()
+    signals.install()
     log = LogServiceClient(settings.log_service)
     entry = Entry(settings, log, RpcPool(), FirstFitPolicy())
+    configure_logging(settings.logging, lambda: entry.configuration.offset)
     rpc = RpcServer(entry.handlers())
     rpc.start(*split_address(settings.rpc_address))
-    web = WebServer(create_entry_app(entry), *split_address(settings.http_address))
+    web = WebServer(
+        create_entry_app(entry), *split_address(settings.http_address), settings.http
+    )
     web.start()
     entry.run()
     logger.bind(entry=settings.entry_id).info("entry started")
-    return _stop_on_signal(lambda: entry.leave(settings.stop_seconds))
+    signals.wait()
+    return _end("entry", stop_entry(settings, entry, web))
 
 
 def run_agent(settings: AgentSettings) -> ExitStatus:
     """Run an agent until SIGTERM; return how it stopped."""
-    configure_logging(settings.logging)
+    signals = StopSignals()
+    signals.install()
     backend = BackendClient(settings.backend_server, settings.connections)
     agent = Agent(settings, RpcPool(), backend)
+    configure_logging(settings.logging, lambda: agent.configuration.offset)
     rpc = RpcServer(agent.handlers())
     rpc.start(*split_address(settings.rpc_address))
     agent.run()
     logger.bind(worker=settings.worker_id).info("agent started")
-    return _stop_on_signal(lambda: agent.leave(settings.stop_seconds))
+    signals.wait()
+    return _end("agent", stop_agent(settings, agent, rpc))
+
+
+def stop_entry(settings: EntrySettings, entry: Entry, web: WebServer) -> bool:
+    """Stop an entry; return whether every request was answered.
+
+    Readiness goes red first. While the balancer takes notice, requests are
+    served as before; then the listener closes and what is in progress ends.
+    """
+    deadline = clock.now() + settings.stop_seconds
+    entry.begin_leaving()
+    web.begin_stop()
+    clock.sleep(settings.leave_grace_seconds)
+    answered = web.stop(deadline - clock.now())
+    return entry.leave(max(0.0, deadline - clock.now())) and answered
+
+
+def stop_agent(settings: AgentSettings, agent: Agent, rpc: RpcServer) -> bool:
+    """Stop an agent; return whether its requests and tasks ended."""
+    deadline = clock.now() + settings.stop_seconds
+    ended = agent.leave(settings.stop_seconds)
+    return rpc.wait_idle(max(0.0, deadline - clock.now())) and ended
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -51,20 +78,9 @@
     return host, int(port)
 
 
-def _stop_on_signal(leave: Callable[[], bool]) -> ExitStatus:
-    """Wait for SIGTERM or SIGINT, leave, and end at once on a second one."""
-    stopping = Event()
-
-    def stop(number: int, frame: object) -> None:
-        if stopping.ready():
-            raise SystemExit(ExitStatus.INTERRUPTED)
-        stopping.send(number)
-
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
-    stopping.wait()
-    logger.info("stopping")
-    if leave():
+def _end(role: str, ended: bool) -> ExitStatus:
+    if ended:
+        logger.info("{} stopped", role)
         return ExitStatus.OK
-    logger.warning("stopped with work in progress")
+    logger.warning("{} stopped with work in progress", role)
     return ExitStatus.ERROR
--- a/src/sequoiachute/errors.py
+++ b/src/sequoiachute/errors.py
@@ -67,3 +67,17 @@
     peer: str
     reason: str
     delivered: bool
+
+
+def describe_failure(error: BaseException) -> str:
+    """Return the type of an unforeseen error and where it was raised.
+
+    Its message is left out: it may quote a body or a key.
+    """
+    trace = error.__traceback__
+    place = "unknown"
+    while trace is not None:
+        file_name = trace.tb_frame.f_code.co_filename.rpartition("/")[2]
+        place = f"{file_name}:{trace.tb_lineno}"
+        trace = trace.tb_next
+    return f"{type(error).__name__} at {place}"
--- a/src/sequoiachute/http/app.py
+++ b/src/sequoiachute/http/app.py
@@ -1,32 +1,44 @@
 """The routes of an entry instance."""
 
-import falcon
+from collections.abc import Callable
+from typing import Any
 
 from sequoiachute.coordination.entry import Entry
+from sequoiachute.http.context import RequestContext, with_request_id
+from sequoiachute.http.description import DescriptionResource
 from sequoiachute.http.health import LivenessResource, ReadinessResource
 from sequoiachute.http.jobs import JobResource, JobsResource
 from sequoiachute.http.keys import Keyring
+from sequoiachute.http.metrics import MetricsResource, create_entry_metrics
 from sequoiachute.http.operators import CatalogueResource, DataCentreResource
 from sequoiachute.http.requests import RequestsResource
+from sequoiachute.state.metrics import Metrics
 from sequoiachute.transport.web import create_app
 
 
-def create_entry_app(entry: Entry) -> falcon.App:
-    """Return the WSGI application of ``entry``."""
+def create_routes(entry: Entry, metrics: Metrics) -> dict[str, Any]:
+    """Return the resources of ``entry`` by path template."""
     keyring = Keyring(entry.settings.keys)
-    return create_app(
-        {
-            "/livez": LivenessResource(),
-            "/readyz": ReadinessResource(entry),
-            "/v1/requests": RequestsResource(entry, keyring),
-            "/v1/jobs": JobsResource(entry, keyring),
-            "/v1/jobs/{job_id}": JobResource(entry, keyring),
-            "/v1/catalogue": CatalogueResource(entry, keyring),
-            "/v1/data-centres/{data_centre}/drain": DataCentreResource(
-                entry, keyring, in_service=False
-            ),
-            "/v1/data-centres/{data_centre}/restore": DataCentreResource(
-                entry, keyring, in_service=True
-            ),
-        }
-    )
+    return {
+        "/livez": LivenessResource(),
+        "/readyz": ReadinessResource(entry),
+        "/metrics": MetricsResource(metrics),
+        "/openapi.json": DescriptionResource(),
+        "/v1/requests": RequestsResource(entry, keyring),
+        "/v1/jobs": JobsResource(entry, keyring),
+        "/v1/jobs/{job_id}": JobResource(entry, keyring),
+        "/v1/catalogue": CatalogueResource(entry, keyring),
+        "/v1/data-centres/{data_centre}/drain": DataCentreResource(
+            entry, keyring, in_service=False
+        ),
+        "/v1/data-centres/{data_centre}/restore": DataCentreResource(
+            entry, keyring, in_service=True
+        ),
+    }
+
+
+def create_entry_app(entry: Entry) -> Callable[..., Any]:
+    """Return the WSGI application of ``entry``."""
+    metrics = create_entry_metrics(entry)
+    app = create_app(create_routes(entry, metrics), RequestContext(metrics))
+    return with_request_id(app)
--- /dev/null
+++ b/src/sequoiachute/http/description.py
@@ -0,0 +1,21 @@
+"""``/openapi.json``: the description of the HTTP interface."""
+
+from importlib.resources import files
+
+import falcon
+
+FILE_NAME = "openapi.json"
+
+
+def read_description() -> bytes:
+    """Return the OpenAPI description that ships with the package."""
+    return files("sequoiachute").joinpath(FILE_NAME).read_bytes()
+
+
+class DescriptionResource:
+    """Shows the OpenAPI description."""
+
+    def on_get(self, request: falcon.Request, response: falcon.Response) -> None:
+        """Write the description."""
+        response.content_type = falcon.MEDIA_JSON
+        response.data = read_description()
--- a/src/sequoiachute/http/jobs.py
+++ b/src/sequoiachute/http/jobs.py
@@ -1,21 +1,32 @@
 """``/v1/jobs``: long work on adjacent accelerators."""
 
+import re
 from hashlib import sha256
 from typing import Any
 from uuid import uuid4
 
 import falcon
-import msgspec
 
 from sequoiachute import clock
 from sequoiachute.coordination.entry import Entry
 from sequoiachute.coordination.log import new_record_id
+from sequoiachute.http.inputs import read_json, require_idempotency_key
 from sequoiachute.http.keys import Keyring
 from sequoiachute.protocol.records import JOBS_STREAM, JobSpec
 from sequoiachute.state.jobs import Job
 from sequoiachute.transport.web import ProblemError, problem, write_json
 
 MAX_BODY_BYTES = 256 * 1024
+MAX_PAYLOAD_BYTES = 128 * 1024
+
+# Least and most of each number in a job.
+SPEC_BOUNDS = {
+    "tasks": (1, 256),
+    "accelerators": (0, 64),
+    "run_seconds": (0.01, 30 * 24 * 3600.0),
+}
+
+_SPEED_CLASS = re.compile(r"[\w.-]{1,64}", re.ASCII)
 
 
 class JobsResource:
@@ -36,13 +47,9 @@
     def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
         """Accept a job: once this answers, the job is in the log."""
         identity = self._keyring.require_caller(request)
-        key = request.get_header("Idempotency-Key")
-        if not key:
-            raise problem(400, "no idempotency key", "send Idempotency-Key")
-        body = request.bounded_stream.read(MAX_BODY_BYTES + 1)
-        if len(body) > MAX_BODY_BYTES:
-            raise problem(413, "the body is too large", f"at most {MAX_BODY_BYTES}")
-        spec = _read_spec(body)
+        key = require_idempotency_key(request)
+        spec, body = read_json(request, MAX_BODY_BYTES, JobSpec)
+        check_spec(spec)
         digest = sha256(body).hexdigest()
         job = self._entry.jobs.by_key(identity.account, key)
         if job is None:
@@ -135,9 +142,16 @@
     }
 
 
-def _read_spec(body: bytes) -> JobSpec:
-    try:
-        return msgspec.json.decode(body, type=JobSpec)
-    except msgspec.DecodeError as error:
-        remedy = "see the HTTP reference for the fields of a job"
-        raise problem(400, f"the job is refused: {error}", remedy) from error
+def check_spec(spec: JobSpec) -> None:
+    """Raise a 400 if a field of the job is out of its bounds."""
+    for key, (least, most) in SPEC_BOUNDS.items():
+        value = spec[key]
+        if not least <= value <= most:
+            remedy = f"send {least:g} to {most:g}"
+            raise problem(400, f"the job's {key} {value} is refused", remedy)
+    if len(spec["payload"].encode()) > MAX_PAYLOAD_BYTES:
+        remedy = f"send at most {MAX_PAYLOAD_BYTES} bytes"
+        raise problem(400, "the job's payload is too large", remedy)
+    if not _SPEED_CLASS.fullmatch(spec.get("speed_class", "standard")):
+        remedy = "send 1 to 64 letters, digits, dots, dashes or underscores"
+        raise problem(400, "the job's speed_class is refused", remedy)
--- a/src/sequoiachute/http/operators.py
+++ b/src/sequoiachute/http/operators.py
@@ -1,15 +1,21 @@
 """Operators' calls: the catalogue and the data centres in service."""
 
+from typing import Any
+
 import falcon
-import msgspec
 
 from sequoiachute.coordination.entry import Entry
 from sequoiachute.coordination.log import new_record_id
+from sequoiachute.errors import CatalogueError
+from sequoiachute.http.inputs import read_base_offset, read_json
 from sequoiachute.http.keys import Keyring
 from sequoiachute.protocol.catalogue import Catalogue
+from sequoiachute.protocol.catalogue_check import check_catalogue
 from sequoiachute.protocol.records import CONFIGURATION_STREAM
 from sequoiachute.transport.web import ProblemError, problem, write_json
 
+MAX_BODY_BYTES = 1024 * 1024
+
 
 class CatalogueResource:
     """Shows and publishes the catalogue."""
@@ -33,14 +39,8 @@
         """Publish a catalogue based on the offset in ``If-Match``."""
         identity = self._keyring.require_operator(request)
         configuration = self._entry.configuration
-        base = request.get_header("If-Match")
-        try:
-            catalogue = msgspec.json.decode(
-                request.bounded_stream.read(), type=Catalogue
-            )
-            based_on = int(base) if base else configuration.catalogue_offset
-        except (msgspec.DecodeError, ValueError) as error:
-            raise problem(400, f"refused: {error}", "mend it and publish") from error
+        based_on = read_base_offset(request, configuration.catalogue_offset)
+        catalogue = _read_catalogue(request)
         record = {
             "kind": "catalogue-published",
             "record_id": new_record_id(),
@@ -83,6 +83,15 @@
         write_json(response, {"offset": offset})
 
 
+def _read_catalogue(request: falcon.Request) -> Catalogue:
+    """Return the catalogue that is sent; raise a 4xx if it is refused."""
+    fields, _ = read_json(request, MAX_BODY_BYTES, dict[str, Any])
+    try:
+        return check_catalogue(fields)
+    except CatalogueError as error:
+        raise problem(422, str(error), "mend it and publish again") from error
+
+
 def append_configuration(entry: Entry, record: dict) -> int:
     """Append an operator's record and return its offset."""
     outcome = entry.writer(CONFIGURATION_STREAM).append(record)
--- a/src/sequoiachute/http/requests.py
+++ b/src/sequoiachute/http/requests.py
@@ -1,14 +1,14 @@
 """``POST /v1/requests``: short work with an answer."""
 
-from uuid import uuid4
-
 import falcon
 
 from sequoiachute import clock
 from sequoiachute.coordination.entry import Entry
 from sequoiachute.coordination.router import ANSWERED, UNKNOWN, Answer, Request
+from sequoiachute.http.context import request_id_of
+from sequoiachute.http.inputs import read_idempotency_key
 from sequoiachute.http.keys import Keyring
-from sequoiachute.transport.web import ProblemError, problem
+from sequoiachute.transport.web import ProblemError, problem, read_body
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 DEFAULT_DEADLINE_SECONDS = 30.0
@@ -37,23 +37,20 @@
 
 def read_request(request: falcon.Request, account: str) -> Request:
     """Return the caller's request; raise a 4xx that names the remedy."""
-    if (request.content_length or 0) > MAX_BODY_BYTES:
-        remedy = f"send at most {MAX_BODY_BYTES} bytes"
-        raise problem(413, "the body is too large", remedy)
     flag = request.get_header("X-Idempotent", default="false").lower()
     if flag not in ("true", "false"):
         raise problem(400, "X-Idempotent is neither true nor false", "send either")
-    key = request.get_header("Idempotency-Key", default="")
+    key = read_idempotency_key(request)
     if flag == "false" and not key:
         remedy = "send Idempotency-Key, or X-Idempotent: true"
         raise problem(400, "no idempotency key", remedy)
     return Request(
-        request_id=uuid4().hex,
+        request_id=request_id_of(request),
         account=account,
         idempotent=flag == "true",
         idempotency_key=key,
         content_type=request.content_type or "application/octet-stream",
-        body=request.bounded_stream.read(),
+        body=read_body(request, MAX_BODY_BYTES),
         deadline=clock.now() + _deadline_seconds(request),
     )
 
--- /dev/null
+++ b/src/sequoiachute/protocol/catalogue_check.py
@@ -0,0 +1,120 @@
+"""Checks of a catalogue before it is published."""
+
+import math
+import re
+from typing import Any
+
+import msgspec
+
+from sequoiachute.errors import CatalogueError
+from sequoiachute.protocol.catalogue import Account, Catalogue, JobClass, Shape
+from sequoiachute.protocol.strict import convert_strictly
+
+MAX_ACCOUNTS = 10_000
+MAX_CLASSES = 100
+MAX_DATA_CENTRES = 1000
+MAX_GUARANTEES = 64
+MAX_ACCELERATORS = 4096
+MAX_LIMIT = 1_000_000
+MAX_OBJECTIVE_SECONDS = 30 * 24 * 3600.0
+MAX_WEIGHT = 1000.0
+MAX_PRIORITY = 1000
+MAX_OWNER_LENGTH = 200
+
+_NAME = re.compile(r"[\w.-]{1,64}", re.ASCII)
+
+
+def check_catalogue(value: Any) -> Catalogue:
+    """Return ``value`` as a catalogue.
+
+    Raises
+    ------
+    CatalogueError
+        Naming the path of each key that is refused, the value and the remedy.
+    """
+    try:
+        catalogue: Catalogue = convert_strictly(value, Catalogue)
+    except msgspec.ValidationError as error:
+        raise CatalogueError(f"catalogue refused: {error}; mend it") from error
+    problems = _problems(catalogue)
+    if problems:
+        raise CatalogueError("catalogue refused: " + "; ".join(problems))
+    return catalogue
+
+
+def _problems(catalogue: Catalogue) -> list[str]:
+    problems = []
+    bounds = {
+        "classes": MAX_CLASSES,
+        "accounts": MAX_ACCOUNTS,
+        "data_centres": MAX_DATA_CENTRES,
+    }
+    for section, most in bounds.items():
+        names = catalogue[section]
+        if len(names) > most:
+            problems.append(f"{section}: {len(names)} of them, at most {most}")
+        for name in names:
+            if not _NAME.fullmatch(name):
+                remedy = "use 1 to 64 letters, digits, dots, dashes or underscores"
+                problems.append(f"{section}: bad name {name!r}, {remedy}")
+    for name, job_class in catalogue["classes"].items():
+        problems += _class_problems(f"classes.{name}", job_class)
+    for name, account in catalogue["accounts"].items():
+        problems += _account_problems(f"accounts.{name}", account, catalogue)
+    for name, data_centre in catalogue["data_centres"].items():
+        if not _NAME.fullmatch(data_centre["region"]):
+            region = data_centre["region"]
+            problems.append(f"data_centres.{name}.region: bad name {region!r}")
+    return problems
+
+
+def _class_problems(path: str, job_class: JobClass) -> list[str]:
+    problems = _outside(f"{path}.priority", job_class["priority"], 0, MAX_PRIORITY)
+    problems += _not_positive(
+        f"{path}.objective_seconds",
+        job_class["objective_seconds"],
+        MAX_OBJECTIVE_SECONDS,
+    )
+    share = job_class.get("objective_share", 1.0)
+    return problems + _not_positive(f"{path}.objective_share", share, 1.0)
+
+
+def _account_problems(path: str, account: Account, catalogue: Catalogue) -> list[str]:
+    problems = []
+    if not account["owner"].strip() or len(account["owner"]) > MAX_OWNER_LENGTH:
+        remedy = f"write 1 to {MAX_OWNER_LENGTH} characters"
+        problems.append(f"{path}.owner: {account['owner'][:20]!r} refused, {remedy}")
+    if account["job_class"] not in catalogue["classes"]:
+        known = ", ".join(sorted(catalogue["classes"])) or "none is listed"
+        unknown = account["job_class"]
+        problems.append(f"{path}.job_class: unknown class {unknown!r}, use: {known}")
+    problems += _not_positive(f"{path}.weight", account.get("weight", 1.0), MAX_WEIGHT)
+    for key, limit in account.get("limits", {}).items():
+        problems += _outside(f"{path}.limits.{key}", limit, 0, MAX_LIMIT)
+    guarantees = account.get("guarantees", [])
+    if len(guarantees) > MAX_GUARANTEES:
+        count = len(guarantees)
+        problems.append(f"{path}.guarantees: {count} shapes, at most {MAX_GUARANTEES}")
+    for index, shape in enumerate(guarantees):
+        problems += _shape_problems(f"{path}.guarantees[{index}]", shape)
+    return problems
+
+
+def _shape_problems(path: str, shape: Shape) -> list[str]:
+    number = shape["accelerators"]
+    problems = _outside(f"{path}.accelerators", number, 1, MAX_ACCELERATORS)
+    if not _NAME.fullmatch(shape.get("speed_class", "standard")):
+        problems.append(f"{path}.speed_class: bad name {shape['speed_class']!r}")
+    return problems
+
+
+def _outside(path: str, value: float, least: float, most: float) -> list[str]:
+    if least <= value <= most:
+        return []
+    return [f"{path}: {value} refused, use {least:g} to {most:g}"]
+
+
+def _not_positive(path: str, value: float, most: float) -> list[str]:
+    if math.isfinite(value) and 0 < value <= most:
+        return []
+    return [f"{path}: {value} refused, use a number above 0 and up to {most:g}"]
--- /dev/null
+++ b/src/sequoiachute/settings_file.py
@@ -0,0 +1,116 @@
+"""Reads settings files into typed settings and names what is wrong."""
+
+from typing import Annotated, Any, Literal, get_args, get_origin, get_type_hints
+
+import msgspec
+from msgspec import Meta
+
+from sequoiachute.errors import SettingsError
+from sequoiachute.yamlfile import YamlFileError, read_yaml_mapping
+
+SECRET = {"secret": True}  # marks a type whose values are never shown
+
+
+def load_settings(path: str, settings_type: Any) -> Any:
+    """Return the settings in the YAML file ``path``.
+
+    Parameters
+    ----------
+    path : str
+        The file.
+    settings_type : NamedTuple type
+        Its fields are the keys; fields with a default may be left out.
+
+    Raises
+    ------
+    SettingsError
+        If a key is unknown, missing, of a wrong type or out of bounds.
+    """
+    try:
+        mapping = read_yaml_mapping(path)
+    except YamlFileError as error:
+        raise SettingsError(path, "file", error.reason, error.remedy) from error
+    return build_settings(path, "", mapping, settings_type)
+
+
+def build_settings(path: str, prefix: str, mapping: Any, settings_type: Any) -> Any:
+    """Return ``mapping`` as ``settings_type``; raise ``SettingsError``."""
+    if not isinstance(mapping, dict):
+        reason = f"a {type(mapping).__name__}, no mapping"
+        key = prefix.rstrip(".")
+        raise SettingsError(path, key, reason, "write key: value lines")
+    known = settings_type._fields
+    for key in mapping:
+        if key not in known:
+            remedy = f"use one of: {', '.join(known)}"
+            raise SettingsError(path, f"{prefix}{key}", "unknown key", remedy)
+    hints = get_type_hints(settings_type, include_extras=True)
+    values = {}
+    for key in known:
+        if key not in mapping:
+            if key not in settings_type._field_defaults:
+                remedy = f"add the line {key}: …"
+                raise SettingsError(path, f"{prefix}{key}", "missing", remedy)
+            continue
+        values[key] = _build_value(path, f"{prefix}{key}", mapping[key], hints[key])
+    return settings_type(**values)
+
+
+def describe_type(hint: Any) -> str:
+    """Return in words which values a key takes."""
+    origin = get_origin(hint)
+    arguments = get_args(hint)
+    if origin is Annotated:
+        for argument in arguments[1:]:
+            if isinstance(argument, Meta) and argument.description:
+                return argument.description
+        return describe_type(arguments[0])
+    if origin is Literal:
+        return f"one of {', '.join(str(value) for value in arguments)}"
+    if origin is tuple:
+        return f"a list, each item {describe_type(arguments[0])}"
+    if hasattr(hint, "_fields"):
+        return f"a mapping of {', '.join(hint._fields)}"
+    if hint is bool:
+        return "true or false"
+    return f"a value of type {getattr(hint, '__name__', hint)}"
+
+
+def _build_value(path: str, key: str, value: Any, hint: Any) -> Any:
+    if hasattr(hint, "_fields"):
+        return build_settings(path, f"{key}.", value, hint)
+    item_type = _item_type(hint)
+    if item_type is not None:
+        return _build_items(path, key, value, item_type)
+    try:
+        return msgspec.convert(value, hint)
+    except msgspec.ValidationError as error:
+        reason = "the value is refused" if _is_secret(hint) else f"{value!r} is refused"
+        remedy = f"write {describe_type(hint)}"
+        raise SettingsError(path, key, reason, remedy) from error
+
+
+def _is_secret(hint: Any) -> bool:
+    if get_origin(hint) is not Annotated:
+        return False
+    for argument in get_args(hint)[1:]:
+        if isinstance(argument, Meta) and argument.extra == SECRET:
+            return True
+    return False
+
+
+def _item_type(hint: Any) -> Any:
+    """Return the type that ``hint`` is a sequence of, ``None`` if it is none."""
+    arguments = get_args(hint)
+    if get_origin(hint) is tuple and len(arguments) == 2:
+        return arguments[0]
+    return None
+
+
+def _build_items(path: str, key: str, value: Any, item_type: Any) -> tuple[Any, ...]:
+    if not isinstance(value, list):
+        raise SettingsError(path, key, "no list", "write one item a line after -")
+    items = []
+    for index, item in enumerate(value):
+        items.append(_build_value(path, f"{key}[{index}]", item, item_type))
+    return tuple(items)
--- a/src/sequoiachute/transport/rpc.py
+++ b/src/sequoiachute/transport/rpc.py
@@ -13,11 +13,14 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from sequoiachute.errors import RpcError
+from sequoiachute import clock
+from sequoiachute.errors import RpcError, describe_failure
 from sequoiachute.protocol.codec import MessageCodec
 from sequoiachute.protocol.messages import Method
 
 CONNECT_SECONDS = 1.0
+IDLE_POLL_SECONDS = 0.05
+LINGER_SECONDS = 0.2  # for answers that are on their way out
 
 RpcHandler = Callable[[Any], Any]
 
@@ -34,13 +37,14 @@
     def __init__(self, handlers: Mapping[Method, RpcHandler]) -> None:
         self._handlers = handlers
         self._server: Server | None = None
+        self._open_calls = 0
 
     def __mapping__(self) -> dict[str, Handler]:
         """Return the table that grpclib dispatches on."""
         table = {}
         for method, handler in self._handlers.items():
             table[method.path] = Handler(
-                _serve_with(handler),
+                self._serve_with(handler),
                 Cardinality.UNARY_UNARY,
                 method.request,
                 method.reply,
@@ -59,25 +63,38 @@
         self._server.close()
         spawn_for_awaitable(self._server.wait_closed()).wait()
 
-
-def _serve_with(handler: RpcHandler) -> Callable[[Any], Any]:
-    async def serve(stream: Any) -> None:
-        message = await stream.recv_message()
-        future = asyncio.get_running_loop().create_future()
-        eventlet.spawn(_run_handler, handler, message, future)
-        reply = await future
-        await stream.send_message(reply)
-
-    return serve
+    def wait_idle(self, timeout: float) -> bool:
+        """Wait until every call was answered; return whether it was."""
+        deadline = clock.now() + timeout
+        while self._open_calls:
+            if clock.now() >= deadline:
+                return False
+            clock.sleep(IDLE_POLL_SECONDS)
+        clock.sleep(LINGER_SECONDS)
+        return True
+
+    def _serve_with(self, handler: RpcHandler) -> Callable[[Any], Any]:
+        async def serve(stream: Any) -> None:
+            self._open_calls += 1
+            try:
+                message = await stream.recv_message()
+                future = asyncio.get_running_loop().create_future()
+                eventlet.spawn(_run_handler, handler, message, future)
+                await stream.send_message(await future)
+            finally:
+                self._open_calls -= 1
+
+        return serve
 
 
 def _run_handler(handler: RpcHandler, message: Any, future: asyncio.Future) -> None:
     try:
         reply = handler(message)
     except Exception as error:
-        logger.exception("RPC handler failed for {}", type(message).__name__)
+        kind = type(message).__name__
+        logger.error("RPC handler of {} failed: {}", kind, describe_failure(error))
         if not future.done():
-            future.set_exception(GRPCError(Status.INTERNAL, str(error)))
+            future.set_exception(GRPCError(Status.INTERNAL, type(error).__name__))
         return
     if not future.done():
         future.set_result(reply)
