--- a/src/sequoiachute/http/app.py
+++ b/src/sequoiachute/http/app.py
@@ -11,6 +11,7 @@
 from sequoiachute.http.keys import Keyring
 from sequoiachute.http.metrics import MetricsResource, create_entry_metrics
 from sequoiachute.http.operators import CatalogueResource, DataCentreResource
+from sequoiachute.http.report import BurnReportResource
 from sequoiachute.http.requests import RequestsResource
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.transport.web import create_app
@@ -27,6 +28,7 @@
         "/v1/requests": RequestsResource(entry, keyring),
         "/v1/jobs": JobsResource(entry, keyring),
         "/v1/jobs/{job_id}": JobResource(entry, keyring),
+        "/v1/report/burn": BurnReportResource(entry, keyring),
         "/v1/catalogue": CatalogueResource(entry, keyring),
         "/v1/data-centres/{data_centre}/drain": DataCentreResource(
             entry, keyring, in_service=False
--- a/src/sequoiachute/settings.py
+++ b/src/sequoiachute/settings.py
@@ -116,6 +116,7 @@
     freshness_seconds: ShortSeconds = 3.0
     worker_silent_seconds: Seconds = 5.0
     placer_lease_seconds: Seconds = 3.0
+    service_level_seconds: Seconds = 30.0
     leave_grace_seconds: ShortSeconds = 1.0
     allow_plaintext: bool = False
 
