--- a/src/sequoiachute/http/inputs.py
+++ b/src/sequoiachute/http/inputs.py
@@ -9,7 +9,7 @@
 from sequoiachute.protocol.strict import convert_strictly
 from sequoiachute.transport.web import problem, read_body
 
-MAX_KEY_LENGTH = 200
+MAX_KEY_LENGTH = 256
 
 _KEY = re.compile(r"[!-~]+")
 _ETAG = re.compile(r'"?(-?\d{1,18})"?')
--- a/src/sequoiachute/protocol/records.py
+++ b/src/sequoiachute/protocol/records.py
@@ -42,23 +42,18 @@
 
 
 class DataCentreSwitched(TypedDict):
-    """A data centre taken out of service or brought back."""
+    """A data centre taken out of service or brought back.
+
+    ``base`` is the offset of the last switch of the same data centre, so that
+    a late append can't undo a newer switch.
+    """
 
     kind: Literal["data-centre-switched"]
     record_id: str
     operator: str
     data_centre: str
     in_service: bool
-
-
-class ConfigurationSnapshot(TypedDict):
-    """The configuration in force at ``base``, appended before retention ends."""
-
-    kind: Literal["configuration-snapshot"]
-    record_id: str
-    base: int
-    catalogue: Catalogue
-    out_of_service: list[str]
+    base: NotRequired[int]
 
 
 class JobSpec(TypedDict):
@@ -134,7 +129,10 @@
 
 
 class IntentRecorded(TypedDict):
-    """The sole permission to run a non-idempotent request."""
+    """The sole permission to run a non-idempotent request.
+
+    ``address`` is the agent's, ``valid_until`` is on its clock.
+    """
 
     kind: Literal["intent-recorded"]
     record_id: str
@@ -146,10 +144,15 @@
     worker_id: str
     incarnation: str
     recorded_at: float
+    address: NotRequired[str]
+    valid_until: NotRequired[float]
 
 
 class IntentAnswered(TypedDict):
-    """The answer to a non-idempotent request, kept for its key."""
+    """The answer to a non-idempotent request, kept for its key.
+
+    ``held`` is false where the answer was too large to be recorded.
+    """
 
     kind: Literal["intent-answered"]
     record_id: str
@@ -160,6 +163,8 @@
     status: int
     content_type: str
     answer: str
+    held: NotRequired[bool]
+    answer_bytes: NotRequired[int]
 
 
 class LeaseClaimed(TypedDict):
@@ -174,10 +179,40 @@
     duration: float
 
 
+class RecordsVoided(TypedDict):
+    """Takes effect away from records that come later in the stream."""
+
+    kind: Literal["records-voided"]
+    record_id: str
+    targets: list[str]
+
+
+class SnapshotPart(TypedDict):
+    """Some of the items that a state consists of."""
+
+    kind: Literal["snapshot-part"]
+    record_id: str
+    snapshot_id: str
+    part: int
+    items: list[Any]
+
+
+class SnapshotCompleted(TypedDict):
+    """Completes a snapshot of all records of ``stream`` before ``through``."""
+
+    kind: Literal["snapshot-completed"]
+    record_id: str
+    snapshot_id: str
+    stream: str
+    through: int
+    parts: int
+    items: int
+    voided: list[str]
+
+
 Record = (
     CataloguePublished
     | DataCentreSwitched
-    | ConfigurationSnapshot
     | JobAccepted
     | JobCancelled
     | JobStarted
@@ -186,6 +221,9 @@
     | IntentRecorded
     | IntentAnswered
     | LeaseClaimed
+    | RecordsVoided
+    | SnapshotPart
+    | SnapshotCompleted
     | ServiceLevelRollup
     | ServiceLevelSummary
 )
@@ -193,7 +231,6 @@
 _TYPES: dict[str, Any] = {
     "catalogue-published": CataloguePublished,
     "data-centre-switched": DataCentreSwitched,
-    "configuration-snapshot": ConfigurationSnapshot,
     "job-accepted": JobAccepted,
     "job-cancelled": JobCancelled,
     "job-started": JobStarted,
@@ -202,11 +239,19 @@
     "intent-recorded": IntentRecorded,
     "intent-answered": IntentAnswered,
     "lease-claimed": LeaseClaimed,
+    "records-voided": RecordsVoided,
+    "snapshot-part": SnapshotPart,
+    "snapshot-completed": SnapshotCompleted,
     "service-level-rollup": ServiceLevelRollup,
     "service-level-summary": ServiceLevelSummary,
 }
 
 
+def snapshots_of(stream: str) -> str:
+    """Return the name of the stream that keeps the snapshots of ``stream``."""
+    return f"{stream}-snapshots"
+
+
 def encode_record(record: Any) -> bytes:
     """Return ``record`` as JSON with the format version."""
     return msgspec.json.encode({"format": FORMAT_VERSION, **record})
--- a/src/sequoiachute/settings.py
+++ b/src/sequoiachute/settings.py
@@ -41,6 +41,14 @@
         description="seconds above 0 and up to 3600, a number without a unit",
     ),
 ]
+LongSeconds = Annotated[
+    float,
+    Meta(
+        gt=0,
+        le=31_536_000,
+        description="seconds above 0 and up to 31536000, a number without a unit",
+    ),
+]
 ShortSeconds = Annotated[
     float,
     Meta(
@@ -116,6 +124,9 @@
     freshness_seconds: ShortSeconds = 3.0
     worker_silent_seconds: Seconds = 5.0
     placer_lease_seconds: Seconds = 3.0
+    entries: tuple[Address, ...] = ()
+    entry_lease_seconds: Seconds = 15.0
+    log_retention_seconds: LongSeconds = 3600.0
     service_level_seconds: Seconds = 30.0
     leave_grace_seconds: ShortSeconds = 1.0
     allow_plaintext: bool = False
