--- a/src/sequoiachute/cli/app.py
+++ b/src/sequoiachute/cli/app.py
@@ -1,19 +1,26 @@
 """The command line."""
 
+from typing import Annotated
+
 import typer
 
+from sequoiachute import __version__
 from sequoiachute.cli import caller, daemons, operator, report, settings
+from sequoiachute.cli.options import environment_of
+from sequoiachute.cli.output import write_line
+
+HELP = "Scheduler for multi-accelerator jobs under client account guarantees."
 
 
 def create_cli() -> typer.Typer:
     """Return the command line with every command."""
     cli = typer.Typer(
-        no_args_is_help=True,
         add_completion=False,
         pretty_exceptions_enable=False,
         rich_markup_mode=None,
-        help="Scheduler for multi-accelerator jobs under client account guarantees.",
+        help=HELP,
     )
+    cli.callback(invoke_without_command=True)(_start)
     cli.command()(daemons.entry)
     cli.command()(daemons.agent)
     cli.command()(caller.submit)
@@ -29,23 +36,44 @@
     return cli
 
 
+def _start(
+    context: typer.Context,
+    version: Annotated[bool, typer.Option("--version", help="Show the version.")] = (
+        False
+    ),
+) -> None:
+    if version:
+        write_line(environment_of(context), f"sequoiachute {__version__}")
+        raise typer.Exit
+    _require_command(context)
+
+
+def _require_command(context: typer.Context) -> None:
+    """Show the help if no command follows, and let that be a usage error."""
+    if context.invoked_subcommand is None:
+        environment_of(context).stderr.write(context.get_help() + "\n")
+        raise typer.Exit(2)
+
+
 def _create_catalogue_cli() -> typer.Typer:
-    cli = typer.Typer(no_args_is_help=True, help="Check, publish and show catalogues.")
+    cli = typer.Typer(help="Check, compare, publish and show catalogues.")
+    cli.callback(invoke_without_command=True)(_require_command)
     cli.command()(operator.check)
+    cli.command()(operator.diff)
     cli.command()(operator.publish)
     cli.command()(operator.show)
     return cli
 
 
 def _create_report_cli() -> typer.Typer:
-    cli = typer.Typer(no_args_is_help=True, help="Reports for operators.")
-    cli.callback()(lambda: None)
+    cli = typer.Typer(help="Reports for operators.")
+    cli.callback(invoke_without_command=True)(_require_command)
     cli.command()(report.burn)
     return cli
 
 
 def _create_settings_cli() -> typer.Typer:
-    cli = typer.Typer(no_args_is_help=True, help="Check settings files.")
-    cli.callback()(lambda: None)
+    cli = typer.Typer(help="Check settings files.")
+    cli.callback(invoke_without_command=True)(_require_command)
     cli.command()(settings.check)
     return cli
--- a/src/sequoiachute/cli/operator.py
+++ b/src/sequoiachute/cli/operator.py
@@ -1,12 +1,11 @@
 """Operators' commands: the catalogue and the data centres in service."""
 
-from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
-import msgspec
 import typer
 import yaml
 
+from sequoiachute.cli.difference import Change, compare, format_change
 from sequoiachute.cli.options import (
     DEFAULT_ENTRY,
     EntryOption,
@@ -15,26 +14,57 @@
     connect,
     environment_of,
 )
+from sequoiachute.cli.output import write_json, write_line, write_note
+from sequoiachute.environment import Environment
 from sequoiachute.errors import CatalogueError
 from sequoiachute.protocol.catalogue import Catalogue
+from sequoiachute.protocol.catalogue_check import check_catalogue
 from sequoiachute.status import ExitStatus
+from sequoiachute.yamlfile import YamlFileError, read_yaml_mapping
 
 FileArgument = Annotated[str, typer.Argument(help="Catalogue in YAML.")]
+DataCentreArgument = Annotated[str, typer.Argument(help="Name of the data centre.")]
+FROM_SHOWN = -2  # no offset of the log, nor that before the first record
 
 
 def read_catalogue(path: str) -> Catalogue:
     """Return the catalogue in the file; raise ``CatalogueError``."""
     try:
-        loaded = yaml.safe_load(Path(path).read_text(encoding="utf-8"))
-        return msgspec.convert(loaded, Catalogue)
-    except (OSError, yaml.YAMLError, msgspec.ValidationError) as error:
-        raise CatalogueError(f"{path}: {error}; mend the file") from error
+        return check_catalogue(read_yaml_mapping(path))
+    except (YamlFileError, CatalogueError) as error:
+        raise CatalogueError(f"{path}: {error}") from error
 
 
-def check(context: typer.Context, file: FileArgument) -> ExitStatus:
+def check(
+    context: typer.Context, file: FileArgument, as_json: JsonOption = False
+) -> ExitStatus:
     """Check a catalogue file without publishing it."""
-    read_catalogue(file)
-    environment_of(context).stdout.write(f"{file}: valid\n")
+    catalogue = read_catalogue(file)
+    if as_json:
+        write_json(environment_of(context), catalogue)
+    else:
+        write_line(environment_of(context), f"{file}: valid")
+    return ExitStatus.OK
+
+
+def diff(
+    context: typer.Context,
+    key: KeyOption,
+    file: FileArgument,
+    entry: EntryOption = DEFAULT_ENTRY,
+    as_json: JsonOption = False,
+) -> ExitStatus:
+    """Show what publishing a file would change."""
+    environment = environment_of(context)
+    catalogue = read_catalogue(file)
+    shown = connect(entry, key).catalogue()
+    changes = compare(shown["catalogue"], catalogue)
+    if as_json:
+        body = [change._asdict() for change in changes]
+        write_json(environment, {"offset": shown["offset"], "changes": body})
+        return ExitStatus.OK
+    _write_changes(environment, changes)
+    write_note(environment, f"publish with --base {shown['offset']}")
     return ExitStatus.OK
 
 
@@ -42,14 +72,26 @@
     context: typer.Context,
     key: KeyOption,
     file: FileArgument,
-    base: Annotated[str, typer.Option(help="Offset it was based on.")] = "",
+    base: Annotated[
+        int, typer.Option(help="Offset that diff has shown; asked for if absent.")
+    ] = FROM_SHOWN,
     entry: EntryOption = DEFAULT_ENTRY,
+    as_json: JsonOption = False,
 ) -> ExitStatus:
     """Publish a catalogue; nothing changes if it is refused."""
-    body = msgspec.json.encode(read_catalogue(file))
-    headers = {"If-Match": base} if base else {}
-    reply = connect(entry, key).call("PUT", "/v1/catalogue", body, headers).json()
-    environment_of(context).stdout.write(f"published at offset {reply['offset']}\n")
+    environment = environment_of(context)
+    catalogue = read_catalogue(file)
+    client = connect(entry, key)
+    if base == FROM_SHOWN:
+        shown = client.catalogue()
+        base = shown["offset"]
+        if not as_json:
+            _write_changes(environment, compare(shown["catalogue"], catalogue))
+    offset = client.publish(catalogue, base)
+    if as_json:
+        write_json(environment, {"offset": offset, "base": base})
+    else:
+        write_line(environment, f"published at offset {offset}")
     return ExitStatus.OK
 
 
@@ -59,39 +101,56 @@
     entry: EntryOption = DEFAULT_ENTRY,
     as_json: JsonOption = False,
 ) -> ExitStatus:
-    """Show the catalogue in force."""
-    reply: dict[str, Any] = connect(entry, key).call("GET", "/v1/catalogue").json()
-    text = yaml.safe_dump(reply, sort_keys=False)
+    """Show the catalogue in force, in the form that publish takes."""
+    environment = environment_of(context)
+    shown = connect(entry, key).catalogue()
     if as_json:
-        text = msgspec.json.encode(reply).decode() + "\n"
-    environment_of(context).stdout.write(text)
+        write_json(environment, shown)
+        return ExitStatus.OK
+    out = ", ".join(shown["out_of_service"]) or "none"
+    write_line(environment, f"# offset {shown['offset']}, out of service: {out}")
+    environment.stdout.write(yaml.safe_dump(shown["catalogue"], sort_keys=False))
     return ExitStatus.OK
 
 
 def drain(
     context: typer.Context,
     key: KeyOption,
-    data_centre: str,
+    data_centre: DataCentreArgument,
     entry: EntryOption = DEFAULT_ENTRY,
+    as_json: JsonOption = False,
 ) -> ExitStatus:
     """Take a data centre out of service."""
-    return _switch(context, connect(entry, key), data_centre, "drain")
+    offset = connect(entry, key).switch(data_centre, "drain")
+    return _tell_switch(context, data_centre, "out of service", offset, as_json)
 
 
 def restore(
     context: typer.Context,
     key: KeyOption,
-    data_centre: str,
+    data_centre: DataCentreArgument,
     entry: EntryOption = DEFAULT_ENTRY,
+    as_json: JsonOption = False,
 ) -> ExitStatus:
     """Bring a data centre back into service."""
-    return _switch(context, connect(entry, key), data_centre, "restore")
+    offset = connect(entry, key).switch(data_centre, "restore")
+    return _tell_switch(context, data_centre, "in service", offset, as_json)
 
 
-def _switch(
-    context: typer.Context, client: Any, data_centre: str, verb: str
+def _tell_switch(
+    context: typer.Context, data_centre: str, state: str, offset: int, as_json: bool
 ) -> ExitStatus:
-    reply = client.call("POST", f"/v1/data-centres/{data_centre}/{verb}").json()
-    text = f"{verb} of {data_centre} recorded at offset {reply['offset']}\n"
-    environment_of(context).stdout.write(text)
+    environment = environment_of(context)
+    if as_json:
+        body = {"data_centre": data_centre, "state": state, "offset": offset}
+        write_json(environment, body)
+    else:
+        write_line(environment, f"{data_centre} is {state} from offset {offset}")
     return ExitStatus.OK
+
+
+def _write_changes(environment: Environment, changes: list[Change]) -> None:
+    for change in changes:
+        write_line(environment, format_change(change))
+    if not changes:
+        write_line(environment, "no change")
--- a/src/sequoiachute/core.py
+++ b/src/sequoiachute/core.py
@@ -1,17 +1,28 @@
 """Runs one command and turns every error into an exit status."""
 
 from collections.abc import Sequence
+from traceback import format_exc
 
 import typer
 from typer.exceptions import Abort, TyperException
 
 from sequoiachute.cli.app import create_cli
-from sequoiachute.cli.client import CallRefusedError, EntryUnreachableError
+from sequoiachute.cli.client import (
+    CallRefusedError,
+    EntryUnreachableError,
+    OutcomeUnknownError,
+)
 from sequoiachute.environment import Environment
-from sequoiachute.errors import CatalogueError, SequoiachuteError, SettingsError
+from sequoiachute.errors import (
+    CatalogueError,
+    SequoiachuteError,
+    SettingsError,
+    describe_failure,
+)
 from sequoiachute.status import ExitStatus
 
 PROGRAM_NAME = "sequoiachute"
+TRACEBACK_VARIABLE = "SEQUOIACHUTE_TRACEBACK"
 
 
 def main(arguments: Sequence[str], environment: Environment) -> ExitStatus:
@@ -25,6 +36,8 @@
             obj=environment,
         )
     except Exception as error:
+        if environment.variables.get(TRACEBACK_VARIABLE):
+            environment.stderr.write(format_exc())
         message, failed = _describe(error)
         environment.stderr.write(f"{PROGRAM_NAME}: error: {message}\n")
         return failed
@@ -43,8 +56,11 @@
         return str(error), ExitStatus.INVALID_INPUT
     if isinstance(error, EntryUnreachableError):
         return str(error), ExitStatus.UNAVAILABLE
+    if isinstance(error, OutcomeUnknownError):
+        return str(error), ExitStatus.UNKNOWN_OUTCOME
     if isinstance(error, CallRefusedError):
         return str(error), error.exit_status
     if isinstance(error, SequoiachuteError | OSError):
         return str(error), ExitStatus.ERROR
-    raise error
+    remedy = f"report it, with {TRACEBACK_VARIABLE}=1 for its traceback"
+    return f"internal error: {describe_failure(error)}; {remedy}", ExitStatus.INTERNAL
--- a/src/sequoiachute/http/jobs.py
+++ b/src/sequoiachute/http/jobs.py
@@ -2,7 +2,6 @@
 
 import re
 from hashlib import sha256
-from typing import Any
 from uuid import uuid4
 
 import falcon
@@ -12,6 +11,7 @@
 from sequoiachute.coordination.log import new_record_id
 from sequoiachute.http.inputs import read_json, require_idempotency_key
 from sequoiachute.http.keys import Keyring
+from sequoiachute.protocol.api import JobView
 from sequoiachute.protocol.records import JOBS_STREAM, JobSpec
 from sequoiachute.state.jobs import Job
 from sequoiachute.transport.web import ProblemError, problem, write_json
@@ -125,7 +125,7 @@
         return job
 
 
-def describe_job(job: Job) -> dict[str, Any]:
+def describe_job(job: Job) -> JobView:
     """Return what a caller is told of a job."""
     return {
         "job_id": job.job_id,
@@ -136,7 +136,7 @@
         "submitted_at": job.submitted_at,
         "started_at": job.started_at or None,
         "ended_at": job.ended_at or None,
-        "workers": job.workers,
+        "workers": list(job.workers),
         "reason": job.reason,
         "result": job.result,
     }
--- a/src/sequoiachute/status.py
+++ b/src/sequoiachute/status.py
@@ -16,4 +16,6 @@
     REFUSED = 4
     UNAVAILABLE = 5
     UNKNOWN_OUTCOME = 6
+    JOB_FAILED = 7
+    INTERNAL = 70
     INTERRUPTED = 130
