Describe the HTTP interface in OpenAPI and hold every answer to it

The burn report's JSON was an array of arrays, since msgspec writes named tuples so; answers now write them as objects. New fields of the catalogue are bounded too. Ruled out: generating the description at run time, which would describe whatever the code does, faults included.

--- a/src/sequoiachute/protocol/catalogue_check.py
+++ b/src/sequoiachute/protocol/catalogue_check.py
@@ -75,8 +75,13 @@
         job_class["objective_seconds"],
         MAX_OBJECTIVE_SECONDS,
     )
-    share = job_class.get("objective_share", 1.0)
-    return problems + _not_positive(f"{path}.objective_share", share, 1.0)
+    if "request_seconds" in job_class:
+        seconds = job_class["request_seconds"]
+        where = f"{path}.request_seconds"
+        problems += _not_positive(where, seconds, MAX_OBJECTIVE_SECONDS)
+    for key in ("objective_share", "guarantee_share", "answer_share"):
+        problems += _not_positive(f"{path}.{key}", job_class.get(key, 1.0), 1.0)
+    return problems
 
 
 def _account_problems(path: str, account: Account, catalogue: Catalogue) -> list[str]:
@@ -103,6 +108,8 @@
 def _shape_problems(path: str, shape: Shape) -> list[str]:
     number = shape["accelerators"]
     problems = _outside(f"{path}.accelerators", number, 1, MAX_ACCELERATORS)
+    unit = shape.get("per_worker", 1)
+    problems += _outside(f"{path}.per_worker", unit, 1, MAX_ACCELERATORS)
     if not _NAME.fullmatch(shape.get("speed_class", "standard")):
         problems.append(f"{path}.speed_class: bad name {shape['speed_class']!r}")
     return problems
--- a/src/sequoiachute/transport/web.py
+++ b/src/sequoiachute/transport/web.py
@@ -93,9 +93,17 @@
 
 
 def write_json(response: falcon.Response, body: Any) -> None:
-    """Answer with ``body`` as JSON."""
+    """Answer with ``body`` as JSON, its named tuples as objects."""
     response.content_type = falcon.MEDIA_JSON
-    response.data = msgspec.json.encode(body)
+    response.data = msgspec.json.encode(_named(body))
+
+
+def _named(value: Any) -> Any:
+    if isinstance(value, tuple) and hasattr(value, "_asdict"):
+        return {key: _named(item) for key, item in value._asdict().items()}
+    if isinstance(value, list | tuple):
+        return [_named(item) for item in value]
+    return value
 
 
 def read_body(request: falcon.Request, limit: int) -> bytes:
--- a/tests/api.py
+++ b/tests/api.py
@@ -4,6 +4,7 @@
 from falcon import testing
 
 from sequoiachute.http.app import create_entry_app
+from sequoiachute.http.description import read_description
 from sequoiachute.settings import KeySettings
 from standins.demo import CATALOGUE
 from standins.memory import install_paused_clock
@@ -25,6 +26,56 @@
 }
 
 
+DESCRIPTION = msgspec.json.decode(read_description())
+PROBLEM = "application/problem+json"
+
+
+def find_operation(method, path):
+    """Return the described operation of a call, ``None`` if there is none."""
+    parts = path.partition("?")[0].split("/")
+    for template, operations in DESCRIPTION["paths"].items():
+        names = template.split("/")
+        if len(names) != len(parts):
+            continue
+        pairs = zip(names, parts, strict=True)
+        if all(name.startswith("{") or name == part for name, part in pairs):
+            return operations.get(method.lower())
+    return None
+
+
+def assert_described(method, path, reply):
+    """Check a reply against the OpenAPI description."""
+    operation = find_operation(method, path)
+    media_type = reply.headers.get("content-type", "").partition(";")[0]
+    assert reply.headers["x-request-id"]
+    if operation is None:
+        assert reply.status_code in (404, 405)
+        assert media_type == PROBLEM
+        return
+    responses = operation["responses"]
+    if "x-attempt-id" in reply.headers:
+        assert "default" in responses
+        return
+    content = responses[str(reply.status_code)]["content"]
+    assert_matches(reply.json if "json" in media_type else "", content[media_type])
+
+
+def assert_matches(value, content):
+    """Check that ``value`` has exactly the fields of its described schema."""
+    schema = content["schema"]
+    reference = schema.get("$ref")
+    if reference is None:
+        return
+    schema = DESCRIPTION["components"]["schemas"][reference.rpartition("/")[2]]
+    assert set(schema["required"]) <= value.keys() <= schema["properties"].keys()
+    for name, item in value.items():
+        field = schema["properties"][name]
+        if "$ref" in field:
+            assert_matches(item, {"schema": field})
+        for element in item if isinstance(item, list) else []:
+            assert_matches(element, {"schema": field["items"]})
+
+
 class Api:
     """Calls an entry of a site in memory through its WSGI application."""
 
@@ -41,9 +92,11 @@
         if key:
             sent["Authorization"] = f"Bearer {key}"
         data = msgspec.json.encode(body) if isinstance(body, dict) else body
-        return testing.simulate_request(
+        reply = testing.simulate_request(
             self.app, method, path, headers=sent, body=data or b""
         )
+        assert_described(method, path, reply)
+        return reply
 
     def publish(self):
         assert self.call("PUT", "/v1/catalogue", OPERATOR, CATALOGUE).status_code == 200
