--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -106,13 +106,16 @@
             self._streams.writer(SERVICE_LEVELS_STREAM),
             lambda: self.placer.holds_lease,
         )
+        self._unready = False
         self._leaving = False
         self._open_requests = 0
 
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send requests here."""
-        return self._streams.is_caught_up and not self._leaving
+        if self._unready or self._leaving:
+            return False
+        return self._streams.is_caught_up
 
     def handlers(self) -> Mapping[Method, Callable[[Any], Any]]:
         """Return the methods that this entry serves to agents."""
@@ -130,6 +133,10 @@
         """Return the writer of ``stream``."""
         return self._streams.writer(stream)
 
+    def begin_leaving(self) -> None:
+        """Tell the balancer to send nothing more; requests are still served."""
+        self._unready = True
+
     def begin_request(self) -> bool:
         """Count a caller's request in; return whether it may be served."""
         if self._leaving:
@@ -146,14 +153,14 @@
         self._leaving = True
         self.directory.leave()
         deadline = clock.now() + timeout
-        while clock.now() < deadline:
-            if self._open_requests == 0 and not self.router.pending_records:
-                self.recorder.flush()
-                # The last answers are still on their way.
-                clock.sleep(LEAVE_LINGER_SECONDS)
-                return True
+        while self._open_requests or self.router.pending_records:
+            if clock.now() >= deadline:
+                return False
             clock.sleep(0.05)
-        return False
+        self.recorder.flush()
+        # The last answers are still on their way.
+        clock.sleep(LEAVE_LINGER_SECONDS)
+        return True
 
     def announce(self, message: Announcement) -> AnnouncementReply:
         """Take an agent's announcement."""
--- a/src/sequoiachute/http/requests.py
+++ b/src/sequoiachute/http/requests.py
@@ -1,6 +1,6 @@
 """``POST /v1/requests``: short work with an answer."""
 
-from uuid import UUID, uuid4
+from uuid import UUID
 
 import falcon
 
@@ -8,14 +8,15 @@
 from sequoiachute.coordination.causes import FAILURE, LOG_OUTAGE, SHED
 from sequoiachute.coordination.entry import Entry
 from sequoiachute.coordination.router import ANSWERED, NOT_RUN, RAN, Answer, Request
+from sequoiachute.http.context import request_id_of
+from sequoiachute.http.inputs import read_idempotency_key
 from sequoiachute.http.keys import Keyring
-from sequoiachute.transport.web import ProblemError, problem
+from sequoiachute.transport.web import ProblemError, problem, read_body
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 DEFAULT_DEADLINE_SECONDS = 30.0
 MAX_DEADLINE_SECONDS = 600.0
 MAX_EPOCH_SECONDS = 1e11
-MAX_KEY_LENGTH = 256  # characters
 TIMED_UUID_VERSION = 7
 REPEAT_STATUSES = (409, 410)  # say of a key what an earlier request did with it
 UUID_TIME_SHIFT = 80  # bits below the time in a version 7 UUID
@@ -49,26 +50,20 @@
 
 def read_request(request: falcon.Request, account: str) -> Request:
     """Return the caller's request; raise a 4xx that names the remedy."""
-    if (request.content_length or 0) > MAX_BODY_BYTES:
-        remedy = f"send at most {MAX_BODY_BYTES} bytes"
-        raise problem(413, "the body is too large", remedy)
     flag = request.get_header("X-Idempotent", default="false").lower()
     if flag not in ("true", "false"):
         raise problem(400, "X-Idempotent is neither true nor false", "send either")
-    key = request.get_header("Idempotency-Key", default="")
+    key = read_idempotency_key(request)
     if flag == "false" and not key:
         remedy = "send Idempotency-Key, or X-Idempotent: true"
         raise problem(400, "no idempotency key", remedy)
-    if len(key) > MAX_KEY_LENGTH:
-        remedy = f"send at most {MAX_KEY_LENGTH} characters"
-        raise problem(400, "the idempotency key is too long", remedy)
     return Request(
-        request_id=uuid4().hex,
+        request_id=request_id_of(request),
         account=account,
         idempotent=flag == "true",
         idempotency_key=key,
         content_type=request.content_type or "application/octet-stream",
-        body=_read_body(request),
+        body=read_body(request, MAX_BODY_BYTES),
         deadline=clock.now() + _deadline_seconds(request),
         key_created_at=_key_created_at(request, key),
     )
@@ -102,15 +97,6 @@
     return (parsed.int >> UUID_TIME_SHIFT) / MILLISECONDS
 
 
-def _read_body(request: falcon.Request) -> bytes:
-    """Return the whole body; a caller that left early sent only a part."""
-    body = request.bounded_stream.read()
-    if request.content_length is not None and len(body) != request.content_length:
-        remedy = "send as many bytes as Content-Length says"
-        raise problem(400, "the body was cut short", remedy)
-    return body
-
-
 def _deadline_seconds(request: falcon.Request) -> float:
     text = request.get_header("X-Deadline-Seconds")
     if text is None:
