--- a/src/sequoiachute/protocol/records.py
+++ b/src/sequoiachute/protocol/records.py
@@ -10,6 +10,10 @@
 import msgspec
 
 from sequoiachute.protocol.catalogue import Catalogue, Within
+from sequoiachute.protocol.service_levels import (
+    ServiceLevelRollup,
+    ServiceLevelSummary,
+)
 
 FORMAT_VERSION = 1
 
@@ -192,6 +196,8 @@
     | IntentRecorded
     | IntentAnswered
     | LeaseClaimed
+    | ServiceLevelRollup
+    | ServiceLevelSummary
 )
 
 _TYPES: dict[str, Any] = {
@@ -206,6 +212,8 @@
     "intent-recorded": IntentRecorded,
     "intent-answered": IntentAnswered,
     "lease-claimed": LeaseClaimed,
+    "service-level-rollup": ServiceLevelRollup,
+    "service-level-summary": ServiceLevelSummary,
 }
 
 
