--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -163,7 +163,8 @@
 
     def announce(self, message: Announcement) -> AnnouncementReply:
         """Take an agent's announcement."""
-        self.fleet.announce(message, clock.now())
+        if self.fleet.announce(message, clock.now()):
+            self.router.workload.hear(message.worker_id, message.open_connections)
         acknowledged = []
         for report in message.reports:
             self.placer.take_report(report)
--- a/src/sequoiachute/coordination/routing/admission.py
+++ b/src/sequoiachute/coordination/routing/admission.py
@@ -15,6 +15,7 @@
 DEFAULT_RUNNING_REQUESTS = 1024
 MAX_QUEUED = 2048
 POLL_SECONDS = 0.2
+SHORTEST_WAIT_SECONDS = 0.001
 SMOOTHING = 0.05
 WAIT_MARGIN = 1.2
 MIN_RETRY_AFTER_SECONDS = 1.0
@@ -100,7 +101,7 @@
         try:
             while not turn.ready():
                 left = deadline - clock.now() - self._held_seconds
-                if left <= 0:
+                if left < SHORTEST_WAIT_SECONDS:
                     break
                 with eventlet.Timeout(min(left, POLL_SECONDS), False):
                     turn.wait()
--- a/src/sequoiachute/coordination/routing/answers.py
+++ b/src/sequoiachute/coordination/routing/answers.py
@@ -85,7 +85,7 @@
         return unknown(attempt_id, "the answer is of another attempt")
     if reply.outcome == NOT_RUN:
         refusal = refuse(reply.reason)
-        return refusal._replace(attempt_id=attempt_id, overloaded=True)
+        return refusal._replace(attempt_id=attempt_id)
     if reply.outcome == RUNNING:
         return unknown(attempt_id, "the attempt is still running", RETRY_AFTER_SECONDS)
     if reply.outcome != ANSWERED:
--- a/src/sequoiachute/coordination/routing/idempotent.py
+++ b/src/sequoiachute/coordination/routing/idempotent.py
@@ -12,7 +12,7 @@
     refuse,
 )
 from sequoiachute.coordination.routing.choice import Choice
-from sequoiachute.coordination.routing.retries import RetryBudget
+from sequoiachute.coordination.routing.retries import Patience, RetryBudget
 from sequoiachute.coordination.routing.sender import Sender
 from sequoiachute.coordination.routing.workload import Workload
 
@@ -37,21 +37,30 @@
         self._attempts = attempts
 
     def run(self, request: Request) -> Answer:
-        """Return the first good answer, or the last one."""
+        """Return the first good answer, or the most telling one."""
         tried: set[str] = set()
+        patience = Patience()
         answer = refuse("no backend server is available")
-        for number in range(self._attempts):
-            candidates = self._workload.candidates(tried, number == 0)
-            if not candidates or clock.now() >= request.deadline:
-                return answer
-            if number and not self._budget.spend():
+        while clock.now() < request.deadline:
+            candidates = self._workload.candidates(tried, not tried)
+            if not candidates:
+                if self._workload.capacity() and patience.wait():
+                    continue
                 return answer
             worker = self._choice.choose(candidates).worker
-            tried.add(worker.worker_id)
-            newest = self._sender.attempt(request, worker, uuid4().hex)
+            observed = self._workload.begin(worker)
+            try:
+                newest = self._sender.attempt(request, worker, uuid4().hex)
+            finally:
+                self._workload.end(observed)
             if newest.outcome == ANSWERED and newest.status < 500:
                 return newest
             answer = _more_telling(answer, newest)
+            if newest.overloaded and patience.wait():
+                continue
+            tried.add(worker.worker_id)
+            if len(tried) >= self._attempts or not self._budget.spend():
+                return answer
         return answer
 
 
--- a/src/sequoiachute/coordination/routing/once.py
+++ b/src/sequoiachute/coordination/routing/once.py
@@ -22,7 +22,7 @@
 )
 from sequoiachute.coordination.routing.choice import Choice
 from sequoiachute.coordination.routing.recorder import Recorder
-from sequoiachute.coordination.routing.retries import RetryBudget
+from sequoiachute.coordination.routing.retries import Patience, RetryBudget
 from sequoiachute.coordination.routing.sender import Sender, valid_until
 from sequoiachute.coordination.routing.workload import Workload
 from sequoiachute.protocol.messages import AttemptQuery, ExecuteReply
@@ -89,17 +89,28 @@
 
     def run(self, request: Request) -> Answer:
         """Run the request unless its key turns out to be taken."""
+        patience = Patience()
         answer = refuse("no backend server is available")
-        for number in range(ATTEMPTS):
+        tries = 0
+        while clock.now() < request.deadline and tries < ATTEMPTS:
             candidates = self._workload.candidates(set(), False)
-            if not candidates or clock.now() >= request.deadline:
+            if not candidates:
+                if self._workload.capacity() and patience.wait():
+                    continue
                 return answer
-            if number and not self._budget.spend():
+            if tries and not self._budget.spend():
                 return answer
+            tries += 1
             worker = self._choice.choose(candidates).worker
-            answer = self._run_on(request, worker)
+            observed = self._workload.begin(worker)
+            try:
+                answer = self._run_on(request, worker)
+            finally:
+                self._workload.end(observed)
             if answer.outcome != NOT_RUN or not answer.attempt_id:
                 return answer
+            if answer.overloaded:
+                patience.wait()
         return answer
 
     def _run_on(self, request: Request, worker: Worker) -> Answer:
--- a/src/sequoiachute/coordination/routing/retries.py
+++ b/src/sequoiachute/coordination/routing/retries.py
@@ -1,7 +1,12 @@
-"""How many requests may be tried again."""
+"""How often requests may be tried again."""
+
+from sequoiachute import clock
 
 RETRY_SHARE = 0.1  # retries for each request
 MAX_TOKENS = 20.0
+FIRST_WAIT_SECONDS = 0.02
+LAST_WAIT_SECONDS = 0.2
+MAX_WAITS = 16
 
 
 class RetryBudget:
@@ -37,3 +42,18 @@
             return False
         self._tokens -= 1
         return True
+
+
+class Patience:
+    """Waits for room at backend servers that were all full, a few times."""
+
+    def __init__(self) -> None:
+        self._waits = 0
+
+    def wait(self) -> bool:
+        """Wait a little longer each time; return false once it is enough."""
+        if self._waits >= MAX_WAITS:
+            return False
+        clock.sleep(min(LAST_WAIT_SECONDS, FIRST_WAIT_SECONDS * 2**self._waits))
+        self._waits += 1
+        return True
--- a/src/sequoiachute/coordination/routing/sender.py
+++ b/src/sequoiachute/coordination/routing/sender.py
@@ -56,7 +56,7 @@
         self._caller = caller
 
     def attempt(self, request: Request, worker: Worker, attempt_id: str) -> Answer:
-        """Run ``request`` on ``worker`` and return its answer."""
+        """Run ``request`` on ``worker``, counted in there, and return its answer."""
         return self.attempt_until(request, worker, attempt_id, valid_until(worker))
 
     def attempt_until(
@@ -78,14 +78,16 @@
             body=request.body,
             valid_until=valid,
         )
-        observed = self._workload.begin(worker)
+        observed = self._workload.observation(worker)
         outstanding = observed.outstanding
         began = clock.now()
-        try:
-            outcome = self._call(worker, message, left + RPC_MARGIN_SECONDS)
-        finally:
-            self._workload.end(observed)
+        outcome = self._call(worker, message, left + RPC_MARGIN_SECONDS)
         answer = _answer_of(message, outcome)
+        if outcome.is_ok():
+            open_connections = outcome.unwrap().open_connections
+            self._workload.hear(worker.worker_id, open_connections, 1)
+            full = open_connections >= worker.connections
+            answer = answer._replace(overloaded=answer.outcome == NOT_RUN and full)
         self._learn(observed, answer, clock.now() - began, outstanding)
         return answer
 
--- a/src/sequoiachute/coordination/routing/workload.py
+++ b/src/sequoiachute/coordination/routing/workload.py
@@ -25,7 +25,6 @@
         self.incarnation = incarnation
         self.own = 0
         self.others = 0
-        self.sequence = -1
         self.unit_seconds = 0.0
         self.observed_at = 0.0
         self.failures = 0.0
@@ -53,11 +52,19 @@
         if found is None or found.incarnation != worker.incarnation:
             found = Observation(worker.incarnation)
             self._observations[worker.worker_id] = found
-        if worker.sequence > found.sequence:
-            found.sequence = worker.sequence
-            found.others = max(0, worker.open_connections - found.own)
         return found
 
+    def hear(self, worker_id: str, open_connections: int, ended: int = 0) -> None:
+        """Take the number of requests that the agent has in progress now.
+
+        ``ended`` of those counted in here are no longer among them.
+        """
+        worker = self._fleet.get(worker_id)
+        if worker is None:
+            return
+        observed = self.observation(worker)
+        observed.others = max(0, open_connections - observed.own + ended)
+
     def candidates(self, tried: set[str], may_probe: bool) -> list[Candidate]:
         """Return the backend servers that may take a request now.
 
--- a/src/sequoiachute/state/attempts.py
+++ b/src/sequoiachute/state/attempts.py
@@ -7,6 +7,8 @@
 
 from sequoiachute.protocol.messages import ExecuteReply
 
+NOT_RUN = "not-run"
+
 MAX_ATTEMPTS = 20_000
 MAX_HELD_BYTES = 16 * 1024 * 1024
 KEEP_SECONDS = 900.0
@@ -40,7 +42,7 @@
         self._replies: dict[str, ExecuteReply] = {}
         self._held: dict[str, int] = {}
         self._held_bytes = 0
-        self._order: list[tuple[float, str]] = []
+        self._order: list[tuple[float, str, bool]] = []
         self._forgotten_until = float("-inf")
 
     def __len__(self) -> int:
@@ -60,7 +62,7 @@
         return self._replies.get(attempt_id)
 
     def is_forgotten(self, valid_until: float) -> bool:
-        """Whether an attempt of this validity may have been forgotten."""
+        """Whether a kept attempt of this validity may have run unremembered."""
         return valid_until <= self._forgotten_until
 
     def is_full(self, now: float) -> bool:
@@ -82,7 +84,8 @@
         forget_at = max(now, attempt.valid_until)
         if keep:
             forget_at += KEEP_SECONDS
-        heappush(self._order, (forget_at, attempt_id))
+        ran = keep and reply.outcome != NOT_RUN
+        heappush(self._order, (forget_at, attempt_id, ran))
         self._hold(attempt_id, len(kept.body))
         attempt.ended.send(reply)
 
@@ -107,7 +110,7 @@
 
     def _forget(self, now: float) -> None:
         while self._order:
-            forget_at, attempt_id = self._order[0]
+            forget_at, attempt_id, ran = self._order[0]
             attempt = self._attempts[attempt_id]
             crowded = len(self._attempts) >= self._max_attempts
             if forget_at > now and not (crowded and attempt.valid_until < now):
@@ -116,4 +119,6 @@
             self._release(attempt_id)
             del self._attempts[attempt_id]
             del self._replies[attempt_id]
-            self._forgotten_until = max(self._forgotten_until, attempt.valid_until)
+            if ran:
+                latest = max(self._forgotten_until, attempt.valid_until)
+                self._forgotten_until = latest
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -15,6 +15,7 @@
     status: int = 0
     retry_after: float = 0.0
     seconds: float = 0.0
+    reason: str = ""
 
 
 class Run(NamedTuple):
--- a/tests/request_site.py
+++ b/tests/request_site.py
@@ -29,10 +29,15 @@
         self.history = []
         self.lose_answers = False
         self.status = 200
+        self.open = 0
+        self.most_open = 0
 
     def execute(self, request_id, attempt_id, content_type, body, timeout):
         self.history.append(Run(request_id, attempt_id, body))
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
         outcome = super().execute(request_id, attempt_id, content_type, body, timeout)
+        self.open -= 1
         if self.lose_answers:
             return Err(RpcError("backend", "connection broken", True))
         answer = outcome.unwrap()._replace(body=answer_to(body), status=self.status)
@@ -84,6 +89,7 @@
                 status=answer.status,
                 retry_after=answer.retry_after,
                 seconds=clock.now() - began,
+                reason=answer.reason,
             )
             self.calls.append(ended)
             return ended
