--- a/src/sequoiachute/http/requests.py
+++ b/src/sequoiachute/http/requests.py
@@ -23,6 +23,7 @@
 MAX_EPOCH_SECONDS = 1e11
 MAX_KEY_LENGTH = 256  # characters
 TIMED_UUID_VERSION = 7
+REPEAT_STATUSES = (409, 410)  # say of a key what an earlier request did with it
 UUID_TIME_SHIFT = 80  # bits below the time in a version 7 UUID
 MILLISECONDS = 1000
 
@@ -45,9 +46,10 @@
             answer = self._entry.router.serve(work)
         finally:
             self._entry.end_request()
-        self._entry.recorder.count_answer(
-            identity.account, clock.now() - began, missed_answer(answer)
-        )
+        if answer.status not in REPEAT_STATUSES:
+            self._entry.recorder.count_answer(
+                identity.account, clock.now() - began, missed_answer(answer)
+            )
         write_answer(response, work, answer)
 
 
--- a/src/sequoiachute/state/intents.py
+++ b/src/sequoiachute/state/intents.py
@@ -2,6 +2,8 @@
 
 from typing import Any, NamedTuple
 
+from sequoiachute.state.items import from_item, to_item
+
 ANSWERED = "answered"
 NOT_RUN = "not-run"
 
@@ -85,6 +87,21 @@
         """Return every intent, oldest first."""
         return list(self._intents.values())
 
+    def snapshot(self) -> list[Any]:
+        """Return every intent as an item of a snapshot."""
+        return [to_item(intent) for intent in self._intents.values()]
+
+    def restore(self, items: list[Any]) -> None:
+        """Hold the intents of a snapshot and no others."""
+        intents = [from_item(Intent, item) for item in items]
+        self._intents.clear()
+        self._held.clear()
+        self._held_bytes = 0
+        for intent in intents:
+            place = (intent.account, intent.idempotency_key)
+            self._intents[place] = intent
+            self._hold(place, len(intent.answer))
+
     def apply(self, record: Any) -> bool:
         """Apply one record; return whether it took effect."""
         place = (record["account"], record["idempotency_key"])
