--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -36,7 +36,7 @@
 from sequoiachute.settings import EntrySettings
 from sequoiachute.state.configuration import Configuration
 from sequoiachute.state.fleet import Fleet
-from sequoiachute.state.intents import IntentTable
+from sequoiachute.state.intents import KEY_SECONDS, IntentTable
 from sequoiachute.state.jobs import JobTable
 from sequoiachute.state.leases import LeaseTable
 from sequoiachute.state.service_levels import ServiceLevelTable
@@ -58,7 +58,9 @@
         self.settings = settings
         self.configuration = Configuration()
         self.jobs = JobTable()
-        self.intents = IntentTable()
+        # A key is checked for less time than the log keeps its intent.
+        key_seconds = min(KEY_SECONDS, settings.log_retention_seconds / 2)
+        self.intents = IntentTable(key_seconds)
         self.leases = LeaseTable()
         self.service_levels = ServiceLevelTable()
         self.fleet = Fleet(settings.worker_silent_seconds)
