Start gangs in two phases under leases, and settle attempts only when they surely ended

A gang is prepared everywhere, committed by one write at its first member and kept by heartbeats; tasks run under leases that the agent renews at the backend server. An attempt is requeued or ended only when every worker said that it ended, or no entry has heard the agent for longer than the agent keeps tasks.

Ruled out: requeueing after plain silence, since an agent that another entry still hears goes on running the attempt.

--- a/src/sequoiachute/coordination/agent.py
+++ b/src/sequoiachute/coordination/agent.py
@@ -8,13 +8,19 @@
 from eventlet.event import Event
 
 from sequoiachute import clock
+from sequoiachute.coordination.bounds import CONTACT_SECONDS
 from sequoiachute.coordination.executor import Executor
 from sequoiachute.coordination.freshness import ConfigurationView
+from sequoiachute.coordination.gangleader import GangLeader
 from sequoiachute.coordination.gangs import GangKeeper
+from sequoiachute.coordination.runner import TaskRunner
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
     COMMIT,
     EXECUTE,
+    GANG_HEARTBEAT,
+    GANG_STOP,
+    PREPARE,
     RESERVE,
     START,
     STOP,
@@ -28,6 +34,8 @@
 
 CALL_SECONDS = 2.0
 LEAVE_POLL_SECONDS = 0.25
+CONTACT_POLL_SECONDS = 0.5
+TOKENS_PER_SECOND = 1000  # keeps the tokens of a later agent above an earlier one's
 
 
 class Agent:
@@ -50,19 +58,22 @@
         self._view = ConfigurationView(
             caller, settings.data_centre, settings.freshness_seconds
         )
-        self._grants = GrantTable(settings.accelerators, settings.slots)
+        self._grants = GrantTable(
+            settings.accelerators,
+            settings.slots,
+            int(clock.wall_time() * TOKENS_PER_SECOND),
+        )
         self._executor = Executor(
             self._incarnation, settings.connections, self._view, backend
         )
+        self._runner = TaskRunner(self._grants, backend, self._notify)
         self._gangs = GangKeeper(
-            settings.worker_id,
-            settings.rpc_address,
-            self._grants,
-            self._view,
-            caller,
-            backend,
-            self._notify,
+            settings.rpc_address, self._grants, self._view, caller, self._runner
+        )
+        self._leader = GangLeader(
+            settings.rpc_address, self._grants, self._gangs, caller
         )
+        self._heard_at = clock.now()
         self._sequence = 0
         self._leaving = False
         self._changed = Event()
@@ -86,9 +97,12 @@
         """Return the methods that this agent serves."""
         return {
             RESERVE: self._gangs.reserve,
-            COMMIT: self._gangs.commit,
+            COMMIT: self._leader.commit,
+            PREPARE: self._gangs.prepare,
             START: self._gangs.start,
             STOP: self._gangs.stop,
+            GANG_HEARTBEAT: self._leader.hear,
+            GANG_STOP: self._gangs.stop_gang,
             EXECUTE: self._executor.execute,
         }
 
@@ -96,6 +110,7 @@
         """Announce the backend server to every entry, one task for each."""
         for address in self._settings.entries:
             eventlet.spawn(self._announce_to, address)
+        eventlet.spawn(self._keep_contact)
 
     def leave(self, timeout: float) -> bool:
         """Take no new work and wait for the rest; return whether all ended."""
@@ -133,7 +148,8 @@
             leaving=self._leaving,
             open_connections=self._executor.open_connections,
             occupants=self._grants.occupants(),
-            reports=self._gangs.reports,
+            reports=self._runner.reports,
+            entries=settings.entries,
         )
 
     def _announce_to(self, address: str) -> None:
@@ -145,11 +161,20 @@
             )
             if outcome.is_ok():
                 reply = outcome.unwrap()
-                self._gangs.acknowledge(reply.acknowledged)
+                self._heard_at = max(self._heard_at, sent_at)
+                self._grants.admit_term(reply.term)
+                self._runner.acknowledge(reply.acknowledged)
                 self._view.take_reply(address, reply, sent_at)
             with eventlet.Timeout(self._settings.announce_seconds, False):
                 changed.wait()
 
+    def _keep_contact(self) -> None:
+        """Stop every task once no entry has answered for long."""
+        while True:
+            clock.sleep(CONTACT_POLL_SECONDS)
+            if clock.now() - self._heard_at > CONTACT_SECONDS:
+                self._gangs.stop_all("no entry instance answers the agent")
+
     def _notify(self) -> None:
         changed = self._changed
         self._changed = Event()
--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -14,11 +14,14 @@
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
     CONFIGURATION,
+    SILENCE,
     Announcement,
     AnnouncementReply,
     ConfigurationReply,
     ConfigurationRequest,
     Method,
+    Silence,
+    SilenceReply,
 )
 from sequoiachute.protocol.records import (
     CONFIGURATION_STREAM,
@@ -87,6 +90,7 @@
             caller,
             policy,
         )
+        self._started_at = clock.now()
         self._leaving = False
         self._open_requests = 0
 
@@ -102,7 +106,11 @@
 
     def handlers(self) -> Mapping[Method, Callable[[Any], Any]]:
         """Return the methods that this entry serves to agents."""
-        return {ANNOUNCE: self.announce, CONFIGURATION: self.tell_configuration}
+        return {
+            ANNOUNCE: self.announce,
+            CONFIGURATION: self.tell_configuration,
+            SILENCE: self.tell_silence,
+        }
 
     def run(self) -> None:
         """Start following the log and placing."""
@@ -151,6 +159,7 @@
             confirmed_age=self._confirmed_age(),
             entries=(),
             acknowledged=tuple(acknowledged),
+            term=self.placer.known_term,
         )
 
     def tell_configuration(self, message: ConfigurationRequest) -> ConfigurationReply:
@@ -162,6 +171,14 @@
             out_of_service=tuple(sorted(self.configuration.out_of_service)),
         )
 
+    def tell_silence(self, message: Silence) -> SilenceReply:
+        """Return for how long this entry has not heard an agent."""
+        now = clock.now()
+        worker = self.fleet.get(message.worker_id)
+        if worker is None:
+            return SilenceReply(now - self._started_at)
+        return SilenceReply(now - worker.heard_at)
+
     def _confirmed_age(self) -> float:
         return min(self.configuration.age(clock.now()), 1e9)
 
--- a/src/sequoiachute/coordination/gangs.py
+++ b/src/sequoiachute/coordination/gangs.py
@@ -1,30 +1,42 @@
-"""Gangs at an agent: reservations, the commit and the tasks' ends."""
+"""Gangs at an agent: reservations, starts and stops of its members."""
 
 from collections.abc import Callable
 
 import eventlet
 
 from sequoiachute import clock
+from sequoiachute.coordination.bounds import (
+    GANG_HEARTBEAT_SECONDS,
+    GANG_LEASE_SECONDS,
+    HOLD_AFTER_START_SECONDS,
+)
 from sequoiachute.coordination.freshness import ConfigurationView
+from sequoiachute.coordination.runner import TaskRunner, Work
 from sequoiachute.coordination.tasks import gather
 from sequoiachute.protocol.messages import (
-    START,
-    STOP,
-    Commit,
+    GANG_HEARTBEAT,
     CommitReply,
-    GangMember,
+    GangHeartbeat,
+    GangStop,
+    Prepare,
     Reserve,
     ReserveReply,
     Start,
     Stop,
     StopReply,
-    TaskReport,
 )
 from sequoiachute.state.grants import STARTED, Grant, GrantTable
-from sequoiachute.transport.ports import BackendServer, Caller
+from sequoiachute.transport.ports import Caller
+
+HEARTBEAT_CALL_SECONDS = 1.0
+STOPPED_KEPT_SECONDS = 60.0
+STOP_RETRY_SECONDS = 0.5
+
+RUNNING = "running"
+FINISHED = "finished"
+BROKEN = "broken"
 
-CALL_SECONDS = 2.0
-TASK_POLL_SECONDS = 0.25
+Attempt = tuple[str, int]
 
 
 class GangKeeper:
@@ -32,186 +44,206 @@
 
     Parameters
     ----------
-    worker_id, address : str
-        Identity and RPC address of the agent.
+    address : str
+        RPC address of the agent.
     grants : GrantTable
         What the agent has granted.
-    notify : callable
-        Called when there is something new to announce.
     """
 
     def __init__(
         self,
-        worker_id: str,
         address: str,
         grants: GrantTable,
         view: ConfigurationView,
         caller: Caller,
-        backend: BackendServer,
-        notify: Callable[[], None],
+        runner: TaskRunner,
     ) -> None:
-        self._worker_id = worker_id
         self._address = address
         self._grants = grants
         self._view = view
         self._caller = caller
-        self._backend = backend
-        self._notify = notify
-        self._reports: dict[tuple[str, int, int], TaskReport] = {}
+        self._runner = runner
+        self._holds_until = clock.now() + HOLD_AFTER_START_SECONDS
+        self._stopped: dict[Attempt, float] = {}
+        self._on_stop: Callable[[Attempt, str], None] | None = None
         self._leaving = False
 
-    @property
-    def reports(self) -> tuple[TaskReport, ...]:
-        """Ends of tasks that no entry has acknowledged yet."""
-        return tuple(self._reports.values())
-
     @property
     def is_idle(self) -> bool:
         """Whether nothing is granted."""
         return not self._grants.grants()
 
-    def acknowledge(self, keys: tuple[tuple[str, int, int], ...]) -> None:
-        """Forget the reports that the log tells of."""
-        for key in keys:
-            self._reports.pop(tuple(key), None)
+    def when_stopped(self, call: Callable[[Attempt, str], None]) -> None:
+        """Have ``call`` told of every attempt that is stopped here."""
+        self._on_stop = call
 
     def leave(self) -> None:
         """Take no new tasks."""
         self._leaving = True
 
+    def refusal(self, config_offset: int) -> str:
+        """Return why no task may start here now, empty if it may."""
+        if self._leaving:
+            return "the backend server is leaving"
+        if clock.now() < self._holds_until:
+            return "tasks of an earlier agent may still run here"
+        return self._view.refusal(config_offset)
+
     def reserve(self, message: Reserve) -> ReserveReply:
         """Hold accelerators for one member of a gang."""
-        refusal = self._refusal(message.config_offset)
+        refusal = self.refusal(message.config_offset)
         if refusal:
             return ReserveReply(0, refusal)
         granted = self._grants.reserve(message, clock.now())
         if isinstance(granted, str):
             return ReserveReply(0, granted)
+        self._stopped.pop((message.job_id, message.attempt), None)
+        self._runner.forget(granted.key)
         return ReserveReply(granted.token)
 
-    def commit(self, message: Commit) -> CommitReply:
-        """Start a whole gang, or nothing of it."""
-        refusal = self._refusal(message.config_offset)
+    def prepare(self, message: Prepare) -> CommitReply:
+        """Say whether the members here would start now, and hold them."""
+        refusal = self.refusal(message.config_offset)
         if refusal:
             return CommitReply(False, refusal)
-        calls = []
+        now = clock.now()
+        until = now + message.hold_seconds
         for member in message.members:
-            calls.append(lambda m=member: self._start_member(message, m))
-        refusals = [reason for reason in gather(calls) if reason]
-        if refusals:
-            self._stop_gang(message, refusals[0])
-            return CommitReply(False, refusals[0])
+            key = (message.job_id, message.attempt, member.member)
+            refusal = self._grants.extend(key, member.token, until, now)
+            if refusal:
+                return CommitReply(False, refusal)
         return CommitReply(True)
 
     def start(self, message: Start) -> CommitReply:
-        """Start one reserved member of a committed gang."""
-        refusal = self._refusal(self._view.configuration.offset)
+        """Start the members here of a committed gang, all or none."""
+        attempt = (message.job_id, message.attempt)
+        refusal = self.refusal(message.config_offset)
+        if attempt in self._stopped:
+            refusal = "the attempt has been stopped"
         if refusal:
             return CommitReply(False, refusal)
-        started = self._grants.start(
-            message.job_id,
-            message.attempt,
-            message.member,
-            message.token,
-            clock.now(),
-        )
-        if isinstance(started, str):
-            return CommitReply(False, started)
-        outcome = self._backend.start_task(
-            _task_id(started),
-            started.token,
-            started.accelerators,
-            message.payload,
-            message.run_seconds,
-            message.done_seconds,
-        )
-        if outcome.is_err():
-            self._grants.release(message.job_id, message.attempt, message.member)
-            return CommitReply(False, outcome.unwrap_err().reason)
-        eventlet.spawn(self._watch, started)
-        self._notify()
-        return CommitReply(True)
+        started = []
+        for member in message.members:
+            key = (*attempt, member.member)
+            grant = self._grants.start(key, member.token, clock.now())
+            if isinstance(grant, str):
+                self._drop(started)
+                return CommitReply(False, grant)
+            started.append(grant)
+        return self._run(message, started)
 
     def stop(self, message: Stop) -> StopReply:
-        """Stop the tasks of a job's attempt and drop its reservations."""
-        known = False
-        for grant in self._grants.grants():
-            if (grant.job_id, grant.attempt) != (message.job_id, message.attempt):
-                continue
-            known = True
-            self._stop_grant(grant, message.checkpoint, message.reason)
-        return StopReply(known)
-
-    def _refusal(self, config_offset: int) -> str:
-        if self._leaving:
-            return "the backend server is leaving"
-        return self._view.refusal(config_offset)
-
-    def _start_member(self, message: Commit, member: GangMember) -> str:
-        start = Start(
-            job_id=message.job_id,
-            attempt=message.attempt,
-            member=member.member,
-            token=member.token,
-            payload=message.payload,
-            run_seconds=message.run_seconds,
-            done_seconds=message.done_seconds,
-            first_address=self._address,
+        """Stop an attempt of a job here, as the placer asks."""
+        if not self._grants.admit_term(message.term):
+            return StopReply(False, "the placer's term has been succeeded")
+        attempt = (message.job_id, message.attempt)
+        return self.stop_attempt(attempt, message.checkpoint, message.reason)
+
+    def stop_gang(self, message: GangStop) -> StopReply:
+        """Stop an attempt of a job here, as the gang's first member asks."""
+        return self.stop_attempt(
+            (message.job_id, message.attempt), True, message.reason
         )
-        if member.worker_id == self._worker_id:
-            reply = self.start(start)
-            return "" if reply.committed else reply.reason
-        outcome = self._caller.call(member.address, START, start, CALL_SECONDS)
-        if outcome.is_err():
-            return outcome.unwrap_err().reason
-        reply = outcome.unwrap()
-        return "" if reply.committed else reply.reason
-
-    def _stop_gang(self, message: Commit, reason: str) -> None:
-        stop = Stop(message.job_id, message.attempt, False, reason)
-        for address in {member.address for member in message.members}:
-            if address == self._address:
-                self.stop(stop)
-                continue
-            self._caller.call(address, STOP, stop, CALL_SECONDS)
 
-    def _stop_grant(self, grant: Grant, checkpoint: bool, reason: str) -> None:
-        if grant.state != STARTED:
-            self._grants.release(grant.job_id, grant.attempt, grant.member)
-            return
-        outcome = self._backend.stop_task(_task_id(grant), checkpoint)
-        if outcome.is_err() or outcome.unwrap() is None:
-            return
-        end = outcome.unwrap()
-        self._end(grant, end.state, reason, end.result, end.done_seconds)
+    def stop_attempt(
+        self, attempt: Attempt, checkpoint: bool, reason: str
+    ) -> StopReply:
+        """Stop the tasks of ``attempt`` and drop its reservations."""
+        now = clock.now()
+        self._forget_stopped(now)
+        self._stopped[attempt] = now
+        if self._on_stop is not None:
+            self._on_stop(attempt, reason)
+        calls = []
+        for grant in self._grants.of_attempt(*attempt):
+            calls.append(lambda g=grant: self._stop_grant(g, checkpoint, reason))
+        gather(calls)
+        ended = not self._grants.of_attempt(*attempt)
+        if clock.now() < self._holds_until:
+            return StopReply(False, "tasks of an earlier agent may still run here")
+        return StopReply(ended, "", self._runner.reports_of(*attempt))
+
+    def stop_all(self, reason: str) -> None:
+        """Stop every task after a checkpoint."""
+        attempts = {(g.job_id, g.attempt) for g in self._grants.grants()}
+        calls = []
+        for attempt in sorted(attempts):
+            calls.append(lambda a=attempt: self.stop_attempt(a, True, reason))
+        gather(calls)
+
+    def state_of(self, attempt: Attempt) -> str:
+        """Return ``running``, ``finished`` or ``broken`` for the members here."""
+        for report in self._runner.reports_of(*attempt):
+            if report.state != FINISHED:
+                return BROKEN
+        if attempt in self._stopped:
+            return BROKEN
+        if self._grants.of_attempt(*attempt):
+            return RUNNING
+        return FINISHED
+
+    def _run(self, message: Start, grants: list[Grant]) -> CommitReply:
+        attempt = (message.job_id, message.attempt)
+        work = Work(message.payload, message.run_seconds, message.done_seconds)
+        calls = []
+        for grant in grants:
+            calls.append(lambda g=grant: self._runner.start(g, work))
+        refusals = [reason for reason in gather(calls) if reason]
+        if attempt in self._stopped:
+            refusals.append("the attempt has been stopped")
+        # The calls may have waited long: nothing may go on that was started
+        # on a view which has changed or lapsed since.
+        refusal = self.refusal(message.config_offset)
+        if refusal:
+            refusals.append(refusal)
+        if refusals:
+            self.stop_attempt(attempt, True, refusals[0])
+            return CommitReply(False, refusals[0])
+        if message.first_address != self._address:
+            eventlet.spawn(self._follow, attempt, message.first_address)
+        return CommitReply(True)
 
-    def _watch(self, grant: Grant) -> None:
+    def _follow(self, attempt: Attempt, first_address: str) -> None:
+        """Keep the members here running while the first member answers."""
+        heard_at = clock.now()
         while True:
-            clock.sleep(TASK_POLL_SECONDS)
-            if self._grants.get(grant.job_id, grant.attempt, grant.member) is None:
-                return
-            outcome = self._backend.task(_task_id(grant))
-            if outcome.is_err():
+            clock.sleep(GANG_HEARTBEAT_SECONDS)
+            state = self.state_of(attempt)
+            message = GangHeartbeat(*attempt, self._address, state)
+            sent_at = clock.now()
+            outcome = self._caller.call(
+                first_address, GANG_HEARTBEAT, message, HEARTBEAT_CALL_SECONDS
+            )
+            if outcome.is_ok() and outcome.unwrap().running:
+                heard_at = sent_at
+                if state != RUNNING:
+                    return
                 continue
-            task = outcome.unwrap()
-            if task is None:
-                self._end(grant, "stopped", "the worker has lost the task", "", 0.0)
-                return
-            if task.state != "running":
-                self._end(
-                    grant, task.state, task.reason, task.result, task.done_seconds
-                )
-                return
-
-    def _end(
-        self, grant: Grant, state: str, reason: str, result: str, done_seconds: float
-    ) -> None:
-        key = (grant.job_id, grant.attempt, grant.member)
-        if not self._grants.release(*key):
+            reason = "the gang's first member does not answer"
+            if outcome.is_ok():
+                reason = outcome.unwrap().reason
+            elif clock.now() - heard_at < GANG_LEASE_SECONDS:
+                continue
+            self._stop_until_ended(attempt, reason)
             return
-        self._reports[key] = TaskReport(*key, state, reason, result, done_seconds)
-        self._notify()
-
 
-def _task_id(grant: Grant) -> str:
-    return f"{grant.job_id}.{grant.attempt}.{grant.member}"
+    def _stop_until_ended(self, attempt: Attempt, reason: str) -> None:
+        while self._grants.of_attempt(*attempt):
+            self.stop_attempt(attempt, True, reason)
+            clock.sleep(STOP_RETRY_SECONDS)
+
+    def _stop_grant(self, grant: Grant, checkpoint: bool, reason: str) -> bool:
+        if grant.state == STARTED:
+            return self._runner.stop(grant, checkpoint, reason)
+        self._grants.release(*grant.key)
+        return True
+
+    def _drop(self, grants: list[Grant]) -> None:
+        for grant in grants:
+            self._grants.release(*grant.key)
+
+    def _forget_stopped(self, now: float) -> None:
+        for attempt, stopped_at in list(self._stopped.items()):
+            if now - stopped_at > STOPPED_KEPT_SECONDS:
+                del self._stopped[attempt]
--- /dev/null
+++ b/src/sequoiachute/coordination/runner.py
@@ -0,0 +1,180 @@
+"""Tasks on the worker beside an agent: started, renewed and stopped."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import eventlet
+from eventlet.event import Event
+from result import Result
+
+from sequoiachute import clock
+from sequoiachute.coordination.bounds import TASK_LEASE_SECONDS
+from sequoiachute.errors import RpcError
+from sequoiachute.protocol.messages import TaskReport
+from sequoiachute.state.grants import Grant, GrantTable, MemberKey
+from sequoiachute.transport.ports import BackendServer, BackendTask
+
+TASK_POLL_SECONDS = 0.25
+
+
+class Work(NamedTuple):
+    """What a task is to do; durations in seconds."""
+
+    payload: str
+    run_seconds: float
+    done_seconds: float
+
+
+class _StopOrder(NamedTuple):
+    checkpoint: bool
+    reason: str
+
+
+class TaskRunner:
+    """Runs the tasks of started grants under leases on the worker.
+
+    A grant is released only once its task has certainly ended: the worker
+    said so, or the lease has run out since the last call that may have
+    renewed it.
+    """
+
+    def __init__(
+        self, grants: GrantTable, backend: BackendServer, notify: Callable[[], None]
+    ) -> None:
+        self._grants = grants
+        self._backend = backend
+        self._notify = notify
+        self._runs_until: dict[MemberKey, float] = {}
+        self._starting: dict[MemberKey, Event] = {}
+        self._stopping: dict[MemberKey, _StopOrder] = {}
+        self._reports: dict[MemberKey, TaskReport] = {}
+
+    @property
+    def reports(self) -> tuple[TaskReport, ...]:
+        """Ends of tasks that no entry has acknowledged yet."""
+        return tuple(self._reports.values())
+
+    def acknowledge(self, keys: tuple[MemberKey, ...]) -> None:
+        """Forget the reports that the log tells of."""
+        for key in keys:
+            self._reports.pop(tuple(key), None)
+
+    def reports_of(self, job_id: str, attempt: int) -> tuple[TaskReport, ...]:
+        """Return the reports of one attempt of a job."""
+        reports = []
+        for report in self._reports.values():
+            if (report.job_id, report.attempt) == (job_id, attempt):
+                reports.append(report)
+        return tuple(reports)
+
+    def start(self, grant: Grant, work: Work) -> str:
+        """Start the task of ``grant``; return the reason if that failed."""
+        started = self._starting[grant.key] = Event()
+        try:
+            return self._start(grant, work)
+        finally:
+            del self._starting[grant.key]
+            started.send(None)
+
+    def stop(self, grant: Grant, checkpoint: bool, reason: str) -> bool:
+        """Stop the task of ``grant``; return whether it has certainly ended.
+
+        If the worker doesn't answer, stopping goes on until the lease ends.
+        """
+        starting = self._starting.get(grant.key)
+        if starting is not None:
+            # A stop that overtakes the start would find no task to stop.
+            starting.wait()
+        order = self._stopping.setdefault(grant.key, _StopOrder(checkpoint, reason))
+        outcome = self._backend.stop_task(_task_id(grant), order.checkpoint)
+        if outcome.is_err():
+            return False
+        return self._take_state(grant, outcome.unwrap())
+
+    def forget(self, key: MemberKey) -> None:
+        """Forget the report of an earlier task of the member."""
+        self._reports.pop(key, None)
+
+    def _start(self, grant: Grant, work: Work) -> str:
+        outcome = self._backend.start_task(
+            _task_id(grant),
+            grant.token,
+            grant.accelerators,
+            work.payload,
+            work.run_seconds,
+            work.done_seconds,
+            TASK_LEASE_SECONDS,
+        )
+        if outcome.is_err() and not outcome.unwrap_err().delivered:
+            reason = outcome.unwrap_err().reason
+            self._end(grant, "stopped", reason, "", work.done_seconds)
+            return reason
+        self._runs_until[grant.key] = clock.now() + TASK_LEASE_SECONDS
+        eventlet.spawn(self._watch, grant)
+        if outcome.is_err():
+            reason = outcome.unwrap_err().reason
+            self._stopping[grant.key] = _StopOrder(False, reason)
+            return reason
+        return ""
+
+    def _watch(self, grant: Grant) -> None:
+        failing_since = None
+        while True:
+            clock.sleep(TASK_POLL_SECONDS)
+            current = self._grants.get(*grant.key)
+            if current is None or current.token != grant.token:
+                return
+            outcome = self._renew(grant)
+            if outcome.is_ok():
+                failing_since = None
+                if self._take_state(grant, outcome.unwrap()):
+                    return
+                continue
+            now = clock.now()
+            failing_since = now if failing_since is None else failing_since
+            reason = f"the worker does not answer: {outcome.unwrap_err().reason}"
+            if now - failing_since >= TASK_LEASE_SECONDS:
+                self._stopping.setdefault(grant.key, _StopOrder(True, reason))
+            if now >= self._runs_until.get(grant.key, now):
+                self._end(grant, "stopped", reason, "", 0.0)
+                return
+
+    def _renew(self, grant: Grant) -> Result[BackendTask | None, RpcError]:
+        order = self._stopping.get(grant.key)
+        if order is not None:
+            return self._backend.stop_task(_task_id(grant), order.checkpoint)
+        outcome = self._backend.renew_task(
+            _task_id(grant), grant.token, TASK_LEASE_SECONDS
+        )
+        if outcome.is_ok() or outcome.unwrap_err().delivered:
+            self._runs_until[grant.key] = clock.now() + TASK_LEASE_SECONDS
+        return outcome
+
+    def _take_state(self, grant: Grant, task: BackendTask | None) -> bool:
+        """End the grant if its task has; return whether it has."""
+        if task is None:
+            self._end(grant, "stopped", "the worker has lost the task", "", 0.0)
+            return True
+        if task.state == "running":
+            return False
+        reason = task.reason
+        order = self._stopping.get(grant.key)
+        if order is not None and task.state == "stopped":
+            reason = order.reason
+        self._end(grant, task.state, reason, task.result, task.done_seconds)
+        return True
+
+    def _end(
+        self, grant: Grant, state: str, reason: str, result: str, done_seconds: float
+    ) -> None:
+        key = grant.key
+        if not self._grants.release(*key):
+            return
+        self._runs_until.pop(key, None)
+        self._stopping.pop(key, None)
+        self._reports[key] = TaskReport(*key, state, reason, result, done_seconds)
+        self._notify()
+
+
+def _task_id(grant: Grant) -> str:
+    return f"{grant.job_id}.{grant.attempt}.{grant.member}"
--- a/src/sequoiachute/protocol/messages.py
+++ b/src/sequoiachute/protocol/messages.py
@@ -4,6 +4,8 @@
 
 from sequoiachute.protocol.catalogue import Catalogue
 
+NO_TERM = -1  # before the first placer
+
 
 class Method(NamedTuple):
     """A unary method: its path and its message types."""
@@ -41,7 +43,10 @@
 
 
 class Announcement(NamedTuple):
-    """What an agent tells every entry about its backend server."""
+    """What an agent tells every entry about its backend server.
+
+    ``entries`` are the addresses that the agent announces to.
+    """
 
     worker_id: str
     incarnation: str
@@ -61,13 +66,15 @@
     open_connections: int
     occupants: tuple[Occupant, ...]
     reports: tuple[TaskReport, ...]
+    entries: tuple[str, ...] = ()
 
 
 class AnnouncementReply(NamedTuple):
     """Where the entry's configuration stands and how fresh that view is.
 
     ``confirmed_age`` is the time in seconds since the entry last confirmed
-    the end of the configuration stream.
+    the end of the configuration stream. ``term`` is the placer's newest term
+    that the entry knows.
     """
 
     entry_id: str
@@ -75,6 +82,7 @@
     confirmed_age: float
     entries: tuple[str, ...]
     acknowledged: tuple[tuple[str, int, int], ...]
+    term: int = NO_TERM
 
 
 class ConfigurationRequest(NamedTuple):
@@ -142,19 +150,71 @@
     reason: str = ""
 
 
+class ReservedMember(NamedTuple):
+    """A member of a gang and the token that fences its reservation."""
+
+    member: int
+    token: int
+
+
+class Prepare(NamedTuple):
+    """Asks an agent whether it would start its members of a gang now.
+
+    Their reservations are extended to ``hold_seconds`` from now.
+    """
+
+    job_id: str
+    attempt: int
+    config_offset: int
+    members: tuple[ReservedMember, ...]
+    hold_seconds: float
+
+
 class Start(NamedTuple):
-    """Starts a reserved member of a committed gang."""
+    """Starts an agent's members of a committed gang.
+
+    The agent keeps them running only while ``first_address`` answers its
+    heartbeats.
+    """
 
     job_id: str
     attempt: int
-    member: int
-    token: int
+    config_offset: int
+    members: tuple[ReservedMember, ...]
     payload: str
     run_seconds: float
     done_seconds: float
     first_address: str
 
 
+class GangHeartbeat(NamedTuple):
+    """A member's agent tells the gang's first member how its tasks stand.
+
+    ``state`` is ``running``, ``finished`` or ``broken``.
+    """
+
+    job_id: str
+    attempt: int
+    address: str
+    state: str
+    reason: str = ""
+
+
+class GangHeartbeatReply(NamedTuple):
+    """Whether the gang goes on; otherwise its tasks must stop."""
+
+    running: bool
+    reason: str = ""
+
+
+class GangStop(NamedTuple):
+    """The gang's first member stops the tasks of an attempt elsewhere."""
+
+    job_id: str
+    attempt: int
+    reason: str
+
+
 class Stop(NamedTuple):
     """Stops a task or drops its reservation, after a checkpoint if asked."""
 
@@ -162,12 +222,30 @@
     attempt: int
     checkpoint: bool
     reason: str
+    term: int = NO_TERM
 
 
 class StopReply(NamedTuple):
-    """Whether the agent knew the task."""
+    """Whether nothing of the attempt runs, or can start, at the agent.
 
-    known: bool
+    ``reports`` tell how the attempt's tasks there ended.
+    """
+
+    ended: bool
+    reason: str = ""
+    reports: tuple[TaskReport, ...] = ()
+
+
+class Silence(NamedTuple):
+    """Asks an entry for how long it has not heard an agent."""
+
+    worker_id: str
+
+
+class SilenceReply(NamedTuple):
+    """Seconds since the entry last heard the agent, at most its own age."""
+
+    seconds: float
 
 
 class Execute(NamedTuple):
@@ -212,6 +290,12 @@
 )
 RESERVE = Method("/sequoiachute.Agent/Reserve", Reserve, ReserveReply)
 COMMIT = Method("/sequoiachute.Agent/Commit", Commit, CommitReply)
+PREPARE = Method("/sequoiachute.Agent/Prepare", Prepare, CommitReply)
 START = Method("/sequoiachute.Agent/Start", Start, CommitReply)
+GANG_HEARTBEAT = Method(
+    "/sequoiachute.Agent/GangHeartbeat", GangHeartbeat, GangHeartbeatReply
+)
+GANG_STOP = Method("/sequoiachute.Agent/GangStop", GangStop, StopReply)
+SILENCE = Method("/sequoiachute.Entry/Silence", Silence, SilenceReply)
 STOP = Method("/sequoiachute.Agent/Stop", Stop, StopReply)
 EXECUTE = Method("/sequoiachute.Agent/Execute", Execute, ExecuteReply)
--- a/src/sequoiachute/protocol/records.py
+++ b/src/sequoiachute/protocol/records.py
@@ -159,7 +159,10 @@
 
 
 class LeaseClaimed(TypedDict):
-    """A claim or renewal of a named lease by compare-and-set on ``base``."""
+    """A claim or renewal of a named lease by compare-and-set on ``base``.
+
+    A renewal repeats the ``term`` under which the holder took the lease.
+    """
 
     kind: Literal["lease-claimed"]
     record_id: str
@@ -168,6 +171,7 @@
     holder: str
     address: str
     duration: float
+    term: NotRequired[int]
 
 
 Record = (
--- a/src/sequoiachute/state/grants.py
+++ b/src/sequoiachute/state/grants.py
@@ -2,11 +2,13 @@
 
 from typing import NamedTuple
 
-from sequoiachute.protocol.messages import Occupant, Reserve
+from sequoiachute.protocol.messages import NO_TERM, Occupant, Reserve
 
 RESERVED = "reserved"
 STARTED = "started"
 
+MemberKey = tuple[str, int, int]
+
 
 class Grant(NamedTuple):
     """Accelerators and a slot held for one member of a gang."""
@@ -22,15 +24,42 @@
     state: str
     expires_at: float
 
+    @property
+    def key(self) -> MemberKey:
+        """Job, attempt and member."""
+        return (self.job_id, self.attempt, self.member)
 
-class GrantTable:
-    """Grants of one worker; no accelerator and no slot is held twice."""
 
-    def __init__(self, accelerators: int, slots: int) -> None:
+class GrantTable:
+    """Grants of one worker; no accelerator and no slot is held twice.
+
+    Parameters
+    ----------
+    accelerators, slots : int
+        What the worker has.
+    last_token : int
+        Fencing tokens start after it; it must be larger than every token of
+        the agents that ran here before.
+    """
+
+    def __init__(self, accelerators: int, slots: int, last_token: int = 0) -> None:
         self._accelerators = accelerators
         self._slots = slots
-        self._grants: dict[tuple[str, int, int], Grant] = {}
-        self._last_token = 0
+        self._grants: dict[MemberKey, Grant] = {}
+        self._last_token = last_token
+        self._term = NO_TERM
+
+    @property
+    def term(self) -> int:
+        """The highest placer's term seen."""
+        return self._term
+
+    def admit_term(self, term: int) -> bool:
+        """Note a placer's term; return whether no higher one has been seen."""
+        if term < self._term:
+            return False
+        self._term = term
+        return True
 
     def occupants(self) -> tuple[Occupant, ...]:
         """Return the holders as they are announced."""
@@ -52,16 +81,32 @@
         """Return every grant."""
         return list(self._grants.values())
 
+    def of_attempt(self, job_id: str, attempt: int) -> list[Grant]:
+        """Return the grants of one attempt of a job."""
+        grants = []
+        for grant in self._grants.values():
+            if (grant.job_id, grant.attempt) == (job_id, attempt):
+                grants.append(grant)
+        return grants
+
     def get(self, job_id: str, attempt: int, member: int) -> Grant | None:
         """Return the grant of a member, ``None`` if there is none."""
         return self._grants.get((job_id, attempt, member))
 
     def reserve(self, message: Reserve, now: float) -> Grant | str:
-        """Hold what ``message`` asks for; return the reason if refused."""
+        """Hold what ``message`` asks for; return the reason if refused.
+
+        A repeated reservation replaces the earlier one, whose token is stale
+        from then on.
+        """
+        if not self.admit_term(message.term):
+            return f"the placer's term {message.term} has been succeeded"
         self.expire(now)
         key = (message.job_id, message.attempt, message.member)
-        if key in self._grants:
-            return "this member holds a grant already"
+        known = self._grants.get(key)
+        if known is not None and known.state == STARTED:
+            return "this member has been started already"
+        self._grants.pop(key, None)
         if len(self._grants) >= self._slots:
             return "no free slot"
         for index in message.accelerators:
@@ -85,20 +130,25 @@
         self._grants[key] = grant
         return grant
 
-    def start(
-        self, job_id: str, attempt: int, member: int, token: int, now: float
-    ) -> Grant | str:
+    def extend(self, key: MemberKey, token: int, until: float, now: float) -> str:
+        """Hold a live reservation longer; return the reason if refused."""
+        self.expire(now)
+        refusal = self._refusal(key, token)
+        if refusal:
+            return refusal
+        grant = self._grants[key]
+        later = max(until, grant.expires_at)
+        self._grants[key] = grant._replace(expires_at=later)
+        return ""
+
+    def start(self, key: MemberKey, token: int, now: float) -> Grant | str:
         """Turn a live reservation into a start; return the reason if refused."""
         self.expire(now)
-        grant = self._grants.get((job_id, attempt, member))
-        if grant is None:
-            return "the reservation has expired"
-        if grant.token != token:
-            return "the fencing token is stale"
-        if grant.state == STARTED:
-            return grant
-        started = grant._replace(state=STARTED)
-        self._grants[(job_id, attempt, member)] = started
+        refusal = self._refusal(key, token)
+        if refusal:
+            return refusal
+        started = self._grants[key]._replace(state=STARTED)
+        self._grants[key] = started
         return started
 
     def release(self, job_id: str, attempt: int, member: int) -> bool:
@@ -111,6 +161,16 @@
             if grant.state == RESERVED and now >= grant.expires_at:
                 del self._grants[key]
 
+    def _refusal(self, key: MemberKey, token: int) -> str:
+        grant = self._grants.get(key)
+        if grant is None:
+            return "the reservation has expired"
+        if grant.token != token:
+            return "the fencing token is stale"
+        if grant.state == STARTED:
+            return "this member has been started already"
+        return ""
+
     def _holder(self, index: int) -> Grant | None:
         for grant in self._grants.values():
             if index in grant.accelerators:
--- a/src/sequoiachute/transport/backend.py
+++ b/src/sequoiachute/transport/backend.py
@@ -61,6 +61,7 @@
         payload: str,
         run_seconds: float,
         done_seconds: float,
+        lease_seconds: float,
     ) -> Result[None, RpcError]:
         """Start a task; the same ``task_id`` and ``token`` start it once."""
         body = {
@@ -70,6 +71,7 @@
             "payload": payload,
             "run_seconds": run_seconds,
             "done_seconds": done_seconds,
+            "lease_seconds": lease_seconds,
         }
         answered = self._send_json("POST", "/tasks", body)
         if answered.is_err():
@@ -80,6 +82,13 @@
             return Err(RpcError(self._url, reason, response.status >= 500))
         return Ok(None)
 
+    def renew_task(
+        self, task_id: str, token: int, lease_seconds: float
+    ) -> Result[BackendTask | None, RpcError]:
+        """Renew a task's lease; return how it stands, ``None`` if unknown."""
+        body = {"token": token, "lease_seconds": lease_seconds}
+        return self._task_call("POST", f"/tasks/{task_id}/renew", body)
+
     def task(self, task_id: str) -> Result[BackendTask | None, RpcError]:
         """Return how a task stands, ``None`` if it is not known."""
         return self._task_call("GET", f"/tasks/{task_id}", None)
--- a/src/sequoiachute/transport/ports.py
+++ b/src/sequoiachute/transport/ports.py
@@ -95,8 +95,18 @@
         payload: str,
         run_seconds: float,
         done_seconds: float,
+        lease_seconds: float,
     ) -> Result[None, RpcError]:
-        """Start a task; the same ``task_id`` and ``token`` start it once."""
+        """Start a task; the same ``task_id`` and ``token`` start it once.
+
+        The worker stops it ``lease_seconds`` after its last renewal.
+        """
+        ...
+
+    def renew_task(
+        self, task_id: str, token: int, lease_seconds: float
+    ) -> Result[BackendTask | None, RpcError]:
+        """Renew a task's lease; return how it stands, ``None`` if unknown."""
         ...
 
     def task(self, task_id: str) -> Result[BackendTask | None, RpcError]:
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -7,6 +7,7 @@
 from eventlet import hubs
 from eventlet.event import Event
 from eventlet.hubs.hub import BaseHub
+from greenlet import GreenletExit
 from result import Err, Ok, Result
 
 from sequoiachute import clock
@@ -45,6 +46,72 @@
     hubs.use_hub(PausedHub)
 
 
+class MemoryProcess:
+    """Faults of one process: paused, killed or cut off from the log.
+
+    A paused process waits wherever it calls out; a killed one ends there.
+    """
+
+    def __init__(self) -> None:
+        self.frozen = False
+        self.killed = False
+        self.log_cut = False
+
+    def check(self) -> None:
+        """Wait while the process is paused; end its task if it was killed."""
+        while self.frozen and not self.killed:
+            clock.sleep(0.05)
+        if self.killed:
+            raise GreenletExit
+
+
+class ProcessLog:
+    """The log service as one process reaches it."""
+
+    def __init__(self, log: "MemoryLog", process: MemoryProcess) -> None:
+        self._log = log
+        self._process = process
+
+    def append(self, stream: str, records: list[bytes]) -> int:
+        """Append ``records``; return the offset of the first."""
+        self._check()
+        offset = self._log.append(stream, records)
+        self._check(maybe_applied=True)
+        return offset
+
+    def read(self, stream: str, offset: int, wait: float) -> LogPage:
+        """Return records from ``offset`` on."""
+        self._check()
+        page = self._log.read(stream, offset, wait)
+        self._check()
+        return page
+
+    def _check(self, maybe_applied: bool = False) -> None:
+        self._process.check()
+        if self._process.log_cut:
+            clock.sleep(self._log.delay)
+            raise LogUnavailableError("cut off", maybe_applied)
+
+
+class ProcessBackend:
+    """A backend server as the agent beside it reaches it."""
+
+    def __init__(self, backend: "MemoryBackend", process: MemoryProcess) -> None:
+        self._backend = backend
+        self._process = process
+
+    def __getattr__(self, name: str) -> Callable[..., Any]:
+        method = getattr(self._backend, name)
+
+        def call(*arguments: Any) -> Any:
+            self._process.check()
+            outcome = method(*arguments)
+            self._process.check()
+            return outcome
+
+        return call
+
+
 class MemoryLog:
     """The log service in memory.
 
@@ -127,9 +194,11 @@
         """Let nothing listen at ``address`` any more."""
         self._handlers.pop(address, None)
 
-    def caller(self, source: str) -> "MemoryCaller":
+    def caller(
+        self, source: str, process: MemoryProcess | None = None
+    ) -> "MemoryCaller":
         """Return the caller that the process at ``source`` uses."""
-        return MemoryCaller(self, source)
+        return MemoryCaller(self, source, process or MemoryProcess())
 
     def deliver(
         self, source: str, address: str, method: Method, message: Any
@@ -141,7 +210,13 @@
             return Err(RpcError(address, "no connection", False))
         while address in self.frozen:
             clock.sleep(0.05)
-        reply = handlers[method](message)
+            if address not in self._handlers:
+                return Err(RpcError(address, "the peer has ended", True))
+            handlers = self._handlers[address]
+        try:
+            reply = handlers[method](message)
+        except GreenletExit:
+            return Err(RpcError(address, "the peer has ended", True))
         clock.sleep(self.delay)
         if (source, address) in self.lose_replies:
             return Err(RpcError(address, "the reply is lost", True))
@@ -151,20 +226,26 @@
 class MemoryCaller:
     """Calls through a ``MemoryNetwork`` from one source address."""
 
-    def __init__(self, network: MemoryNetwork, source: str) -> None:
+    def __init__(
+        self, network: MemoryNetwork, source: str, process: MemoryProcess
+    ) -> None:
         self._network = network
         self._source = source
+        self._process = process
 
     def call(
         self, address: str, method: Method, message: Any, timeout: float
     ) -> Result[Any, RpcError]:
         """Call ``method``; the handler goes on after a timeout."""
+        self._process.check()
         task = eventlet.spawn(
             self._network.deliver, self._source, address, method, message
         )
+        outcome = Err(RpcError(address, "timeout", True))
         with eventlet.Timeout(timeout, False):
-            return task.wait()
-        return Err(RpcError(address, "timeout", True))
+            outcome = task.wait()
+        self._process.check()
+        return outcome
 
 
 class MemoryBackend:
@@ -174,11 +255,15 @@
         self.speed = speed
         self.fails_tasks = False
         self.fails_starts = False
+        self.unreachable = False
+        self.delay = 0.0
         self.service_seconds = 0.01
         self.starts: list[tuple[str, int, float]] = []
         self.runs: list[tuple[str, str]] = []
         self._tasks: dict[str, tuple[float, float, float]] = {}
         self._ended: dict[str, BackendTask] = {}
+        self._leases: dict[str, float] = {}
+        self._accelerators: dict[str, tuple[int, ...]] = {}
 
     def execute(
         self,
@@ -201,17 +286,38 @@
         payload: str,
         run_seconds: float,
         done_seconds: float,
+        lease_seconds: float,
     ) -> Result[None, RpcError]:
         """Start a task once."""
+        clock.sleep(self.delay)
         if self.fails_starts:
             return Err(RpcError("backend", "start refused", False))
+        if self.unreachable:
+            return Err(RpcError("backend", "unreachable", True))
         if task_id not in self._tasks:
             self._tasks[task_id] = (clock.now(), run_seconds, done_seconds)
+            self._leases[task_id] = clock.now() + lease_seconds
+            self._accelerators[task_id] = accelerators
             self.starts.append((task_id, token, clock.now()))
         return Ok(None)
 
+    def renew_task(
+        self, task_id: str, token: int, lease_seconds: float
+    ) -> Result[BackendTask | None, RpcError]:
+        """Renew a running task's lease."""
+        if self.unreachable:
+            return Err(RpcError("backend", "unreachable", True))
+        if task_id not in self._tasks:
+            return Ok(None)
+        state = self._state(task_id)
+        if state.state == "running":
+            self._leases[task_id] = clock.now() + lease_seconds
+        return Ok(state)
+
     def task(self, task_id: str) -> Result[BackendTask | None, RpcError]:
         """Return how a task stands."""
+        if self.unreachable:
+            return Err(RpcError("backend", "unreachable", True))
         if task_id not in self._tasks:
             return Ok(None)
         return Ok(self._state(task_id))
@@ -220,6 +326,8 @@
         self, task_id: str, checkpoint: bool
     ) -> Result[BackendTask | None, RpcError]:
         """Stop a task and return its end."""
+        if self.unreachable:
+            return Err(RpcError("backend", "unreachable", True))
         if task_id not in self._tasks:
             return Ok(None)
         state = self._state(task_id)
@@ -236,10 +344,23 @@
                 running.append(task_id)
         return running
 
+    def task_state(self, task_id: str) -> str:
+        """Return the state of a task that was started."""
+        return self._state(task_id).state
+
+    def accelerators_of(self, task_id: str) -> tuple[int, ...]:
+        """Return the accelerators that a task was started on."""
+        return self._accelerators[task_id]
+
     def _state(self, task_id: str) -> BackendTask:
         if task_id in self._ended:
             return self._ended[task_id]
         started_at, run_seconds, done_seconds = self._tasks[task_id]
+        finishes_at = started_at + (run_seconds - done_seconds) / self.speed
+        if min(clock.now(), finishes_at) > self._leases[task_id]:
+            ended = BackendTask("stopped", "the lease ended", "", done_seconds)
+            self._ended[task_id] = ended
+            return ended
         if self.fails_tasks:
             return BackendTask("failed", "the worker fails it", "", done_seconds)
         ran = (clock.now() - started_at) * self.speed
--- a/standins/site.py
+++ b/standins/site.py
@@ -1,5 +1,6 @@
 """A whole site in one process on the paused clock: entries, agents, stand-ins."""
 
+from collections.abc import Callable
 from typing import Any
 
 from sequoiachute import clock
@@ -7,6 +8,7 @@
 from sequoiachute.coordination.entry import Entry
 from sequoiachute.coordination.log import new_record_id
 from sequoiachute.coordination.policy import FirstFitPolicy, Policy
+from sequoiachute.errors import LogUnavailableError
 from sequoiachute.protocol.catalogue import Catalogue
 from sequoiachute.protocol.records import (
     CONFIGURATION_STREAM,
@@ -14,7 +16,14 @@
     encode_record,
 )
 from sequoiachute.settings import AgentSettings, EntrySettings
-from standins.memory import MemoryBackend, MemoryLog, MemoryNetwork
+from standins.memory import (
+    MemoryBackend,
+    MemoryLog,
+    MemoryNetwork,
+    MemoryProcess,
+    ProcessBackend,
+    ProcessLog,
+)
 
 DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
 WORKERS_PER_RACK = 3
@@ -45,6 +54,7 @@
         self.entries: list[Entry] = []
         self.agents: list[Agent] = []
         self.backends: list[MemoryBackend] = []
+        self.processes: dict[str, MemoryProcess] = {}
         self._entry_addresses = tuple(entry_address(i) for i in range(entries))
         for index in range(entries):
             self.entries.append(self.start_entry(index))
@@ -55,6 +65,7 @@
     def start_entry(self, index: int) -> Entry:
         """Start an entry instance and return it."""
         address = entry_address(index)
+        process = self.processes[address] = MemoryProcess()
         settings = EntrySettings(
             entry_id=f"entry-{index}",
             region=REGION,
@@ -64,7 +75,8 @@
             log_service="http://10.0.2.1:80",
             keys=(),
         )
-        entry = Entry(settings, self.log, self.network.caller(address), self.policy)
+        caller = self.network.caller(address, process)
+        entry = Entry(settings, ProcessLog(self.log, process), caller, self.policy)
         self.network.serve(address, entry.handlers())
         entry.run()
         return entry
@@ -74,6 +86,7 @@
         data_centre = DATA_CENTRES[index % len(DATA_CENTRES)]
         place = index // len(DATA_CENTRES)
         address = agent_address(index)
+        process = self.processes[address] = MemoryProcess()
         settings = AgentSettings(
             worker_id=f"worker-{index}",
             region=REGION,
@@ -87,11 +100,45 @@
             slots=8,
             connections=64,
         )
-        agent = Agent(settings, self.network.caller(address), self.backends[index])
+        caller = self.network.caller(address, process)
+        agent = Agent(settings, caller, ProcessBackend(self.backends[index], process))
         self.network.serve(address, agent.handlers())
         agent.run()
         return agent
 
+    def kill(self, address: str) -> None:
+        """End the process at ``address``."""
+        self.processes[address].killed = True
+        self.network.frozen.discard(address)
+        self.network.remove(address)
+
+    def freeze(self, address: str) -> None:
+        """Pause the process at ``address``, as SIGSTOP does."""
+        self.processes[address].frozen = True
+        self.network.frozen.add(address)
+
+    def thaw(self, address: str) -> None:
+        """Let a paused process go on."""
+        self.processes[address].frozen = False
+        self.network.frozen.discard(address)
+
+    def cut(self, one: str, other: str) -> None:
+        """Carry nothing between two processes."""
+        self.network.cut |= {(one, other), (other, one)}
+
+    def heal(self, one: str, other: str) -> None:
+        """Carry everything again between two processes."""
+        self.network.cut -= {(one, other), (other, one)}
+
+    def cancel(self, job_id: str) -> None:
+        """Append a caller's cancellation to the jobs stream."""
+        record = {
+            "kind": "job-cancelled",
+            "record_id": new_record_id(),
+            "job_id": job_id,
+        }
+        self.log.append(JOBS_STREAM, [encode_record(record)])
+
     def publish(self, catalogue: Catalogue, base: int = -1) -> None:
         """Append a catalogue to the configuration stream."""
         record = {
@@ -136,6 +183,18 @@
         }
         self.log.append(JOBS_STREAM, [encode_record(record)])
 
+    def append_when_up(self, append: Callable[[], None]) -> bool:
+        """Call ``append``; return whether its record is in the log."""
+        try:
+            append()
+        except LogUnavailableError as error:
+            return error.maybe_applied
+        return True
+
+    def data_centre_of(self, index: int) -> str:
+        """Return where worker ``index`` is."""
+        return DATA_CENTRES[index % len(DATA_CENTRES)]
+
     def run_for(self, seconds: float) -> None:
         """Let the clock advance by ``seconds``."""
         clock.sleep(seconds)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -91,6 +91,8 @@
                 "need": max(0, task["run_seconds"] - task["done_seconds"]),
                 "done": task["done_seconds"],
                 "ended": None,
+                "token": task["token"],
+                "lease_until": time.time() + task["lease_seconds"],
                 "fails": bool(self.faults.get("fail_tasks"))
                 or task["payload"].startswith("fail"),
             }
@@ -109,15 +111,25 @@
         task = self._tasks.get(parts[2])
         if task is None:
             return reply(start_response, 404, {})
-        if len(parts) == 4 and self._state(task)[0] == "running":
+        if len(parts) == 4 and parts[3] == "renew":
+            self._renew(task, read_json(environ))
+        elif len(parts) == 4 and self._state(task)[0] == "running":
             checkpoint = read_json(environ)["checkpoint"]
             progress = self._state(task)[3] if checkpoint else task["done"]
             task["ended"] = ("stopped", "stopped", "", progress)
         return reply(start_response, 200, self._state(task))
 
+    def _renew(self, task, message):
+        if self._state(task)[0] == "running" and message["token"] == task["token"]:
+            task["lease_until"] = time.time() + message["lease_seconds"]
+
     def _state(self, task):
         if task["ended"] is not None:
             return task["ended"]
+        finishes_at = task["started_at"] + task["need"] / self.speed
+        if min(time.time(), finishes_at) > task["lease_until"]:
+            task["ended"] = ("stopped", "the lease has ended", "", task["done"])
+            return task["ended"]
         if task["fails"]:
             return ("failed", "the worker fails this task", "", task["done"])
         ran = (time.time() - task["started_at"]) * self.speed
--- /dev/null
+++ b/tests/site_checks.py
@@ -0,0 +1,119 @@
+"""What must hold on a ``Site`` at every moment."""
+
+from sequoiachute import clock
+
+
+class SiteChecker:
+    """Checks a site from outside: from its workers and its processes' views.
+
+    Parameters
+    ----------
+    site : Site
+    partly_seconds : float
+        Longest time for which a gang may run in part.
+    out_seconds : float
+        Longest time after which a task may start in a data centre taken out.
+    """
+
+    def __init__(self, site, partly_seconds, out_seconds):
+        self.site = site
+        self.out_since = {}
+        self._partly_seconds = partly_seconds
+        self._out_seconds = out_seconds
+        self._partly_since = {}
+        self._starts_seen = {}
+        self._offsets = {}
+
+    def note_switch(self, data_centre, in_service):
+        if in_service:
+            self.out_since.pop(data_centre, None)
+        else:
+            self.out_since.setdefault(data_centre, clock.now())
+
+    def has_ended(self, job_id):
+        job = self.site.entries[0].jobs.get(job_id)
+        return job is None or job.has_ended
+
+    def check(self):
+        self._check_accelerators()
+        self._check_attempts()
+        self._check_gangs()
+        self._check_starts()
+        self._check_offsets()
+
+    def _running(self):
+        """Yield backend index, job, attempt and member of every running task."""
+        for index, backend in enumerate(self.site.backends):
+            for task_id in backend.running():
+                job_id, attempt, member = task_id.rsplit(".", 2)
+                yield index, job_id, int(attempt), int(member)
+
+    def _check_accelerators(self):
+        for backend in self.site.backends:
+            held = []
+            for task_id in backend.running():
+                held += backend.accelerators_of(task_id)
+            assert len(held) == len(set(held)), backend.running()
+        for agent in self.site.agents:
+            held = []
+            for grant in agent.grants.grants():
+                held += grant.accelerators
+            assert len(held) == len(set(held))
+
+    def _check_attempts(self):
+        attempts = {}
+        for _, job_id, attempt, _ in self._running():
+            attempts.setdefault(job_id, set()).add(attempt)
+        for job_id, running in attempts.items():
+            assert len(running) == 1, (job_id, running)
+
+    def _check_gangs(self):
+        running = {}
+        for _, job_id, attempt, member in self._running():
+            running.setdefault((job_id, attempt), set()).add(member)
+        now = clock.now()
+        for attempt in list(self._partly_since):
+            if attempt not in running:
+                del self._partly_since[attempt]
+        for attempt, members in running.items():
+            if len(members | self._finished(attempt)) == self._size(attempt[0]):
+                self._partly_since.pop(attempt, None)
+                continue
+            since = self._partly_since.setdefault(attempt, now)
+            assert now - since <= self._partly_seconds, (attempt, members)
+
+    def _finished(self, attempt):
+        finished = set()
+        for backend in self.site.backends:
+            for task_id, _, _ in backend.starts:
+                job_id, number, member = task_id.rsplit(".", 2)
+                if (job_id, int(number)) != attempt:
+                    continue
+                if backend.task_state(task_id) == "finished":
+                    finished.add(int(member))
+        return finished
+
+    def _size(self, job_id):
+        for entry in self.site.entries:
+            job = entry.jobs.get(job_id)
+            if job is not None:
+                return job.spec["tasks"]
+        return 0
+
+    def _check_starts(self):
+        for index, backend in enumerate(self.site.backends):
+            seen = self._starts_seen.get(index, 0)
+            self._starts_seen[index] = len(backend.starts)
+            data_centre = self.site.data_centre_of(index)
+            out_since = self.out_since.get(data_centre)
+            if out_since is None:
+                continue
+            for task_id, _, started_at in backend.starts[seen:]:
+                late = started_at - out_since
+                assert late <= self._out_seconds, (task_id, late)
+
+    def _check_offsets(self):
+        for process in [*self.site.entries, *self.site.agents]:
+            offset = process.configuration.offset
+            assert offset >= self._offsets.get(process, offset)
+            self._offsets[process] = offset
