--- a/src/sequoiachute/coordination/placer.py
+++ b/src/sequoiachute/coordination/placer.py
@@ -3,14 +3,14 @@
 import eventlet
 
 from sequoiachute import clock
-from sequoiachute.coordination.placerlease import PlacerLease
-from sequoiachute.coordination.placerstate import PlacerState, PlacerStreams
-from sequoiachute.coordination.policy import (
+from sequoiachute.coordination.placement import (
     Decision,
     Placement,
     PlacementView,
     Policy,
 )
+from sequoiachute.coordination.placerlease import PlacerLease
+from sequoiachute.coordination.placerstate import PlacerState, PlacerStreams
 from sequoiachute.coordination.settler import Settler
 from sequoiachute.coordination.starter import GangStarter
 from sequoiachute.protocol.messages import TaskReport
@@ -104,10 +104,12 @@
     def _view(self) -> PlacementView:
         now = clock.now()
         workers = []
-        for worker in self._state.fleet.live(now):
-            if not self._may_use(worker, now):
-                continue
-            workers.append(self._starter.with_starting(worker))
+        out = []
+        for worker in self._state.fleet.all():
+            if self._may_use(worker, now):
+                workers.append(self._starter.with_starting(worker))
+            else:
+                out.append(worker)
         starting = self._starter.starting
         queued = []
         for job in self._state.jobs.with_state(QUEUED):
@@ -121,10 +123,11 @@
             tuple(running),
             self._state.configuration.catalogue,
             clock.wall_time(),
+            out=tuple(out),
         )
 
     def _may_use(self, worker: Worker, now: float) -> bool:
-        if worker.leaving:
+        if worker.leaving or not self._state.fleet.is_live(worker, now):
             return False
         if not self._state.configuration.in_service(worker.data_centre):
             return False
--- a/src/sequoiachute/state/fleet.py
+++ b/src/sequoiachute/state/fleet.py
@@ -1,9 +1,12 @@
 """The workers as their agents announce them."""
 
+from collections import deque
 from typing import NamedTuple
 
 from sequoiachute.protocol.messages import Announcement, Occupant
 
+INCARNATIONS_KEPT = 16  # of the agents that a worker had before
+
 
 class Worker(NamedTuple):
     """A worker as placement and routing see it.
@@ -30,6 +33,7 @@
     sequence: int
     config_offset: int
     heard_at: float
+    entries: tuple[str, ...] = ()
 
     @property
     def free_accelerators(self) -> tuple[int, ...]:
@@ -51,13 +55,24 @@
     def __init__(self, silent_after: float) -> None:
         self._workers: dict[str, Worker] = {}
         self._silent_after = silent_after
+        self._retired: dict[str, deque[str]] = {}
 
     def announce(self, message: Announcement, now: float) -> bool:
-        """Take an announcement; return whether it was newer than the last."""
+        """Take an announcement; return whether it was newer than the last.
+
+        Once an agent has been replaced, what its process sent late is ignored.
+        """
         known = self._workers.get(message.worker_id)
         same = known is not None and known.incarnation == message.incarnation
         if same and message.sequence <= known.sequence:
             return False
+        retired = self._retired.setdefault(
+            message.worker_id, deque(maxlen=INCARNATIONS_KEPT)
+        )
+        if message.incarnation in retired:
+            return False
+        if known is not None and not same:
+            retired.append(known.incarnation)
         self._workers[message.worker_id] = Worker(
             worker_id=message.worker_id,
             incarnation=message.incarnation,
@@ -77,6 +92,7 @@
             sequence=message.sequence,
             config_offset=message.config_offset,
             heard_at=now,
+            entries=message.entries,
         )
         return True
 
@@ -87,8 +103,15 @@
     def live(self, now: float) -> list[Worker]:
         """Return the workers heard of lately, ordered by identity."""
         workers = []
-        for worker_id in sorted(self._workers):
-            worker = self._workers[worker_id]
-            if now - worker.heard_at <= self._silent_after:
+        for worker in self.all():
+            if self.is_live(worker, now):
                 workers.append(worker)
         return workers
+
+    def all(self) -> list[Worker]:
+        """Return every worker ever heard of, ordered by identity."""
+        return [self._workers[worker_id] for worker_id in sorted(self._workers)]
+
+    def is_live(self, worker: Worker, now: float) -> bool:
+        """Return whether a worker has been heard of lately."""
+        return now - worker.heard_at <= self._silent_after
