--- a/src/sequoiachute/coordination/agent.py
+++ b/src/sequoiachute/coordination/agent.py
@@ -16,6 +16,7 @@
 from sequoiachute.coordination.runner import TaskRunner
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
+    ATTEMPT,
     COMMIT,
     EXECUTE,
     GANG_HEARTBEAT,
@@ -30,12 +31,14 @@
 from sequoiachute.settings import AgentSettings
 from sequoiachute.state.configuration import Configuration
 from sequoiachute.state.grants import GrantTable
+from sequoiachute.transport.backend import request_connections
 from sequoiachute.transport.ports import BackendServer, Caller
 
 CALL_SECONDS = 2.0
 LEAVE_POLL_SECONDS = 0.25
 CONTACT_POLL_SECONDS = 0.5
 TOKENS_PER_SECOND = 1000  # keeps the tokens of a later agent above an earlier one's
+LEAVE_LINGER_SECONDS = 0.5
 
 
 class Agent:
@@ -64,7 +67,10 @@
             int(clock.wall_time() * TOKENS_PER_SECOND),
         )
         self._executor = Executor(
-            self._incarnation, settings.connections, self._view, backend
+            self._incarnation,
+            request_connections(settings.connections),
+            self._view,
+            backend,
         )
         self._runner = TaskRunner(self._grants, backend, self._notify)
         self._gangs = GangKeeper(
@@ -104,6 +110,7 @@
             GANG_HEARTBEAT: self._leader.hear,
             GANG_STOP: self._gangs.stop_gang,
             EXECUTE: self._executor.execute,
+            ATTEMPT: self._executor.attempt,
         }
 
     def run(self) -> None:
@@ -121,6 +128,8 @@
         deadline = clock.now() + timeout
         while clock.now() < deadline:
             if self._executor.open_connections == 0 and self._gangs.is_idle:
+                # The last answers are still on their way.
+                clock.sleep(LEAVE_LINGER_SECONDS)
                 return True
             clock.sleep(LEAVE_POLL_SECONDS)
         return False
@@ -140,7 +149,7 @@
             position=settings.position,
             accelerators=settings.accelerators,
             slots=settings.slots,
-            connections=settings.connections,
+            connections=request_connections(settings.connections),
             speed_class=settings.speed_class,
             speed=settings.speed,
             sequence=self._sequence,
@@ -149,7 +158,9 @@
             open_connections=self._executor.open_connections,
             occupants=self._grants.occupants(),
             reports=self._runner.reports,
-            entries=settings.entries,
+            agent_clock=clock.now(),
+            entries=len(settings.entries),
+            entry_addresses=settings.entries,
         )
 
     def _announce_to(self, address: str) -> None:
--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -7,12 +7,16 @@
 from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.catchup import confirmed_age, tell_configuration
 from sequoiachute.coordination.causes import ObservedPolicy
-from sequoiachute.coordination.log import StreamFollower, StreamWriter
+from sequoiachute.coordination.follower import IDLE_WAIT_SECONDS, STATE_WAIT_SECONDS
+from sequoiachute.coordination.log import StreamWriter
+from sequoiachute.coordination.membership import EntryDirectory, PeerConfirmation
 from sequoiachute.coordination.placement import Policy
 from sequoiachute.coordination.placer import Placer, PlacerState, PlacerStreams
 from sequoiachute.coordination.router import Router
 from sequoiachute.coordination.service_levels import ServiceLevelRecorder
+from sequoiachute.coordination.streams import StateStreams
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
     CONFIGURATION,
@@ -31,6 +35,7 @@
     JOBS_STREAM,
     LEASES_STREAM,
     SERVICE_LEVELS_STREAM,
+    Position,
 )
 from sequoiachute.settings import EntrySettings
 from sequoiachute.state.configuration import Configuration
@@ -41,6 +46,8 @@
 from sequoiachute.state.service_levels import ServiceLevelTable
 from sequoiachute.transport.ports import Caller, LogStream
 
+LEAVE_LINGER_SECONDS = 0.5
+
 
 class Entry:
     """State and tasks of one entry instance."""
@@ -59,28 +66,22 @@
         self.leases = LeaseTable()
         self.service_levels = ServiceLevelTable()
         self.fleet = Fleet(settings.worker_silent_seconds)
-        self._followers = {
-            CONFIGURATION_STREAM: StreamFollower(
-                log,
-                CONFIGURATION_STREAM,
-                self._apply_configuration,
-                self.configuration.confirm,
-            ),
-            JOBS_STREAM: StreamFollower(log, JOBS_STREAM, self._apply_job),
-            INTENTS_STREAM: StreamFollower(log, INTENTS_STREAM, self._apply_intent),
-            LEASES_STREAM: StreamFollower(log, LEASES_STREAM, self._apply_lease),
-            SERVICE_LEVELS_STREAM: StreamFollower(
-                log, SERVICE_LEVELS_STREAM, self._apply_service_level
-            ),
-        }
-        self._writers = {}
-        for stream, follower in self._followers.items():
-            self._writers[stream] = StreamWriter(log, stream, follower)
+        self._streams = StateStreams(log, settings.log_retention_seconds)
+        self._follow_streams()
+        self.directory = EntryDirectory(
+            settings,
+            self.leases,
+            self._streams.follower(LEASES_STREAM),
+            self._streams.writer(LEASES_STREAM),
+        )
+        self._peer_confirmation = PeerConfirmation(
+            self.configuration, self.directory.peers, caller
+        )
         self.router = Router(
             self.fleet,
             self.configuration,
             self.intents,
-            self._writers[INTENTS_STREAM],
+            self._streams.writer(INTENTS_STREAM),
             caller,
         )
         observed = ObservedPolicy(policy, self.configuration)
@@ -91,10 +92,10 @@
             settings.freshness_seconds,
             PlacerState(self.configuration, self.jobs, self.fleet, self.leases),
             PlacerStreams(
-                self._writers[JOBS_STREAM],
-                self._writers[LEASES_STREAM],
-                self._followers[JOBS_STREAM],
-                self._followers[LEASES_STREAM],
+                self._streams.writer(JOBS_STREAM),
+                self._streams.writer(LEASES_STREAM),
+                self._streams.follower(JOBS_STREAM),
+                self._streams.follower(LEASES_STREAM),
             ),
             caller,
             observed,
@@ -105,22 +106,20 @@
             self.service_levels,
             self.configuration,
             observed,
-            self._writers[SERVICE_LEVELS_STREAM],
+            self._streams.writer(SERVICE_LEVELS_STREAM),
             lambda: self.placer.holds_lease,
         )
         self._started_at = clock.now()
+        self._unready = False
         self._leaving = False
         self._open_requests = 0
 
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send requests here."""
-        if self._leaving:
+        if self._unready or self._leaving:
             return False
-        for follower in self._followers.values():
-            if follower.confirmed_at == float("-inf"):
-                return False
-        return True
+        return self._streams.is_caught_up
 
     def handlers(self) -> Mapping[Method, Callable[[Any], Any]]:
         """Return the methods that this entry serves to agents."""
@@ -132,16 +131,19 @@
 
     def run(self) -> None:
         """Start following the log and placing."""
-        for follower in self._followers.values():
-            eventlet.spawn(follower.run)
-        for writer in self._writers.values():
-            eventlet.spawn(writer.run)
+        self._streams.run()
+        eventlet.spawn(self.directory.run)
+        eventlet.spawn(self._peer_confirmation.run)
         eventlet.spawn(self.placer.run)
         eventlet.spawn(self.recorder.run)
 
     def writer(self, stream: str) -> StreamWriter:
         """Return the writer of ``stream``."""
-        return self._writers[stream]
+        return self._streams.writer(stream)
+
+    def begin_leaving(self) -> None:
+        """Tell the balancer to send nothing more; requests are still served."""
+        self._unready = True
 
     def begin_request(self) -> bool:
         """Count a caller's request in; return whether it may be served."""
@@ -157,13 +159,16 @@
     def leave(self, timeout: float) -> bool:
         """Take no new requests and wait for those in progress."""
         self._leaving = True
+        self.directory.leave()
         deadline = clock.now() + timeout
-        while clock.now() < deadline:
-            if self._open_requests == 0:
-                self.recorder.flush()
-                return True
+        while self._open_requests or self.router.pending_records:
+            if clock.now() >= deadline:
+                return False
             clock.sleep(0.05)
-        return False
+        self.recorder.flush()
+        # The last answers are still on their way.
+        clock.sleep(LEAVE_LINGER_SECONDS)
+        return True
 
     def announce(self, message: Announcement) -> AnnouncementReply:
         """Take an agent's announcement."""
@@ -176,20 +181,15 @@
         return AnnouncementReply(
             entry_id=self.settings.entry_id,
             config_offset=self.configuration.offset,
-            confirmed_age=self._confirmed_age(),
-            entries=(),
+            confirmed_age=confirmed_age(self.configuration),
+            entries=self.directory.addresses(),
             acknowledged=tuple(acknowledged),
             term=self.placer.known_term,
         )
 
     def tell_configuration(self, message: ConfigurationRequest) -> ConfigurationReply:
         """Return the configuration in force."""
-        return ConfigurationReply(
-            offset=self.configuration.offset,
-            confirmed_age=self._confirmed_age(),
-            catalogue=self.configuration.catalogue,
-            out_of_service=tuple(sorted(self.configuration.out_of_service)),
-        )
+        return tell_configuration(self.configuration, message)
 
     def tell_silence(self, message: Silence) -> SilenceReply:
         """Return for how long this entry has not heard an agent."""
@@ -199,27 +199,62 @@
             return SilenceReply(now - self._started_at)
         return SilenceReply(now - worker.heard_at)
 
-    def _confirmed_age(self) -> float:
-        return min(self.configuration.age(clock.now()), 1e9)
+    def _follow_streams(self) -> None:
+        self._streams.add(
+            CONFIGURATION_STREAM,
+            self._apply_configuration,
+            self.configuration.snapshot,
+            self.configuration.restore,
+            self.configuration.confirm,
+        )
+        self._streams.add(
+            JOBS_STREAM,
+            self._apply_job,
+            self.jobs.snapshot,
+            self.jobs.restore,
+            wait=STATE_WAIT_SECONDS,
+        )
+        self._streams.add(
+            INTENTS_STREAM,
+            self._apply_intent,
+            self.intents.snapshot,
+            self.intents.restore,
+            wait=IDLE_WAIT_SECONDS,
+        )
+        self._streams.add(
+            LEASES_STREAM,
+            self._apply_lease,
+            self.leases.snapshot,
+            lambda items: self.leases.restore(items, clock.now()),
+            wait=STATE_WAIT_SECONDS,
+        )
+        self._streams.add(
+            SERVICE_LEVELS_STREAM,
+            self._apply_service_level,
+            self.service_levels.snapshot,
+            self.service_levels.restore,
+            wait=IDLE_WAIT_SECONDS,
+        )
 
-    def _apply_configuration(self, offset: int, record: Any) -> None:
-        if self.configuration.apply(offset, record):
-            logger.bind(config_offset=offset).info("configuration in force")
+    def _apply_configuration(self, position: Position, record: Any) -> None:
+        if self.configuration.apply(position.offset, record):
+            log = logger.bind(config_offset=position.offset)
+            log.info("configuration in force")
 
-    def _apply_job(self, offset: int, record: Any) -> None:
-        if not self.jobs.apply(record):
+    def _apply_job(self, position: Position, record: Any) -> None:
+        if not self.jobs.apply(record, position.appended_at):
             return
         job = self.jobs.get(record["job_id"])
         if record["kind"] == "job-started":
             self.recorder.note_start(job)
         elif record["kind"] == "job-ended":
-            self.recorder.note_end(offset, job)
+            self.recorder.note_end(position.offset, job)
 
-    def _apply_service_level(self, offset: int, record: Any) -> None:
-        self.service_levels.apply(offset, record)
+    def _apply_service_level(self, position: Position, record: Any) -> None:
+        self.service_levels.apply(position.offset, record)
 
-    def _apply_intent(self, offset: int, record: Any) -> None:
+    def _apply_intent(self, position: Position, record: Any) -> None:
         self.intents.apply(record)
 
-    def _apply_lease(self, offset: int, record: Any) -> None:
-        self.leases.apply(offset, record, clock.now())
+    def _apply_lease(self, position: Position, record: Any) -> None:
+        self.leases.apply(position.offset, record, clock.now())
--- a/src/sequoiachute/coordination/settler.py
+++ b/src/sequoiachute/coordination/settler.py
@@ -272,10 +272,10 @@
         worker = self._state.fleet.get(worker_id)
         addresses: set[str] = set()
         if worker is not None:
-            addresses.update(worker.entries)
+            addresses.update(worker.entry_addresses)
         else:
             for other in self._state.fleet.live(clock.now()):
-                addresses.update(other.entries)
+                addresses.update(other.entry_addresses)
         if not addresses:
             return False
         calls = []
--- a/src/sequoiachute/errors.py
+++ b/src/sequoiachute/errors.py
@@ -43,12 +43,18 @@
         What happened.
     maybe_applied : bool
         Whether an append may have taken effect all the same.
+    retry_after : float
+        Seconds after which another try makes sense.
     """
 
-    def __init__(self, reason: str, maybe_applied: bool = False) -> None:
-        super().__init__(f"log service unavailable: {reason}; try again later")
+    def __init__(
+        self, reason: str, maybe_applied: bool = False, retry_after: float = 1.0
+    ) -> None:
+        remedy = f"try again in {max(1, round(retry_after))} s"
+        super().__init__(f"log service unavailable: {reason}; {remedy}")
         self.reason = reason
         self.maybe_applied = maybe_applied
+        self.retry_after = retry_after
 
 
 class RpcError(NamedTuple):
@@ -67,3 +73,17 @@
     peer: str
     reason: str
     delivered: bool
+
+
+def describe_failure(error: BaseException) -> str:
+    """Return the type of an unforeseen error and where it was raised.
+
+    Its message is left out: it may quote a body or a key.
+    """
+    trace = error.__traceback__
+    place = "unknown"
+    while trace is not None:
+        file_name = trace.tb_frame.f_code.co_filename.rpartition("/")[2]
+        place = f"{file_name}:{trace.tb_lineno}"
+        trace = trace.tb_next
+    return f"{type(error).__name__} at {place}"
--- a/src/sequoiachute/http/operators.py
+++ b/src/sequoiachute/http/operators.py
@@ -1,15 +1,23 @@
 """Operators' calls: the catalogue and the data centres in service."""
 
+from typing import Any
+
 import falcon
-import msgspec
 
 from sequoiachute.coordination.entry import Entry
 from sequoiachute.coordination.log import new_record_id
+from sequoiachute.errors import CatalogueError
+from sequoiachute.http.inputs import read_base_offset, read_json
 from sequoiachute.http.keys import Keyring
 from sequoiachute.protocol.catalogue import Catalogue
+from sequoiachute.protocol.catalogue_check import check_catalogue
 from sequoiachute.protocol.records import CONFIGURATION_STREAM
 from sequoiachute.transport.web import ProblemError, problem, write_json
 
+MAX_BODY_BYTES = 1024 * 1024
+OPERATOR_SETTLE_SECONDS = 10.0
+SWITCH_TRIES = 3
+
 
 class CatalogueResource:
     """Shows and publishes the catalogue."""
@@ -33,14 +41,8 @@
         """Publish a catalogue based on the offset in ``If-Match``."""
         identity = self._keyring.require_operator(request)
         configuration = self._entry.configuration
-        base = request.get_header("If-Match")
-        try:
-            catalogue = msgspec.json.decode(
-                request.bounded_stream.read(), type=Catalogue
-            )
-            based_on = int(base) if base else configuration.catalogue_offset
-        except (msgspec.DecodeError, ValueError) as error:
-            raise problem(400, f"refused: {error}", "mend it and publish") from error
+        based_on = read_base_offset(request, configuration.catalogue_offset)
+        catalogue = _read_catalogue(request)
         record = {
             "kind": "catalogue-published",
             "record_id": new_record_id(),
@@ -49,7 +51,7 @@
             "catalogue": catalogue,
         }
         offset = append_configuration(self._entry, record)
-        if configuration.catalogue_offset != offset:
+        if not configuration.took_effect(offset):
             remedy = "show the catalogue, merge and publish again"
             raise problem(409, "another operator published first", remedy)
         write_json(response, {"offset": offset})
@@ -72,23 +74,45 @@
         if data_centre not in known:
             remedy = f"name one of: {', '.join(sorted(known)) or 'none published'}"
             raise problem(404, f"no data centre {data_centre!r}", remedy)
+        for _ in range(SWITCH_TRIES):
+            offset = self._switch(identity.account, data_centre)
+            if self._entry.configuration.took_effect(offset):
+                break
+        else:
+            remedy = "show the catalogue, then switch again if it is still wanted"
+            raise problem(409, "other operators switched it first", remedy)
+        write_json(response, {"offset": offset})
+
+    def _switch(self, operator: str, data_centre: str) -> int:
         record = {
             "kind": "data-centre-switched",
             "record_id": new_record_id(),
-            "operator": identity.account,
+            "operator": operator,
             "data_centre": data_centre,
             "in_service": self._in_service,
+            "base": self._entry.configuration.switch_offset(data_centre),
         }
-        offset = append_configuration(self._entry, record)
-        write_json(response, {"offset": offset})
+        return append_configuration(self._entry, record)
+
+
+def _read_catalogue(request: falcon.Request) -> Catalogue:
+    """Return the catalogue that is sent; raise a 4xx if it is refused."""
+    fields, _ = read_json(request, MAX_BODY_BYTES, dict[str, Any])
+    try:
+        return check_catalogue(fields)
+    except CatalogueError as error:
+        raise problem(422, str(error), "mend it and publish again") from error
 
 
 def append_configuration(entry: Entry, record: dict) -> int:
     """Append an operator's record and return its offset."""
-    outcome = entry.writer(CONFIGURATION_STREAM).append(record)
-    if outcome.is_err():
-        error = outcome.unwrap_err()
-        ran = None if error.maybe_applied else False
+    writer = entry.writer(CONFIGURATION_STREAM)
+    outcome = writer.append(record, timeout=OPERATOR_SETTLE_SECONDS)
+    if outcome.is_ok():
+        return outcome.unwrap()
+    error = outcome.unwrap_err()
+    if error.maybe_applied:
         remedy = "show the catalogue to see whether it took effect, then retry"
-        raise ProblemError(503, error.reason, remedy, ran, 1.0)
-    return outcome.unwrap()
+        raise ProblemError(504, error.reason, remedy, None, error.retry_after)
+    remedy = "nothing has changed; publish again later"
+    raise ProblemError(503, error.reason, remedy, False, error.retry_after)
--- a/src/sequoiachute/state/fleet.py
+++ b/src/sequoiachute/state/fleet.py
@@ -33,7 +33,9 @@
     sequence: int
     config_offset: int
     heard_at: float
-    entries: tuple[str, ...] = ()
+    agent_clock: float = 0.0
+    entries: int = 1
+    entry_addresses: tuple[str, ...] = ()
 
     @property
     def free_accelerators(self) -> tuple[int, ...]:
@@ -92,6 +94,8 @@
             sequence=message.sequence,
             config_offset=message.config_offset,
             heard_at=now,
+            agent_clock=message.agent_clock,
+            entry_addresses=message.entry_addresses,
             entries=message.entries,
         )
         return True
@@ -100,6 +104,13 @@
         """Return the worker, ``None`` if it was never heard of."""
         return self._workers.get(worker_id)
 
+    def is_live(self, worker: Worker, now: float) -> bool:
+        """Return whether this incarnation of a worker was heard of lately."""
+        known = self._workers.get(worker.worker_id)
+        if known is None or known.incarnation != worker.incarnation:
+            return False
+        return now - known.heard_at <= self._silent_after
+
     def live(self, now: float) -> list[Worker]:
         """Return the workers heard of lately, ordered by identity."""
         workers = []
@@ -111,7 +122,3 @@
     def all(self) -> list[Worker]:
         """Return every worker ever heard of, ordered by identity."""
         return [self._workers[worker_id] for worker_id in sorted(self._workers)]
-
-    def is_live(self, worker: Worker, now: float) -> bool:
-        """Return whether a worker has been heard of lately."""
-        return now - worker.heard_at <= self._silent_after
--- a/src/sequoiachute/state/leases.py
+++ b/src/sequoiachute/state/leases.py
@@ -2,6 +2,8 @@
 
 from typing import Any, NamedTuple
 
+from sequoiachute.state.items import from_item, to_item
+
 NO_CLAIM = -1  # base of the first claim
 
 
@@ -10,7 +12,7 @@
 
     ``offset`` is that of the last claim or renewal. ``term`` is the offset at
     which the holder took the lease; it stays the same while it is renewed and
-    fences what the holder does. ``base`` is what the claim was based on.
+    fences what the holder does.
     """
 
     name: str
@@ -20,20 +22,13 @@
     duration: float
     seen_at: float
     term: int = NO_CLAIM
-    base: int = NO_CLAIM
 
 
 class LeaseTable:
-    """The last valid claim of every lease.
-
-    A reader that starts after the log has dropped a lease's first claims
-    can't check the bases of the claims that it finds first. Of those whose
-    base was dropped, the one with the highest base is the true one.
-    """
+    """The last valid claim of every lease."""
 
     def __init__(self) -> None:
         self._leases: dict[str, Lease] = {}
-        self._first_offset: int | None = None
 
     def get(self, name: str) -> Lease | None:
         """Return the lease, ``None`` if nobody has claimed it."""
@@ -47,14 +42,24 @@
                 leases.append(self._leases[name])
         return leases
 
+    def snapshot(self) -> list[Any]:
+        """Return every lease as an item of a snapshot."""
+        return [to_item(lease) for lease in self._leases.values()]
+
+    def restore(self, items: list[Any], now: float) -> None:
+        """Hold the leases of a snapshot as if they were claimed ``now``."""
+        leases = [from_item(Lease, item) for item in items]
+        self._leases.clear()
+        for lease in leases:
+            self._leases[lease.name] = lease._replace(seen_at=now)
+
     def apply(self, offset: int, record: Any, now: float) -> bool:
         """Apply a claim; it counts only if based on the claim before it."""
-        if self._first_offset is None:
-            self._first_offset = offset
         if record["kind"] != "lease-claimed":
             return False
         known = self._leases.get(record["name"])
-        if not self._is_valid(known, record["base"]):
+        base = known.offset if known else NO_CLAIM
+        if record["base"] != base:
             return False
         renewed = known is None or known.holder == record["holder"]
         term = record.get("term", offset) if renewed else offset
@@ -66,14 +71,5 @@
             duration=record["duration"],
             seen_at=now,
             term=term,
-            base=record["base"],
         )
         return True
-
-    def _is_valid(self, known: Lease | None, base: int) -> bool:
-        if known is not None and base == known.offset:
-            return True
-        was_dropped = NO_CLAIM < base < self._first_offset
-        if known is None:
-            return base == NO_CLAIM or was_dropped
-        return was_dropped and known.base < base
--- a/src/sequoiachute/state/service_levels.py
+++ b/src/sequoiachute/state/service_levels.py
@@ -16,9 +16,10 @@
     create_histogram,
     encode_histogram,
 )
+from sequoiachute.state.items import from_item, to_item
 
 NO_OFFSET = -1
-REMEMBERED_RECORDS = 10_000
+REMEMBERED_RECORDS = 1000
 
 
 class Period(NamedTuple):
@@ -51,6 +52,19 @@
         """Offset of the jobs stream up to which ends have been counted."""
         return self._jobs_through
 
+    def snapshot(self) -> list[Any]:
+        """Return the counts as items of a snapshot."""
+        head = {"jobs_through": self._jobs_through, "seen": list(self._seen)}
+        return [head, *(to_item(period) for period in self._periods)]
+
+    def restore(self, items: list[Any]) -> None:
+        """Hold the counts of a snapshot and no others."""
+        periods = [from_item(Period, item) for item in items[1:]]
+        self._periods = periods
+        self._jobs_through = items[0]["jobs_through"]
+        self._seen.clear()
+        self._seen.extend(items[0]["seen"])
+
     def apply(self, offset: int, record: Any) -> bool:
         """Apply one record; return whether it took effect.
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -19,10 +19,10 @@
 from standins.memory import (
     MemoryBackend,
     MemoryLog,
+    MemoryLogLink,
     MemoryNetwork,
     MemoryProcess,
     ProcessBackend,
-    ProcessLog,
 )
 
 DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
@@ -46,9 +46,14 @@
     """
 
     def __init__(
-        self, workers: int = 3, entries: int = 2, policy: Policy | None = None
+        self,
+        workers: int = 3,
+        entries: int = 2,
+        policy: Policy | None = None,
+        create_backend: Callable[[], MemoryBackend] = MemoryBackend,
     ) -> None:
         self.log = MemoryLog()
+        self.log_links: dict[int, MemoryLogLink] = {}
         self.network = MemoryNetwork()
         self.policy = policy or FirstFitPolicy()
         self.entries: list[Entry] = []
@@ -59,7 +64,7 @@
         for index in range(entries):
             self.entries.append(self.start_entry(index))
         for index in range(workers):
-            self.backends.append(MemoryBackend())
+            self.backends.append(create_backend())
             self.agents.append(self.start_agent(index))
 
     def start_entry(self, index: int) -> Entry:
@@ -74,13 +79,24 @@
             rpc_address=address,
             log_service="http://10.0.2.1:80",
             keys=(),
+            entries=self._entry_addresses,
         )
         caller = self.network.caller(address, process)
-        entry = Entry(settings, ProcessLog(self.log, process), caller, self.policy)
+        link = self.log_links[index] = MemoryLogLink(self.log, process)
+        entry = Entry(settings, link, caller, self.policy)
         self.network.serve(address, entry.handlers())
         entry.run()
         return entry
 
+    def kill_entry(self, index: int) -> None:
+        """Let an entry instance do nothing any more."""
+        self.kill(entry_address(index))
+
+    def replace_entry(self, index: int) -> None:
+        """Let another instance take the place of an entry instance."""
+        self.kill_entry(index)
+        self.entries[index] = self.start_entry(index)
+
     def start_agent(self, index: int) -> Agent:
         """Start an agent beside backend server ``index`` and return it."""
         data_centre = DATA_CENTRES[index % len(DATA_CENTRES)]
--- a/tests/test_gangs_machine.py
+++ b/tests/test_gangs_machine.py
@@ -126,9 +126,9 @@
         self.run_for(then)
         self.site.entries[index] = self.site.start_entry(index)
 
-    @rule(address=st.sampled_from(ENTRY_LIST), is_cut=st.booleans(), then=THEN)
-    def cut_from_log(self, address, is_cut, then):
-        self.site.processes[address].log_cut = is_cut
+    @rule(index=st.integers(0, ENTRIES - 1), is_cut=st.booleans(), then=THEN)
+    def cut_from_log(self, index, is_cut, then):
+        self.site.log_links[index].cut = is_cut
         self.run_for(then)
 
     @rule(
@@ -166,8 +166,8 @@
         self.thaw_all(0.0)
         site.log.down = site.log.reads_fail = site.log.lose_replies = False
         site.log.delay = 0.001
-        for process in site.processes.values():
-            process.log_cut = False
+        for link in site.log_links.values():
+            link.cut = False
         for backend in site.backends:
             backend.unreachable = False
         for data_centre in DATA_CENTRES:
