--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -20,11 +20,14 @@
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
     CONFIGURATION,
+    SILENCE,
     Announcement,
     AnnouncementReply,
     ConfigurationReply,
     ConfigurationRequest,
     Method,
+    Silence,
+    SilenceReply,
 )
 from sequoiachute.protocol.records import (
     CONFIGURATION_STREAM,
@@ -108,6 +111,7 @@
             self._streams.writer(SERVICE_LEVELS_STREAM),
             lambda: self.placer.holds_lease,
         )
+        self._started_at = clock.now()
         self._unready = False
         self._leaving = False
         self._open_requests = 0
@@ -121,7 +125,11 @@
 
     def handlers(self) -> Mapping[Method, Callable[[Any], Any]]:
         """Return the methods that this entry serves to agents."""
-        return {ANNOUNCE: self.announce, CONFIGURATION: self.tell_configuration}
+        return {
+            ANNOUNCE: self.announce,
+            CONFIGURATION: self.tell_configuration,
+            SILENCE: self.tell_silence,
+        }
 
     def run(self) -> None:
         """Start following the log and placing."""
@@ -179,12 +187,21 @@
             confirmed_age=confirmed_age(self.configuration),
             entries=self.directory.addresses(),
             acknowledged=tuple(acknowledged),
+            term=self.placer.known_term,
         )
 
     def tell_configuration(self, message: ConfigurationRequest) -> ConfigurationReply:
         """Return the configuration in force."""
         return tell_configuration(self.configuration, message)
 
+    def tell_silence(self, message: Silence) -> SilenceReply:
+        """Return for how long this entry has not heard an agent."""
+        now = clock.now()
+        worker = self.fleet.get(message.worker_id)
+        if worker is None:
+            return SilenceReply(now - self._started_at)
+        return SilenceReply(now - worker.heard_at)
+
     def _follow_streams(self) -> None:
         self._streams.add(
             CONFIGURATION_STREAM,
--- a/src/sequoiachute/protocol/records.py
+++ b/src/sequoiachute/protocol/records.py
@@ -168,7 +168,10 @@
 
 
 class LeaseClaimed(TypedDict):
-    """A claim or renewal of a named lease by compare-and-set on ``base``."""
+    """A claim or renewal of a named lease by compare-and-set on ``base``.
+
+    A renewal repeats the ``term`` under which the holder took the lease.
+    """
 
     kind: Literal["lease-claimed"]
     record_id: str
@@ -177,6 +180,7 @@
     holder: str
     address: str
     duration: float
+    term: NotRequired[int]
 
 
 class RecordsVoided(TypedDict):
--- a/standins/site.py
+++ b/standins/site.py
@@ -8,6 +8,7 @@
 from sequoiachute.coordination.entry import Entry
 from sequoiachute.coordination.log import new_record_id
 from sequoiachute.coordination.placement import FirstFitPolicy, Policy
+from sequoiachute.errors import LogUnavailableError
 from sequoiachute.protocol.catalogue import Catalogue
 from sequoiachute.protocol.records import (
     CONFIGURATION_STREAM,
@@ -17,10 +18,11 @@
 from sequoiachute.settings import AgentSettings, EntrySettings
 from standins.memory import (
     MemoryBackend,
-    MemoryCaller,
     MemoryLog,
     MemoryLogLink,
     MemoryNetwork,
+    MemoryProcess,
+    ProcessBackend,
 )
 
 DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
@@ -52,12 +54,12 @@
     ) -> None:
         self.log = MemoryLog()
         self.log_links: dict[int, MemoryLogLink] = {}
-        self._callers: dict[str, MemoryCaller] = {}
         self.network = MemoryNetwork()
         self.policy = policy or FirstFitPolicy()
         self.entries: list[Entry] = []
         self.agents: list[Agent] = []
         self.backends: list[MemoryBackend] = []
+        self.processes: dict[str, MemoryProcess] = {}
         self._entry_addresses = tuple(entry_address(i) for i in range(entries))
         for index in range(entries):
             self.entries.append(self.start_entry(index))
@@ -68,6 +70,7 @@
     def start_entry(self, index: int) -> Entry:
         """Start an entry instance and return it."""
         address = entry_address(index)
+        process = self.processes[address] = MemoryProcess()
         settings = EntrySettings(
             entry_id=f"entry-{index}",
             region=REGION,
@@ -78,8 +81,8 @@
             keys=(),
             entries=self._entry_addresses,
         )
-        link = self.log_links[index] = MemoryLogLink(self.log)
-        caller = self._callers[address] = self.network.caller(address)
+        caller = self.network.caller(address, process)
+        link = self.log_links[index] = MemoryLogLink(self.log, process)
         entry = Entry(settings, link, caller, self.policy)
         self.network.serve(address, entry.handlers())
         entry.run()
@@ -87,10 +90,7 @@
 
     def kill_entry(self, index: int) -> None:
         """Let an entry instance do nothing any more."""
-        address = entry_address(index)
-        self.network.remove(address)
-        self._callers[address].dead = True
-        self.log_links[index].cut = True
+        self.kill(entry_address(index))
 
     def replace_entry(self, index: int) -> None:
         """Let another instance take the place of an entry instance."""
@@ -102,6 +102,7 @@
         data_centre = DATA_CENTRES[index % len(DATA_CENTRES)]
         place = index // len(DATA_CENTRES)
         address = agent_address(index)
+        process = self.processes[address] = MemoryProcess()
         settings = AgentSettings(
             worker_id=f"worker-{index}",
             region=REGION,
@@ -115,11 +116,45 @@
             slots=8,
             connections=64,
         )
-        agent = Agent(settings, self.network.caller(address), self.backends[index])
+        caller = self.network.caller(address, process)
+        agent = Agent(settings, caller, ProcessBackend(self.backends[index], process))
         self.network.serve(address, agent.handlers())
         agent.run()
         return agent
 
+    def kill(self, address: str) -> None:
+        """End the process at ``address``."""
+        self.processes[address].killed = True
+        self.network.frozen.discard(address)
+        self.network.remove(address)
+
+    def freeze(self, address: str) -> None:
+        """Pause the process at ``address``, as SIGSTOP does."""
+        self.processes[address].frozen = True
+        self.network.frozen.add(address)
+
+    def thaw(self, address: str) -> None:
+        """Let a paused process go on."""
+        self.processes[address].frozen = False
+        self.network.frozen.discard(address)
+
+    def cut(self, one: str, other: str) -> None:
+        """Carry nothing between two processes."""
+        self.network.cut |= {(one, other), (other, one)}
+
+    def heal(self, one: str, other: str) -> None:
+        """Carry everything again between two processes."""
+        self.network.cut -= {(one, other), (other, one)}
+
+    def cancel(self, job_id: str) -> None:
+        """Append a caller's cancellation to the jobs stream."""
+        record = {
+            "kind": "job-cancelled",
+            "record_id": new_record_id(),
+            "job_id": job_id,
+        }
+        self.log.append(JOBS_STREAM, [encode_record(record)])
+
     def publish(self, catalogue: Catalogue, base: int = -1) -> None:
         """Append a catalogue to the configuration stream."""
         record = {
@@ -164,6 +199,18 @@
         }
         self.log.append(JOBS_STREAM, [encode_record(record)])
 
+    def append_when_up(self, append: Callable[[], None]) -> bool:
+        """Call ``append``; return whether its record is in the log."""
+        try:
+            append()
+        except LogUnavailableError as error:
+            return error.maybe_applied
+        return True
+
+    def data_centre_of(self, index: int) -> str:
+        """Return where worker ``index`` is."""
+        return DATA_CENTRES[index % len(DATA_CENTRES)]
+
     def run_for(self, seconds: float) -> None:
         """Let the clock advance by ``seconds``."""
         clock.sleep(seconds)
