Let agents learn the entries, order incarnations and dial anew

Cause: agents announced to the entries of their settings alone; a late announcement of an earlier incarnation replaced the newer one; two agents of one name took turns; a half-open connection timed out for ever.

Ruled out: dropping an entry when its lease lapses while it still answers, as in an outage of appends; judging a lapse by this process's clock while the log can't be read. A restarted instance whose wall clock is behind waits until the one before has been silent.

--- a/src/sequoiachute/coordination/agent.py
+++ b/src/sequoiachute/coordination/agent.py
@@ -4,15 +4,14 @@
 from typing import Any
 from uuid import uuid4
 
-import eventlet
-from eventlet.event import Event
+from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.announcer import Announcer
 from sequoiachute.coordination.executor import Executor
 from sequoiachute.coordination.freshness import ConfigurationView
 from sequoiachute.coordination.gangs import GangKeeper
 from sequoiachute.protocol.messages import (
-    ANNOUNCE,
     ATTEMPT,
     COMMIT,
     EXECUTE,
@@ -20,6 +19,7 @@
     START,
     STOP,
     Announcement,
+    AnnouncementReply,
     Method,
 )
 from sequoiachute.settings import AgentSettings
@@ -28,7 +28,6 @@
 from sequoiachute.transport.backend import request_connections
 from sequoiachute.transport.ports import BackendServer, Caller
 
-CALL_SECONDS = 2.0
 LEAVE_POLL_SECONDS = 0.25
 LEAVE_LINGER_SECONDS = 0.5
 
@@ -53,6 +52,16 @@
         self._view = ConfigurationView(
             caller, settings.data_centre, settings.freshness_seconds
         )
+        self._started_at = clock.wall_time()
+        self._sequence = 0
+        self._leaving = False
+        self._announcer = Announcer(
+            settings.entries,
+            settings.announce_seconds,
+            caller,
+            self.announcement,
+            self._take_reply,
+        )
         self._grants = GrantTable(settings.accelerators, settings.slots)
         self._executor = Executor(
             self._incarnation,
@@ -67,11 +76,8 @@
             self._view,
             caller,
             backend,
-            self._notify,
+            self._announcer.notify,
         )
-        self._sequence = 0
-        self._leaving = False
-        self._changed = Event()
 
     @property
     def configuration(self) -> Configuration:
@@ -100,16 +106,12 @@
         }
 
     def run(self) -> None:
-        """Announce the backend server to every entry, one task for each."""
-        for address in self._settings.entries:
-            eventlet.spawn(self._announce_to, address)
+        """Announce the backend server to every entry."""
+        self._announcer.run()
 
     def leave(self, timeout: float) -> bool:
         """Take no new work and wait for the rest; return whether all ended."""
-        self._leaving = True
-        self._executor.leave()
-        self._gangs.leave()
-        self._notify()
+        self._stop_taking_work()
         deadline = clock.now() + timeout
         while clock.now() < deadline:
             if self._executor.open_connections == 0 and self._gangs.is_idle:
@@ -144,24 +146,24 @@
             occupants=self._grants.occupants(),
             reports=self._gangs.reports,
             agent_clock=clock.now(),
-            entries=len(settings.entries),
+            entries=max(1, len(self._announcer.addresses)),
+            started_at=self._started_at,
         )
 
-    def _announce_to(self, address: str) -> None:
-        while True:
-            changed = self._changed
-            sent_at = clock.now()
-            outcome = self._caller.call(
-                address, ANNOUNCE, self.announcement(), CALL_SECONDS
+    def _take_reply(
+        self, address: str, reply: AnnouncementReply, sent_at: float
+    ) -> None:
+        self._gangs.acknowledge(reply.acknowledged)
+        self._view.take_reply(address, reply, sent_at)
+        if reply.superseded and not self._leaving:
+            logger.error(
+                "another agent runs as {}; stop this one or give it a name",
+                self._settings.worker_id,
             )
-            if outcome.is_ok():
-                reply = outcome.unwrap()
-                self._gangs.acknowledge(reply.acknowledged)
-                self._view.take_reply(address, reply, sent_at)
-            with eventlet.Timeout(self._settings.announce_seconds, False):
-                changed.wait()
-
-    def _notify(self) -> None:
-        changed = self._changed
-        self._changed = Event()
-        changed.send(None)
+            self._stop_taking_work()
+
+    def _stop_taking_work(self) -> None:
+        self._leaving = True
+        self._executor.leave()
+        self._gangs.leave()
+        self._announcer.notify()
--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -179,6 +179,7 @@
             confirmed_age=confirmed_age(self.configuration),
             entries=self.directory.addresses(),
             acknowledged=tuple(acknowledged),
+            superseded=self.fleet.is_superseded(message.worker_id, message.incarnation),
         )
 
     def tell_configuration(self, message: ConfigurationRequest) -> ConfigurationReply:
--- a/src/sequoiachute/protocol/messages.py
+++ b/src/sequoiachute/protocol/messages.py
@@ -45,6 +45,7 @@
 
     ``agent_clock`` is the agent's own clock in seconds, on which the validity
     of attempts is judged. ``entries`` is the number of entries announced to.
+    ``started_at`` is wall time and orders the incarnations of one worker.
     """
 
     worker_id: str
@@ -67,13 +68,16 @@
     reports: tuple[TaskReport, ...]
     agent_clock: float = 0.0
     entries: int = 1
+    started_at: float = 0.0
 
 
 class AnnouncementReply(NamedTuple):
     """Where the entry's configuration stands and how fresh that view is.
 
     ``confirmed_age`` is the time in seconds since the entry last confirmed
-    the end of the configuration stream.
+    the end of the configuration stream. ``entries`` are the addresses of the
+    current entries. ``superseded`` tells an agent that a newer one has taken
+    its worker's identity.
     """
 
     entry_id: str
@@ -81,6 +85,7 @@
     confirmed_age: float
     entries: tuple[str, ...]
     acknowledged: tuple[tuple[str, int, int], ...]
+    superseded: bool = False
 
 
 class ConfigurationRequest(NamedTuple):
--- a/src/sequoiachute/state/fleet.py
+++ b/src/sequoiachute/state/fleet.py
@@ -1,9 +1,12 @@
 """The workers as their agents announce them."""
 
+from collections import deque
 from typing import NamedTuple
 
 from sequoiachute.protocol.messages import Announcement, Occupant
 
+REMEMBERED_INCARNATIONS = 16
+
 
 class Worker(NamedTuple):
     """A worker as placement and routing see it.
@@ -32,6 +35,7 @@
     heard_at: float
     agent_clock: float = 0.0
     entries: int = 1
+    started_at: float = 0.0
 
     @property
     def free_accelerators(self) -> tuple[int, ...]:
@@ -52,14 +56,17 @@
 
     def __init__(self, silent_after: float) -> None:
         self._workers: dict[str, Worker] = {}
+        self._retired: dict[str, deque[str]] = {}
         self._silent_after = silent_after
 
     def announce(self, message: Announcement, now: float) -> bool:
         """Take an announcement; return whether it was newer than the last."""
         known = self._workers.get(message.worker_id)
-        same = known is not None and known.incarnation == message.incarnation
-        if same and message.sequence <= known.sequence:
+        if known is not None and not self._is_newer(message, known, now):
             return False
+        if known is not None and known.incarnation != message.incarnation:
+            self._retire(known)
+        self._drop_others_at(message)
         self._workers[message.worker_id] = Worker(
             worker_id=message.worker_id,
             incarnation=message.incarnation,
@@ -81,9 +88,14 @@
             heard_at=now,
             agent_clock=message.agent_clock,
             entries=message.entries,
+            started_at=message.started_at,
         )
         return True
 
+    def is_superseded(self, worker_id: str, incarnation: str) -> bool:
+        """Return whether a newer incarnation has taken its worker's place."""
+        return incarnation in self._retired.get(worker_id, ())
+
     def get(self, worker_id: str) -> Worker | None:
         """Return the worker, ``None`` if it was never heard of."""
         return self._workers.get(worker_id)
@@ -95,6 +107,28 @@
             return False
         return now - known.heard_at <= self._silent_after
 
+    def _is_newer(self, message: Announcement, known: Worker, now: float) -> bool:
+        if known.incarnation == message.incarnation:
+            return message.sequence > known.sequence
+        if self.is_superseded(message.worker_id, message.incarnation):
+            return False
+        # A restarted instance's wall clock may be behind the one before.
+        silent = now - known.heard_at > self._silent_after
+        return silent or message.started_at >= known.started_at
+
+    def _retire(self, worker: Worker) -> None:
+        retired = self._retired.setdefault(
+            worker.worker_id, deque(maxlen=REMEMBERED_INCARNATIONS)
+        )
+        retired.append(worker.incarnation)
+
+    def _drop_others_at(self, message: Announcement) -> None:
+        """Forget workers whose address another worker has taken."""
+        for worker_id, worker in list(self._workers.items()):
+            if worker_id != message.worker_id and worker.address == message.address:
+                self._retire(worker)
+                del self._workers[worker_id]
+
     def live(self, now: float) -> list[Worker]:
         """Return the workers heard of lately, ordered by identity."""
         workers = []
--- a/src/sequoiachute/transport/rpc.py
+++ b/src/sequoiachute/transport/rpc.py
@@ -19,6 +19,7 @@
 from sequoiachute.protocol.messages import Method
 
 CONNECT_SECONDS = 1.0
+TIMEOUTS_BEFORE_REDIAL = 2
 IDLE_POLL_SECONDS = 0.05
 LINGER_SECONDS = 0.2  # for answers that are on their way out
 
@@ -101,12 +102,21 @@
 
 
 class RpcClient:
-    """Calls the methods of one peer over one connection, redialled as needed."""
+    """Calls the methods of one peer over one connection, redialled as needed.
+
+    A connection on which several calls in a row get no answer may be half
+    open: later calls dial a new one, while those in progress keep the old.
+    """
 
     def __init__(self, address: str) -> None:
         self.address = address
-        host, _, port = address.rpartition(":")
-        self._channel = Channel(host, int(port), codec=MessageCodec())
+        self._channel = self._dial()
+        self._timeouts = 0
+        self._open_calls: dict[Channel, int] = {}
+
+    def _dial(self) -> Channel:
+        host, _, port = self.address.rpartition(":")
+        return Channel(host, int(port), codec=MessageCodec())
 
     def call(
         self, method: Method, message: Any, timeout: float
@@ -117,22 +127,50 @@
 
     async def _call(
         self, method: Method, message: Any, timeout: float
+    ) -> Result[Any, RpcError]:
+        channel = self._channel
+        self._open_calls[channel] = self._open_calls.get(channel, 0) + 1
+        try:
+            return await self._call_on(channel, method, message, timeout)
+        finally:
+            self._open_calls[channel] -= 1
+            self._close_if_replaced(channel)
+
+    async def _call_on(
+        self, channel: Channel, method: Method, message: Any, timeout: float
     ) -> Result[Any, RpcError]:
         try:
             async with asyncio.timeout(min(CONNECT_SECONDS, timeout)):
-                await self._channel.__connect__()
+                await channel.__connect__()
         except (OSError, TimeoutError) as error:
             return Err(RpcError(self.address, f"no connection: {error}", False))
-        call = UnaryUnaryMethod(
-            self._channel, method.path, method.request, method.reply
-        )
+        call = UnaryUnaryMethod(channel, method.path, method.request, method.reply)
         try:
-            return Ok(await call(message, timeout=timeout))
+            reply = await call(message, timeout=timeout)
         except GRPCError as error:
             return Err(RpcError(self.address, f"{error.status.name}", True))
         except (OSError, TimeoutError, StreamTerminatedError) as error:
+            if isinstance(error, TimeoutError):
+                self._note_timeout(channel)
             reason = f"{type(error).__name__}: {error}"
             return Err(RpcError(self.address, reason, True))
+        self._timeouts = 0
+        return Ok(reply)
+
+    def _note_timeout(self, channel: Channel) -> None:
+        if channel is not self._channel:
+            return
+        self._timeouts += 1
+        if self._timeouts >= TIMEOUTS_BEFORE_REDIAL:
+            self._timeouts = 0
+            self._channel = self._dial()
+
+    def _close_if_replaced(self, channel: Channel) -> None:
+        if self._open_calls[channel]:
+            return
+        del self._open_calls[channel]
+        if channel is not self._channel:
+            channel.close()
 
     def close(self) -> None:
         """Close the connection."""
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,210 @@
+import eventlet
+import pytest
+from eventlet import hubs
+
+from sequoiachute import clock
+from sequoiachute.coordination.announcer import ALIAS_PAUSE_SECONDS, GONE_SECONDS
+from sequoiachute.protocol.catalogue import EMPTY_CATALOGUE
+from sequoiachute.protocol.messages import (
+    ANNOUNCE,
+    CONFIGURATION,
+    ConfigurationReply,
+    ConfigurationRequest,
+)
+from sequoiachute.state.fleet import Fleet
+from sequoiachute.transport.rpc import RpcPool, RpcServer
+from standins.site import Site, agent_address, create_catalogue, entry_address
+
+SILENT_SECONDS = 5.0
+HOST = "127.0.0.1"
+EMPTY_REPLY = ConfigurationReply(0, 0.0, EMPTY_CATALOGUE, ())
+BALANCER = "10.9.0.1:7000"
+
+
+@pytest.fixture
+def site(paused_clock):
+    started = Site(workers=2, entries=2)
+    started.publish(create_catalogue())
+    started.run_for(8)
+    return started
+
+
+@pytest.fixture
+def announcement(site):
+    return site.agents[0].announcement()
+
+
+def live_at(entry):
+    return [worker.worker_id for worker in entry.fleet.live(clock.now())]
+
+
+def test_agents_find_an_entry_that_joins(site):
+    joined = site.start_entry(7)
+    site.run_for(8)
+    assert live_at(joined) == ["worker-0", "worker-1"]
+
+
+def test_agents_give_up_an_entry_that_died(site):
+    site.start_entry(7)
+    site.run_for(8)
+    agent = site.agents[0]
+    assert entry_address(7) in agent._announcer.addresses
+    site.kill_entry(7)
+    site.run_for(15 + GONE_SECONDS + 5)
+    assert entry_address(7) not in agent._announcer.addresses
+    assert agent.announcement().entries == 2
+
+
+def test_planned_stop_is_told_at_once(site):
+    leaving = site.start_entry(7)
+    site.run_for(8)
+    leaving.leave(1)
+    site.run_for(1)
+    assert entry_address(7) not in site.entries[0].directory.addresses()
+
+
+@pytest.mark.parametrize("fault", ["down", "reads_fail"])
+def test_no_entry_counts_as_gone_while_the_log_cannot_be_read(site, fault):
+    setattr(site.log, fault, True)
+    site.run_for(120)
+    for entry in site.entries:
+        assert len(entry.directory.addresses()) == 2
+    for entry in site.entries:
+        assert live_at(entry) == ["worker-0", "worker-1"]
+
+
+def test_balancer_as_the_only_seed_leads_to_every_entry(site):
+    turns = [0]
+    handlers = [entry.handlers() for entry in site.entries]
+
+    def announce_in_turn(message):
+        turns[0] += 1
+        return handlers[turns[0] % 2][ANNOUNCE](message)
+
+    site.network.serve(BALANCER, {ANNOUNCE: announce_in_turn})
+    site._entry_addresses = (BALANCER,)
+    site.backends.append(site.backends[0])
+    site.start_agent(2)
+    site.run_for(5)
+    for entry in site.entries:
+        assert "worker-2" in live_at(entry)
+    before = turns[0]
+    site.run_for(60)
+    assert turns[0] - before <= 60 / ALIAS_PAUSE_SECONDS + 3
+
+
+def test_worker_behind_a_cut_link_is_live_again_after_it(site):
+    for entry in range(2):
+        site.network.cut.add((agent_address(0), entry_address(entry)))
+    site.run_for(SILENT_SECONDS + 3)
+    assert live_at(site.entries[0]) == ["worker-1"]
+    site.network.cut.clear()
+    site.run_for(3)
+    assert live_at(site.entries[0]) == ["worker-0", "worker-1"]
+
+
+def test_late_announcements_change_nothing(announcement):
+    fleet = Fleet(SILENT_SECONDS)
+    restarted = announcement._replace(
+        incarnation="new", sequence=1, started_at=announcement.started_at + 1
+    )
+    assert fleet.announce(announcement, 0)
+    assert not fleet.announce(announcement, 1)
+    assert not fleet.announce(announcement._replace(sequence=0), 1)
+    assert fleet.announce(restarted, 1)
+    assert not fleet.announce(announcement._replace(sequence=9999), 1)
+    assert not fleet.announce(announcement._replace(sequence=9999), 100)
+    assert fleet.get("worker-0").incarnation == "new"
+
+
+def test_older_of_two_live_agents_is_told_to_stop(announcement):
+    fleet = Fleet(SILENT_SECONDS)
+    older = announcement._replace(incarnation="old", started_at=1.0)
+    newer = announcement._replace(incarnation="new", started_at=2.0)
+    for message in (newer, older, newer._replace(sequence=9999)):
+        fleet.announce(message, 0)
+    assert fleet.get("worker-0").incarnation == "new"
+    assert not fleet.is_superseded("worker-0", "new")
+    fleet = Fleet(SILENT_SECONDS)
+    for message in (older, newer):
+        fleet.announce(message, 0)
+    assert fleet.is_superseded("worker-0", "old")
+
+
+def test_restart_with_its_wall_clock_behind_joins_once_the_old_is_silent(announcement):
+    fleet = Fleet(SILENT_SECONDS)
+    fleet.announce(announcement, 0)
+    behind = announcement._replace(incarnation="new", started_at=-1e6)
+    assert not fleet.announce(behind, 1)
+    assert not fleet.is_superseded("worker-0", "new")
+    assert fleet.announce(behind, SILENT_SECONDS + 1)
+
+
+def test_worker_that_takes_an_address_replaces_the_one_before(announcement):
+    fleet = Fleet(SILENT_SECONDS)
+    fleet.announce(announcement, 0)
+    fleet.announce(announcement._replace(worker_id="other", incarnation="new"), 0)
+    assert [worker.worker_id for worker in fleet.live(0)] == ["other"]
+
+
+def test_superseded_agent_takes_no_more_work(site):
+    site.backends.append(site.backends[0])
+    site.run_for(1)
+    newer = site.agents[0]
+    site.agents[0] = site.start_agent(0)
+    site.run_for(5)
+    assert newer.announcement().leaving
+    assert not site.agents[0].announcement().leaving
+    assert site.entries[0].fleet.get("worker-0").incarnation == (
+        site.agents[0].incarnation
+    )
+
+
+class Relay:
+    """Carries connections to a server; ``deaf`` ones stay open and silent."""
+
+    def __init__(self, port):
+        self.accepted = 0
+        self._port = port
+        self._deaf = []
+        self._listener = eventlet.listen((HOST, 0))
+        self.address = f"{HOST}:{self._listener.getsockname()[1]}"
+        eventlet.spawn(self._accept)
+
+    def make_deaf(self):
+        for tasks in self._deaf:
+            for task in tasks:
+                task.kill()
+
+    def _accept(self):
+        while True:
+            near, _ = self._listener.accept()
+            self.accepted += 1
+            far = eventlet.connect((HOST, self._port))
+            pump = eventlet.spawn(self._pump, near, far)
+            self._deaf.append((pump, eventlet.spawn(self._pump, far, near)))
+
+    def _pump(self, source, sink):
+        while data := source.recv(65536):
+            sink.sendall(data)
+
+
+def test_half_open_connection_is_dialled_anew():
+    hubs.use_hub("eventlet.hubs.asyncio")
+    probe = eventlet.listen((HOST, 0))
+    port = probe.getsockname()[1]
+    probe.close()
+    server = RpcServer({CONFIGURATION: lambda message: EMPTY_REPLY})
+    server.start(HOST, port)
+    relay = Relay(port)
+    pool = RpcPool()
+    outcomes = []
+    for number in range(5):
+        if number == 1:
+            relay.make_deaf()
+        outcome = pool.call(relay.address, CONFIGURATION, ConfigurationRequest(0), 0.2)
+        outcomes.append(outcome.is_ok())
+    pool.close()
+    server.stop()
+    assert outcomes == [True, False, False, True, True]
+    assert relay.accepted == 2
