--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -188,6 +188,7 @@
             entries=self.directory.addresses(),
             acknowledged=tuple(acknowledged),
             term=self.placer.known_term,
+            superseded=self.fleet.is_superseded(message.worker_id, message.incarnation),
         )
 
     def tell_configuration(self, message: ConfigurationRequest) -> ConfigurationReply:
--- a/src/sequoiachute/protocol/messages.py
+++ b/src/sequoiachute/protocol/messages.py
@@ -47,7 +47,8 @@
 
     ``agent_clock`` is the agent's own clock in seconds, on which the validity
     of attempts is judged. ``entries`` is the number of entries announced to and
-    ``entry_addresses`` is where they are.
+    ``entry_addresses`` is where they are. ``started_at`` is wall time and
+    orders the incarnations of one worker.
     """
 
     worker_id: str
@@ -71,14 +72,17 @@
     agent_clock: float = 0.0
     entries: int = 1
     entry_addresses: tuple[str, ...] = ()
+    started_at: float = 0.0
 
 
 class AnnouncementReply(NamedTuple):
     """Where the entry's configuration stands and how fresh that view is.
 
     ``confirmed_age`` is the time in seconds since the entry last confirmed
-    the end of the configuration stream. ``term`` is the placer's newest term
-    that the entry knows.
+    the end of the configuration stream. ``entries`` are the addresses of the
+    current entries. ``term`` is the placer's newest term that the entry knows.
+    ``superseded`` tells an agent that a newer one has taken its worker's
+    identity.
     """
 
     entry_id: str
@@ -87,6 +91,7 @@
     entries: tuple[str, ...]
     acknowledged: tuple[tuple[str, int, int], ...]
     term: int = NO_TERM
+    superseded: bool = False
 
 
 class ConfigurationRequest(NamedTuple):
