--- a/src/sequoiachute/coordination/placement/board.py
+++ b/src/sequoiachute/coordination/placement/board.py
@@ -106,10 +106,13 @@
         changed = False
         for worker in workers:
             node = self.nodes.get(worker.worker_id)
-            if node is None or _shape(node.worker) != _shape(worker):
+            if node is None:
                 node = Node(worker)
                 changed = True
-            elif node.worker is not worker or worker.worker_id in self._touched:
+            elif node.worker is not worker:
+                changed = changed or _shape(node.worker) != _shape(worker)
+                node.read(worker)
+            elif worker.worker_id in self._touched:
                 node.read(worker)
             nodes[worker.worker_id] = node
         if changed or len(nodes) != len(self.nodes):
--- a/src/sequoiachute/coordination/placement/ordering.py
+++ b/src/sequoiachute/coordination/placement/ordering.py
@@ -8,7 +8,7 @@
 from sequoiachute.coordination.placement.model import PlacementView
 from sequoiachute.state.jobs import Job
 
-AGE_SECONDS = 600.0  # of waiting outweigh a doubling of run time or size
+AGE_SECONDS = 150.0  # of waiting outweigh a doubling of run time or size
 
 
 class _Group(NamedTuple):
--- a/src/sequoiachute/coordination/placement/reclaim.py
+++ b/src/sequoiachute/coordination/placement/reclaim.py
@@ -20,6 +20,7 @@
 )
 from sequoiachute.coordination.placement.runs import indices_of
 from sequoiachute.coordination.placement.victims import (
+    Claim,
     Room,
     Victims,
     evictions_of,
@@ -28,6 +29,7 @@
 from sequoiachute.protocol.catalogue import Within
 from sequoiachute.state.jobs import Job
 
+MOVING_SHARE = 0.1  # of a gang's own work that may be lost to start it
 MOVES_WEIGHED = 6  # blocks priced in full for each guaranteed start
 
 
@@ -82,7 +84,7 @@
         best = None
         for nodes in self._groups(job):
             places = [(node, (1 << node.size) - 1) for node in nodes]
-            fit = self._fit(job, places, for_urgent=True)
+            fit = self._fit(job, places, Claim.URGENT)
             if fit is not None and (best is None or fit.price < best.price):
                 best = fit
                 if not best.victims:
@@ -91,6 +93,19 @@
             return None
         return self._placement(job, best, False, "urgent work needs the place")
 
+    def starved(self, job: Job, block: Block) -> Placement | None:
+        """Return a start inside the reservation ``block``, or ``None``.
+
+        What its evictions lose must be small against the gang itself.
+        """
+        places = [(self._board.nodes[name], mask) for name, mask in block.items()]
+        fit = self._fit(job, places, Claim.STARVED)
+        if fit is None:
+            return None
+        if fit.price > MOVING_SHARE * _size(job) * job.spec["run_seconds"]:
+            return None
+        return self._placement(job, fit, False, "a gang that starves needs the place")
+
     def _groups(self, job: Job) -> Iterable[Sequence[Node]]:
         if job.spec["tasks"] == 1:
             return [list(self._board.nodes.values())]
@@ -177,13 +192,13 @@
             groups.setdefault(domain, []).append((node, mask))
         best = None
         for places in groups.values():
-            fit = self._fit(job, places, for_urgent=False)
+            fit = self._fit(job, places, Claim.GUARANTEED)
             if fit is not None and (best is None or fit.price < best.price):
                 best = fit
         return best
 
     def _fit(
-        self, job: Job, places: Sequence[tuple[Node, int]], for_urgent: bool
+        self, job: Job, places: Sequence[tuple[Node, int]], claim: Claim
     ) -> Fit | None:
         """Return the cheapest fit inside the masks of ``places``."""
         spec = job.spec
@@ -196,7 +211,13 @@
             ):
                 continue
             rooms = take_rooms(
-                node, spec["accelerators"], left, mask, self._victims, for_urgent
+                node,
+                spec["accelerators"],
+                left,
+                mask,
+                self._victims,
+                claim,
+                _size(job),
             )
             if not rooms:
                 continue
@@ -240,6 +261,10 @@
     return parts
 
 
+def _size(job: Job) -> int:
+    return job.spec["tasks"] * job.spec["accelerators"]
+
+
 def _grouping(job: Job) -> Within:
     return "data_centre" if job.spec["tasks"] == 1 else job.spec["within"]
 
--- a/src/sequoiachute/coordination/placement/reservations.py
+++ b/src/sequoiachute/coordination/placement/reservations.py
@@ -3,12 +3,14 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from sequoiachute.coordination.placement.board import Board, Node
+from sequoiachute.coordination.placement.board import Board, HeldTask, Node
 from sequoiachute.coordination.placement.runs import run_masks
+from sequoiachute.coordination.placement.victims import Victims
 from sequoiachute.state.jobs import Job
 from sequoiachute.state.observed import RunTimes
 
-REVIEW_SECONDS = 60.0  # after its time has passed, a reservation is made anew
+UNKNOWN_SECONDS = 60.0  # until the end of a job that the log doesn't tell of yet
+REVIEWS = 4
 NO_MASK = 0
 
 
@@ -21,6 +23,7 @@
     job_id: str
     ready_at: float
     block: dict[str, int]
+    reviews: int
 
 
 class _Opening(NamedTuple):
@@ -42,17 +45,32 @@
     def __contains__(self, job_id: str) -> bool:
         return job_id in self._held
 
-    def refresh(self, queued: Sequence[Job], board: Board, now: float) -> None:
-        """Drop what is no longer wanted, lies on a lost worker or is late."""
+    def refresh(self, queued: Sequence[Job], board: Board) -> None:
+        """Drop what is no longer wanted or lies on a lost worker."""
         if not self._held:
             return
         waiting = {job.job_id for job in queued}
         for job_id, reservation in list(self._held.items()):
-            late = now - reservation.ready_at > REVIEW_SECONDS
             lost = any(name not in board.nodes for name in reservation.block)
-            if late or lost or job_id not in waiting:
+            if lost or job_id not in waiting:
                 self.drop(job_id)
 
+    def review(self, job: Job, board: Board, forecast: "Forecast") -> None:
+        """Make the reservation of ``job`` anew if its time has passed.
+
+        Jobs that outlive their estimates move it, ``REVIEWS`` times at most:
+        then it stands, and nothing more starts behind it.
+        """
+        held = self._held.get(job.job_id)
+        if held is None or held.ready_at > forecast.now or not held.reviews:
+            return
+        self.drop(job.job_id)
+        self.reserve(job, board, forecast, float("inf"), held.reviews - 1)
+
+    def get(self, job_id: str) -> Reservation | None:
+        """Return the reservation of ``job_id``, if it has one."""
+        return self._held.get(job_id)
+
     def drop(self, job_id: str) -> None:
         """Give up the reservation of ``job_id``, if it has one."""
         reservation = self._held.pop(job_id, None)
@@ -63,10 +81,17 @@
             if not self._on[worker_id]:
                 del self._on[worker_id]
 
-    def reserve(self, job: Job, board: Board, forecast: "Forecast") -> bool:
-        """Reserve where the gang is expected to fit first."""
+    def reserve(
+        self,
+        job: Job,
+        board: Board,
+        forecast: "Forecast",
+        until: float,
+        reviews: int = REVIEWS,
+    ) -> bool:
+        """Reserve where the gang should fit first, if that is before ``until``."""
         block = None
-        ready_at = float("inf")
+        ready_at = until
         for nodes in board.domains(job.spec["within"]).values():
             openings = self._openings(job, nodes, forecast)
             tasks = job.spec["tasks"]
@@ -76,7 +101,7 @@
             block = _block_of(openings[:tasks])
         if block is None:
             return False
-        reservation = Reservation(job.job_id, ready_at, block)
+        reservation = Reservation(job.job_id, ready_at, block, reviews)
         self._held[job.job_id] = reservation
         for worker_id in block:
             self._on.setdefault(worker_id, []).append(reservation)
@@ -101,31 +126,40 @@
         self, job: Job, nodes: Sequence[Node], forecast: "Forecast"
     ) -> list[_Opening]:
         wanted = job.spec.get("speed_class")
+        need = job.spec["accelerators"]
+        tasks = job.spec["tasks"]
         found: list[_Opening] = []
         for node in nodes:
             if wanted not in (None, node.worker.speed_class):
                 continue
             kept = self.kept_from(job.job_id, float("inf"), node)
-            found.extend(_openings_on(node, job.spec["accelerators"], kept, forecast))
+            found.extend(_openings_on(node, need, need * tasks, kept, forecast))
         found.sort()
         return found
 
 
 class Forecast:
-    """When running tasks are expected to end, during one round."""
+    """When running tasks are expected to leave, during one round."""
 
     def __init__(
-        self, running: dict[str, Job], run_times: RunTimes, now: float
+        self,
+        running: dict[str, Job],
+        run_times: RunTimes,
+        victims: Victims,
+        now: float,
     ) -> None:
         self.now = now
         self._running = running
         self._run_times = run_times
+        self._victims = victims
 
-    def ends_at(self, job_id: str, node: Node) -> float:
-        """Return the time at which ``job_id`` should leave ``node``."""
-        job = self._running.get(job_id)
+    def leaves_at(self, task: HeldTask, node: Node, size: int) -> float:
+        """Return when ``task`` should leave for a gang of ``size`` accelerators."""
+        job = self._running.get(task.job_id)
         if job is None:
-            return self.now + REVIEW_SECONDS
+            return self.now + UNKNOWN_SECONDS
+        if self._victims.may_move(task, size):
+            return self.now
         speed = node.worker.speed
         return self.now + self._run_times.remaining(job, speed, self.now)
 
@@ -135,13 +169,14 @@
 
 
 def _openings_on(
-    node: Node, need: int, kept: int, forecast: Forecast
+    node: Node, need: int, size: int, kept: int, forecast: Forecast
 ) -> list[_Opening]:
     """Return disjoint runs of ``need`` and when each should be free."""
     ends = []
     for task in node.tasks:
-        if task.mask & ~node.free:
-            ends.append((forecast.ends_at(task.job_id, node), task.mask))
+        if not task.mask:
+            continue
+        ends.append((forecast.leaves_at(task, node, size), task.mask))
     runs = []
     for mask in run_masks(node.size, need):
         if mask & kept:
--- a/src/sequoiachute/coordination/placement/search.py
+++ b/src/sequoiachute/coordination/placement/search.py
@@ -10,6 +10,7 @@
 from sequoiachute.coordination.placement.runs import indices_of, pack_runs
 from sequoiachute.state.jobs import Job
 
+PINNING_PRICE = 0.5  # of the first job on a worker that can't be moved off it
 CLAIMED_PRICE = 0.5  # of using accelerators that a guarantee may reclaim
 LEAST_WEIGHT = 0.05  # keeps ties on even hardware from being arbitrary
 
@@ -31,6 +32,9 @@
     fragmentation_weight : float
         From 0, only the expected completion time counts, to 1, only what a
         placement breaks.
+    pinned : set of str
+        Workers that run something which can't go on from a checkpoint; more
+        of that goes there first, so that others can be cleared for gangs.
     """
 
     def __init__(
@@ -40,12 +44,14 @@
         reservations: Reservations,
         forecast: Forecast,
         fragmentation_weight: float,
+        pinned: set[str],
     ) -> None:
         self._board = board
         self._bindings = bindings
         self._reservations = reservations
         self._forecast = forecast
         self._weight = LEAST_WEIGHT + (1 - LEAST_WEIGHT) * fragmentation_weight
+        self._pinned = pinned
         speeds = [node.worker.speed for node in board.nodes.values()]
         self._top_speed = max(speeds, default=1.0)
 
@@ -129,6 +135,9 @@
         claims = self._bindings.idle_claims(node)
         if claims and any(run & claims for run in runs):
             price += CLAIMED_PRICE
+        movable = job.spec.get("checkpointable")
+        if not movable and node.size > need and node.worker_id not in self._pinned:
+            price += PINNING_PRICE * self._weight
         return Spot(price, position, node, runs)
 
     def _runs(self, node: Node, need: int, usable: int, most: int) -> tuple[int, ...]:
--- a/src/sequoiachute/coordination/placement/sharing.py
+++ b/src/sequoiachute/coordination/placement/sharing.py
@@ -23,10 +23,12 @@
 
 DEFAULT_FRAGMENTATION_WEIGHT = 0.5
 STARTS_PER_ROUND = 16
-VISITS_PER_ROUND = 4_000  # workers looked at, over all jobs
-STARVED_SECONDS = 60.0  # of waiting before a reservation, at weight 0
-LEAST_STARVED_SECONDS = 10.0
-MOST_RESERVATIONS = 4
+VISITS_PER_ROUND = 2_000  # workers looked at, over all jobs
+STARVED_SECONDS = 30.0  # of waiting before a reservation, at weight 0
+LEAST_STARVED_SECONDS = 5.0
+MOST_RESERVATIONS = 1  # for space that is not free yet
+STARVED_PER_ROUND = 3
+IMMINENT_SECONDS = 30.0
 
 
 class SharingPolicy:
@@ -66,7 +68,7 @@
         self.board.refresh(view.workers, view.starting, accounts)
         self.bindings.refresh(self.board, view.catalogue)
         self._feasibility.refresh(view, version != self.board.version)
-        self._reservations.refresh(view.queued, self.board, view.now)
+        self._reservations.refresh(view.queued, self.board)
         decision = Decision(shortfalls=self.bindings.shortfalls)
         if not view.queued or not view.workers:
             return decision
@@ -79,8 +81,8 @@
         for job_id, job in self._decided.items():
             if job_id not in running:
                 shares.add(job, job_id in guaranteed)
-        forecast = Forecast(running, view.run_times, view.now)
         victims = Victims(view, running)
+        forecast = Forecast(running, view.run_times, victims, view.now)
         return _Round(
             view,
             starting,
@@ -89,12 +91,30 @@
             victims,
             Reclaim(self.board, self.bindings, victims, self._late_binding),
             Search(
-                self.board, self.bindings, self._reservations, forecast, self._weight
+                self.board,
+                self.bindings,
+                self._reservations,
+                forecast,
+                self._weight,
+                _pinned(view),
             ),
             self,
         )
 
 
+def _pinned(view: PlacementView) -> set[str]:
+    """Return the workers with accelerators held by what can't be moved."""
+    pinned: set[str] = set()
+    for job in view.running:
+        if job.spec["accelerators"] and not job.spec.get("checkpointable"):
+            pinned.update(job.workers)
+    return pinned
+
+
+def _submitted_at(job: Job) -> float:
+    return job.submitted_at
+
+
 class _Round:
     """One call of ``decide``."""
 
@@ -124,12 +144,14 @@
         self._waiting: list[Waiting] = []
         self._hopeless: dict[tuple[bool, Signature], float] = {}
         self._settled: set[str] = set(starting)
+        self._starved: list[Job] = []
 
     def run(self, decision: Decision) -> Decision:
         """Try the queued jobs until the round's bounds are reached."""
         self._start_guaranteed()
         self._start_reserved()
         self._start_others()
+        self._reserve()
         return decision._replace(
             placements=tuple(self._placements),
             unplaceable=tuple(self._unplaceable),
@@ -171,8 +193,14 @@
                 return
             if job.job_id in self._settled:
                 continue
-            if job.job_id in self._policy._reservations:
-                self._try(job)
+            reservation = self._policy._reservations.get(job.job_id)
+            if reservation is None or self._try(job):
+                continue
+            placement = self._reclaim.starved(job, reservation.block)
+            if placement is not None:
+                self._take(job, placement)
+                continue
+            self._policy._reservations.review(job, self._board, self._forecast)
 
     def _start_others(self) -> None:
         """Try the rest, half of the bound from the front of the queue.
@@ -200,7 +228,8 @@
         urgent = self._is_urgent(job)
         kind = (urgent, signature)
         if self._is_hopeless(kind, job):
-            self._explain(job)
+            if not self._explain(job) and self._starves(job):
+                self._note_starved(job)
             return False
         self._visits += len(self._board.nodes)
         placement = None
@@ -215,10 +244,26 @@
             return True
         self._hopeless[kind] = job.spec["run_seconds"]
         if not self._explain(job) and self._starves(job):
-            self._visits += 2 * len(self._board.nodes)
-            self._policy._reservations.reserve(job, self._board, self._forecast)
+            self._note_starved(job)
         return False
 
+    def _note_starved(self, job: Job) -> None:
+        self._starved.append(job)
+
+    def _reserve(self) -> None:
+        """Reserve for those that have starved longest.
+
+        Beyond the first reservations only space that should be free at once
+        is reserved, so that little of it stands idle.
+        """
+        reservations = self._policy._reservations
+        self._starved.sort(key=_submitted_at)
+        for job in self._starved[:STARVED_PER_ROUND]:
+            until = float("inf")
+            if len(reservations) >= MOST_RESERVATIONS:
+                until = self._view.now + IMMINENT_SECONDS
+            reservations.reserve(job, self._board, self._forecast, until)
+
     def _is_hopeless(self, kind: tuple[bool, Signature], job: Job) -> bool:
         """Return whether a job like this one found no place in this round.
 
@@ -245,8 +290,6 @@
         if not job.spec["accelerators"] or job.job_id in reservations:
             return False
         weight = self._policy._weight
-        if len(reservations) >= 1 + round((MOST_RESERVATIONS - 1) * weight):
-            return False
         patience = max(LEAST_STARVED_SECONDS, STARVED_SECONDS * (1 - weight))
         return self._view.now - job.submitted_at >= patience
 
--- a/src/sequoiachute/coordination/placement/victims.py
+++ b/src/sequoiachute/coordination/placement/victims.py
@@ -1,6 +1,7 @@
 """Borrowers that can make room, and the work that is lost with each."""
 
 from collections.abc import Iterable
+from enum import Enum
 from typing import NamedTuple
 
 from sequoiachute.coordination.placement.board import HeldTask, Node
@@ -9,6 +10,21 @@
 from sequoiachute.state.jobs import Job
 
 RESTART_SECONDS = 15.0  # lost by a job that stops at a checkpoint and goes on
+RERUN_WORK = 1200.0  # accelerator-seconds that may be run again for a gang
+MOST_RERUNS = 2
+SETTLED_SECONDS = 60.0  # that a job runs before it may be moved for a gang
+
+
+class Claim(Enum):
+    """On what grounds borrowers are evicted.
+
+    Any borrower yields to a guarantee; to urgent work only what is not urgent
+    itself; to a gang that starves only what goes on from a checkpoint.
+    """
+
+    GUARANTEED = "guaranteed"
+    URGENT = "urgent"
+    STARVED = "starved"
 
 
 class Victims:
@@ -52,19 +68,35 @@
         self._prices[job_id] = price
         return price
 
-    def may_evict(self, task: HeldTask, for_urgent: bool) -> bool:
-        """Return whether ``task`` must yield.
-
-        Any borrower yields to a guarantee; to urgent work without one only
-        borrowers that are not urgent themselves.
-        """
+    def may_evict(self, task: HeldTask, claim: Claim, size: int) -> bool:
+        """Return whether ``task`` must yield to a job of ``size`` accelerators."""
         if task.guaranteed or task.starting:
             return False
-        if not for_urgent:
+        if claim is Claim.GUARANTEED:
             return True
+        if claim is Claim.STARVED:
+            return self.may_move(task, size)
         job = self._running.get(task.job_id)
         return job is None or job.job_class not in self._urgent
 
+    def may_move(self, task: HeldTask, size: int) -> bool:
+        """Return whether ``task`` may be stopped for a gang that starves.
+
+        It never yields to a gang that is no larger than itself, so that gangs
+        can't chase one another. What has no checkpoint is stopped only while
+        little is lost, and only in its first attempts.
+        """
+        job = self._running.get(task.job_id)
+        if job is None or task.guaranteed or task.starting:
+            return False
+        if job.job_class in self._urgent:
+            return False
+        if job.spec["tasks"] * job.spec["accelerators"] >= size:
+            return False
+        if job.spec.get("checkpointable"):
+            return self._now - job.started_at >= SETTLED_SECONDS
+        return job.attempt <= MOST_RERUNS and self.price(task.job_id) <= RERUN_WORK
+
 
 class Room(NamedTuple):
     """A run on one worker and the jobs that must leave it."""
@@ -80,7 +112,8 @@
     need: int,
     usable: int,
     victims: Victims,
-    for_urgent: bool,
+    claim: Claim,
+    size: int,
 ) -> list[Room]:
     """Return the runs of ``need`` that evictions can free, cheapest first.
 
@@ -88,7 +121,7 @@
     """
     evictable = []
     for task in node.tasks:
-        if victims.may_evict(task, for_urgent):
+        if victims.may_evict(task, claim, size):
             evictable.append(task)
     room = node.free
     for task in evictable:
@@ -112,19 +145,22 @@
     count: int,
     usable: int,
     victims: Victims,
-    for_urgent: bool,
+    claim: Claim,
+    size: int,
 ) -> list[Room]:
     """Return up to ``count`` disjoint rooms on ``node``, slots included."""
     if need == 0:
-        return _take_slots(node, count, victims, for_urgent)
+        return _take_slots(node, count, victims, claim, size)
     taken: list[Room] = []
     leaving: set[str] = set()
-    for room in rooms_on(node, need, usable, victims, for_urgent):
+    for room in rooms_on(node, need, usable, victims, claim, size):
         if len(taken) == count:
             break
         if any(room.mask & other.mask for other in taken):
             continue
-        slot = _free_slot(node, len(taken), leaving | room.victims, victims, for_urgent)
+        slot = _free_slot(
+            node, len(taken), leaving | room.victims, victims, claim, size
+        )
         if slot is None:
             break
         leaving |= room.victims | slot
@@ -134,12 +170,12 @@
 
 
 def _take_slots(
-    node: Node, count: int, victims: Victims, for_urgent: bool
+    node: Node, count: int, victims: Victims, claim: Claim, size: int
 ) -> list[Room]:
     taken: list[Room] = []
     leaving: set[str] = set()
     while len(taken) < count:
-        slot = _free_slot(node, len(taken), leaving, victims, for_urgent)
+        slot = _free_slot(node, len(taken), leaving, victims, claim, size)
         if slot is None:
             break
         leaving |= slot
@@ -149,7 +185,7 @@
 
 
 def _free_slot(
-    node: Node, taken: int, leaving: set[str], victims: Victims, for_urgent: bool
+    node: Node, taken: int, leaving: set[str], victims: Victims, claim: Claim, size: int
 ) -> frozenset[str] | None:
     """Return who must leave besides ``leaving`` for one more slot."""
     slots = node.slots - taken
@@ -158,7 +194,7 @@
         if task.job_id in leaving:
             slots += 1
             continue
-        if not victims.may_evict(task, for_urgent):
+        if not victims.may_evict(task, claim, size):
             continue
         if cheapest is None or victims.price(task.job_id) < victims.price(cheapest):
             cheapest = task.job_id
