--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -9,6 +9,7 @@
 from sequoiachute import clock
 from sequoiachute.coordination.catchup import confirmed_age, tell_configuration
 from sequoiachute.coordination.causes import ObservedPolicy
+from sequoiachute.coordination.follower import IDLE_WAIT_SECONDS, STATE_WAIT_SECONDS
 from sequoiachute.coordination.log import StreamWriter
 from sequoiachute.coordination.membership import EntryDirectory, PeerConfirmation
 from sequoiachute.coordination.placement import Policy
@@ -19,11 +20,14 @@
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
     CONFIGURATION,
+    SILENCE,
     Announcement,
     AnnouncementReply,
     ConfigurationReply,
     ConfigurationRequest,
     Method,
+    Silence,
+    SilenceReply,
 )
 from sequoiachute.protocol.records import (
     CONFIGURATION_STREAM,
@@ -36,7 +40,7 @@
 from sequoiachute.settings import EntrySettings
 from sequoiachute.state.configuration import Configuration
 from sequoiachute.state.fleet import Fleet
-from sequoiachute.state.intents import IntentTable
+from sequoiachute.state.intents import KEY_SECONDS, IntentTable
 from sequoiachute.state.jobs import JobTable
 from sequoiachute.state.leases import LeaseTable
 from sequoiachute.state.service_levels import ServiceLevelTable
@@ -58,7 +62,9 @@
         self.settings = settings
         self.configuration = Configuration()
         self.jobs = JobTable()
-        self.intents = IntentTable()
+        # A key is checked for less time than the log keeps its intent.
+        key_seconds = min(KEY_SECONDS, settings.log_retention_seconds / 2)
+        self.intents = IntentTable(key_seconds)
         self.leases = LeaseTable()
         self.service_levels = ServiceLevelTable()
         self.fleet = Fleet(settings.worker_silent_seconds)
@@ -105,17 +111,25 @@
             self._streams.writer(SERVICE_LEVELS_STREAM),
             lambda: self.placer.holds_lease,
         )
+        self._started_at = clock.now()
+        self._unready = False
         self._leaving = False
         self._open_requests = 0
 
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send requests here."""
-        return self._streams.is_caught_up and not self._leaving
+        if self._unready or self._leaving:
+            return False
+        return self._streams.is_caught_up
 
     def handlers(self) -> Mapping[Method, Callable[[Any], Any]]:
         """Return the methods that this entry serves to agents."""
-        return {ANNOUNCE: self.announce, CONFIGURATION: self.tell_configuration}
+        return {
+            ANNOUNCE: self.announce,
+            CONFIGURATION: self.tell_configuration,
+            SILENCE: self.tell_silence,
+        }
 
     def run(self) -> None:
         """Start following the log and placing."""
@@ -129,6 +143,10 @@
         """Return the writer of ``stream``."""
         return self._streams.writer(stream)
 
+    def begin_leaving(self) -> None:
+        """Tell the balancer to send nothing more; requests are still served."""
+        self._unready = True
+
     def begin_request(self) -> bool:
         """Count a caller's request in; return whether it may be served."""
         if self._leaving:
@@ -145,18 +163,19 @@
         self._leaving = True
         self.directory.leave()
         deadline = clock.now() + timeout
-        while clock.now() < deadline:
-            if self._open_requests == 0 and not self.router.pending_records:
-                self.recorder.flush()
-                # The last answers are still on their way.
-                clock.sleep(LEAVE_LINGER_SECONDS)
-                return True
+        while self._open_requests or self.router.pending_records:
+            if clock.now() >= deadline:
+                return False
             clock.sleep(0.05)
-        return False
+        self.recorder.flush()
+        # The last answers are still on their way.
+        clock.sleep(LEAVE_LINGER_SECONDS)
+        return True
 
     def announce(self, message: Announcement) -> AnnouncementReply:
         """Take an agent's announcement."""
-        self.fleet.announce(message, clock.now())
+        if self.fleet.announce(message, clock.now()):
+            self.router.workload.hear(message.worker_id, message.open_connections)
         acknowledged = []
         for report in message.reports:
             self.placer.take_report(report)
@@ -168,12 +187,21 @@
             confirmed_age=confirmed_age(self.configuration),
             entries=self.directory.addresses(),
             acknowledged=tuple(acknowledged),
+            term=self.placer.known_term,
         )
 
     def tell_configuration(self, message: ConfigurationRequest) -> ConfigurationReply:
         """Return the configuration in force."""
         return tell_configuration(self.configuration, message)
 
+    def tell_silence(self, message: Silence) -> SilenceReply:
+        """Return for how long this entry has not heard an agent."""
+        now = clock.now()
+        worker = self.fleet.get(message.worker_id)
+        if worker is None:
+            return SilenceReply(now - self._started_at)
+        return SilenceReply(now - worker.heard_at)
+
     def _follow_streams(self) -> None:
         self._streams.add(
             CONFIGURATION_STREAM,
@@ -183,25 +211,32 @@
             self.configuration.confirm,
         )
         self._streams.add(
-            JOBS_STREAM, self._apply_job, self.jobs.snapshot, self.jobs.restore
+            JOBS_STREAM,
+            self._apply_job,
+            self.jobs.snapshot,
+            self.jobs.restore,
+            wait=STATE_WAIT_SECONDS,
         )
         self._streams.add(
             INTENTS_STREAM,
             self._apply_intent,
             self.intents.snapshot,
             self.intents.restore,
+            wait=IDLE_WAIT_SECONDS,
         )
         self._streams.add(
             LEASES_STREAM,
             self._apply_lease,
             self.leases.snapshot,
             lambda items: self.leases.restore(items, clock.now()),
+            wait=STATE_WAIT_SECONDS,
         )
         self._streams.add(
             SERVICE_LEVELS_STREAM,
             self._apply_service_level,
             self.service_levels.snapshot,
             self.service_levels.restore,
+            wait=IDLE_WAIT_SECONDS,
         )
 
     def _apply_configuration(self, position: Position, record: Any) -> None:
--- a/src/sequoiachute/state/fleet.py
+++ b/src/sequoiachute/state/fleet.py
@@ -1,9 +1,12 @@
 """The workers as their agents announce them."""
 
+from collections import deque
 from typing import NamedTuple
 
 from sequoiachute.protocol.messages import Announcement, Occupant
 
+INCARNATIONS_KEPT = 16  # of the agents that a worker had before
+
 
 class Worker(NamedTuple):
     """A worker as placement and routing see it.
@@ -32,6 +35,7 @@
     heard_at: float
     agent_clock: float = 0.0
     entries: int = 1
+    entry_addresses: tuple[str, ...] = ()
 
     @property
     def free_accelerators(self) -> tuple[int, ...]:
@@ -53,13 +57,24 @@
     def __init__(self, silent_after: float) -> None:
         self._workers: dict[str, Worker] = {}
         self._silent_after = silent_after
+        self._retired: dict[str, deque[str]] = {}
 
     def announce(self, message: Announcement, now: float) -> bool:
-        """Take an announcement; return whether it was newer than the last."""
+        """Take an announcement; return whether it was newer than the last.
+
+        Once an agent has been replaced, what its process sent late is ignored.
+        """
         known = self._workers.get(message.worker_id)
         same = known is not None and known.incarnation == message.incarnation
         if same and message.sequence <= known.sequence:
             return False
+        retired = self._retired.setdefault(
+            message.worker_id, deque(maxlen=INCARNATIONS_KEPT)
+        )
+        if message.incarnation in retired:
+            return False
+        if known is not None and not same:
+            retired.append(known.incarnation)
         self._workers[message.worker_id] = Worker(
             worker_id=message.worker_id,
             incarnation=message.incarnation,
@@ -80,6 +95,7 @@
             config_offset=message.config_offset,
             heard_at=now,
             agent_clock=message.agent_clock,
+            entry_addresses=message.entry_addresses,
             entries=message.entries,
         )
         return True
@@ -98,8 +114,11 @@
     def live(self, now: float) -> list[Worker]:
         """Return the workers heard of lately, ordered by identity."""
         workers = []
-        for worker_id in sorted(self._workers):
-            worker = self._workers[worker_id]
-            if now - worker.heard_at <= self._silent_after:
+        for worker in self.all():
+            if self.is_live(worker, now):
                 workers.append(worker)
         return workers
+
+    def all(self) -> list[Worker]:
+        """Return every worker ever heard of, ordered by identity."""
+        return [self._workers[worker_id] for worker_id in sorted(self._workers)]
