Place by the sharing policy, with a setting for its weight

The daemon still ran the first-fit baseline. The placer now hands the policy observed run times; settings have fragmentation_weight (0.5).

--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -41,8 +41,9 @@
 from sequoiachute.state.configuration import Configuration
 from sequoiachute.state.fleet import Fleet
 from sequoiachute.state.intents import KEY_SECONDS, IntentTable
-from sequoiachute.state.jobs import JobTable
+from sequoiachute.state.jobs import Job, JobTable
 from sequoiachute.state.leases import LeaseTable
+from sequoiachute.state.observed import RunTimes
 from sequoiachute.state.service_levels import ServiceLevelTable
 from sequoiachute.transport.ports import Caller, LogStream
 
@@ -67,6 +68,7 @@
         self.intents = IntentTable(key_seconds)
         self.leases = LeaseTable()
         self.service_levels = ServiceLevelTable()
+        self.run_times = RunTimes()
         self.fleet = Fleet(settings.worker_silent_seconds)
         self._streams = StateStreams(log, settings.log_retention_seconds)
         self._follow_streams()
@@ -92,7 +94,13 @@
             settings.rpc_address,
             settings.placer_lease_seconds,
             settings.freshness_seconds,
-            PlacerState(self.configuration, self.jobs, self.fleet, self.leases),
+            PlacerState(
+                self.configuration,
+                self.jobs,
+                self.fleet,
+                self.leases,
+                self.run_times,
+            ),
             PlacerStreams(
                 self._streams.writer(JOBS_STREAM),
                 self._streams.writer(LEASES_STREAM),
@@ -253,6 +261,15 @@
             self.recorder.note_start(job)
         elif record["kind"] == "job-ended":
             self.recorder.note_end(position.offset, job)
+            self.run_times.observe(job, self._slowest_speed(job))
+
+    def _slowest_speed(self, job: Job) -> float:
+        speeds = []
+        for worker_id in job.workers:
+            worker = self.fleet.get(worker_id)
+            if worker is not None:
+                speeds.append(worker.speed)
+        return min(speeds, default=1.0)
 
     def _apply_service_level(self, position: Position, record: Any) -> None:
         self.service_levels.apply(position.offset, record)
--- a/src/sequoiachute/settings.py
+++ b/src/sequoiachute/settings.py
@@ -67,6 +67,7 @@
         extra=SECRET,
     ),
 ]
+Share = Annotated[float, Meta(ge=0, le=1, description="a number from 0 to 1")]
 Count = Annotated[
     int,
     Meta(ge=0, le=1_000_000, description="a whole number from 0 to 1000000"),
@@ -128,6 +129,7 @@
     entry_lease_seconds: Seconds = 15.0
     log_retention_seconds: LongSeconds = 3600.0
     service_level_seconds: Seconds = 30.0
+    fragmentation_weight: Share = 0.5
     leave_grace_seconds: ShortSeconds = 1.0
     allow_plaintext: bool = False
 
