--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -214,15 +214,25 @@
 
 def test_start_is_undone_that_waited_until_its_data_centre_was_out():
     gang = Gang()
-    gang.site.backends[1].delay = 10.0
-    tokens = [gang.reserve(0).token, gang.reserve(1).token]
-    eventlet.spawn(gang.commit, tokens)
+    gang.site.backends[0].delay = 6.0
+    eventlet.spawn(gang.commit, [gang.reserve(0).token])
     gang.site.run_for(0.5)
-    gang.site.switch("dc-2", in_service=False)
-    gang.site.run_for(12)
+    gang.site.switch("dc-1", in_service=False)
+    gang.site.run_for(8)
+    assert gang.starts() == [1, 0]
     assert gang.running() == [0, 0]
 
 
+def test_nothing_starts_on_a_view_that_nobody_confirms():
+    gang = Gang()
+    tokens = [gang.reserve(0, hold=20.0).token, gang.reserve(1, hold=20.0).token]
+    gang.site.log_links[0].cut = True
+    gang.site.switch("dc-2", in_service=False)
+    gang.site.run_for(5)
+    assert "not confirmed" in gang.commit(tokens).unwrap().reason
+    assert gang.starts() == [0, 0]
+
+
 def test_agent_that_no_entry_answers_stops_its_tasks():
     gang = Gang()
     gang.start(run_seconds=600.0)
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -47,8 +47,9 @@
     def job(self, job_id):
         return self.site.entries[0].jobs.get(job_id)
 
-    def knows(self, job_id):
-        return self.job(job_id) is not None
+    def has_ended(self, job_id):
+        job = self.job(job_id)
+        return job is not None and job.has_ended
 
     def placer(self):
         for index, entry in enumerate(self.site.entries):
