--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -74,9 +74,7 @@
         return clock.now() - began
 
     def wait_ended(self, job_id, seconds=60):
-        self.wait_for(
-            lambda: self.knows(job_id) and self.job(job_id).has_ended, seconds
-        )
+        self.wait_for(lambda: self.has_ended(job_id), seconds)
         return self.job(job_id)
 
 
