--- a/src/sequoiachute/coordination/routing/once.py
+++ b/src/sequoiachute/coordination/routing/once.py
@@ -22,9 +22,10 @@
 )
 from sequoiachute.coordination.routing.choice import Choice
 from sequoiachute.coordination.routing.recorder import Recorder
-from sequoiachute.coordination.routing.retries import RetryBudget
+from sequoiachute.coordination.routing.retries import Patience, RetryBudget
 from sequoiachute.coordination.routing.sender import Sender, valid_until
 from sequoiachute.coordination.routing.workload import Workload
+from sequoiachute.errors import LogUnavailableError
 from sequoiachute.protocol.messages import AttemptQuery, ExecuteReply
 from sequoiachute.state.fleet import Fleet, Worker
 from sequoiachute.state.intents import Intent, IntentTable
@@ -36,6 +37,8 @@
 LOG_RETRY_AFTER_SECONDS = 2.0
 AGENT_RETRY_AFTER_SECONDS = 5.0
 
+_TOO_LATE = LogUnavailableError("it came too late", maybe_applied=True)
+
 
 class OnceRunner:
     """Runs a request at most once for its key, whichever entry is asked.
@@ -89,17 +92,28 @@
 
     def run(self, request: Request) -> Answer:
         """Run the request unless its key turns out to be taken."""
+        patience = Patience()
         answer = refuse("no backend server is available")
-        for number in range(ATTEMPTS):
+        tries = 0
+        while clock.now() < request.deadline and tries < ATTEMPTS:
             candidates = self._workload.candidates(set(), False)
-            if not candidates or clock.now() >= request.deadline:
+            if not candidates:
+                if self._workload.capacity() and patience.wait():
+                    continue
                 return answer
-            if number and not self._budget.spend():
+            if tries and not self._budget.spend():
                 return answer
+            tries += 1
             worker = self._choice.choose(candidates).worker
-            answer = self._run_on(request, worker)
+            observed = self._workload.begin(worker)
+            try:
+                answer = self._run_on(request, worker)
+            finally:
+                self._workload.end(observed)
             if answer.outcome != NOT_RUN or not answer.attempt_id:
                 return answer
+            if answer.overloaded:
+                patience.wait()
         return answer
 
     def _run_on(self, request: Request, worker: Worker) -> Answer:
@@ -113,23 +127,24 @@
             left = request.deadline - clock.now()
             outcome = self._writer.append(intent, min(left, INTENT_SECONDS))
             if outcome.is_err():
-                return self._give_up(intent, outcome.unwrap_err().maybe_applied)
+                return self._give_up(intent, outcome.unwrap_err())
             winner = self._intents.get(request.account, request.idempotency_key)
             if winner is None or winner.attempt_id != attempt_id:
                 found = self.find(request)
                 return found or refuse("another request with this key came first")
             if not self._is_checkable(request) or clock.now() >= request.deadline:
-                return self._give_up(intent, True)
+                return self._give_up(intent, _TOO_LATE)
             return self._send(request, worker, intent)
         finally:
             self._active.discard(attempt_id)
 
-    def _give_up(self, intent: dict[str, Any], maybe_recorded: bool) -> Answer:
+    def _give_up(self, intent: dict[str, Any], error: LogUnavailableError) -> Answer:
         """Refuse an attempt that is never sent, and let the key be tried again."""
-        if maybe_recorded:
+        if error.maybe_applied:
             self._recorder.record(_end_record(intent, _not_sent()))
-        reason = "the log service did not confirm the request in time"
-        return refuse(reason, 503, LOG_RETRY_AFTER_SECONDS)
+        reason = f"the log service did not confirm the request: {error.reason}"
+        pause = max(LOG_RETRY_AFTER_SECONDS, error.retry_after)
+        return refuse(reason, 503, pause)
 
     def _send(self, request: Request, worker: Worker, intent: dict[str, Any]) -> Answer:
         attempt_id = intent["attempt_id"]
