Retry a failed job elsewhere and quarantine a worker that fails what others do not

Before, one failure failed the job, and a broken worker drew job after job. A failure counts against the worker until its job has failed elsewhere too.

--- a/src/sequoiachute/coordination/placer.py
+++ b/src/sequoiachute/coordination/placer.py
@@ -15,7 +15,7 @@
 from sequoiachute.coordination.starter import GangStarter
 from sequoiachute.protocol.messages import TaskReport
 from sequoiachute.state.fleet import Worker
-from sequoiachute.state.health import Reluctance
+from sequoiachute.state.health import Reluctance, WorkerHealth
 from sequoiachute.state.jobs import QUEUED, RUNNING
 from sequoiachute.transport.ports import Caller
 
@@ -57,9 +57,16 @@
         self._lease = PlacerLease(
             entry_id, address, lease_seconds, freshness_seconds, state.leases, streams
         )
-        self._settler = Settler(self._lease, state, streams, caller)
+        self._health = WorkerHealth()
+        self._settler = Settler(self._lease, state, streams, caller, self._health)
         self._starter = GangStarter(
-            self._lease, state, streams, caller, self._settler, self._reluctance
+            self._lease,
+            state,
+            streams,
+            caller,
+            self._settler,
+            self._reluctance,
+            self._health,
         )
 
     @property
@@ -131,6 +138,8 @@
             return False
         if not self._state.configuration.in_service(worker.data_centre):
             return False
+        if self._health.is_spared(worker.worker_id, now):
+            return False
         return not self._reluctance.is_spared(worker.worker_id, now)
 
     def _apply(self, decision: Decision) -> None:
--- a/src/sequoiachute/coordination/settler.py
+++ b/src/sequoiachute/coordination/settler.py
@@ -6,25 +6,26 @@
 from loguru import logger
 
 from sequoiachute import clock
-from sequoiachute.coordination.bounds import LOST_SECONDS
 from sequoiachute.coordination.log import new_record_id
 from sequoiachute.coordination.placerlease import PlacerLease
 from sequoiachute.coordination.placerstate import PlacerState, PlacerStreams
+from sequoiachute.coordination.silence import SilenceSurvey
 from sequoiachute.coordination.tasks import gather
 from sequoiachute.protocol.messages import (
-    SILENCE,
     STOP,
     Occupant,
-    Silence,
     Stop,
     StopReply,
     TaskReport,
 )
+from sequoiachute.state.health import WorkerHealth
 from sequoiachute.state.jobs import QUEUED, RUNNING, Job
 from sequoiachute.transport.ports import Caller
 
 CALL_SECONDS = 4.0  # a stop waits for a backend server's answer
 RETRY_SECONDS = 0.5
+FAILED_WORKERS = 3  # a job that failed on so many healthy workers is at fault
+FAILURES = 9  # in all, after which a job is given up wherever it failed
 MISSING_SECONDS = 3.0  # an attempt that no agent announces for this long has ended
 
 Attempt = tuple[str, int]
@@ -42,6 +43,7 @@
     reason: str
     checkpoint: bool = False
     spares_silent: bool = False
+    failed_workers: tuple[str, ...] = ()
 
 
 class Settler:
@@ -58,11 +60,14 @@
         state: PlacerState,
         streams: PlacerStreams,
         caller: Caller,
+        health: WorkerHealth,
     ) -> None:
+        self._health = health
         self._lease = lease
         self._state = state
         self._streams = streams
         self._caller = caller
+        self._silences = SilenceSurvey(state.fleet, caller)
         self._reports: dict[Attempt, dict[int, TaskReport]] = {}
         self._missing_since: dict[Attempt, float] = {}
         self._settling: set[str] = set()
@@ -172,9 +177,9 @@
         reports = self._reports.get((job.job_id, job.attempt), {})
         if _all_finished(job, reports):
             return Verdict("finished", "")
-        for report in reports.values():
-            if report.state == "failed":
-                return Verdict("failed", report.reason)
+        failed = [r for r in reports.values() if r.state == "failed"]
+        if failed:
+            return self._verdict_on_failure(job, failed)
         for report in reports.values():
             if report.state != "finished":
                 return Verdict("", report.reason, checkpoint=True)
@@ -189,6 +194,18 @@
             return Verdict("", "no agent runs the attempt", True, True)
         return None
 
+    def _verdict_on_failure(self, job: Job, failed: list[TaskReport]) -> Verdict:
+        """Retry elsewhere, unless the job has failed often enough."""
+        workers = tuple(sorted({job.workers[report.member] for report in failed}))
+        failures = job.failed_on + workers
+        healthy = {w for w in failures if not self._health.is_quarantined(w)}
+        reason = failed[0].reason
+        if len(healthy) >= FAILED_WORKERS or len(failures) >= FAILURES:
+            names = ", ".join(sorted(set(failures)))
+            reason = f"{reason}; it failed on {names}"
+            return Verdict("failed", reason, failed_workers=workers)
+        return Verdict("", reason, failed_workers=workers)
+
     def _is_missing(self, job: Job) -> bool:
         """Return whether no agent has announced the attempt for long.
 
@@ -221,13 +238,21 @@
         if not self._lease.is_held:
             return False
         if _all_finished(job, reports):
+            self._health.note_finished(job.job_id, job.workers)
             return self._record_end(job.job_id, "finished", "", reports[0].result)
+        self._note_failures(job, verdict)
         if verdict.outcome:
+            self._health.forget_job(job.job_id)
             return self._record_end(job.job_id, verdict.outcome, verdict.reason, "")
         done = job.done_seconds
         if len(reports) == len(job.workers):
             done = max(done, min(r.done_seconds for r in reports.values()))
-        return self._record_requeue(job, verdict.reason, done)
+        return self._record_requeue(job, verdict, done)
+
+    def _note_failures(self, job: Job, verdict: Verdict) -> None:
+        for worker_id in verdict.failed_workers:
+            if self._health.note_failed(job.job_id, worker_id, clock.now()):
+                logger.bind(worker=worker_id).warning("worker quarantined")
 
     def _end_attempt(self, job: Job, verdict: Verdict) -> bool:
         """Stop the attempt everywhere; return whether it has surely ended."""
@@ -242,7 +267,7 @@
         calls = []
         for worker_id in sorted(set(job.workers)):
             if verdict.spares_silent and worker_id not in live:
-                calls.append(lambda w=worker_id: self._is_lost(w))
+                calls.append(lambda w=worker_id: self._silences.is_lost(w))
                 continue
             calls.append(lambda w=worker_id: self._end_at(w, message))
         return all(gather(calls))
@@ -250,10 +275,10 @@
     def _end_at(self, worker_id: str, message: Stop) -> bool:
         worker = self._state.fleet.get(worker_id)
         if worker is None:
-            return self._is_lost(worker_id)
+            return self._silences.is_lost(worker_id)
         outcome = self._caller.call(worker.address, STOP, message, CALL_SECONDS)
         if outcome.is_err():
-            return self._is_lost(worker_id)
+            return self._silences.is_lost(worker_id)
         reply: StopReply = outcome.unwrap()
         for report in reply.reports:
             self.take_report(report)
@@ -263,30 +288,6 @@
             )
         return reply.ended
 
-    def _is_lost(self, worker_id: str) -> bool:
-        """Return whether an agent surely runs nothing any more.
-
-        An agent stops its tasks when no entry answers it; so every entry that
-        it announces to must say that it has been silent for that long.
-        """
-        worker = self._state.fleet.get(worker_id)
-        addresses: set[str] = set()
-        if worker is not None:
-            addresses.update(worker.entry_addresses)
-        else:
-            for other in self._state.fleet.live(clock.now()):
-                addresses.update(other.entry_addresses)
-        if not addresses:
-            return False
-        calls = []
-        for address in sorted(addresses):
-            calls.append(lambda a=address: self._silence(a, worker_id))
-        return min(gather(calls)) >= LOST_SECONDS
-
-    def _silence(self, address: str, worker_id: str) -> float:
-        outcome = self._caller.call(address, SILENCE, Silence(worker_id), RETRY_SECONDS)
-        return 0.0 if outcome.is_err() else outcome.unwrap().seconds
-
     def _end_queued(self, job_id: str, outcome: str, reason: str) -> None:
         try:
             job = self._state.jobs.get(job_id)
@@ -307,14 +308,15 @@
         }
         return self._streams.jobs.append(record).is_ok()
 
-    def _record_requeue(self, job: Job, reason: str, done: float) -> bool:
+    def _record_requeue(self, job: Job, verdict: Verdict, done: float) -> bool:
         record = {
             "kind": "job-requeued",
             "record_id": new_record_id(),
             "job_id": job.job_id,
             "attempt": job.attempt,
-            "reason": reason,
+            "reason": verdict.reason,
             "done_seconds": done,
+            "failed_workers": list(verdict.failed_workers),
         }
         return self._streams.jobs.append(record).is_ok()
 
--- a/src/sequoiachute/coordination/starter.py
+++ b/src/sequoiachute/coordination/starter.py
@@ -20,7 +20,7 @@
     Reserve,
 )
 from sequoiachute.state.fleet import Worker
-from sequoiachute.state.health import Reluctance
+from sequoiachute.state.health import Reluctance, WorkerHealth
 from sequoiachute.state.jobs import QUEUED, RUNNING, Job
 from sequoiachute.transport.ports import Caller
 
@@ -57,7 +57,9 @@
         caller: Caller,
         settler: Settler,
         reluctance: Reluctance,
+        health: WorkerHealth,
     ) -> None:
+        self._health = health
         self._lease = lease
         self._state = state
         self._streams = streams
@@ -273,6 +275,7 @@
                 log.info("gang started on {}", [w.worker_id for w in workers])
                 for worker in workers:
                     self._reluctance.note_agreed(worker.worker_id)
+                    self._health.note_started(worker.worker_id, clock.now())
                 return True
             log.warning("gang not started: {}", outcome.unwrap().reason)
             for worker in workers:
--- a/src/sequoiachute/protocol/records.py
+++ b/src/sequoiachute/protocol/records.py
@@ -106,7 +106,10 @@
 
 
 class JobRequeued(TypedDict):
-    """A running attempt ended without finishing the job."""
+    """A running attempt ended without finishing the job.
+
+    ``failed_workers`` are those on which tasks of the attempt failed.
+    """
 
     kind: Literal["job-requeued"]
     record_id: str
@@ -114,6 +117,7 @@
     attempt: int
     reason: str
     done_seconds: float
+    failed_workers: NotRequired[list[str]]
 
 
 class JobEnded(TypedDict):
--- a/src/sequoiachute/state/jobs.py
+++ b/src/sequoiachute/state/jobs.py
@@ -32,6 +32,7 @@
     cancel_asked: bool = False
     reason: str = ""
     result: str = ""
+    failed_on: tuple[str, ...] = ()
 
     @property
     def has_ended(self) -> bool:
@@ -159,6 +160,7 @@
             workers=(),
             reason=record["reason"],
             done_seconds=max(job.done_seconds, record["done_seconds"]),
+            failed_on=job.failed_on + tuple(record.get("failed_workers", ())),
         )
     if kind == "job-ended":
         return job._replace(
--- /dev/null
+++ b/tests/test_failures_placement.py
@@ -0,0 +1,128 @@
+"""Placement on real processes that are killed and paused."""
+
+import time
+
+import msgspec
+import pytest
+import urllib3
+
+from sequoiachute.coordination.bounds import (
+    PARTLY_RUNNING_SECONDS,
+    TASK_LEASE_SECONDS,
+)
+from standins.cluster import OPERATOR_KEY, Cluster, caller_key
+from standins.demo import CATALOGUE
+
+pytestmark = pytest.mark.processes
+
+ACCOUNT = "brocach"
+KEY = caller_key(ACCOUNT)
+GANG = {"tasks": 2, "accelerators": 8, "within": "rack", "payload": "engrave"}
+
+
+@pytest.fixture(scope="module")
+def cluster():
+    with Cluster((ACCOUNT, "milchschaum"), workers=6) as started:
+        assert started.call("PUT", "/v1/catalogue", OPERATOR_KEY, CATALOGUE)[0] == 200
+        yield started
+
+
+def submit(cluster, key, run_seconds, entry=0):
+    body = {**GANG, "run_seconds": run_seconds}
+    headers = {"Idempotency-Key": key}
+    reply = cluster.call("POST", "/v1/jobs", KEY, body, headers, entry=entry)
+    assert reply[0] == 202
+    return msgspec.json.decode(reply[2])["job_id"]
+
+
+def job_of(cluster, job_id, entry=0):
+    try:
+        reply = cluster.call("GET", f"/v1/jobs/{job_id}", KEY, entry=entry)
+    except urllib3.exceptions.HTTPError:
+        return {"state": "unknown"}
+    return msgspec.json.decode(reply[2])
+
+
+def wait_for_state(cluster, job_id, state, seconds=20, entry=0):
+    cluster.wait_until(
+        lambda: job_of(cluster, job_id, entry).get("state") == state, seconds
+    )
+
+
+def starts_of(cluster, job_id):
+    """Return task identities and times of all starts, in order of time."""
+    starts = []
+    for worker in cluster.workers:
+        for run in cluster.history(worker):
+            if run.get("task_id", "").startswith(f"{job_id}."):
+                starts.append((run["at"], run["task_id"]))
+    return sorted(starts)
+
+
+def running(cluster, job_id, attempt):
+    """Return how many members of an attempt run now."""
+    http = urllib3.PoolManager(retries=False)
+    count = 0
+    for worker in cluster.workers:
+        for member in range(GANG["tasks"]):
+            url = f"http://{worker.address}/tasks/{job_id}.{attempt}.{member}"
+            reply = http.request("GET", url)
+            if reply.status == 200 and msgspec.json.decode(reply.data)[0] == "running":
+                count += 1
+    return count
+
+
+def first_agent(cluster, job_id):
+    worker = job_of(cluster, job_id)["workers"][0]
+    return int(worker.partition("-")[2])
+
+
+@pytest.mark.parametrize("lost", [0, 1])
+def test_gang_goes_on_when_an_entry_is_killed(cluster, lost):
+    job_id = submit(cluster, f"killed-{lost}", 8.0)
+    wait_for_state(cluster, job_id, "running")
+    cluster.entries[lost].kill()
+    cluster.entries[lost] = cluster.start_entry(lost)
+    cluster.wait_ready()
+    wait_for_state(cluster, job_id, "finished", 30)
+    assert [task for _, task in starts_of(cluster, job_id)] == [
+        f"{job_id}.1.0",
+        f"{job_id}.1.1",
+    ] or len(starts_of(cluster, job_id)) == 2
+
+
+@pytest.mark.parametrize("paused", [0, 1])
+def test_paused_entry_starts_nothing_twice_after_its_lease(cluster, paused):
+    other = 1 - paused
+    cluster.entries[paused].freeze()
+    job_id = submit(cluster, f"paused-{paused}", 1.0, entry=other)
+    time.sleep(6)
+    cluster.entries[paused].thaw()
+    wait_for_state(cluster, job_id, "finished", 20, entry=other)
+    time.sleep(2)
+    assert len(starts_of(cluster, job_id)) == 2
+
+
+def test_task_of_a_killed_agent_runs_again_only_after_its_lease(cluster):
+    job_id = submit(cluster, "agent-killed", 12.0)
+    wait_for_state(cluster, job_id, "running")
+    index = first_agent(cluster, job_id)
+    cluster.agents[index].kill()
+    killed_at = time.time()
+    cluster.agents[index] = cluster.start_agent(index)
+    wait_for_state(cluster, job_id, "finished", 60)
+    second = [at for at, task in starts_of(cluster, job_id) if ".2." in task]
+    assert len(second) == 2
+    assert min(second) - killed_at >= TASK_LEASE_SECONDS - 1.0
+
+
+def test_gang_of_a_paused_agent_stops_whole_and_runs_again(cluster):
+    job_id = submit(cluster, "agent-paused", 12.0)
+    wait_for_state(cluster, job_id, "running")
+    index = first_agent(cluster, job_id)
+    cluster.agents[index].freeze()
+    time.sleep(PARTLY_RUNNING_SECONDS + 1)
+    assert running(cluster, job_id, 1) == 0
+    cluster.agents[index].thaw()
+    wait_for_state(cluster, job_id, "finished", 40)
+    assert len(starts_of(cluster, job_id)) == 4
