--- a/src/sequoiachute/coordination/routing/admission.py
+++ b/src/sequoiachute/coordination/routing/admission.py
@@ -18,6 +18,7 @@
 SHORTEST_WAIT_SECONDS = 0.001
 SMOOTHING = 0.05
 WAIT_MARGIN = 1.2
+DEVIATIONS = 2.0  # mean deviations above the mean
 MIN_RETRY_AFTER_SECONDS = 1.0
 
 
@@ -55,6 +56,7 @@
         self._queued = 0
         self._tag = 0.0
         self._held_seconds = 0.0
+        self._deviation = 0.0
 
     @property
     def running(self) -> int:
@@ -90,17 +92,27 @@
         lane = self._lanes[account]
         lane.running -= 1
         self._running -= 1
-        known = self._held_seconds or seconds
-        self._held_seconds = known + SMOOTHING * (seconds - known)
+        self._learn(seconds)
         self._dispatch()
         self._drop_idle(account, lane)
 
+    @property
+    def _late_seconds(self) -> float:
+        """Time within which nearly every request that is let in ends."""
+        return self._held_seconds + DEVIATIONS * self._deviation
+
+    def _learn(self, seconds: float) -> None:
+        known = self._held_seconds or seconds
+        error = seconds - known
+        self._held_seconds = known + SMOOTHING * error
+        self._deviation += SMOOTHING * (abs(error) - self._deviation)
+
     def _wait(
         self, account: str, lane: Lane, turn: Event, deadline: float
     ) -> Answer | None:
         try:
             while not turn.ready():
-                left = deadline - clock.now() - self._held_seconds
+                left = deadline - clock.now() - self._late_seconds
                 if left < SHORTEST_WAIT_SECONDS:
                     break
                 with eventlet.Timeout(min(left, POLL_SECONDS), False):
@@ -132,7 +144,7 @@
         if self._has_room(lane, limits):
             return None
         wait = self._expected_wait(lane, limits)
-        if wait * WAIT_MARGIN + self._held_seconds <= left:
+        if wait * WAIT_MARGIN + self._late_seconds <= left:
             return None
         reason = f"the wait of about {wait:.1f} s would pass the deadline"
         return refuse(reason, 503, max(MIN_RETRY_AFTER_SECONDS, wait))
--- a/src/sequoiachute/coordination/routing/answers.py
+++ b/src/sequoiachute/coordination/routing/answers.py
@@ -62,6 +62,12 @@
     return Answer(NOT_RUN, status, "", b"", "", reason, retry_after)
 
 
+def refuse_late(expected: float, left: float) -> Answer:
+    """Return the refusal of a request that would miss its deadline."""
+    reason = f"an answer would take about {expected:.1f} s, past the deadline"
+    return refuse(reason, 503, max(RETRY_AFTER_SECONDS, expected - left))
+
+
 def unknown(attempt_id: str, reason: str, retry_after: float = 0.0) -> Answer:
     """Return that the attempt may have run."""
     status = 503 if retry_after else 502
--- a/src/sequoiachute/coordination/routing/choice.py
+++ b/src/sequoiachute/coordination/routing/choice.py
@@ -10,12 +10,22 @@
     """A backend server that may take a request.
 
     ``outstanding`` counts the requests in progress there. ``expected`` is the
-    time in seconds in which one more would be answered.
+    time in seconds in which one more would be answered, good for comparing.
+    ``recent`` is the time in which requests were answered lately, zero where
+    none was.
     """
 
     worker: Worker
     outstanding: int
     expected: float
+    recent: float = 0.0
+
+    def is_late(self, left: float) -> bool:
+        """Whether it would not answer within ``left`` seconds.
+
+        An idle one is never called late, or its speed would never be learnt.
+        """
+        return self.outstanding > 0 and self.recent > left
 
 
 class Choice(Protocol):
--- a/src/sequoiachute/coordination/routing/idempotent.py
+++ b/src/sequoiachute/coordination/routing/idempotent.py
@@ -10,6 +10,7 @@
     Answer,
     Request,
     refuse,
+    refuse_late,
 )
 from sequoiachute.coordination.routing.choice import Choice
 from sequoiachute.coordination.routing.retries import Patience, RetryBudget
@@ -47,7 +48,11 @@
                 if self._workload.capacity() and patience.wait():
                     continue
                 return answer
-            worker = self._choice.choose(candidates).worker
+            chosen = self._choice.choose(candidates)
+            left = request.deadline - clock.now()
+            if chosen.is_late(left):
+                return _more_telling(answer, refuse_late(chosen.recent, left))
+            worker = chosen.worker
             observed = self._workload.begin(worker)
             try:
                 newest = self._sender.attempt(request, worker, uuid4().hex)
--- a/src/sequoiachute/coordination/routing/once.py
+++ b/src/sequoiachute/coordination/routing/once.py
@@ -18,6 +18,7 @@
     check_reply,
     ran,
     refuse,
+    refuse_late,
     unknown,
 )
 from sequoiachute.coordination.routing.choice import Choice
@@ -101,10 +102,14 @@
                 if self._workload.capacity() and patience.wait():
                     continue
                 return answer
+            chosen = self._choice.choose(candidates)
+            left = request.deadline - clock.now()
+            if chosen.is_late(left):
+                return refuse_late(chosen.recent, left)
             if tries and not self._budget.spend():
                 return answer
             tries += 1
-            worker = self._choice.choose(candidates).worker
+            worker = chosen.worker
             observed = self._workload.begin(worker)
             try:
                 answer = self._run_on(request, worker)
--- a/src/sequoiachute/coordination/routing/workload.py
+++ b/src/sequoiachute/coordination/routing/workload.py
@@ -18,7 +18,8 @@
     """One backend server's load, speed and failures, as observed here.
 
     ``unit_seconds`` is the answer time divided by the requests in progress,
-    so that it predicts the time under another load.
+    so that it compares backend servers under any load. ``recent_seconds`` is
+    the answer time as it was lately.
     """
 
     def __init__(self, incarnation: str) -> None:
@@ -26,6 +27,7 @@
         self.own = 0
         self.others = 0
         self.unit_seconds = 0.0
+        self.recent_seconds = 0.0
         self.observed_at = 0.0
         self.failures = 0.0
         self.ejected_until = 0.0
@@ -83,7 +85,9 @@
             if observed.outstanding >= worker.connections:
                 continue
             expected = self._expected(worker, observed, typical, now)
-            candidate = Candidate(worker, observed.outstanding, expected)
+            candidate = Candidate(
+                worker, observed.outstanding, expected, observed.recent_seconds
+            )
             if not observed.ejected_until:
                 healthy.append(candidate)
                 continue
@@ -123,6 +127,8 @@
     def succeed(self, observed: Observation, seconds: float, outstanding: int) -> None:
         """Learn from an answer that took ``seconds`` among ``outstanding``."""
         self._learn(observed, seconds / max(1, outstanding))
+        recent = observed.recent_seconds or seconds
+        observed.recent_seconds = recent + SMOOTHING * (seconds - recent)
         observed.failures *= 1 - SMOOTHING
         if observed.ejected_until:
             observed.ejected_until = 0.0
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -26,6 +26,8 @@
 
 from standins.web import read_json, reply  # noqa: E402
 
+HISTORY_BODY_BYTES = 100
+
 
 class Worker:
     """Runs requests and tasks in memory."""
@@ -67,6 +69,7 @@
                 "what": "request",
                 "request_id": environ.get("HTTP_X_REQUEST_ID", ""),
                 "attempt_id": attempt,
+                "body": body[:HISTORY_BODY_BYTES].decode(errors="replace"),
                 "at": time.time(),
                 "open": self.open_requests,
             }
--- a/tests/test_intents.py
+++ b/tests/test_intents.py
@@ -73,6 +73,7 @@
     for entry in (0, 1, 0):
         call = site.call(entry, key="tag")
         assert (call.outcome, call.retry_after) == ("unknown", 0.0)
+        site.run_for(1)
     assert len(site.runs) == 1
 
 
@@ -123,6 +124,15 @@
     assert len(site.runs) == 1
 
 
+def test_calls_at_one_entry_leave_the_running_attempt_alone(site):
+    tasks = [site.start_call(0, key="tag") for _ in range(10)]
+    assert "answered" in [task.wait().outcome for task in tasks]
+    site.run_for(1)
+    pages = site.log.read(INTENTS_STREAM, 0, 0).entries
+    ends = [entry for entry in pages if b"intent-answered" in entry.data]
+    assert len(ends) == 1
+
+
 def test_large_answer_comes_from_the_agent_while_it_lives(site):
     body = b"x" * 100_000
     first = site.call(0, key="tag", body=body)
