--- a/src/sequoiachute/coordination/agent.py
+++ b/src/sequoiachute/coordination/agent.py
@@ -5,21 +5,28 @@
 from uuid import uuid4
 
 import eventlet
-from eventlet.event import Event
+from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.announcer import Announcer
+from sequoiachute.coordination.bounds import CONTACT_SECONDS
 from sequoiachute.coordination.executor import Executor
 from sequoiachute.coordination.freshness import ConfigurationView
+from sequoiachute.coordination.gangleader import GangLeader
 from sequoiachute.coordination.gangs import GangKeeper
+from sequoiachute.coordination.runner import TaskRunner
 from sequoiachute.protocol.messages import (
-    ANNOUNCE,
     ATTEMPT,
     COMMIT,
     EXECUTE,
+    GANG_HEARTBEAT,
+    GANG_STOP,
+    PREPARE,
     RESERVE,
     START,
     STOP,
     Announcement,
+    AnnouncementReply,
     Method,
 )
 from sequoiachute.settings import AgentSettings
@@ -28,8 +35,9 @@
 from sequoiachute.transport.backend import request_connections
 from sequoiachute.transport.ports import BackendServer, Caller
 
-CALL_SECONDS = 2.0
 LEAVE_POLL_SECONDS = 0.25
+CONTACT_POLL_SECONDS = 0.5
+TOKENS_PER_SECOND = 1000  # keeps the tokens of a later agent above an earlier one's
 LEAVE_LINGER_SECONDS = 0.5
 
 
@@ -53,25 +61,35 @@
         self._view = ConfigurationView(
             caller, settings.data_centre, settings.freshness_seconds
         )
-        self._grants = GrantTable(settings.accelerators, settings.slots)
+        self._started_at = clock.wall_time()
+        self._sequence = 0
+        self._leaving = False
+        self._announcer = Announcer(
+            settings.entries,
+            settings.announce_seconds,
+            caller,
+            self.announcement,
+            self._take_reply,
+        )
+        self._grants = GrantTable(
+            settings.accelerators,
+            settings.slots,
+            int(clock.wall_time() * TOKENS_PER_SECOND),
+        )
         self._executor = Executor(
             self._incarnation,
             request_connections(settings.connections),
             self._view,
             backend,
         )
+        self._runner = TaskRunner(self._grants, backend, self._announcer.notify)
         self._gangs = GangKeeper(
-            settings.worker_id,
-            settings.rpc_address,
-            self._grants,
-            self._view,
-            caller,
-            backend,
-            self._notify,
+            settings.rpc_address, self._grants, self._view, caller, self._runner
         )
-        self._sequence = 0
-        self._leaving = False
-        self._changed = Event()
+        self._leader = GangLeader(
+            settings.rpc_address, self._grants, self._gangs, caller
+        )
+        self._heard_at = clock.now()
 
     @property
     def configuration(self) -> Configuration:
@@ -92,24 +110,24 @@
         """Return the methods that this agent serves."""
         return {
             RESERVE: self._gangs.reserve,
-            COMMIT: self._gangs.commit,
+            COMMIT: self._leader.commit,
+            PREPARE: self._gangs.prepare,
             START: self._gangs.start,
             STOP: self._gangs.stop,
+            GANG_HEARTBEAT: self._leader.hear,
+            GANG_STOP: self._gangs.stop_gang,
             EXECUTE: self._executor.execute,
             ATTEMPT: self._executor.attempt,
         }
 
     def run(self) -> None:
-        """Announce the backend server to every entry, one task for each."""
-        for address in self._settings.entries:
-            eventlet.spawn(self._announce_to, address)
+        """Announce the backend server to every entry."""
+        self._announcer.run()
+        eventlet.spawn(self._keep_contact)
 
     def leave(self, timeout: float) -> bool:
         """Take no new work and wait for the rest; return whether all ended."""
-        self._leaving = True
-        self._executor.leave()
-        self._gangs.leave()
-        self._notify()
+        self._stop_taking_work()
         deadline = clock.now() + timeout
         while clock.now() < deadline:
             if self._executor.open_connections == 0 and self._gangs.is_idle:
@@ -142,26 +160,36 @@
             leaving=self._leaving,
             open_connections=self._executor.open_connections,
             occupants=self._grants.occupants(),
-            reports=self._gangs.reports,
+            reports=self._runner.reports,
             agent_clock=clock.now(),
-            entries=len(settings.entries),
+            entries=max(1, len(self._announcer.addresses)),
+            entry_addresses=self._announcer.addresses,
+            started_at=self._started_at,
         )
 
-    def _announce_to(self, address: str) -> None:
-        while True:
-            changed = self._changed
-            sent_at = clock.now()
-            outcome = self._caller.call(
-                address, ANNOUNCE, self.announcement(), CALL_SECONDS
+    def _take_reply(
+        self, address: str, reply: AnnouncementReply, sent_at: float
+    ) -> None:
+        self._heard_at = max(self._heard_at, sent_at)
+        self._grants.admit_term(reply.term)
+        self._runner.acknowledge(reply.acknowledged)
+        self._view.take_reply(address, reply, sent_at)
+        if reply.superseded and not self._leaving:
+            logger.error(
+                "another agent runs as {}; stop this one or give it a name",
+                self._settings.worker_id,
             )
-            if outcome.is_ok():
-                reply = outcome.unwrap()
-                self._gangs.acknowledge(reply.acknowledged)
-                self._view.take_reply(address, reply, sent_at)
-            with eventlet.Timeout(self._settings.announce_seconds, False):
-                changed.wait()
-
-    def _notify(self) -> None:
-        changed = self._changed
-        self._changed = Event()
-        changed.send(None)
+            self._stop_taking_work()
+
+    def _stop_taking_work(self) -> None:
+        self._leaving = True
+        self._executor.leave()
+        self._gangs.leave()
+        self._announcer.notify()
+
+    def _keep_contact(self) -> None:
+        """Stop every task once no entry has answered for long."""
+        while True:
+            clock.sleep(CONTACT_POLL_SECONDS)
+            if clock.now() - self._heard_at > CONTACT_SECONDS:
+                self._gangs.stop_all("no entry instance answers the agent")
--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -9,6 +9,7 @@
 from sequoiachute import clock
 from sequoiachute.coordination.catchup import confirmed_age, tell_configuration
 from sequoiachute.coordination.causes import ObservedPolicy
+from sequoiachute.coordination.follower import IDLE_WAIT_SECONDS, STATE_WAIT_SECONDS
 from sequoiachute.coordination.log import StreamWriter
 from sequoiachute.coordination.membership import EntryDirectory, PeerConfirmation
 from sequoiachute.coordination.placement import Policy
@@ -19,11 +20,14 @@
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
     CONFIGURATION,
+    SILENCE,
     Announcement,
     AnnouncementReply,
     ConfigurationReply,
     ConfigurationRequest,
     Method,
+    Silence,
+    SilenceReply,
 )
 from sequoiachute.protocol.records import (
     CONFIGURATION_STREAM,
@@ -107,17 +111,25 @@
             self._streams.writer(SERVICE_LEVELS_STREAM),
             lambda: self.placer.holds_lease,
         )
+        self._started_at = clock.now()
+        self._unready = False
         self._leaving = False
         self._open_requests = 0
 
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send requests here."""
-        return self._streams.is_caught_up and not self._leaving
+        if self._unready or self._leaving:
+            return False
+        return self._streams.is_caught_up
 
     def handlers(self) -> Mapping[Method, Callable[[Any], Any]]:
         """Return the methods that this entry serves to agents."""
-        return {ANNOUNCE: self.announce, CONFIGURATION: self.tell_configuration}
+        return {
+            ANNOUNCE: self.announce,
+            CONFIGURATION: self.tell_configuration,
+            SILENCE: self.tell_silence,
+        }
 
     def run(self) -> None:
         """Start following the log and placing."""
@@ -131,6 +143,10 @@
         """Return the writer of ``stream``."""
         return self._streams.writer(stream)
 
+    def begin_leaving(self) -> None:
+        """Tell the balancer to send nothing more; requests are still served."""
+        self._unready = True
+
     def begin_request(self) -> bool:
         """Count a caller's request in; return whether it may be served."""
         if self._leaving:
@@ -147,14 +163,14 @@
         self._leaving = True
         self.directory.leave()
         deadline = clock.now() + timeout
-        while clock.now() < deadline:
-            if self._open_requests == 0 and not self.router.pending_records:
-                self.recorder.flush()
-                # The last answers are still on their way.
-                clock.sleep(LEAVE_LINGER_SECONDS)
-                return True
+        while self._open_requests or self.router.pending_records:
+            if clock.now() >= deadline:
+                return False
             clock.sleep(0.05)
-        return False
+        self.recorder.flush()
+        # The last answers are still on their way.
+        clock.sleep(LEAVE_LINGER_SECONDS)
+        return True
 
     def announce(self, message: Announcement) -> AnnouncementReply:
         """Take an agent's announcement."""
@@ -171,12 +187,22 @@
             confirmed_age=confirmed_age(self.configuration),
             entries=self.directory.addresses(),
             acknowledged=tuple(acknowledged),
+            term=self.placer.known_term,
+            superseded=self.fleet.is_superseded(message.worker_id, message.incarnation),
         )
 
     def tell_configuration(self, message: ConfigurationRequest) -> ConfigurationReply:
         """Return the configuration in force."""
         return tell_configuration(self.configuration, message)
 
+    def tell_silence(self, message: Silence) -> SilenceReply:
+        """Return for how long this entry has not heard an agent."""
+        now = clock.now()
+        worker = self.fleet.get(message.worker_id)
+        if worker is None:
+            return SilenceReply(now - self._started_at)
+        return SilenceReply(now - worker.heard_at)
+
     def _follow_streams(self) -> None:
         self._streams.add(
             CONFIGURATION_STREAM,
@@ -186,25 +212,32 @@
             self.configuration.confirm,
         )
         self._streams.add(
-            JOBS_STREAM, self._apply_job, self.jobs.snapshot, self.jobs.restore
+            JOBS_STREAM,
+            self._apply_job,
+            self.jobs.snapshot,
+            self.jobs.restore,
+            wait=STATE_WAIT_SECONDS,
         )
         self._streams.add(
             INTENTS_STREAM,
             self._apply_intent,
             self.intents.snapshot,
             self.intents.restore,
+            wait=IDLE_WAIT_SECONDS,
         )
         self._streams.add(
             LEASES_STREAM,
             self._apply_lease,
             self.leases.snapshot,
             lambda items: self.leases.restore(items, clock.now()),
+            wait=STATE_WAIT_SECONDS,
         )
         self._streams.add(
             SERVICE_LEVELS_STREAM,
             self._apply_service_level,
             self.service_levels.snapshot,
             self.service_levels.restore,
+            wait=IDLE_WAIT_SECONDS,
         )
 
     def _apply_configuration(self, position: Position, record: Any) -> None:
--- a/src/sequoiachute/transport/rpc.py
+++ b/src/sequoiachute/transport/rpc.py
@@ -13,11 +13,15 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from sequoiachute.errors import RpcError
+from sequoiachute import clock
+from sequoiachute.errors import RpcError, describe_failure
 from sequoiachute.protocol.codec import MessageCodec
 from sequoiachute.protocol.messages import Method
 
 CONNECT_SECONDS = 1.0
+TIMEOUTS_BEFORE_REDIAL = 2
+IDLE_POLL_SECONDS = 0.05
+LINGER_SECONDS = 0.2  # for answers that are on their way out
 
 RpcHandler = Callable[[Any], Any]
 
@@ -34,13 +38,14 @@
     def __init__(self, handlers: Mapping[Method, RpcHandler]) -> None:
         self._handlers = handlers
         self._server: Server | None = None
+        self._open_calls = 0
 
     def __mapping__(self) -> dict[str, Handler]:
         """Return the table that grpclib dispatches on."""
         table = {}
         for method, handler in self._handlers.items():
             table[method.path] = Handler(
-                _serve_with(handler),
+                self._serve_with(handler),
                 Cardinality.UNARY_UNARY,
                 method.request,
                 method.reply,
@@ -59,37 +64,59 @@
         self._server.close()
         spawn_for_awaitable(self._server.wait_closed()).wait()
 
-
-def _serve_with(handler: RpcHandler) -> Callable[[Any], Any]:
-    async def serve(stream: Any) -> None:
-        message = await stream.recv_message()
-        future = asyncio.get_running_loop().create_future()
-        eventlet.spawn(_run_handler, handler, message, future)
-        reply = await future
-        await stream.send_message(reply)
-
-    return serve
+    def wait_idle(self, timeout: float) -> bool:
+        """Wait until every call was answered; return whether it was."""
+        deadline = clock.now() + timeout
+        while self._open_calls:
+            if clock.now() >= deadline:
+                return False
+            clock.sleep(IDLE_POLL_SECONDS)
+        clock.sleep(LINGER_SECONDS)
+        return True
+
+    def _serve_with(self, handler: RpcHandler) -> Callable[[Any], Any]:
+        async def serve(stream: Any) -> None:
+            self._open_calls += 1
+            try:
+                message = await stream.recv_message()
+                future = asyncio.get_running_loop().create_future()
+                eventlet.spawn(_run_handler, handler, message, future)
+                await stream.send_message(await future)
+            finally:
+                self._open_calls -= 1
+
+        return serve
 
 
 def _run_handler(handler: RpcHandler, message: Any, future: asyncio.Future) -> None:
     try:
         reply = handler(message)
     except Exception as error:
-        logger.exception("RPC handler failed for {}", type(message).__name__)
+        kind = type(message).__name__
+        logger.error("RPC handler of {} failed: {}", kind, describe_failure(error))
         if not future.done():
-            future.set_exception(GRPCError(Status.INTERNAL, str(error)))
+            future.set_exception(GRPCError(Status.INTERNAL, type(error).__name__))
         return
     if not future.done():
         future.set_result(reply)
 
 
 class RpcClient:
-    """Calls the methods of one peer over one connection, redialled as needed."""
+    """Calls the methods of one peer over one connection, redialled as needed.
+
+    A connection on which several calls in a row get no answer may be half
+    open: later calls dial a new one, while those in progress keep the old.
+    """
 
     def __init__(self, address: str) -> None:
         self.address = address
-        host, _, port = address.rpartition(":")
-        self._channel = Channel(host, int(port), codec=MessageCodec())
+        self._channel = self._dial()
+        self._timeouts = 0
+        self._open_calls: dict[Channel, int] = {}
+
+    def _dial(self) -> Channel:
+        host, _, port = self.address.rpartition(":")
+        return Channel(host, int(port), codec=MessageCodec())
 
     def call(
         self, method: Method, message: Any, timeout: float
@@ -100,22 +127,50 @@
 
     async def _call(
         self, method: Method, message: Any, timeout: float
+    ) -> Result[Any, RpcError]:
+        channel = self._channel
+        self._open_calls[channel] = self._open_calls.get(channel, 0) + 1
+        try:
+            return await self._call_on(channel, method, message, timeout)
+        finally:
+            self._open_calls[channel] -= 1
+            self._close_if_replaced(channel)
+
+    async def _call_on(
+        self, channel: Channel, method: Method, message: Any, timeout: float
     ) -> Result[Any, RpcError]:
         try:
             async with asyncio.timeout(min(CONNECT_SECONDS, timeout)):
-                await self._channel.__connect__()
+                await channel.__connect__()
         except (OSError, TimeoutError) as error:
             return Err(RpcError(self.address, f"no connection: {error}", False))
-        call = UnaryUnaryMethod(
-            self._channel, method.path, method.request, method.reply
-        )
+        call = UnaryUnaryMethod(channel, method.path, method.request, method.reply)
         try:
-            return Ok(await call(message, timeout=timeout))
+            reply = await call(message, timeout=timeout)
         except GRPCError as error:
             return Err(RpcError(self.address, f"{error.status.name}", True))
         except (OSError, TimeoutError, StreamTerminatedError) as error:
+            if isinstance(error, TimeoutError):
+                self._note_timeout(channel)
             reason = f"{type(error).__name__}: {error}"
             return Err(RpcError(self.address, reason, True))
+        self._timeouts = 0
+        return Ok(reply)
+
+    def _note_timeout(self, channel: Channel) -> None:
+        if channel is not self._channel:
+            return
+        self._timeouts += 1
+        if self._timeouts >= TIMEOUTS_BEFORE_REDIAL:
+            self._timeouts = 0
+            self._channel = self._dial()
+
+    def _close_if_replaced(self, channel: Channel) -> None:
+        if self._open_calls[channel]:
+            return
+        del self._open_calls[channel]
+        if channel is not self._channel:
+            channel.close()
 
     def close(self) -> None:
         """Close the connection."""
