Send short keep-alives where an announcement has not changed

Cause: every agent sent its whole state to every entry each second. A short message now names the last whole announcement; an entry that doesn't hold it asks for the whole one. Ends of tasks are always announced whole.

Ruled out: keep-alives through a balancer's address, where another entry may answer each time.

--- a/src/sequoiachute/coordination/announcer.py
+++ b/src/sequoiachute/coordination/announcer.py
@@ -8,7 +8,13 @@
 from loguru import logger
 
 from sequoiachute import clock
-from sequoiachute.protocol.messages import ANNOUNCE, Announcement, AnnouncementReply
+from sequoiachute.protocol.messages import (
+    ANNOUNCE,
+    KEEP_ALIVE,
+    Announcement,
+    AnnouncementReply,
+    KeepAlive,
+)
 from sequoiachute.transport.ports import Caller
 
 CALL_SECONDS = 2.0
@@ -18,12 +24,15 @@
 
 
 class Contact(NamedTuple):
-    """What is known of an address; times in seconds of the clock."""
+    """What is known of an address; ``listed_at`` is clock time in seconds.
+
+    ``held`` is the last whole announcement that the entry has.
+    """
 
     entry_id: str = ""
-    answered_at: float = float("-inf")
     listed_at: float = float("-inf")
     failures: int = 0
+    held: Announcement | None = None
 
 
 class Announcer:
@@ -95,23 +104,44 @@
 
     def _announce_once(self, address: str) -> None:
         sent_at = clock.now()
-        outcome = self._caller.call(
-            address, ANNOUNCE, self._announcement(), CALL_SECONDS
-        )
-        contact = self._contacts[address]
-        if outcome.is_err():
-            self._contacts[address] = contact._replace(failures=contact.failures + 1)
+        message = self._announcement()
+        reply = self._send(address, message)
+        if reply is not None and reply.full_wanted:
+            reply = self._send(address, message)
+        if reply is None:
             return
-        reply = outcome.unwrap()
-        self._contacts[address] = contact._replace(
-            entry_id=reply.entry_id, answered_at=clock.now(), failures=0
-        )
         for listed in reply.entries:
             self._start(listed)
             known = self._contacts[listed]
             self._contacts[listed] = known._replace(listed_at=clock.now())
         self._take_reply(address, reply, sent_at)
 
+    def _send(self, address: str, message: Announcement) -> AnnouncementReply | None:
+        """Send ``message``, or a keep-alive where the entry holds all of it."""
+        held = self._contacts[address].held
+        # Behind an alias another entry may answer each time.
+        direct = held is not None and not self._is_alias(address)
+        is_held = direct and _is_same(held, message)
+        if is_held:
+            short = _shorten(message, held.sequence)
+            outcome = self._caller.call(address, KEEP_ALIVE, short, CALL_SECONDS)
+        else:
+            outcome = self._caller.call(address, ANNOUNCE, message, CALL_SECONDS)
+        contact = self._contacts[address]
+        if outcome.is_err():
+            self._contacts[address] = contact._replace(
+                failures=contact.failures + 1, held=None
+            )
+            return None
+        reply = outcome.unwrap()
+        holds = held if is_held else message
+        self._contacts[address] = contact._replace(
+            entry_id=reply.entry_id,
+            failures=0,
+            held=None if reply.full_wanted else holds,
+        )
+        return reply
+
     def _pause(self, address: str) -> float:
         if self._is_alias(address):
             return ALIAS_PAUSE_SECONDS
@@ -121,9 +151,8 @@
     def _is_gone(self, address: str) -> bool:
         if address in self._seeds:
             return False
-        contact = self._contacts[address]
-        last = max(contact.answered_at, contact.listed_at)
-        return clock.now() - last > GONE_SECONDS
+        # An entry names itself, so that one which answers is never gone.
+        return clock.now() - self._contacts[address].listed_at > GONE_SECONDS
 
     def _is_alias(self, address: str) -> bool:
         """Return whether this seed only leads to entries reached directly."""
@@ -138,3 +167,28 @@
             if known.entry_id == contact.entry_id and not known.failures:
                 return True
         return False
+
+
+def _is_same(held: Announcement, message: Announcement) -> bool:
+    """Return whether a keep-alive can stand for ``message``."""
+    if message.reports:
+        return False
+    like_held = message._replace(
+        sequence=held.sequence,
+        config_offset=held.config_offset,
+        open_connections=held.open_connections,
+        agent_clock=held.agent_clock,
+    )
+    return like_held == held
+
+
+def _shorten(message: Announcement, full_sequence: int) -> KeepAlive:
+    return KeepAlive(
+        worker_id=message.worker_id,
+        incarnation=message.incarnation,
+        sequence=message.sequence,
+        full_sequence=full_sequence,
+        config_offset=message.config_offset,
+        open_connections=message.open_connections,
+        agent_clock=message.agent_clock,
+    )
--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -20,10 +20,12 @@
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
     CONFIGURATION,
+    KEEP_ALIVE,
     Announcement,
     AnnouncementReply,
     ConfigurationReply,
     ConfigurationRequest,
+    KeepAlive,
     Method,
 )
 from sequoiachute.protocol.records import (
@@ -121,7 +123,11 @@
 
     def handlers(self) -> Mapping[Method, Callable[[Any], Any]]:
         """Return the methods that this entry serves to agents."""
-        return {ANNOUNCE: self.announce, CONFIGURATION: self.tell_configuration}
+        return {
+            ANNOUNCE: self.announce,
+            KEEP_ALIVE: self.keep_alive,
+            CONFIGURATION: self.tell_configuration,
+        }
 
     def run(self) -> None:
         """Start following the log and placing."""
@@ -173,12 +179,22 @@
             self.placer.take_report(report)
             if self.placer.is_settled(report):
                 acknowledged.append((report.job_id, report.attempt, report.member))
+        return self._reply_to(message)._replace(acknowledged=tuple(acknowledged))
+
+    def keep_alive(self, message: KeepAlive) -> AnnouncementReply:
+        """Take an agent's word that little has changed."""
+        known = self.fleet.keep_alive(message, clock.now())
+        if known:
+            self.router.workload.hear(message.worker_id, message.open_connections)
+        return self._reply_to(message)._replace(full_wanted=not known)
+
+    def _reply_to(self, message: Announcement | KeepAlive) -> AnnouncementReply:
         return AnnouncementReply(
             entry_id=self.settings.entry_id,
             config_offset=self.configuration.offset,
             confirmed_age=confirmed_age(self.configuration),
             entries=self.directory.addresses(),
-            acknowledged=tuple(acknowledged),
+            acknowledged=(),
             superseded=self.fleet.is_superseded(message.worker_id, message.incarnation),
         )
 
--- a/src/sequoiachute/protocol/messages.py
+++ b/src/sequoiachute/protocol/messages.py
@@ -71,13 +71,28 @@
     started_at: float = 0.0
 
 
+class KeepAlive(NamedTuple):
+    """Stands for the announcement ``full_sequence`` with what changes often.
+
+    An entry that doesn't hold that announcement asks for a whole one.
+    """
+
+    worker_id: str
+    incarnation: str
+    sequence: int
+    full_sequence: int
+    config_offset: int
+    open_connections: int
+    agent_clock: float
+
+
 class AnnouncementReply(NamedTuple):
     """Where the entry's configuration stands and how fresh that view is.
 
     ``confirmed_age`` is the time in seconds since the entry last confirmed
     the end of the configuration stream. ``entries`` are the addresses of the
     current entries. ``superseded`` tells an agent that a newer one has taken
-    its worker's identity.
+    its worker's identity; ``full_wanted`` asks for a whole announcement.
     """
 
     entry_id: str
@@ -86,6 +101,7 @@
     entries: tuple[str, ...]
     acknowledged: tuple[tuple[str, int, int], ...]
     superseded: bool = False
+    full_wanted: bool = False
 
 
 class ConfigurationRequest(NamedTuple):
@@ -244,6 +260,7 @@
 
 
 ANNOUNCE = Method("/sequoiachute.Entry/Announce", Announcement, AnnouncementReply)
+KEEP_ALIVE = Method("/sequoiachute.Entry/KeepAlive", KeepAlive, AnnouncementReply)
 CONFIGURATION = Method(
     "/sequoiachute.Entry/Configuration", ConfigurationRequest, ConfigurationReply
 )
--- a/src/sequoiachute/state/fleet.py
+++ b/src/sequoiachute/state/fleet.py
@@ -3,7 +3,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from sequoiachute.protocol.messages import Announcement, Occupant
+from sequoiachute.protocol.messages import Announcement, KeepAlive, Occupant
 
 REMEMBERED_INCARNATIONS = 16
 
@@ -36,6 +36,7 @@
     agent_clock: float = 0.0
     entries: int = 1
     started_at: float = 0.0
+    full_sequence: int = 0
 
     @property
     def free_accelerators(self) -> tuple[int, ...]:
@@ -89,6 +90,25 @@
             agent_clock=message.agent_clock,
             entries=message.entries,
             started_at=message.started_at,
+            full_sequence=message.sequence,
+        )
+        return True
+
+    def keep_alive(self, message: KeepAlive, now: float) -> bool:
+        """Take a keep-alive; return whether its announcement is the one held."""
+        known = self._workers.get(message.worker_id)
+        if known is None or known.incarnation != message.incarnation:
+            return False
+        if message.sequence <= known.sequence:
+            return True
+        if known.full_sequence != message.full_sequence:
+            return False
+        self._workers[message.worker_id] = known._replace(
+            sequence=message.sequence,
+            config_offset=message.config_offset,
+            open_connections=message.open_connections,
+            agent_clock=message.agent_clock,
+            heard_at=now,
         )
         return True
 
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -50,15 +50,17 @@
 class MemoryLog:
     """The log service in memory.
 
-    ``down`` refuses every call, ``reads_fail`` refuses reads, ``lose_replies``
-    lets appends take effect and then fail, ``late_seconds`` lets them fail
-    and take effect that much later, ``delay`` slows every call. Records are
-    forgotten after ``retention`` seconds. ``appends`` counts the calls.
+    ``down`` refuses every call, ``reads_fail`` and ``appends_fail`` refuse
+    one kind, ``lose_replies`` lets appends take effect and then fail,
+    ``late_seconds`` lets them fail and take effect that much later, ``delay``
+    slows every call. Records are forgotten after ``retention`` seconds.
+    ``appends`` counts the calls.
     """
 
     def __init__(self, delay: float = 0.001, retention: float = float("inf")) -> None:
         self.down = False
         self.reads_fail = False
+        self.appends_fail = False
         self.lose_replies = False
         self.late_seconds = 0.0
         self.delay = delay
@@ -71,7 +73,7 @@
     def append(self, stream: str, records: list[bytes]) -> int:
         """Append ``records``; return the offset of the first."""
         clock.sleep(self.delay)
-        if self.down:
+        if self.down or self.appends_fail:
             raise LogUnavailableError("down")
         if self.late_seconds:
             eventlet.spawn_after(self.late_seconds, self.put, stream, records)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,5 @@
 import eventlet
+import msgspec
 import pytest
 from eventlet import hubs
 
@@ -8,8 +9,10 @@
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
     CONFIGURATION,
+    KEEP_ALIVE,
     ConfigurationReply,
     ConfigurationRequest,
+    KeepAlive,
 )
 from sequoiachute.state.fleet import Fleet
 from sequoiachute.transport.rpc import RpcPool, RpcServer
@@ -73,19 +76,32 @@
         assert live_at(entry) == ["worker-0", "worker-1"]
 
 
+def test_entry_that_answers_is_kept_while_appends_fail(site):
+    joined = site.start_entry(7)
+    site.run_for(8)
+    site.log.appends_fail = True
+    site.run_for(60)
+    assert entry_address(7) not in site.entries[0].directory.addresses()
+    assert live_at(joined) == ["worker-0", "worker-1"]
+
+
 def test_balancer_as_the_only_seed_leads_to_every_entry(site):
     turns = [0]
     handlers = [entry.handlers() for entry in site.entries]
 
-    def announce_in_turn(message):
-        turns[0] += 1
-        return handlers[turns[0] % 2][ANNOUNCE](message)
+    def in_turn(method):
+        def serve(message):
+            turns[0] += 1
+            return handlers[turns[0] % 2][method](message)
+
+        return serve
 
-    site.network.serve(BALANCER, {ANNOUNCE: announce_in_turn})
+    served = {method: in_turn(method) for method in handlers[0]}
+    site.network.serve(BALANCER, served)
     site._entry_addresses = (BALANCER,)
     site.backends.append(site.backends[0])
     site.start_agent(2)
-    site.run_for(5)
+    site.run_for(GONE_SECONDS + 5)
     for entry in site.entries:
         assert "worker-2" in live_at(entry)
     before = turns[0]
@@ -160,6 +176,70 @@
     )
 
 
+def count_calls(site, entry, method):
+    address = entry_address(entry)
+    handlers = dict(site.entries[entry].handlers())
+    seen = []
+    take = handlers[method]
+
+    def counted(message):
+        seen.append(message)
+        return take(message)
+
+    handlers[method] = counted
+    site.network.serve(address, handlers)
+    return seen
+
+
+def test_unchanged_agents_send_short_keep_alives(site):
+    full = count_calls(site, 0, ANNOUNCE)
+    short = count_calls(site, 1, KEEP_ALIVE)
+    site.run_for(20)
+    assert full == []
+    assert len(short) >= 36
+    assert max(len(msgspec.msgpack.encode(message)) for message in short) < 100
+    assert live_at(site.entries[0]) == ["worker-0", "worker-1"]
+
+
+def test_entry_that_lost_the_announcement_gets_a_whole_one(site):
+    site.replace_entry(0)
+    site.run_for(3)
+    assert live_at(site.entries[0]) == ["worker-0", "worker-1"]
+
+
+def test_change_is_announced_whole(site):
+    site.submit("job-1", account="brocach", run_seconds=60.0)
+    site.publish(
+        create_catalogue(brocach={"owner": "Brocach", "job_class": "batch"}),
+        site.entries[0].configuration.catalogue_offset,
+    )
+    site.run_for(8)
+    for entry in site.entries:
+        occupants = [o for w in entry.fleet.live(clock.now()) for o in w.occupants]
+        assert [occupant.job_id for occupant in occupants] == ["job-1"]
+
+
+def test_keep_alive_for_another_announcement_is_refused(announcement):
+    fleet = Fleet(SILENT_SECONDS)
+    fleet.announce(announcement, 0)
+    short = KeepAlive(
+        announcement.worker_id,
+        announcement.incarnation,
+        announcement.sequence + 1,
+        announcement.sequence,
+        0,
+        3,
+        0.0,
+    )
+    assert not fleet.keep_alive(short._replace(full_sequence=-1), 1)
+    assert not fleet.keep_alive(short._replace(incarnation="other"), 1)
+    assert fleet.get("worker-0").heard_at == 0
+    assert fleet.keep_alive(short, 1)
+    assert fleet.get("worker-0").open_connections == 3
+    assert fleet.keep_alive(short._replace(open_connections=9), 2)
+    assert fleet.get("worker-0").open_connections == 3
+
+
 class Relay:
     """Carries connections to a server; ``deaf`` ones stay open and silent."""
 
