--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -21,12 +21,15 @@
     ANNOUNCE,
     CONFIGURATION,
     KEEP_ALIVE,
+    SILENCE,
     Announcement,
     AnnouncementReply,
     ConfigurationReply,
     ConfigurationRequest,
     KeepAlive,
     Method,
+    Silence,
+    SilenceReply,
 )
 from sequoiachute.protocol.records import (
     CONFIGURATION_STREAM,
@@ -110,6 +113,7 @@
             self._streams.writer(SERVICE_LEVELS_STREAM),
             lambda: self.placer.holds_lease,
         )
+        self._started_at = clock.now()
         self._unready = False
         self._leaving = False
         self._open_requests = 0
@@ -127,6 +131,7 @@
             ANNOUNCE: self.announce,
             KEEP_ALIVE: self.keep_alive,
             CONFIGURATION: self.tell_configuration,
+            SILENCE: self.tell_silence,
         }
 
     def run(self) -> None:
@@ -195,6 +200,7 @@
             confirmed_age=confirmed_age(self.configuration),
             entries=self.directory.addresses(),
             acknowledged=(),
+            term=self.placer.known_term,
             superseded=self.fleet.is_superseded(message.worker_id, message.incarnation),
         )
 
@@ -202,6 +208,14 @@
         """Return the configuration in force."""
         return tell_configuration(self.configuration, message)
 
+    def tell_silence(self, message: Silence) -> SilenceReply:
+        """Return for how long this entry has not heard an agent."""
+        now = clock.now()
+        worker = self.fleet.get(message.worker_id)
+        if worker is None:
+            return SilenceReply(now - self._started_at)
+        return SilenceReply(now - worker.heard_at)
+
     def _follow_streams(self) -> None:
         self._streams.add(
             CONFIGURATION_STREAM,
--- a/src/sequoiachute/protocol/messages.py
+++ b/src/sequoiachute/protocol/messages.py
@@ -4,6 +4,8 @@
 
 from sequoiachute.protocol.catalogue import Catalogue
 
+NO_TERM = -1  # before the first placer
+
 
 class Method(NamedTuple):
     """A unary method: its path and its message types."""
@@ -44,8 +46,9 @@
     """What an agent tells every entry about its backend server.
 
     ``agent_clock`` is the agent's own clock in seconds, on which the validity
-    of attempts is judged. ``entries`` is the number of entries announced to.
-    ``started_at`` is wall time and orders the incarnations of one worker.
+    of attempts is judged. ``entries`` is the number of entries announced to and
+    ``entry_addresses`` is where they are. ``started_at`` is wall time and
+    orders the incarnations of one worker.
     """
 
     worker_id: str
@@ -68,6 +71,7 @@
     reports: tuple[TaskReport, ...]
     agent_clock: float = 0.0
     entries: int = 1
+    entry_addresses: tuple[str, ...] = ()
     started_at: float = 0.0
 
 
@@ -91,8 +95,9 @@
 
     ``confirmed_age`` is the time in seconds since the entry last confirmed
     the end of the configuration stream. ``entries`` are the addresses of the
-    current entries. ``superseded`` tells an agent that a newer one has taken
-    its worker's identity; ``full_wanted`` asks for a whole announcement.
+    current entries. ``term`` is the placer's newest term that the entry knows.
+    ``superseded`` tells an agent that a newer one has taken its worker's
+    identity; ``full_wanted`` asks for a whole announcement.
     """
 
     entry_id: str
@@ -100,6 +105,7 @@
     confirmed_age: float
     entries: tuple[str, ...]
     acknowledged: tuple[tuple[str, int, int], ...]
+    term: int = NO_TERM
     superseded: bool = False
     full_wanted: bool = False
 
@@ -175,19 +181,71 @@
     reason: str = ""
 
 
+class ReservedMember(NamedTuple):
+    """A member of a gang and the token that fences its reservation."""
+
+    member: int
+    token: int
+
+
+class Prepare(NamedTuple):
+    """Asks an agent whether it would start its members of a gang now.
+
+    Their reservations are extended to ``hold_seconds`` from now.
+    """
+
+    job_id: str
+    attempt: int
+    config_offset: int
+    members: tuple[ReservedMember, ...]
+    hold_seconds: float
+
+
 class Start(NamedTuple):
-    """Starts a reserved member of a committed gang."""
+    """Starts an agent's members of a committed gang.
+
+    The agent keeps them running only while ``first_address`` answers its
+    heartbeats.
+    """
 
     job_id: str
     attempt: int
-    member: int
-    token: int
+    config_offset: int
+    members: tuple[ReservedMember, ...]
     payload: str
     run_seconds: float
     done_seconds: float
     first_address: str
 
 
+class GangHeartbeat(NamedTuple):
+    """A member's agent tells the gang's first member how its tasks stand.
+
+    ``state`` is ``running``, ``finished`` or ``broken``.
+    """
+
+    job_id: str
+    attempt: int
+    address: str
+    state: str
+    reason: str = ""
+
+
+class GangHeartbeatReply(NamedTuple):
+    """Whether the gang goes on; otherwise its tasks must stop."""
+
+    running: bool
+    reason: str = ""
+
+
+class GangStop(NamedTuple):
+    """The gang's first member stops the tasks of an attempt elsewhere."""
+
+    job_id: str
+    attempt: int
+    reason: str
+
+
 class Stop(NamedTuple):
     """Stops a task or drops its reservation, after a checkpoint if asked."""
 
@@ -195,12 +253,30 @@
     attempt: int
     checkpoint: bool
     reason: str
+    term: int = NO_TERM
 
 
 class StopReply(NamedTuple):
-    """Whether the agent knew the task."""
+    """Whether nothing of the attempt runs, or can start, at the agent.
+
+    ``reports`` tell how the attempt's tasks there ended.
+    """
+
+    ended: bool
+    reason: str = ""
+    reports: tuple[TaskReport, ...] = ()
+
 
-    known: bool
+class Silence(NamedTuple):
+    """Asks an entry for how long it has not heard an agent."""
+
+    worker_id: str
+
+
+class SilenceReply(NamedTuple):
+    """Seconds since the entry last heard the agent, at most its own age."""
+
+    seconds: float
 
 
 class Execute(NamedTuple):
@@ -266,7 +342,13 @@
 )
 RESERVE = Method("/sequoiachute.Agent/Reserve", Reserve, ReserveReply)
 COMMIT = Method("/sequoiachute.Agent/Commit", Commit, CommitReply)
+PREPARE = Method("/sequoiachute.Agent/Prepare", Prepare, CommitReply)
 START = Method("/sequoiachute.Agent/Start", Start, CommitReply)
+GANG_HEARTBEAT = Method(
+    "/sequoiachute.Agent/GangHeartbeat", GangHeartbeat, GangHeartbeatReply
+)
+GANG_STOP = Method("/sequoiachute.Agent/GangStop", GangStop, StopReply)
+SILENCE = Method("/sequoiachute.Entry/Silence", Silence, SilenceReply)
 STOP = Method("/sequoiachute.Agent/Stop", Stop, StopReply)
 EXECUTE = Method("/sequoiachute.Agent/Execute", Execute, ExecuteReply)
 ATTEMPT = Method("/sequoiachute.Agent/Attempt", AttemptQuery, ExecuteReply)
--- a/src/sequoiachute/state/fleet.py
+++ b/src/sequoiachute/state/fleet.py
@@ -35,6 +35,7 @@
     heard_at: float
     agent_clock: float = 0.0
     entries: int = 1
+    entry_addresses: tuple[str, ...] = ()
     started_at: float = 0.0
     full_sequence: int = 0
 
@@ -61,7 +62,10 @@
         self._silent_after = silent_after
 
     def announce(self, message: Announcement, now: float) -> bool:
-        """Take an announcement; return whether it was newer than the last."""
+        """Take an announcement; return whether it was newer than the last.
+
+        Once an agent has been replaced, what its process sent late is ignored.
+        """
         known = self._workers.get(message.worker_id)
         if known is not None and not self._is_newer(message, known, now):
             return False
@@ -88,6 +92,7 @@
             config_offset=message.config_offset,
             heard_at=now,
             agent_clock=message.agent_clock,
+            entry_addresses=message.entry_addresses,
             entries=message.entries,
             started_at=message.started_at,
             full_sequence=message.sequence,
@@ -152,8 +157,11 @@
     def live(self, now: float) -> list[Worker]:
         """Return the workers heard of lately, ordered by identity."""
         workers = []
-        for worker_id in sorted(self._workers):
-            worker = self._workers[worker_id]
-            if now - worker.heard_at <= self._silent_after:
+        for worker in self.all():
+            if self.is_live(worker, now):
                 workers.append(worker)
         return workers
+
+    def all(self) -> list[Worker]:
+        """Return every worker ever heard of, ordered by identity."""
+        return [self._workers[worker_id] for worker_id in sorted(self._workers)]
--- a/src/sequoiachute/state/leases.py
+++ b/src/sequoiachute/state/leases.py
@@ -8,7 +8,12 @@
 
 
 class Lease(NamedTuple):
-    """A lease as last claimed; ``offset`` is its fencing token."""
+    """A lease as last claimed.
+
+    ``offset`` is that of the last claim or renewal. ``term`` is the offset at
+    which the holder took the lease; it stays the same while it is renewed and
+    fences what the holder does.
+    """
 
     name: str
     holder: str
@@ -16,6 +21,7 @@
     offset: int
     duration: float
     seen_at: float
+    term: int = NO_CLAIM
 
 
 class LeaseTable:
@@ -55,6 +61,8 @@
         base = known.offset if known else NO_CLAIM
         if record["base"] != base:
             return False
+        renewed = known is None or known.holder == record["holder"]
+        term = record.get("term", offset) if renewed else offset
         self._leases[record["name"]] = Lease(
             name=record["name"],
             holder=record["holder"],
@@ -62,5 +70,6 @@
             offset=offset,
             duration=record["duration"],
             seen_at=now,
+            term=term,
         )
         return True
