--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -274,4 +274,5 @@
         self.intents.apply(record)
 
     def _apply_lease(self, position: Position, record: Any) -> None:
-        self.leases.apply(position.offset, record, clock.now())
+        at = position.appended_at
+        self.leases.apply(position.offset, record, clock.now(), at)
--- a/src/sequoiachute/state/leases.py
+++ b/src/sequoiachute/state/leases.py
@@ -5,6 +5,7 @@
 from sequoiachute.state.items import from_item, to_item
 
 NO_CLAIM = -1  # base of the first claim
+LAPSED_LEASE_HOLD_SECONDS = 86400.0
 
 
 class Lease(NamedTuple):
@@ -12,7 +13,8 @@
 
     ``offset`` is that of the last claim or renewal. ``term`` is the offset at
     which the holder took the lease; it stays the same while it is renewed and
-    fences what the holder does.
+    fences what the holder does. ``claimed_at`` is the log's wall
+    time, zero where it is not known.
     """
 
     name: str
@@ -22,10 +24,11 @@
     duration: float
     seen_at: float
     term: int = NO_CLAIM
+    claimed_at: float = 0.0
 
 
 class LeaseTable:
-    """The last valid claim of every lease."""
+    """The last valid claim of every lease; old ones are dropped by log time."""
 
     def __init__(self) -> None:
         self._leases: dict[str, Lease] = {}
@@ -53,8 +56,12 @@
         for lease in leases:
             self._leases[lease.name] = lease._replace(seen_at=now)
 
-    def apply(self, offset: int, record: Any, now: float) -> bool:
-        """Apply a claim; it counts only if based on the claim before it."""
+    def apply(self, offset: int, record: Any, now: float, at: float = 0.0) -> bool:
+        """Apply a claim; it counts only if based on the claim before it.
+
+        ``now`` is clock time and ``at`` the wall time of the append.
+        """
+        self._drop_claimed_before(at - LAPSED_LEASE_HOLD_SECONDS)
         if record["kind"] != "lease-claimed":
             return False
         known = self._leases.get(record["name"])
@@ -71,5 +78,11 @@
             duration=record["duration"],
             seen_at=now,
             term=term,
+            claimed_at=at,
         )
         return True
+
+    def _drop_claimed_before(self, wall_time: float) -> None:
+        for name, lease in list(self._leases.items()):
+            if 0 < lease.claimed_at < wall_time:
+                del self._leases[name]
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -130,6 +130,8 @@
             "rpc_address": self._rpc_addresses[index],
             "log_service": f"http://{self.log.address}",
             "keys": self._keys(),
+            "entries": self._rpc_addresses,
+            "log_retention_seconds": self._retention,
             **self._entry_settings,
         }
         return self._start_program("entry", settings, settings["http_address"])
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -15,6 +15,7 @@
     KeepAlive,
 )
 from sequoiachute.state.fleet import Fleet
+from sequoiachute.state.leases import LAPSED_LEASE_HOLD_SECONDS, LeaseTable
 from sequoiachute.transport.rpc import RpcPool, RpcServer
 from standins.site import Site, agent_address, create_catalogue, entry_address
 
@@ -176,6 +177,28 @@
     )
 
 
+def test_leases_of_entries_long_gone_are_dropped():
+    table = LeaseTable()
+
+    def claim(name, offset, at):
+        record = {
+            "kind": "lease-claimed",
+            "name": name,
+            "base": -1,
+            "holder": name,
+            "address": "10.0.0.1:7000",
+            "duration": 15.0,
+        }
+        assert table.apply(offset, record, 0.0, at)
+
+    claim("entry/old", 0, 1.0)
+    restored = LeaseTable()
+    restored.restore(msgspec.json.decode(msgspec.json.encode(table.snapshot())), 5.0)
+    claim("entry/new", 1, LAPSED_LEASE_HOLD_SECONDS + 2)
+    assert [lease.name for lease in table.with_prefix("entry/")] == ["entry/new"]
+    assert restored.get("entry/old").seen_at == 5.0
+
+
 def count_calls(site, entry, method):
     address = entry_address(entry)
     handlers = dict(site.entries[entry].handlers())
