--- a/src/sequoiachute/http/operators.py
+++ b/src/sequoiachute/http/operators.py
@@ -113,6 +113,6 @@
     error = outcome.unwrap_err()
     if error.maybe_applied:
         remedy = "show the catalogue to see whether it took effect, then retry"
-        raise ProblemError(504, error.reason, remedy, None, error.retry_after)
+        raise ProblemError(503, error.reason, remedy, None, error.retry_after)
     remedy = "nothing has changed; publish again later"
     raise ProblemError(503, error.reason, remedy, False, error.retry_after)
