--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -20,11 +20,13 @@
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
     CONFIGURATION,
+    KEEP_ALIVE,
     SILENCE,
     Announcement,
     AnnouncementReply,
     ConfigurationReply,
     ConfigurationRequest,
+    KeepAlive,
     Method,
     Silence,
     SilenceReply,
@@ -135,6 +137,7 @@
         """Return the methods that this entry serves to agents."""
         return {
             ANNOUNCE: self.announce,
+            KEEP_ALIVE: self.keep_alive,
             CONFIGURATION: self.tell_configuration,
             SILENCE: self.tell_silence,
         }
@@ -189,12 +192,22 @@
             self.placer.take_report(report)
             if self.placer.is_settled(report):
                 acknowledged.append((report.job_id, report.attempt, report.member))
+        return self._reply_to(message)._replace(acknowledged=tuple(acknowledged))
+
+    def keep_alive(self, message: KeepAlive) -> AnnouncementReply:
+        """Take an agent's word that little has changed."""
+        known = self.fleet.keep_alive(message, clock.now())
+        if known:
+            self.router.workload.hear(message.worker_id, message.open_connections)
+        return self._reply_to(message)._replace(full_wanted=not known)
+
+    def _reply_to(self, message: Announcement | KeepAlive) -> AnnouncementReply:
         return AnnouncementReply(
             entry_id=self.settings.entry_id,
             config_offset=self.configuration.offset,
             confirmed_age=confirmed_age(self.configuration),
             entries=self.directory.addresses(),
-            acknowledged=tuple(acknowledged),
+            acknowledged=(),
             term=self.placer.known_term,
             superseded=self.fleet.is_superseded(message.worker_id, message.incarnation),
         )
@@ -278,4 +291,5 @@
         self.intents.apply(record)
 
     def _apply_lease(self, position: Position, record: Any) -> None:
-        self.leases.apply(position.offset, record, clock.now())
+        at = position.appended_at
+        self.leases.apply(position.offset, record, clock.now(), at)
