--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,10 @@
 	mkdir -p dist
 	$(BIN)/pex . --requirement requirements/lock-runtime.txt --console-script sequoiachute --venv --sh-boot --output-file dist/sequoiachute
 
+.PHONY: dist-check
+dist-check: dist ## Build the one file, start it twice and count its children
+	$(BIN)/python -W ignore -m standins.dist_check dist/sequoiachute
+
 .PHONY: clean
 clean: ## Remove the virtual environment and build results
 	rm -rf $(VENV) build dist .pytest_cache .ruff_cache .hypothesis
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -69,8 +69,9 @@
     again = cluster.call("POST", "/v1/requests", key, body, headers, entry=1)
     _expect(first, 200)
     _expect(again, 200)
-    same = first[1]["X-Attempt-Id"] == again[1]["X-Attempt-Id"]
-    _show(began, f"the same key at both entries ran once: {same}")
+    if first[1]["X-Attempt-Id"] != again[1]["X-Attempt-Id"]:
+        raise RuntimeError("the same key ran twice")
+    _show(began, "the same key at both entries ran once")
     gang = _submit(cluster, "gang-1", run_seconds=2.0)
     _show(began, f"gang finished on {_wait_ended(cluster, gang)['workers']}")
     _drain_and_restore(cluster, began)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -129,6 +129,7 @@
         "- 1",
         "entry_id: [",
         f"keys: [{{key: {SECRET}, role: caller}}\nentry_id: x: {SECRET}",
+        f"entry_id: {SECRET}: x",
         "entry_id: a\nentry_id: b",
         "1: a",
         "!!python/object/apply:os.getpid []",
