--- a/benchmarks/bench_requests.py
+++ b/benchmarks/bench_requests.py
@@ -1,12 +1,17 @@
-"""Requests: answer times and goodput beside simpler routers, in virtual time."""
+"""Requests: answer times and goodput beside simpler routers.
+
+In virtual time, but for a short run on real processes.
+"""
 
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from eventlet.hubs import use_hub
 from loguru import logger
 
 from benchmarks.baselines import LeastOutstanding, PlainRouter, RoundRobin
 from benchmarks.request_load import CAPACITY, Load, RequestBench, Sample
+from benchmarks.request_processes import measure_processes
 
 SEED = 5
 SECONDS = 8.0
@@ -92,6 +97,8 @@
             _print_row(scenario.name, name, scenario.load.seconds, bench.samples)
     _print_targets(measured)
     _print_once()
+    use_hub()
+    measure_processes()
 
 
 def _measure(scenario: Scenario, create: Any) -> RequestBench:
