--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -47,6 +47,7 @@
 from sequoiachute.transport.ports import Caller, LogStream
 
 LEAVE_LINGER_SECONDS = 0.5
+RECORD_WAIT_SECONDS = 5.0  # the agents know the ends, too
 
 
 class Entry:
@@ -162,8 +163,9 @@
         """Take no new requests and wait for those in progress."""
         self._leaving = True
         self.directory.leave()
-        deadline = clock.now() + timeout
-        while self._open_requests or self.router.pending_records:
+        began = clock.now()
+        deadline = began + timeout
+        while self._open_requests or self._records_wait(began):
             if clock.now() >= deadline:
                 return False
             clock.sleep(0.05)
@@ -240,6 +242,12 @@
             wait=IDLE_WAIT_SECONDS,
         )
 
+    def _records_wait(self, began: float) -> bool:
+        """Whether to wait for ends of requests that the log has not taken yet."""
+        if not self.router.pending_records:
+            return False
+        return clock.now() - began < RECORD_WAIT_SECONDS
+
     def _apply_configuration(self, position: Position, record: Any) -> None:
         if self.configuration.apply(position.offset, record):
             log = logger.bind(config_offset=position.offset)
--- a/tests/test_intents.py
+++ b/tests/test_intents.py
@@ -162,6 +162,18 @@
     assert site.log.read(INTENTS_STREAM, 0, 0).next == 2000
 
 
+def test_entry_stops_in_a_log_outage_and_another_tells_the_answer(site):
+    call = site.start_call(0, key="tag")
+    site.run_for(0.02)
+    site.log.down = True
+    assert call.wait().outcome == "answered"
+    assert site.entries[0].leave(30)
+    site.log.down = False
+    site.run_for(10)
+    assert site.call(1, key="tag").outcome == "answered"
+    assert len(site.runs) == 1
+
+
 def intent(attempt, at, key="tag", body="d"):
     return {
         "kind": "intent-recorded",
