Announce at once after a change of the configuration

Cause: entries learnt only with the next announcement that an agent acts under a new configuration, up to a second later.

--- a/src/sequoiachute/coordination/agent.py
+++ b/src/sequoiachute/coordination/agent.py
@@ -173,7 +173,10 @@
         self._heard_at = max(self._heard_at, sent_at)
         self._grants.admit_term(reply.term)
         self._runner.acknowledge(reply.acknowledged)
+        offset = self.configuration.offset
         self._view.take_reply(address, reply, sent_at)
+        if self.configuration.offset > offset:
+            self._announcer.notify()
         if reply.superseded and not self._leaving:
             logger.error(
                 "another agent runs as {}; stop this one or give it a name",
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -114,3 +114,16 @@
     site.run_for(10)
     for process in [*site.entries, *site.agents]:
         assert process.configuration.age(clock.now()) > 9.0
+
+
+def test_entries_soon_know_that_agents_act_under_a_new_configuration():
+    site = Site(workers=3, entries=2)
+    site.publish(create_catalogue(brocach=ACCOUNT))
+    site.run_for(5)
+    for number in range(4):
+        site.run_for(0.3)
+        site.switch("dc-2", in_service=number % 2 == 1)
+        site.run_for(1.3)
+        for entry in site.entries:
+            for worker in entry.fleet.live(clock.now()):
+                assert worker.config_offset == entry.configuration.offset
--- a/tests/test_recovery_processes.py
+++ b/tests/test_recovery_processes.py
@@ -63,9 +63,11 @@
 
 
 def wait_finished(cluster, accepted, seconds):
-    cluster.wait_until(
-        lambda: not histories.lost_jobs(accepted, states(cluster)), seconds
-    )
+    for entry in range(len(cluster.entries)):
+        cluster.wait_until(
+            lambda e=entry: not histories.lost_jobs(accepted, states(cluster, e)),
+            seconds,
+        )
 
 
 def test_every_entry_replaced_in_an_outage_loses_nothing(cluster):
@@ -86,7 +88,8 @@
     cluster.set_faults(cluster.log)
     cluster.wait_ready()
     accepted = {done, running, *queued}
-    assert set(states(cluster)) == accepted
+    for entry in range(len(cluster.entries)):
+        assert set(states(cluster, entry)) == accepted
     wait_finished(cluster, accepted, 40)
     assert submit(cluster, "done", 1) == done
 
