Build one file that starts no child, first start included

pex keeps the pid but forks: 22063 page faults of children on the first start (interpreter search and virtual environment), 23 on each later one (a command substitution of its shell start).

--- a/Makefile
+++ b/Makefile
@@ -43,8 +43,7 @@
 
 .PHONY: dist
 dist: $(READY) ## Build the one-file executable into dist/
-	mkdir -p dist
-	$(BIN)/pex . --requirement requirements/lock-runtime.txt --console-script sequoiachute --venv --sh-boot --output-file dist/sequoiachute
+	$(BIN)/python onefile/build.py dist/sequoiachute
 
 .PHONY: dist-check
 dist-check: dist ## Build the one file, start it twice and count its children
--- a/standins/dist_check.py
+++ b/standins/dist_check.py
@@ -53,7 +53,10 @@
 
 def watch_start(program: str, root: str, settings: str, address: str) -> Start:
     """Start the entry, wait until it listens, and stop it."""
-    environment = {**os.environ, "PEX_ROOT": root}
+    # The interpreter itself: a version manager's wrapper would have children.
+    interpreter = Path(sys.executable).resolve().parent
+    path = f"{interpreter}{os.pathsep}{os.environ['PATH']}"
+    environment = {**os.environ, "SEQUOIACHUTE_UNPACK": root, "PATH": path}
     arguments = [program, "entry", "--settings", settings]
     began = time.monotonic()
     process = subprocess.Popen(arguments, env=environment, stderr=subprocess.DEVNULL)
