--- a/src/sequoiachute/protocol/messages.py
+++ b/src/sequoiachute/protocol/messages.py
@@ -75,6 +75,21 @@
     started_at: float = 0.0
 
 
+class KeepAlive(NamedTuple):
+    """Stands for the announcement ``full_sequence`` with what changes often.
+
+    An entry that doesn't hold that announcement asks for a whole one.
+    """
+
+    worker_id: str
+    incarnation: str
+    sequence: int
+    full_sequence: int
+    config_offset: int
+    open_connections: int
+    agent_clock: float
+
+
 class AnnouncementReply(NamedTuple):
     """Where the entry's configuration stands and how fresh that view is.
 
@@ -82,7 +97,7 @@
     the end of the configuration stream. ``entries`` are the addresses of the
     current entries. ``term`` is the placer's newest term that the entry knows.
     ``superseded`` tells an agent that a newer one has taken its worker's
-    identity.
+    identity; ``full_wanted`` asks for a whole announcement.
     """
 
     entry_id: str
@@ -92,6 +107,7 @@
     acknowledged: tuple[tuple[str, int, int], ...]
     term: int = NO_TERM
     superseded: bool = False
+    full_wanted: bool = False
 
 
 class ConfigurationRequest(NamedTuple):
@@ -320,6 +336,7 @@
 
 
 ANNOUNCE = Method("/sequoiachute.Entry/Announce", Announcement, AnnouncementReply)
+KEEP_ALIVE = Method("/sequoiachute.Entry/KeepAlive", KeepAlive, AnnouncementReply)
 CONFIGURATION = Method(
     "/sequoiachute.Entry/Configuration", ConfigurationRequest, ConfigurationReply
 )
