--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -20,11 +20,13 @@
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
     CONFIGURATION,
+    KEEP_ALIVE,
     SILENCE,
     Announcement,
     AnnouncementReply,
     ConfigurationReply,
     ConfigurationRequest,
+    KeepAlive,
     Method,
     Silence,
     SilenceReply,
@@ -41,8 +43,9 @@
 from sequoiachute.state.configuration import Configuration
 from sequoiachute.state.fleet import Fleet
 from sequoiachute.state.intents import KEY_SECONDS, IntentTable
-from sequoiachute.state.jobs import JobTable
+from sequoiachute.state.jobs import Job, JobTable
 from sequoiachute.state.leases import LeaseTable
+from sequoiachute.state.observed import RunTimes
 from sequoiachute.state.service_levels import ServiceLevelTable
 from sequoiachute.transport.ports import Caller, LogStream
 
@@ -67,6 +70,7 @@
         self.intents = IntentTable(key_seconds)
         self.leases = LeaseTable()
         self.service_levels = ServiceLevelTable()
+        self.run_times = RunTimes()
         self.fleet = Fleet(settings.worker_silent_seconds)
         self._streams = StateStreams(log, settings.log_retention_seconds)
         self._follow_streams()
@@ -92,7 +96,13 @@
             settings.rpc_address,
             settings.placer_lease_seconds,
             settings.freshness_seconds,
-            PlacerState(self.configuration, self.jobs, self.fleet, self.leases),
+            PlacerState(
+                self.configuration,
+                self.jobs,
+                self.fleet,
+                self.leases,
+                self.run_times,
+            ),
             PlacerStreams(
                 self._streams.writer(JOBS_STREAM),
                 self._streams.writer(LEASES_STREAM),
@@ -127,6 +137,7 @@
         """Return the methods that this entry serves to agents."""
         return {
             ANNOUNCE: self.announce,
+            KEEP_ALIVE: self.keep_alive,
             CONFIGURATION: self.tell_configuration,
             SILENCE: self.tell_silence,
         }
@@ -181,12 +192,22 @@
             self.placer.take_report(report)
             if self.placer.is_settled(report):
                 acknowledged.append((report.job_id, report.attempt, report.member))
+        return self._reply_to(message)._replace(acknowledged=tuple(acknowledged))
+
+    def keep_alive(self, message: KeepAlive) -> AnnouncementReply:
+        """Take an agent's word that little has changed."""
+        known = self.fleet.keep_alive(message, clock.now())
+        if known:
+            self.router.workload.hear(message.worker_id, message.open_connections)
+        return self._reply_to(message)._replace(full_wanted=not known)
+
+    def _reply_to(self, message: Announcement | KeepAlive) -> AnnouncementReply:
         return AnnouncementReply(
             entry_id=self.settings.entry_id,
             config_offset=self.configuration.offset,
             confirmed_age=confirmed_age(self.configuration),
             entries=self.directory.addresses(),
-            acknowledged=tuple(acknowledged),
+            acknowledged=(),
             term=self.placer.known_term,
             superseded=self.fleet.is_superseded(message.worker_id, message.incarnation),
         )
@@ -253,6 +274,15 @@
             self.recorder.note_start(job)
         elif record["kind"] == "job-ended":
             self.recorder.note_end(position.offset, job)
+            self.run_times.observe(job, self._slowest_speed(job))
+
+    def _slowest_speed(self, job: Job) -> float:
+        speeds = []
+        for worker_id in job.workers:
+            worker = self.fleet.get(worker_id)
+            if worker is not None:
+                speeds.append(worker.speed)
+        return min(speeds, default=1.0)
 
     def _apply_service_level(self, position: Position, record: Any) -> None:
         self.service_levels.apply(position.offset, record)
@@ -261,4 +291,5 @@
         self.intents.apply(record)
 
     def _apply_lease(self, position: Position, record: Any) -> None:
-        self.leases.apply(position.offset, record, clock.now())
+        at = position.appended_at
+        self.leases.apply(position.offset, record, clock.now(), at)
