--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -11,6 +11,8 @@
     MemberPlacement,
     Placement,
 )
+from sequoiachute.coordination.placer import MEMBERS_STARTING
+from sequoiachute.state.grants import RESERVED
 from standins.site import Site, agent_address, create_catalogue, entry_address
 from tests.site_checks import SiteChecker
 
@@ -253,3 +255,37 @@
     assert checked.starts()[1][0].startswith("job-2")
     assert checked.job("job-1").done_seconds > 4
     assert checked.wait_ended("job-1").state == "finished"
+
+
+def test_restored_data_centre_is_filled_in_portions():
+    checked = CheckedSite(workers=15)
+    checked.site.switch("dc-1", in_service=False)
+    checked.run_for(2)
+    for index in range(125):
+        checked.submit(f"job-{index}", run_seconds=60.0)
+    checked.run_for(5)
+    checked.site.network.delay = STEP_SECONDS
+    checked.site.switch("dc-1", in_service=True)
+    most = 0
+    for _ in range(100):
+        checked.run_for(STEP_SECONDS)
+        most = max(most, reserved_in(checked.site, "dc-1"))
+    assert 0 < most <= MEMBERS_STARTING
+    assert running_in(checked.site, "dc-1") == 40
+
+
+def reserved_in(site, data_centre):
+    count = 0
+    for index, agent in enumerate(site.agents):
+        if site.data_centre_of(index) != data_centre:
+            continue
+        count += sum(grant.state == RESERVED for grant in agent.grants.grants())
+    return count
+
+
+def running_in(site, data_centre):
+    count = 0
+    for index, backend in enumerate(site.backends):
+        if site.data_centre_of(index) == data_centre:
+            count += len(backend.running())
+    return count
