Choose the sharing policy and refuse guarantees that can't all be met

The daemon and the site in memory use SharingPolicy with the setting fragmentation_weight; the placer hands it observed run times. Publishing answers 422 with the accounts and what they lack once no worker has been new for 10 s: judging earlier refused every catalogue that is published while workers still announce themselves (173 tests failed to set up). What yields is logged. All 405 tests pass.

--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -41,8 +41,9 @@
 from sequoiachute.state.configuration import Configuration
 from sequoiachute.state.fleet import Fleet
 from sequoiachute.state.intents import KEY_SECONDS, IntentTable
-from sequoiachute.state.jobs import JobTable
+from sequoiachute.state.jobs import Job, JobTable
 from sequoiachute.state.leases import LeaseTable
+from sequoiachute.state.observed import RunTimes
 from sequoiachute.state.service_levels import ServiceLevelTable
 from sequoiachute.transport.ports import Caller, LogStream
 
@@ -62,6 +63,7 @@
         self.settings = settings
         self.configuration = Configuration()
         self.jobs = JobTable()
+        self._run_times = RunTimes()
         # A key is checked for less time than the log keeps its intent.
         key_seconds = min(KEY_SECONDS, settings.log_retention_seconds / 2)
         self.intents = IntentTable(key_seconds)
@@ -92,7 +94,13 @@
             settings.rpc_address,
             settings.placer_lease_seconds,
             settings.freshness_seconds,
-            PlacerState(self.configuration, self.jobs, self.fleet, self.leases),
+            PlacerState(
+                self.configuration,
+                self.jobs,
+                self.fleet,
+                self.leases,
+                self._run_times,
+            ),
             PlacerStreams(
                 self._streams.writer(JOBS_STREAM),
                 self._streams.writer(LEASES_STREAM),
@@ -244,6 +252,15 @@
             log = logger.bind(config_offset=position.offset)
             log.info("configuration in force")
 
+    def _speed_of(self, job: Job) -> float:
+        """Return the speed of the slowest known worker of ``job``."""
+        speed = float("inf")
+        for worker_id in job.workers:
+            worker = self.fleet.get(worker_id)
+            if worker is not None:
+                speed = min(speed, worker.speed)
+        return speed if speed < float("inf") else 1.0
+
     def _apply_job(self, position: Position, record: Any) -> None:
         if not self.jobs.apply(record, position.appended_at):
             return
@@ -251,6 +268,7 @@
         if record["kind"] == "job-started":
             self.recorder.note_start(job)
         elif record["kind"] == "job-ended":
+            self._run_times.observe(job, self._speed_of(job))
             self.recorder.note_end(position.offset, job)
 
     def _apply_service_level(self, position: Position, record: Any) -> None:
--- a/src/sequoiachute/coordination/placement/blocks.py
+++ b/src/sequoiachute/coordination/placement/blocks.py
@@ -158,3 +158,12 @@
             best = {node.worker_id: mask}
             least = open_left
     return best
+
+
+def describe_shape(shape: Shape) -> str:
+    """Return ``shape`` in words."""
+    within = shape["within"].replace("_", " ")
+    text = f"{shape['accelerators']} accelerators within a {within}"
+    if "speed_class" in shape:
+        text += f" of speed class {shape['speed_class']}"
+    return text
--- a/src/sequoiachute/coordination/placement/check.py
+++ b/src/sequoiachute/coordination/placement/check.py
@@ -4,9 +4,10 @@
 from typing import NamedTuple
 
 from sequoiachute.coordination.placement.bindings import Bindings
+from sequoiachute.coordination.placement.blocks import describe_shape
 from sequoiachute.coordination.placement.board import Board
 from sequoiachute.coordination.placement.model import Shortfall
-from sequoiachute.protocol.catalogue import Catalogue, Shape
+from sequoiachute.protocol.catalogue import Catalogue
 from sequoiachute.state.fleet import Worker
 
 
@@ -58,12 +59,3 @@
         promised += guarantee.shape["accelerators"]
     accelerators = sum(worker.accelerators for worker in empty)
     return GuaranteeCheck(promised, accelerators, bindings.shortfalls)
-
-
-def describe_shape(shape: Shape) -> str:
-    """Return ``shape`` in words."""
-    within = shape["within"].replace("_", " ")
-    text = f"{shape['accelerators']} accelerators within a {within}"
-    if "speed_class" in shape:
-        text += f" of speed class {shape['speed_class']}"
-    return text
--- a/src/sequoiachute/coordination/placement/sharing.py
+++ b/src/sequoiachute/coordination/placement/sharing.py
@@ -1,6 +1,9 @@
 """The policy that keeps guarantees and weighs fragmentation against speed."""
 
+from loguru import logger
+
 from sequoiachute.coordination.placement.bindings import Bindings
+from sequoiachute.coordination.placement.blocks import describe_shape
 from sequoiachute.coordination.placement.board import Board
 from sequoiachute.coordination.placement.feasibility import (
     Feasibility,
@@ -11,6 +14,7 @@
     Decision,
     Placement,
     PlacementView,
+    Shortfall,
     Unplaceable,
     Waiting,
 )
@@ -56,6 +60,7 @@
         self._feasibility = Feasibility()
         self._decided: dict[str, Job] = {}
         self._tried: set[str] = set()
+        self._shortfalls: tuple[Shortfall, ...] = ()
 
     def decide(self, view: PlacementView) -> Decision:
         """Return what to start now, and whom to evict for it."""
@@ -69,11 +74,27 @@
         self.bindings.refresh(self.board, view.catalogue)
         self._feasibility.refresh(view, version != self.board.version)
         self._reservations.refresh(view.queued, self.board)
-        decision = Decision(shortfalls=self.bindings.shortfalls)
+        self._tell_shortfalls()
+        decision = Decision(shortfalls=self._shortfalls)
         if not view.queued or not view.workers:
             return decision
         return self._round(view, starting).run(decision)
 
+    def _tell_shortfalls(self) -> None:
+        """Log which guarantees yield, whenever that changes."""
+        shortfalls = self.bindings.shortfalls
+        if shortfalls == self._shortfalls:
+            return
+        for shortfall in shortfalls:
+            if shortfall not in self._shortfalls:
+                shape = describe_shape(shortfall.shape)
+                logger.bind(account=shortfall.account).warning(
+                    "a guarantee yields for want of workers in service: {}", shape
+                )
+        if not shortfalls:
+            logger.info("every guarantee can be reclaimed again")
+        self._shortfalls = shortfalls
+
     def _round(self, view: PlacementView, starting: set[str]) -> "_Round":
         running = {job.job_id: job for job in view.running}
         guaranteed = set(self.board.guaranteed_jobs())
--- a/src/sequoiachute/coordination/placer.py
+++ b/src/sequoiachute/coordination/placer.py
@@ -124,6 +124,7 @@
             self._state.configuration.catalogue,
             clock.wall_time(),
             out=tuple(out),
+            run_times=self._state.run_times,
         )
 
     def _may_use(self, worker: Worker, now: float) -> bool:
--- a/src/sequoiachute/coordination/placerstate.py
+++ b/src/sequoiachute/coordination/placerstate.py
@@ -7,6 +7,7 @@
 from sequoiachute.state.fleet import Fleet
 from sequoiachute.state.jobs import JobTable
 from sequoiachute.state.leases import LeaseTable
+from sequoiachute.state.observed import RunTimes
 
 
 class PlacerState(NamedTuple):
@@ -16,6 +17,7 @@
     jobs: JobTable
     fleet: Fleet
     leases: LeaseTable
+    run_times: RunTimes
 
 
 class PlacerStreams(NamedTuple):
--- a/src/sequoiachute/daemon.py
+++ b/src/sequoiachute/daemon.py
@@ -5,7 +5,7 @@
 from sequoiachute import clock
 from sequoiachute.coordination.agent import Agent
 from sequoiachute.coordination.entry import Entry
-from sequoiachute.coordination.placement import FirstFitPolicy
+from sequoiachute.coordination.placement import SharingPolicy
 from sequoiachute.http.app import create_entry_app
 from sequoiachute.logs import configure_logging
 from sequoiachute.settings import AgentSettings, EntrySettings
@@ -22,7 +22,8 @@
     signals = StopSignals()
     signals.install()
     log = LogServiceClient(settings.log_service)
-    entry = Entry(settings, log, RpcPool(), FirstFitPolicy())
+    policy = SharingPolicy(settings.fragmentation_weight)
+    entry = Entry(settings, log, RpcPool(), policy)
     configure_logging(settings.logging, lambda: entry.configuration.offset)
     rpc = RpcServer(entry.handlers())
     rpc.start(*split_address(settings.rpc_address))
--- a/src/sequoiachute/http/operators.py
+++ b/src/sequoiachute/http/operators.py
@@ -3,9 +3,12 @@
 from typing import Any
 
 import falcon
+from loguru import logger
 
+from sequoiachute import clock
 from sequoiachute.coordination.entry import Entry
 from sequoiachute.coordination.log import new_record_id
+from sequoiachute.coordination.placement.check import check_guarantees
 from sequoiachute.errors import CatalogueError
 from sequoiachute.http.inputs import read_base_offset, read_json
 from sequoiachute.http.keys import Keyring
@@ -15,6 +18,7 @@
 from sequoiachute.transport.web import ProblemError, problem, write_json
 
 MAX_BODY_BYTES = 1024 * 1024
+FLEET_SETTLE_SECONDS = 10.0  # without a new worker
 OPERATOR_SETTLE_SECONDS = 10.0
 SWITCH_TRIES = 3
 
@@ -43,6 +47,7 @@
         configuration = self._entry.configuration
         based_on = read_base_offset(request, configuration.catalogue_offset)
         catalogue = _read_catalogue(request)
+        _require_guarantees(catalogue, self._entry)
         record = {
             "kind": "catalogue-published",
             "record_id": new_record_id(),
@@ -57,6 +62,23 @@
         write_json(response, {"offset": offset})
 
 
+def _require_guarantees(catalogue: Catalogue, entry: Entry) -> None:
+    """Refuse a catalogue whose guarantees can't all be met at once.
+
+    While workers are still announcing themselves nothing can be judged; the
+    placer then tells which guarantees yield.
+    """
+    workers = entry.fleet.all()
+    check = check_guarantees(catalogue, workers)
+    if check.is_met:
+        return
+    if not workers or clock.now() - entry.fleet.grew_at < FLEET_SETTLE_SECONDS:
+        logger.warning("published before the workers were known: {}", check.reason)
+        return
+    remedy = "lower the guarantees or publish again once more workers have announced"
+    raise problem(422, check.reason, remedy)
+
+
 class DataCentreResource:
     """Takes a data centre out of service or brings it back."""
 
--- a/src/sequoiachute/settings.py
+++ b/src/sequoiachute/settings.py
@@ -49,6 +49,7 @@
         description="seconds above 0 and up to 31536000, a number without a unit",
     ),
 ]
+Weight = Annotated[float, Meta(ge=0, le=1, description="a number from 0 to 1")]
 ShortSeconds = Annotated[
     float,
     Meta(
@@ -130,6 +131,7 @@
     service_level_seconds: Seconds = 30.0
     leave_grace_seconds: ShortSeconds = 1.0
     allow_plaintext: bool = False
+    fragmentation_weight: Weight = 0.5
 
 
 class AgentSettings(NamedTuple):
--- a/src/sequoiachute/state/fleet.py
+++ b/src/sequoiachute/state/fleet.py
@@ -56,15 +56,23 @@
 
     def __init__(self, silent_after: float) -> None:
         self._workers: dict[str, Worker] = {}
+        self._grew_at = float("-inf")
         self._silent_after = silent_after
         self._retired: dict[str, deque[str]] = {}
 
+    @property
+    def grew_at(self) -> float:
+        """Clock time at which a worker was first heard of, for the last time."""
+        return self._grew_at
+
     def announce(self, message: Announcement, now: float) -> bool:
         """Take an announcement; return whether it was newer than the last.
 
         Once an agent has been replaced, what its process sent late is ignored.
         """
         known = self._workers.get(message.worker_id)
+        if known is None:
+            self._grew_at = now
         same = known is not None and known.incarnation == message.incarnation
         if same and message.sequence <= known.sequence:
             return False
--- a/standins/site.py
+++ b/standins/site.py
@@ -7,7 +7,7 @@
 from sequoiachute.coordination.agent import Agent
 from sequoiachute.coordination.entry import Entry
 from sequoiachute.coordination.log import new_record_id
-from sequoiachute.coordination.placement import FirstFitPolicy, Policy
+from sequoiachute.coordination.placement import Policy, SharingPolicy
 from sequoiachute.errors import LogUnavailableError
 from sequoiachute.protocol.catalogue import Catalogue
 from sequoiachute.protocol.records import (
@@ -55,7 +55,7 @@
         self.log = MemoryLog()
         self.log_links: dict[int, MemoryLogLink] = {}
         self.network = MemoryNetwork()
-        self.policy = policy or FirstFitPolicy()
+        self.policy = policy or SharingPolicy()
         self.entries: list[Entry] = []
         self.agents: list[Agent] = []
         self.backends: list[MemoryBackend] = []
