--- a/src/sequoiachute/daemon.py
+++ b/src/sequoiachute/daemon.py
@@ -22,9 +22,8 @@
     signals = StopSignals()
     signals.install()
     log = LogServiceClient(settings.log_service)
-    entry = Entry(
-        settings, log, RpcPool(), SharingPolicy(settings.fragmentation_weight)
-    )
+    policy = SharingPolicy(settings.fragmentation_weight)
+    entry = Entry(settings, log, RpcPool(), policy)
     configure_logging(settings.logging, lambda: entry.configuration.offset)
     rpc = RpcServer(entry.handlers())
     rpc.start(*split_address(settings.rpc_address))
