--- a/src/sequoiachute/coordination/agent.py
+++ b/src/sequoiachute/coordination/agent.py
@@ -170,10 +170,15 @@
     def _take_reply(
         self, address: str, reply: AnnouncementReply, sent_at: float
     ) -> None:
-        self._heard_at = max(self._heard_at, sent_at)
+        if not reply.superseded:
+            # An entry no longer counts this agent as heard.
+            self._heard_at = max(self._heard_at, sent_at)
         self._grants.admit_term(reply.term)
         self._runner.acknowledge(reply.acknowledged)
+        offset = self.configuration.offset
         self._view.take_reply(address, reply, sent_at)
+        if self.configuration.offset > offset:
+            self._announcer.notify()
         if reply.superseded and not self._leaving:
             logger.error(
                 "another agent runs as {}; stop this one or give it a name",
