--- a/tests/test_failures_placement.py
+++ b/tests/test_failures_placement.py
@@ -79,6 +79,11 @@
     assert running(cluster, job_id, 1) == running(cluster, job_id, 2) == 0
 
 
+def wait_until_tasks_run(cluster, job_id, attempt=1):
+    """Wait until a whole gang runs; its record in the log comes earlier."""
+    cluster.wait_until(lambda: running(cluster, job_id, attempt) == GANG["tasks"], 20)
+
+
 def first_agent(cluster, job_id):
     worker = job_of(cluster, job_id)["workers"][0]
     return int(worker.partition("-")[2])
@@ -100,7 +105,7 @@
 
 def test_gang_goes_on_when_its_placer_is_killed(cluster):
     job_id = submit(cluster, "killed", 8.0)
-    wait_for_state(cluster, job_id, "running")
+    wait_until_tasks_run(cluster, job_id)
     placer = wait_for_placer(cluster)
     cluster.entries[placer].kill()
     cluster.entries[placer] = cluster.start_entry(placer)
@@ -123,7 +128,7 @@
 
 def test_task_of_a_killed_agent_runs_again_only_after_its_lease(cluster):
     job_id = submit(cluster, "agent-killed", 60.0)
-    wait_for_state(cluster, job_id, "running")
+    wait_until_tasks_run(cluster, job_id)
     index = first_agent(cluster, job_id)
     cluster.agents[index].kill()
     killed_at = time.time()
@@ -137,7 +142,7 @@
 
 def test_gang_of_a_paused_agent_stops_whole_and_runs_again(cluster):
     job_id = submit(cluster, "agent-paused", 60.0)
-    wait_for_state(cluster, job_id, "running")
+    wait_until_tasks_run(cluster, job_id)
     index = first_agent(cluster, job_id)
     cluster.agents[index].freeze()
     time.sleep(PARTLY_RUNNING_SECONDS)
