Name the address that a process can't listen on

A taken address ended with the system's bare message, for RPC below a traceback that eventlet prints for a failed task.

--- a/src/sequoiachute/daemon.py
+++ b/src/sequoiachute/daemon.py
@@ -1,11 +1,14 @@
 """Running an entry instance or an agent until it is told to stop."""
 
+import os
+
 from loguru import logger
 
 from sequoiachute import clock
 from sequoiachute.coordination.agent import Agent
 from sequoiachute.coordination.entry import Entry
 from sequoiachute.coordination.placement import SharingPolicy
+from sequoiachute.errors import ListenError
 from sequoiachute.http.app import create_entry_app
 from sequoiachute.logs import configure_logging
 from sequoiachute.settings import AgentSettings, EntrySettings
@@ -27,10 +30,8 @@
     )
     configure_logging(settings.logging, lambda: entry.configuration.offset)
     rpc = RpcServer(entry.handlers())
-    rpc.start(*split_address(settings.rpc_address))
-    web = WebServer(
-        create_entry_app(entry), *split_address(settings.http_address), settings.http
-    )
+    _start_rpc(rpc, settings.rpc_address)
+    web = _create_web(settings, entry)
     web.start()
     entry.run()
     logger.bind(entry=settings.entry_id).info("entry started")
@@ -46,7 +47,7 @@
     agent = Agent(settings, RpcPool(), backend)
     configure_logging(settings.logging, lambda: agent.configuration.offset)
     rpc = RpcServer(agent.handlers())
-    rpc.start(*split_address(settings.rpc_address))
+    _start_rpc(rpc, settings.rpc_address)
     agent.run()
     logger.bind(worker=settings.worker_id).info("agent started")
     signals.wait()
@@ -74,6 +75,26 @@
     return rpc.wait_idle(max(0.0, deadline - clock.now())) and ended
 
 
+def _start_rpc(rpc: RpcServer, address: str) -> None:
+    try:
+        rpc.start(*split_address(address))
+    except OSError as error:
+        raise ListenError("rpc_address", address, _reason(error)) from error
+
+
+def _create_web(settings: EntrySettings, entry: Entry) -> WebServer:
+    address = settings.http_address
+    app = create_entry_app(entry)
+    try:
+        return WebServer(app, *split_address(address), settings.http)
+    except OSError as error:
+        raise ListenError("http_address", address, _reason(error)) from error
+
+
+def _reason(error: OSError) -> str:
+    return os.strerror(error.errno) if error.errno else str(error)
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return the IP number and port of ``address``."""
     host, _, port = address.rpartition(":")
--- a/src/sequoiachute/errors.py
+++ b/src/sequoiachute/errors.py
@@ -30,6 +30,24 @@
         self.remedy = remedy
 
 
+class ListenError(SequoiachuteError):
+    """A process can't listen on an address of its settings.
+
+    Parameters
+    ----------
+    key : str
+        Key of the address in the settings.
+    address : str
+        The address.
+    reason : str
+        What the system said.
+    """
+
+    def __init__(self, key: str, address: str, reason: str) -> None:
+        remedy = f"free the address or change {key} in the settings"
+        super().__init__(f"{key}: can't listen on {address}: {reason}; {remedy}")
+
+
 class CatalogueError(SequoiachuteError):
     """A catalogue was refused; nothing has changed."""
 
--- a/src/sequoiachute/transport/rpc.py
+++ b/src/sequoiachute/transport/rpc.py
@@ -55,7 +55,9 @@
     def start(self, host: str, port: int) -> None:
         """Listen on ``host`` and ``port``; raise ``OSError`` if that fails."""
         self._server = Server([self], codec=MessageCodec())
-        spawn_for_awaitable(self._server.start(host, port)).wait()
+        failed = spawn_for_awaitable(_listen(self._server, host, port)).wait()
+        if failed is not None:
+            raise failed
 
     def stop(self) -> None:
         """Stop listening and wait until the calls in progress have ended."""
@@ -88,6 +90,15 @@
         return serve
 
 
+async def _listen(server: Server, host: str, port: int) -> OSError | None:
+    """Start ``server``; return why it can't listen, ``None`` if it does."""
+    try:
+        await server.start(host, port)
+    except OSError as error:
+        return error
+    return None
+
+
 def _run_handler(handler: RpcHandler, message: Any, future: asyncio.Future) -> None:
     try:
         reply = handler(message)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -1,18 +1,22 @@
 import signal
+import socket
 import subprocess
 import sys
 import time
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
 import pytest
 import urllib3
+import yaml
 
 from sequoiachute.status import ExitStatus
-from standins.cluster import OPERATOR_KEY, Cluster, caller_key
+from standins.cluster import OPERATOR_KEY, Cluster, caller_key, free_address
 from standins.demo import CATALOGUE
 
 pytestmark = pytest.mark.processes
 
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 KEY = caller_key("brocach")
 BODY = b'{"seconds": 1.5, "proof": "%s"}' % (b"x" * 100_000)
 IDLE_PROGRAM = """
@@ -120,3 +124,26 @@
             assert idle.wait(5) == 0
         finally:
             idle.kill()
+
+
+@pytest.mark.parametrize("key", ["http_address", "rpc_address"])
+def test_taken_address_is_named(tmp_path, key):
+    settings = yaml.safe_load((EXAMPLES / "entry.yaml").read_text())
+    for name in ("http_address", "rpc_address"):
+        settings[name] = free_address()
+    path = tmp_path / "entry.yaml"
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        settings[key] = f"127.0.0.1:{taken.getsockname()[1]}"
+        path.write_text(yaml.safe_dump(settings))
+        arguments = ["-W", "ignore", "-m", "sequoiachute", "entry"]
+        ended = subprocess.run(
+            [sys.executable, *arguments, "--settings", str(path)],
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+    assert ended.returncode == ExitStatus.ERROR
+    assert ended.stderr.startswith(f"sequoiachute: error: {key}: can't listen on ")
+    assert ended.stderr.count("\n") == 1
