--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -56,7 +56,9 @@
         catalogue: Catalogue,
         arrivals: list[Arrival],
         switches: Iterable[Switch] = (),
+        wake_seconds: float = WAKE_SECONDS,
     ) -> None:
+        self._wake_seconds = wake_seconds
         self._policy = policy
         self._fleet = fleet
         self._catalogue = catalogue
@@ -133,7 +135,7 @@
             self.samples.refused += 1
         if self._queue and not self._woken and self._events:
             self._woken = True
-            self._at(self.now + WAKE_SECONDS, "wake", None)
+            self._at(self.now + self._wake_seconds, "wake", None)
 
     def _evict(self, placement: Placement) -> None:
         for eviction in placement.evictions:
--- a/src/sequoiachute/coordination/agent.py
+++ b/src/sequoiachute/coordination/agent.py
@@ -5,9 +5,10 @@
 from uuid import uuid4
 
 import eventlet
-from eventlet.event import Event
+from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.announcer import Announcer
 from sequoiachute.coordination.bounds import CONTACT_SECONDS
 from sequoiachute.coordination.executor import Executor
 from sequoiachute.coordination.freshness import ConfigurationView
@@ -15,7 +16,6 @@
 from sequoiachute.coordination.gangs import GangKeeper
 from sequoiachute.coordination.runner import TaskRunner
 from sequoiachute.protocol.messages import (
-    ANNOUNCE,
     ATTEMPT,
     COMMIT,
     EXECUTE,
@@ -26,6 +26,7 @@
     START,
     STOP,
     Announcement,
+    AnnouncementReply,
     Method,
 )
 from sequoiachute.settings import AgentSettings
@@ -34,7 +35,6 @@
 from sequoiachute.transport.backend import request_connections
 from sequoiachute.transport.ports import BackendServer, Caller
 
-CALL_SECONDS = 2.0
 LEAVE_POLL_SECONDS = 0.25
 CONTACT_POLL_SECONDS = 0.5
 TOKENS_PER_SECOND = 1000  # keeps the tokens of a later agent above an earlier one's
@@ -61,6 +61,16 @@
         self._view = ConfigurationView(
             caller, settings.data_centre, settings.freshness_seconds
         )
+        self._started_at = clock.wall_time()
+        self._sequence = 0
+        self._leaving = False
+        self._announcer = Announcer(
+            settings.entries,
+            settings.announce_seconds,
+            caller,
+            self.announcement,
+            self._take_reply,
+        )
         self._grants = GrantTable(
             settings.accelerators,
             settings.slots,
@@ -72,7 +82,7 @@
             self._view,
             backend,
         )
-        self._runner = TaskRunner(self._grants, backend, self._notify)
+        self._runner = TaskRunner(self._grants, backend, self._announcer.notify)
         self._gangs = GangKeeper(
             settings.rpc_address, self._grants, self._view, caller, self._runner
         )
@@ -80,9 +90,6 @@
             settings.rpc_address, self._grants, self._gangs, caller
         )
         self._heard_at = clock.now()
-        self._sequence = 0
-        self._leaving = False
-        self._changed = Event()
 
     @property
     def configuration(self) -> Configuration:
@@ -114,17 +121,13 @@
         }
 
     def run(self) -> None:
-        """Announce the backend server to every entry, one task for each."""
-        for address in self._settings.entries:
-            eventlet.spawn(self._announce_to, address)
+        """Announce the backend server to every entry."""
+        self._announcer.run()
         eventlet.spawn(self._keep_contact)
 
     def leave(self, timeout: float) -> bool:
         """Take no new work and wait for the rest; return whether all ended."""
-        self._leaving = True
-        self._executor.leave()
-        self._gangs.leave()
-        self._notify()
+        self._stop_taking_work()
         deadline = clock.now() + timeout
         while clock.now() < deadline:
             if self._executor.open_connections == 0 and self._gangs.is_idle:
@@ -159,25 +162,30 @@
             occupants=self._grants.occupants(),
             reports=self._runner.reports,
             agent_clock=clock.now(),
-            entries=len(settings.entries),
-            entry_addresses=settings.entries,
+            entries=max(1, len(self._announcer.addresses)),
+            entry_addresses=self._announcer.addresses,
+            started_at=self._started_at,
         )
 
-    def _announce_to(self, address: str) -> None:
-        while True:
-            changed = self._changed
-            sent_at = clock.now()
-            outcome = self._caller.call(
-                address, ANNOUNCE, self.announcement(), CALL_SECONDS
+    def _take_reply(
+        self, address: str, reply: AnnouncementReply, sent_at: float
+    ) -> None:
+        self._heard_at = max(self._heard_at, sent_at)
+        self._grants.admit_term(reply.term)
+        self._runner.acknowledge(reply.acknowledged)
+        self._view.take_reply(address, reply, sent_at)
+        if reply.superseded and not self._leaving:
+            logger.error(
+                "another agent runs as {}; stop this one or give it a name",
+                self._settings.worker_id,
             )
-            if outcome.is_ok():
-                reply = outcome.unwrap()
-                self._heard_at = max(self._heard_at, sent_at)
-                self._grants.admit_term(reply.term)
-                self._runner.acknowledge(reply.acknowledged)
-                self._view.take_reply(address, reply, sent_at)
-            with eventlet.Timeout(self._settings.announce_seconds, False):
-                changed.wait()
+            self._stop_taking_work()
+
+    def _stop_taking_work(self) -> None:
+        self._leaving = True
+        self._executor.leave()
+        self._gangs.leave()
+        self._announcer.notify()
 
     def _keep_contact(self) -> None:
         """Stop every task once no entry has answered for long."""
@@ -185,8 +193,3 @@
             clock.sleep(CONTACT_POLL_SECONDS)
             if clock.now() - self._heard_at > CONTACT_SECONDS:
                 self._gangs.stop_all("no entry instance answers the agent")
-
-    def _notify(self) -> None:
-        changed = self._changed
-        self._changed = Event()
-        changed.send(None)
--- a/src/sequoiachute/coordination/causes.py
+++ b/src/sequoiachute/coordination/causes.py
@@ -1,6 +1,11 @@
 """What jobs wait for, seen from round to round of placement."""
 
-from sequoiachute.coordination.policy import Decision, PlacementView, Policy, domain_of
+from sequoiachute.coordination.placement import (
+    Decision,
+    PlacementView,
+    Policy,
+    domain_of,
+)
 from sequoiachute.protocol.service_levels import FleetUse
 from sequoiachute.state.configuration import Configuration
 from sequoiachute.state.fleet import Worker
--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -20,11 +20,13 @@
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
     CONFIGURATION,
+    KEEP_ALIVE,
     SILENCE,
     Announcement,
     AnnouncementReply,
     ConfigurationReply,
     ConfigurationRequest,
+    KeepAlive,
     Method,
     Silence,
     SilenceReply,
@@ -63,12 +65,12 @@
         self.settings = settings
         self.configuration = Configuration()
         self.jobs = JobTable()
-        self._run_times = RunTimes()
         # A key is checked for less time than the log keeps its intent.
         key_seconds = min(KEY_SECONDS, settings.log_retention_seconds / 2)
         self.intents = IntentTable(key_seconds)
         self.leases = LeaseTable()
         self.service_levels = ServiceLevelTable()
+        self.run_times = RunTimes()
         self.fleet = Fleet(settings.worker_silent_seconds)
         self._streams = StateStreams(log, settings.log_retention_seconds)
         self._follow_streams()
@@ -99,7 +101,7 @@
                 self.jobs,
                 self.fleet,
                 self.leases,
-                self._run_times,
+                self.run_times,
             ),
             PlacerStreams(
                 self._streams.writer(JOBS_STREAM),
@@ -135,6 +137,7 @@
         """Return the methods that this entry serves to agents."""
         return {
             ANNOUNCE: self.announce,
+            KEEP_ALIVE: self.keep_alive,
             CONFIGURATION: self.tell_configuration,
             SILENCE: self.tell_silence,
         }
@@ -189,13 +192,24 @@
             self.placer.take_report(report)
             if self.placer.is_settled(report):
                 acknowledged.append((report.job_id, report.attempt, report.member))
+        return self._reply_to(message)._replace(acknowledged=tuple(acknowledged))
+
+    def keep_alive(self, message: KeepAlive) -> AnnouncementReply:
+        """Take an agent's word that little has changed."""
+        known = self.fleet.keep_alive(message, clock.now())
+        if known:
+            self.router.workload.hear(message.worker_id, message.open_connections)
+        return self._reply_to(message)._replace(full_wanted=not known)
+
+    def _reply_to(self, message: Announcement | KeepAlive) -> AnnouncementReply:
         return AnnouncementReply(
             entry_id=self.settings.entry_id,
             config_offset=self.configuration.offset,
             confirmed_age=confirmed_age(self.configuration),
             entries=self.directory.addresses(),
-            acknowledged=tuple(acknowledged),
+            acknowledged=(),
             term=self.placer.known_term,
+            superseded=self.fleet.is_superseded(message.worker_id, message.incarnation),
         )
 
     def tell_configuration(self, message: ConfigurationRequest) -> ConfigurationReply:
@@ -252,15 +266,6 @@
             log = logger.bind(config_offset=position.offset)
             log.info("configuration in force")
 
-    def _speed_of(self, job: Job) -> float:
-        """Return the speed of the slowest known worker of ``job``."""
-        speed = float("inf")
-        for worker_id in job.workers:
-            worker = self.fleet.get(worker_id)
-            if worker is not None:
-                speed = min(speed, worker.speed)
-        return speed if speed < float("inf") else 1.0
-
     def _apply_job(self, position: Position, record: Any) -> None:
         if not self.jobs.apply(record, position.appended_at):
             return
@@ -268,8 +273,16 @@
         if record["kind"] == "job-started":
             self.recorder.note_start(job)
         elif record["kind"] == "job-ended":
-            self._run_times.observe(job, self._speed_of(job))
             self.recorder.note_end(position.offset, job)
+            self.run_times.observe(job, self._slowest_speed(job))
+
+    def _slowest_speed(self, job: Job) -> float:
+        speeds = []
+        for worker_id in job.workers:
+            worker = self.fleet.get(worker_id)
+            if worker is not None:
+                speeds.append(worker.speed)
+        return min(speeds, default=1.0)
 
     def _apply_service_level(self, position: Position, record: Any) -> None:
         self.service_levels.apply(position.offset, record)
@@ -278,4 +291,5 @@
         self.intents.apply(record)
 
     def _apply_lease(self, position: Position, record: Any) -> None:
-        self.leases.apply(position.offset, record, clock.now())
+        at = position.appended_at
+        self.leases.apply(position.offset, record, clock.now(), at)
--- a/src/sequoiachute/coordination/placement/ordering.py
+++ b/src/sequoiachute/coordination/placement/ordering.py
@@ -64,9 +64,9 @@
     def order(self, view: PlacementView, shares: Shares) -> Iterator[Job]:
         """Yield the queued jobs in the order in which to try them.
 
-        Within a class the account with the least share comes first; each
-        further job of an account in the same round stands behind one of every
-        other account, so that one that waits can't hide the rest.
+        Within a class the account with the least share comes first; one whose
+        job did not start stands behind the others, so that what waits can't
+        hide the rest.
         """
         groups = self._grouped(view)
         turns = dict.fromkeys(groups, 0)
@@ -75,14 +75,16 @@
             heap.append((-group.priority, 0, shares.of(group.account), group))
         heapq.heapify(heap)
         while heap:
-            _, _, _, group = heapq.heappop(heap)
+            _, failed, before, group = heapq.heappop(heap)
             jobs = groups[group]
             yield jobs[turns[group]]
             turns[group] += 1
             if turns[group] == len(jobs):
                 continue
             share = shares.of(group.account)
-            heapq.heappush(heap, (-group.priority, turns[group], share, group))
+            if share == before:
+                failed += 1
+            heapq.heappush(heap, (-group.priority, failed, share, group))
 
     def _grouped(self, view: PlacementView) -> dict[_Group, list[Job]]:
         classes = view.catalogue["classes"]
--- a/src/sequoiachute/daemon.py
+++ b/src/sequoiachute/daemon.py
@@ -22,8 +22,9 @@
     signals = StopSignals()
     signals.install()
     log = LogServiceClient(settings.log_service)
-    policy = SharingPolicy(settings.fragmentation_weight)
-    entry = Entry(settings, log, RpcPool(), policy)
+    entry = Entry(
+        settings, log, RpcPool(), SharingPolicy(settings.fragmentation_weight)
+    )
     configure_logging(settings.logging, lambda: entry.configuration.offset)
     rpc = RpcServer(entry.handlers())
     rpc.start(*split_address(settings.rpc_address))
