--- a/src/sequoiachute/coordination/placement/sharing.py
+++ b/src/sequoiachute/coordination/placement/sharing.py
@@ -27,7 +27,7 @@
 
 DEFAULT_FRAGMENTATION_WEIGHT = 0.5
 STARTS_PER_ROUND = 16
-VISITS_PER_ROUND = 2_000  # workers looked at, over all jobs
+VISITS_PER_ROUND = 1_400  # workers looked at, over all jobs
 STARVED_SECONDS = 30.0  # of waiting before a reservation, at weight 0
 LEAST_STARVED_SECONDS = 5.0
 MOST_RESERVATIONS = 1  # for space that is not free yet
--- a/src/sequoiachute/state/fleet.py
+++ b/src/sequoiachute/state/fleet.py
@@ -73,12 +73,12 @@
         Once an agent has been replaced, what its process sent late is ignored.
         """
         known = self._workers.get(message.worker_id)
-        if known is None:
-            self._grew_at = now
         if known is not None and not self._is_newer(message, known, now):
             return False
         if known is not None and known.incarnation != message.incarnation:
             self._retire(known)
+        if known is None:
+            self._grew_at = now
         self._drop_others_at(message)
         self._workers[message.worker_id] = Worker(
             worker_id=message.worker_id,
