Look only at live jobs when looking for queued and running ones

A scan of 20,000 jobs took 1.59 ms; with nine of ten ended it takes 0.35 ms now, most of it the live ones (python -m benchmarks tables, new). The placer's and the site's tests pass.

--- a/src/sequoiachute/state/jobs.py
+++ b/src/sequoiachute/state/jobs.py
@@ -56,6 +56,7 @@
         self._jobs: dict[str, Job] = {}
         self._by_key: dict[tuple[str, str], str] = {}
         self._ended: list[tuple[float, str]] = []
+        self._live: dict[str, None] = {}  # by order of acceptance
         self._hold_seconds = hold_seconds
 
     def get(self, job_id: str) -> Job | None:
@@ -68,9 +69,13 @@
         return self._jobs.get(job_id) if job_id else None
 
     def with_state(self, state: str) -> list[Job]:
-        """Return the jobs in ``state``, in order of acceptance."""
+        """Return the jobs in ``state``, queued or running, as accepted.
+
+        Takes time by the number of jobs that have not ended.
+        """
         jobs = []
-        for job in self._jobs.values():
+        for job_id in self._live:
+            job = self._jobs[job_id]
             if job.state == state:
                 jobs.append(job)
         return jobs
@@ -93,11 +98,14 @@
         self._jobs.clear()
         self._by_key.clear()
         self._ended.clear()
+        self._live.clear()
         for job in jobs:
             self._jobs[job.job_id] = job
             self._by_key[(job.account, job.idempotency_key)] = job.job_id
             if job.has_ended:
                 heappush(self._ended, (job.ended_at, job.job_id))
+                continue
+            self._live[job.job_id] = None
 
     def apply(self, record: Any, at: float = float("-inf")) -> bool:
         """Apply one record appended at time ``at``; return whether it counted."""
@@ -113,6 +121,7 @@
         self._jobs[job.job_id] = changed
         if changed.has_ended:
             heappush(self._ended, (changed.ended_at, job.job_id))
+            del self._live[job.job_id]
         return True
 
     def _drop_ended(self, before: float) -> None:
@@ -125,6 +134,7 @@
         key = (record["account"], record["idempotency_key"])
         if record["job_id"] in self._jobs or key in self._by_key:
             return False
+        self._live[record["job_id"]] = None
         self._jobs[record["job_id"]] = Job(
             job_id=record["job_id"],
             account=record["account"],
