--- a/src/sequoiachute/cli/caller.py
+++ b/src/sequoiachute/cli/caller.py
@@ -3,7 +3,6 @@
 from base64 import b64encode
 from pathlib import Path
 from typing import Annotated
-from uuid import uuid4
 
 import typer
 
@@ -15,6 +14,7 @@
     Reply,
     Request,
 )
+from sequoiachute.cli.keys import create_timed_key
 from sequoiachute.cli.options import (
     DEFAULT_ENTRY,
     EntryOption,
@@ -213,7 +213,7 @@
     """Return ``key``, or a new one after telling it to the caller."""
     if key:
         return key
-    made = uuid4().hex
+    made = create_timed_key()
     write_note(environment, f"idempotency key: {made}")
     return made
 
