--- a/src/sequoiachute/coordination/settler.py
+++ b/src/sequoiachute/coordination/settler.py
@@ -22,6 +22,7 @@
 from sequoiachute.state.jobs import QUEUED, RUNNING, Job
 from sequoiachute.transport.ports import Caller
 
+CURRENT_SECONDS = 3.0  # age up to which the jobs table lacks nothing reported
 CALL_SECONDS = 4.0  # a stop waits for a backend server's answer
 RETRY_SECONDS = 0.5
 FAILED_WORKERS = 3  # a job that failed on so many healthy workers is at fault
@@ -84,7 +85,9 @@
         """Return whether the log tells what became of the reported attempt."""
         job = self._state.jobs.get(report.job_id)
         if job is None:
-            return False
+            # A job is held for a day after its end; only a table that may lag
+            # can lack one that an agent still reports of.
+            return self._streams.jobs_follower.age() <= CURRENT_SECONDS
         moved_on = job.attempt > report.attempt
         requeued = job.attempt == report.attempt and job.state == QUEUED
         return job.has_ended or moved_on or requeued
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -12,6 +12,7 @@
     Placement,
 )
 from sequoiachute.coordination.placer import MEMBERS_STARTING
+from sequoiachute.protocol.messages import TaskReport
 from sequoiachute.state.grants import RESERVED
 from standins.site import Site, agent_address, create_catalogue, entry_address
 from tests.site_checks import SiteChecker
@@ -289,3 +290,12 @@
         if site.data_centre_of(index) == data_centre:
             count += len(backend.running())
     return count
+
+
+def test_report_of_a_job_dropped_long_ago_is_acknowledged():
+    checked = CheckedSite()
+    report = TaskReport("dropped", 1, 0, "finished")
+    assert checked.site.entries[0].placer.is_settled(report)
+    checked.site.log.down = True
+    checked.run_for(5)
+    assert not checked.site.entries[0].placer.is_settled(report)
