--- a/src/sequoiachute/coordination/placement/baselines.py
+++ b/src/sequoiachute/coordination/placement/baselines.py
@@ -4,7 +4,7 @@
 nor evictions.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from sequoiachute.coordination.placement.board import Board, Node
 from sequoiachute.coordination.placement.model import (
@@ -16,6 +16,8 @@
 from sequoiachute.coordination.placement.runs import indices_of, pack_runs, run_masks
 from sequoiachute.state.jobs import Job
 
+Find = Callable[[Job, Board], tuple[MemberPlacement, ...] | None]
+
 
 class FirstFitPolicy:
     """Takes jobs in order of acceptance and the first place that fits.
@@ -28,15 +30,7 @@
 
     def decide(self, view: PlacementView) -> Decision:
         """Return what to start now."""
-        self._board.refresh(view.workers, view.starting, {})
-        placements = []
-        for job in view.queued:
-            members = _first_fit(job, self._board)
-            if members is None:
-                break
-            self._board.hold(job.job_id, job.account, members, guaranteed=False)
-            placements.append(Placement(job.job_id, members, guaranteed=False))
-        return Decision(tuple(placements))
+        return _decide(self._board, view, _first_fit, passes_over=False)
 
 
 class BestFitPolicy:
@@ -50,15 +44,24 @@
 
     def decide(self, view: PlacementView) -> Decision:
         """Return what to start now."""
-        self._board.refresh(view.workers, view.starting, {})
-        placements = []
-        for job in view.queued:
-            members = _best_fit(job, self._board)
-            if members is None:
+        return _decide(self._board, view, _best_fit, passes_over=True)
+
+
+def _decide(
+    board: Board, view: PlacementView, find: Find, passes_over: bool
+) -> Decision:
+    """Take jobs in order of acceptance wherever ``find`` puts them."""
+    board.refresh(view.workers, view.starting, {})
+    placements = []
+    for job in view.queued:
+        members = find(job, board)
+        if members is None:
+            if passes_over:
                 continue
-            self._board.hold(job.job_id, job.account, members, guaranteed=False)
-            placements.append(Placement(job.job_id, members, guaranteed=False))
-        return Decision(tuple(placements))
+            break
+        board.hold(job.job_id, job.account, members, guaranteed=False)
+        placements.append(Placement(job.job_id, members, guaranteed=False))
+    return Decision(tuple(placements))
 
 
 def _first_fit(job: Job, board: Board) -> tuple[MemberPlacement, ...] | None:
