--- a/benchmarks/bench_gangs.py
+++ b/benchmarks/bench_gangs.py
@@ -8,8 +8,10 @@
 import random
 import time
 
+from loguru import logger
+
 from sequoiachute import clock
-from standins.memory import install_paused_clock
+from standins.paused import install_paused_clock
 from standins.site import Site, create_catalogue, entry_address
 
 NETWORK_SECONDS = 0.0015  # one way, as between the data centres of a site
@@ -117,6 +119,7 @@
 
 def main() -> None:
     """Print the tables."""
+    logger.remove()
     print(f"network {NETWORK_SECONDS * 1000} ms one way, log {LOG_SECONDS * 1000} ms")
     measure_starts()
     measure_failover()
--- a/benchmarks/request_load.py
+++ b/benchmarks/request_load.py
@@ -14,7 +14,8 @@
 from sequoiachute.coordination.router import Request
 from sequoiachute.errors import RpcError
 from sequoiachute.transport.ports import BackendAnswer
-from standins.memory import MemoryBackend, install_paused_clock
+from standins.memory import MemoryBackend
+from standins.paused import install_paused_clock
 from standins.site import Site, create_catalogue
 
 SPEEDS = (0.5, 1.0, 2.0, 0.5, 1.0, 2.0, 1.0, 1.5, 2.0, 1.0, 1.5)
--- a/tests/api.py
+++ b/tests/api.py
@@ -7,7 +7,7 @@
 from sequoiachute.http.description import read_description
 from sequoiachute.settings import KeySettings
 from standins.demo import CATALOGUE
-from standins.memory import install_paused_clock
+from standins.paused import install_paused_clock
 from standins.site import Site
 
 KEYS = (
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -19,6 +19,6 @@
 
 @pytest.fixture
 def paused_clock():
-    from standins.memory import install_paused_clock
+    from standins.paused import install_paused_clock
 
     install_paused_clock()
--- a/tests/test_configuration_machine.py
+++ b/tests/test_configuration_machine.py
@@ -10,7 +10,7 @@
 from sequoiachute import clock
 from sequoiachute.protocol.records import CONFIGURATION_STREAM, decode_record
 from sequoiachute.state.configuration import Configuration
-from standins.memory import install_paused_clock
+from standins.paused import install_paused_clock
 from standins.site import (
     DATA_CENTRES,
     Site,
--- a/tests/test_gangs_machine.py
+++ b/tests/test_gangs_machine.py
@@ -9,7 +9,7 @@
 )
 
 from sequoiachute.coordination.bounds import LOST_SECONDS, PARTLY_RUNNING_SECONDS
-from standins.memory import install_paused_clock
+from standins.paused import install_paused_clock
 from standins.site import (
     DATA_CENTRES,
     Site,
--- a/tests/test_log_machine.py
+++ b/tests/test_log_machine.py
@@ -10,7 +10,8 @@
 from sequoiachute import clock
 from sequoiachute.protocol.records import JOBS_STREAM, decode_record
 from sequoiachute.state.jobs import JobTable
-from standins.memory import MemoryLog, install_paused_clock
+from standins.memory import MemoryLog
+from standins.paused import install_paused_clock
 from tests import histories
 from tests.lognode import HOLD_SECONDS, LogNode, accepted, ended
 
