Drop counted ends of jobs on every entry

Found on reading the change once more: an entry that is not the placer kept every job's end for ever, since only the summary of ends dropped those that had been counted. The new test failed before (5 kept, 0 expected).

--- a/src/sequoiachute/coordination/service_levels.py
+++ b/src/sequoiachute/coordination/service_levels.py
@@ -86,6 +86,11 @@
         self._ends: deque[EndedJob] = deque()
         self._began_at = clock.wall_time()
 
+    @property
+    def uncounted_ends(self) -> int:
+        """Ends of jobs kept because no entry has counted them yet."""
+        return len(self._ends)
+
     def run(self) -> None:
         """Append summaries and rollups, for ever."""
         while True:
@@ -130,9 +135,16 @@
             self._pending = self._take_summary()
         if self._append(self._pending):
             self._pending = None
+        self._forget_counted()
         if self._holds_lease():
             self._append(self._summarise_ends())
 
+    def _forget_counted(self) -> None:
+        """Drop the ends that some entry has counted, on every entry."""
+        counted_through = self._table.jobs_through
+        while self._ends and self._ends[0].offset <= counted_through:
+            self._observed.forget(self._ends.popleft().job.job_id)
+
     def _append(self, summary: ServiceLevelSummary) -> bool:
         """Append a summary unless it is empty; return whether that is settled."""
         if not (summary["counts"] or summary["histograms"] or summary["fleet"]):
@@ -152,8 +164,6 @@
     def _summarise_ends(self) -> ServiceLevelSummary:
         """Return the ends of jobs that no entry has counted yet."""
         counted_through = self._table.jobs_through
-        while self._ends and self._ends[0].offset <= counted_through:
-            self._observed.forget(self._ends.popleft().job.job_id)
         counts: Counts = {}
         histograms: Histograms = {}
         for end in self._ends:
--- a/tests/test_service_levels.py
+++ b/tests/test_service_levels.py
@@ -74,3 +74,13 @@
     for objective in ("completion", "guarantee"):
         count = counts(site.entries[0])[objective]
         assert (count["good"], count["bad"]) == (1, 0)
+
+
+def test_entries_keep_no_end_that_has_been_counted():
+    site = started_site()
+    for index in range(5):
+        site.submit(f"job-{index}", run_seconds=1)
+    site.run_for(5 + FLUSHED)
+    for entry in site.entries:
+        assert counts(entry)["completion"]["good"] == 5
+        assert entry.recorder.uncounted_ends == 0
