--- a/src/sequoiachute/clock.py
+++ b/src/sequoiachute/clock.py
@@ -22,6 +22,12 @@
     eventlet.sleep(seconds)
 
 
+def elapsed() -> float:
+    """Return monotonic seconds that also count the time of a suspension."""
+    suspended = time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+    return now() + suspended
+
+
 def wall_time() -> float:
     """Return seconds since the epoch, for records and reports only."""
     return now() + _EPOCH_OF_MONOTONIC_ZERO
--- /dev/null
+++ b/src/sequoiachute/coordination/control.py
@@ -0,0 +1,224 @@
+"""The part of an entry instance that keeps jobs: ledger, election, placer."""
+
+from collections.abc import Callable
+
+import eventlet
+from loguru import logger
+
+from sequoiachute import clock
+from sequoiachute.coordination.dispatch.placer import Placer
+from sequoiachute.coordination.dispatch.sessions import Desk
+from sequoiachute.coordination.intake import Intake
+from sequoiachute.coordination.store.election import Election
+from sequoiachute.coordination.store.follower import Follower
+from sequoiachute.protocol.messages import Method
+from sequoiachute.protocol.supervision import (
+    REPORT,
+    VIEW,
+    Orders,
+    Report,
+    ViewQuery,
+    ViewReply,
+)
+from sequoiachute.state.ledger import Ledger
+from sequoiachute.state.operations import Operations
+from sequoiachute.transport.ports import Caller
+from sequoiachute.transport.store import KeyedStore, Record
+
+JOBS = "jobs"
+RUNS = "runs"
+PUBLISHED = "op"
+
+STALE_SECONDS = 1.0  # beyond one long read that answers in time
+ASK_PEERS_SECONDS = 0.4
+PEER_CALL_SECONDS = 0.4
+FIRST_READ_SECONDS = 2.5
+
+
+class Control:
+    """Follows the store, stands for election and serves agents and peers.
+
+    Parameters
+    ----------
+    member : str
+        Identity of this lifetime of the entry, ``address/name``.
+    address : str
+        Where agents and peers reach this entry.
+    store : KeyedStore
+    caller : Caller
+    seeds : tuple of str
+        Other entries' addresses; they may be stale.
+    publish : callable
+        Takes the published records by key and puts them in force.
+    """
+
+    def __init__(
+        self,
+        member: str,
+        address: str,
+        store: KeyedStore,
+        caller: Caller,
+        seeds: tuple[str, ...],
+        operations: Operations,
+        publish: Callable[[dict[str, bytes]], None],
+    ) -> None:
+        self._address = address
+        self._store = store
+        self._caller = caller
+        self._seeds = seeds
+        self._publish = publish
+        self.operations = operations
+        self.ledger = Ledger()
+        self._published: dict[str, bytes] = {}
+        self._published_end = -1
+        self._jobs = Follower(JOBS, store, self._apply_job)
+        self._runs = Follower(RUNS, store, self._apply_run)
+        self._op = Follower(PUBLISHED, store, self._take_published, self._replace)
+        self.intake = Intake(JOBS, store, self.ledger, self._jobs)
+        self._election = Election(
+            member, address, RUNS, store, self.ledger, self._runs, self._lead
+        )
+        self._placer: Placer | None = None
+        self._desk: Desk | None = None
+        self._ended = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers can be served."""
+        caught_up = self._jobs.is_caught_up and self._runs.is_caught_up
+        return caught_up and self.operations.version > 0 and not self._ended
+
+    @property
+    def is_leading(self) -> bool:
+        """Whether this entry is the placer."""
+        return self._desk is not None
+
+    def run(self) -> None:
+        """Do everything, in tasks of their own."""
+        for follower in (self._op, self._jobs, self._runs):
+            eventlet.spawn(follower.run)
+        eventlet.spawn(self._election.run)
+        eventlet.spawn(self._ask_peers_for_ever)
+
+    def leave(self) -> None:
+        """Let another entry place; go on serving callers."""
+        self._ended = True
+        if self._placer is not None:
+            self._placer.end()
+        self._desk = None
+        self._election.leave()
+
+    def handlers(self) -> dict[Method, Callable]:
+        """Return what agents and peers may call."""
+        return {REPORT: self._report, VIEW: self._view}
+
+    # The store.
+
+    def _apply_job(self, record: Record) -> None:
+        if self.ledger.apply(JOBS, record) and self._placer is not None:
+            self._placer.wake()
+
+    def _apply_run(self, record: Record) -> None:
+        self.ledger.apply(RUNS, record)
+        leader = self.ledger.leader
+        desk = self._desk
+        if desk is None or leader is None or leader.term <= desk.term:
+            return
+        logger.bind(term=desk.term, newer=leader.term).warning("deposed")
+        self._stop_leading()
+
+    def _take_published(self, record: Record) -> None:
+        if record.value is None:
+            self._published.pop(record.key, None)
+        else:
+            self._published[record.key] = record.value
+        self._put_in_force(record.offset + 1)
+
+    def _replace(self, records: tuple[Record, ...]) -> None:
+        self._published = {
+            record.key: record.value for record in records if record.value is not None
+        }
+        newest = max((record.offset + 1 for record in records), default=0)
+        self._put_in_force(newest)
+
+    def _put_in_force(self, end: int) -> None:
+        if end < self._published_end:
+            return
+        self._published_end = end
+        self._publish(self._published)
+        if self._placer is not None:
+            self._placer.wake()
+
+    # Placing.
+
+    def _lead(self, term: int) -> None:
+        self._stop_leading()
+        if self._ended:
+            return
+        desk = Desk(self.ledger, term, self._wake, self._runs.age)
+        placer = Placer(term, RUNS, self._store, self.ledger, self.operations, desk)
+        self._desk, self._placer = desk, placer
+        eventlet.spawn(self._place, placer)
+
+    def _place(self, placer: Placer) -> None:
+        try:
+            placer.run()
+        finally:
+            if self._placer is placer:
+                self._stop_leading()
+
+    def _stop_leading(self) -> None:
+        if self._placer is not None:
+            self._placer.end()
+        self._placer = self._desk = None
+        self._election.resign()
+
+    def _wake(self) -> None:
+        if self._placer is not None:
+            self._placer.wake()
+
+    # Agents and peers.
+
+    def _report(self, report: Report) -> Orders:
+        leader = self.ledger.leader
+        desk = self._desk
+        term = leader.term if leader is not None else 0
+        address = leader.address if leader is not None else ""
+        reply = Orders(False, address, term, self._entries())
+        if desk is None:
+            return reply
+        if report.term > desk.term:
+            # The agent has met a newer placer.
+            return reply._replace(leader="")
+        return desk.report(report, reply._replace(term=desk.term))
+
+    def _entries(self) -> tuple[str, ...]:
+        found = [member.partition("/")[0] for member in self._election.others]
+        return tuple(dict.fromkeys((*found, self._address)))
+
+    def _view(self, query: ViewQuery) -> ViewReply:
+        if query.end >= self._published_end:
+            return ViewReply(self._published_end)
+        return ViewReply(self._published_end, self._published)
+
+    def _ask_peers_for_ever(self) -> None:
+        """Learn what is published from peers while the store doesn't answer."""
+        while True:
+            clock.sleep(ASK_PEERS_SECONDS)
+            if self._op.age() < FIRST_READ_SECONDS:
+                continue
+            for address in (*self._entries(), *self._seeds):
+                if address != self._address:
+                    eventlet.spawn(self._ask_peer, address)
+
+    def _ask_peer(self, address: str) -> None:
+        query = ViewQuery(self._published_end)
+        outcome = self._caller.call(address, VIEW, query, PEER_CALL_SECONDS)
+        if outcome.is_err():
+            return
+        reply = outcome.unwrap()
+        if reply.end <= self._published_end:
+            return
+        self._published = dict(reply.records)
+        logger.bind(peer=address, end=reply.end).info("published records from a peer")
+        self._put_in_force(reply.end)
--- /dev/null
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -0,0 +1,198 @@
+"""The placer's loop: settle what was heard, decide, record, then order."""
+
+import eventlet
+from eventlet.event import Event
+from loguru import logger
+
+from sequoiachute import clock
+from sequoiachute.coordination.dispatch.evidence import Evidence
+from sequoiachute.coordination.dispatch.sessions import Desk
+from sequoiachute.coordination.dispatch.settlement import Draft, Settlement
+from sequoiachute.coordination.dispatch.views import build_view
+from sequoiachute.coordination.scheduling import Decision, decide
+from sequoiachute.coordination.scheduling.space import FAR_FACTOR
+from sequoiachute.coordination.store.election import WRITER
+from sequoiachute.protocol.supervision import DONE, RUN_FAILED
+from sequoiachute.protocol.workload import encode, parse_task_id
+from sequoiachute.state.ledger import Ledger
+from sequoiachute.state.operations import Operations
+from sequoiachute.transport.store import KeyedStore, Record, Writer
+
+TICK_SECONDS = 0.25  # a look at silences and due times when nothing is heard
+GATHER_SECONDS = 0.005  # reports that come together are settled together
+APPEND_SECONDS = 0.8  # an append without an answer is sent again after it
+RETRY_SECONDS = 0.1
+RECORDS_PER_APPEND = 200
+
+
+class DeposedError(Exception):
+    """Another entry has become the placer."""
+
+
+class Placer:
+    """Places tasks for one term, until another placer takes over.
+
+    Parameters
+    ----------
+    topic : str
+        Topic that only the placer writes.
+    desk : Desk
+        Sessions of the agents.
+    """
+
+    def __init__(
+        self,
+        term: int,
+        topic: str,
+        store: KeyedStore,
+        ledger: Ledger,
+        operations: Operations,
+        desk: Desk,
+    ) -> None:
+        self._term = term
+        self._topic = topic
+        self._store = store
+        self._ledger = ledger
+        self._operations = operations
+        self._desk = desk
+        self._settlement = Settlement(ledger, desk)
+        self._evidence = Evidence()
+        self._sequence = 0
+        self._wake = Event()
+        self._ended = False
+
+    def wake(self) -> None:
+        """Look again at once."""
+        if not self._wake.ready():
+            self._wake.send(None)
+
+    def end(self) -> None:
+        """Stop placing."""
+        self._ended = True
+        self.wake()
+
+    def run(self) -> None:
+        """Place until the term is over."""
+        try:
+            while not self._ended:
+                self._wait()
+                self._look()
+        except DeposedError as error:
+            logger.bind(term=self._term, reason=str(error)).warning("deposed")
+
+    def _wait(self) -> None:
+        with eventlet.Timeout(TICK_SECONDS, False):
+            self._wake.wait()
+            clock.sleep(GATHER_SECONDS)
+        self._wake = Event()
+
+    def _look(self) -> None:
+        self._learn()
+        draft = Draft(self._ledger)
+        self._settlement.settle(draft)
+        self._write(draft)
+        wall = clock.wall_time()
+        view = build_view(
+            self._ledger, self._desk, self._operations, self._evidence, wall
+        )
+        decision = decide(view)
+        self._place(decision)
+        for session in self._desk.sessions.values():
+            session.refresh(self._ledger)
+
+    def _learn(self) -> None:
+        now = clock.elapsed()
+        for session in self._desk.sessions.values():
+            placed = self._ledger.placed_at(session.host)
+            for run in session.runs.values():
+                task = parse_task_id(run.task)
+                if task is None or task not in placed:
+                    continue
+                step = self._ledger.job(task.job_id).steps[task.step]
+                rack = session.worker.rack if session.worker else ""
+                is_far = step.data_rack and step.data_rack != rack
+                far = FAR_FACTOR if is_far else 1.0
+                estimate = 0.0 if step.lasting else step.estimate_seconds
+                self._evidence.see_run(run, session.life, estimate, far, now)
+            for end in session.ends:
+                task = parse_task_id(end.task)
+                if task is None or task not in placed or placed[task].run != end.run:
+                    continue
+                self._evidence.forget_run(task, end.run)
+                if end.how == DONE:
+                    self._evidence.note_success(session.life)
+                elif end.how == RUN_FAILED:
+                    job = self._ledger.job(task.job_id)
+                    self._evidence.note_failure(job, session.host, session.life, now)
+
+    def _place(self, decision: Decision) -> None:
+        for stop in decision.stops:
+            session = self._desk.sessions.get(stop.host)
+            if session is not None:
+                session.stops[stop.task] = stop.run
+                log = logger.bind(task=str(stop.task), run=stop.run, host=stop.host)
+                log.bind(reason=stop.reason).info("stopping run")
+        draft = Draft(self._ledger)
+        gang_runs: dict[tuple[str, int, int], int] = {}
+        for placement in decision.placements:
+            task = placement.task
+            gang = (task.job_id, task.occurrence, task.step)
+            run = draft.task(task).run + 1
+            gang_runs[gang] = max(run, gang_runs.get(gang, 0))
+        for placement in decision.placements:
+            task = placement.task
+            state = draft.task(task)
+            run = state.run + 1
+            token = state.token
+            step = self._ledger.job(task.job_id).steps[task.step]
+            if step.gang:
+                run = gang_runs[(task.job_id, task.occurrence, task.step)]
+                token = self._gang_token(task, step.count)
+            draft.set_task(
+                task,
+                state._replace(
+                    run=run, host=placement.host, life=placement.life, token=token
+                ),
+            )
+            log = logger.bind(task=str(task), run=run, host=placement.host)
+            log.bind(life=placement.life.worker_id, term=self._term).info("placed")
+        self._write(draft)
+
+    def _gang_token(self, task: object, count: int) -> str:
+        tasks = self._ledger.progress(task.job_id).tasks
+        best = ""
+        for index in range(count):
+            state = tasks.get(f"{task.occurrence}.{task.step}.{index}")
+            if state is not None:
+                best = max(best, state.token, key=lambda token: (len(token), token))
+        return best
+
+    def _write(self, draft: Draft) -> None:
+        """Append the drafted records; apply them once acknowledged."""
+        records = []
+        for job_id, progress in draft.changed.items():
+            if progress != self._ledger.progress(job_id):
+                records.append((job_id, encode(progress)))
+        while records:
+            self._append(records[:RECORDS_PER_APPEND])
+            records = records[RECORDS_PER_APPEND:]
+
+    def _append(self, records: list[tuple[str, bytes | None]]) -> None:
+        writer = Writer(WRITER, self._term, self._sequence + 1)
+        while True:
+            outcome = self._store.append(
+                self._topic, records, writer=writer, timeout=APPEND_SECONDS
+            )
+            if outcome.is_ok():
+                break
+            error = outcome.unwrap_err()
+            if error.fenced or self._ended:
+                self._ended = True
+                raise DeposedError(error.reason)
+            log = logger.bind(term=self._term, reason=error.reason)
+            log.bind(records=len(records)).info("append is tried again")
+            clock.sleep(RETRY_SECONDS)
+        self._sequence += 1
+        first = outcome.unwrap()
+        for number, (key, value) in enumerate(records):
+            self._ledger.apply(self._topic, Record(first + number, key, value))
--- /dev/null
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -0,0 +1,194 @@
+"""The scheduler's view of jobs and workers, from ledger, reports and evidence."""
+
+from sequoiachute import clock
+from sequoiachute.coordination.dispatch.evidence import SAVE_SECONDS, Evidence
+from sequoiachute.coordination.dispatch.sessions import FRESH_SECONDS, Desk, Session
+from sequoiachute.coordination.scheduling import Host, Running, Unit, View
+from sequoiachute.protocol.workload import (
+    JobSpec,
+    Progress,
+    StepSpec,
+    TaskId,
+    TaskState,
+)
+from sequoiachute.state.ledger import Ledger
+from sequoiachute.state.operations import Operations
+
+UNKNOWN_ESTIMATE_SECONDS = 5.0  # for a task that declares none
+
+
+def build_view(
+    ledger: Ledger, desk: Desk, operations: Operations, evidence: Evidence, wall: float
+) -> View:
+    """Return the view at wall time ``wall`` in seconds."""
+    hosts = []
+    for session in desk.sessions.values():
+        host = _host(session, ledger, operations, evidence)
+        if host is not None:
+            hosts.append(host)
+    units: list[Unit] = []
+    for job in ledger.live():
+        progress = ledger.progress(job.job_id)
+        if progress.state or ledger.is_cancelled(job.job_id):
+            continue
+        _add_units(job, progress, operations, evidence, wall, units)
+    return View(wall, tuple(hosts), tuple(units))
+
+
+def _host(
+    session: Session, ledger: Ledger, operations: Operations, evidence: Evidence
+) -> Host | None:
+    worker = session.worker
+    if worker is None or worker.life in session.gone:
+        return None
+    running = []
+    now = clock.elapsed()
+    for task, state in ledger.placed_at(session.host).items():
+        job = ledger.job(task.job_id)
+        if job is not None:
+            running.append(_running(task, state, job, session, evidence))
+    session.closed = worker.zone in operations.closed_zones
+    is_open = (
+        session.is_fenced
+        and session.age() < FRESH_SECONDS
+        and not worker.leaving
+        and not session.closed
+    )
+    return Host(
+        name=session.host,
+        life=worker.life,
+        service=worker.service,
+        zone=worker.zone,
+        rack=worker.rack,
+        labels=frozenset(worker.labels),
+        capacity=worker.capacity,
+        is_open=is_open,
+        speed=evidence.speed(worker.life),
+        suspicion=evidence.suspicion(worker.life, now),
+        running=tuple(running),
+    )
+
+
+def _running(
+    task: TaskId, state: TaskState, job: JobSpec, session: Session, evidence: Evidence
+) -> Running:
+    step = job.steps[task.step]
+    done = unsaved = 0.0
+    estimate = step.estimate_seconds or UNKNOWN_ESTIMATE_SECONDS
+    left = estimate
+    seen = evidence.observed(task, state.run)
+    if seen is not None:
+        done = clock.elapsed() - seen.first_at
+        rate = seen.rate or 100 / estimate
+        left = max(0.0, (100 - seen.newest_percent) / rate)
+        unsaved = min(done, SAVE_SECONDS) if step.checkpoints else done
+    return Running(
+        task=task,
+        run=state.run,
+        need=step.reserved,
+        priority=job.priority,
+        account=job.account,
+        gang=step.gang,
+        left_seconds=left,
+        unsaved_seconds=unsaved,
+        stopping=session.stops.get(task, 0) == state.run,
+        lasting=step.lasting,
+    )
+
+
+def _add_units(
+    job: JobSpec,
+    progress: Progress,
+    operations: Operations,
+    evidence: Evidence,
+    wall: float,
+    units: list[Unit],
+) -> None:
+    for occurrence in range(job.rounds):
+        due = job.due_at(occurrence)
+        if due > wall:
+            break
+        for index, step in enumerate(job.steps):
+            if not _is_ready(job, progress, occurrence, step):
+                continue
+            tasks = _waiting_tasks(job, progress, occurrence, index)
+            if tasks:
+                unit = _unit(job, progress, index, tasks, operations, evidence)
+                units.append(unit)
+
+
+def _is_ready(
+    job: JobSpec, progress: Progress, occurrence: int, step: StepSpec
+) -> bool:
+    for earlier in step.after:
+        for index in range(job.steps[earlier].count):
+            state = progress.tasks.get(f"{occurrence}.{earlier}.{index}")
+            if state is None or not state.done:
+                return False
+    return True
+
+
+def _waiting_tasks(
+    job: JobSpec, progress: Progress, occurrence: int, index: int
+) -> tuple[TaskId, ...]:
+    step = job.steps[index]
+    waiting = []
+    for number in range(step.count):
+        state = progress.tasks.get(f"{occurrence}.{index}.{number}")
+        if state is None:
+            waiting.append(TaskId(job.job_id, occurrence, index, number))
+            continue
+        if state.placed and step.gang:
+            return ()
+        if state.done or state.placed:
+            continue
+        waiting.append(TaskId(job.job_id, occurrence, index, number))
+    return tuple(waiting)
+
+
+def _unit(
+    job: JobSpec,
+    progress: Progress,
+    index: int,
+    tasks: tuple[TaskId, ...],
+    operations: Operations,
+    evidence: Evidence,
+) -> Unit:
+    queue = operations.queue(job.queue)
+    occurrence = tasks[0].occurrence
+    begins = max(job.accepted_at, job.due_at(occurrence))
+    whole = chain_seconds(job, 0)
+    placed: dict[str, int] = {}
+    failures = 0
+    for key, state in progress.tasks.items():
+        if key.startswith(f"{occurrence}.{index}."):
+            failures = max(failures, state.failures)
+            if state.host:
+                placed[state.host] = placed.get(state.host, 0) + 1
+    return Unit(
+        account=job.account,
+        priority=queue.priority if queue is not None else job.priority,
+        deadline=begins + job.stretch * whole + job.slo_seconds,
+        chain_seconds=chain_seconds(job, index),
+        accepted_at=begins,
+        service=queue.service if queue is not None else job.service,
+        step=job.steps[index],
+        tasks=tasks,
+        avoid=evidence.failed_on(job.job_id),
+        placed_per_host=placed,
+        last_attempt=failures >= job.attempts - 1,
+    )
+
+
+def chain_seconds(job: JobSpec, first: int) -> float:
+    """Return the declared time from the start of a step to the job's end.
+
+    With ``first`` zero, of the longest chain of the whole job.
+    """
+    longest = [0.0] * len(job.steps)
+    for index in reversed(range(len(job.steps))):
+        step = job.steps[index]
+        longest[index] += step.estimate_seconds or UNKNOWN_ESTIMATE_SECONDS
+        for earlier in step.after:
+            longest[earlier] = max(longest[earlier], longest[index])
+    return max(longest) if first == 0 else longest[first]
--- /dev/null
+++ b/src/sequoiachute/coordination/scheduling/layout.py
@@ -0,0 +1,79 @@
+"""Choosing hosts for the tasks of a unit."""
+
+from sequoiachute.coordination.scheduling.model import Host, Unit
+from sequoiachute.coordination.scheduling.space import (
+    FAR_FACTOR,
+    Space,
+    may_run,
+    room_for,
+    slowdown,
+)
+
+Layout = list[tuple[Host, int]]
+
+
+def best_layout(
+    unit: Unit, space: Space, count: int, whole: bool = True
+) -> Layout | None:
+    """Return hosts for ``count`` tasks of the unit, the soonest to finish.
+
+    With ``whole`` all of them or none; otherwise as many as fit.
+    """
+    hosts = [host for host in space.hosts.values() if may_run(unit, host)]
+    if not unit.step.same_rack:
+        return _fill(unit, space, hosts, count, whole)
+    best = None
+    for layout in _rack_layouts(unit, space, hosts, count, whole):
+        if best is None or _time(unit, layout) < _time(unit, best):
+            best = layout
+    return best
+
+
+def _rack_layouts(
+    unit: Unit, space: Space, hosts: list[Host], count: int, whole: bool
+) -> list[Layout]:
+    racks: dict[str, list[Host]] = {}
+    for host in hosts:
+        racks.setdefault(host.rack, []).append(host)
+    layouts = []
+    for members in racks.values():
+        layout = _fill(unit, space, members, count, whole)
+        if layout is not None:
+            layouts.append(layout)
+    return layouts
+
+
+def _fill(
+    unit: Unit, space: Space, hosts: list[Host], count: int, whole: bool
+) -> Layout | None:
+    """Fill hosts in order of preference."""
+    layout: Layout = []
+    left = count
+    for host in sorted(hosts, key=lambda host: _preference(unit, space, host)):
+        already = unit.placed_per_host.get(host.name, 0)
+        fits = min(left, room_for(unit, host, space, already))
+        if fits <= 0:
+            continue
+        layout.append((host, fits))
+        left -= fits
+        if not left:
+            return layout
+    if whole or not layout:
+        return None
+    return layout
+
+
+def _preference(unit: Unit, space: Space, host: Host) -> tuple[float, int, str]:
+    """Sort hosts: quick ones first, then those that it fills best."""
+    time = slowdown(unit.step, host) * (1 + 0.5 * host.suspicion)
+    left = space.free(host).minus(unit.step.reserved)
+    return (round(time, 1), left.gpus, host.name)
+
+
+def _time(unit: Unit, layout: Layout) -> float:
+    """Return the slowdown of the slowest member."""
+    slowest = max(slowdown(unit.step, host) for host, _ in layout)
+    racks = {host.rack for host, _ in layout}
+    if unit.step.same_rack and len(racks) > 1:
+        slowest *= FAR_FACTOR
+    return slowest
--- /dev/null
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -0,0 +1,99 @@
+"""What a scheduling decision sees and says."""
+
+from typing import NamedTuple
+
+from sequoiachute.protocol.workload import Life, Resources, StepSpec, TaskId
+
+
+class Running(NamedTuple):
+    """A run that may be on a host.
+
+    ``left_seconds`` is the expected time to its end, ``unsaved_seconds`` the
+    work that would be lost if it were stopped now.
+    """
+
+    task: TaskId
+    run: int
+    need: Resources
+    priority: int
+    account: str
+    gang: bool
+    left_seconds: float
+    unsaved_seconds: float
+    stopping: bool
+    lasting: bool = False
+
+
+class Host(NamedTuple):
+    """A worker that may be given tasks.
+
+    ``speed`` is its learned speed against the typical worker. ``suspicion``
+    counts its recent failures that no success has followed.
+    """
+
+    name: str
+    life: Life
+    service: str
+    zone: str
+    rack: str
+    labels: frozenset[str]
+    capacity: Resources
+    is_open: bool
+    speed: float
+    suspicion: int
+    running: tuple[Running, ...]
+
+
+class Unit(NamedTuple):
+    """Tasks of one step that wait: a whole gang, or tasks placed one by one.
+
+    ``deadline`` is the time until which the job earns its full worth, on the
+    scale of ``View.now``; ``chain_seconds`` is the expected time from the
+    start of this step to the end of the job. ``avoid`` names hosts per task
+    where it has failed.
+    """
+
+    account: str
+    priority: int
+    deadline: float
+    chain_seconds: float
+    accepted_at: float
+    service: str
+    step: StepSpec
+    tasks: tuple[TaskId, ...]
+    avoid: frozenset[str]
+    placed_per_host: dict[str, int]
+    last_attempt: bool = False
+    good_hosts: frozenset[str] | None = None
+
+
+class View(NamedTuple):
+    """Everything that a decision rests on; ``now`` is in seconds."""
+
+    now: float
+    hosts: tuple[Host, ...]
+    units: tuple[Unit, ...]
+
+
+class Placement(NamedTuple):
+    """A task that is to run on a host."""
+
+    task: TaskId
+    host: str
+    life: Life
+
+
+class Stop(NamedTuple):
+    """A run that is to be stopped, and why."""
+
+    task: TaskId
+    run: int
+    host: str
+    reason: str
+
+
+class Decision(NamedTuple):
+    """Placements and stops."""
+
+    placements: tuple[Placement, ...] = ()
+    stops: tuple[Stop, ...] = ()
--- /dev/null
+++ b/src/sequoiachute/coordination/store/__init__.py
@@ -0,0 +1,1 @@
+"""Following topics of the store and electing the placer there."""
--- /dev/null
+++ b/src/sequoiachute/coordination/store/election.py
@@ -0,0 +1,140 @@
+"""Election of the placer by the store's groups and conditional appends.
+
+The group names one candidate. It claims by an append that holds only at the
+offset up to which it has read, and that raises the writer's epoch: from then
+on the store refuses every append of an older placer. The term is the epoch.
+"""
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from sequoiachute import clock
+from sequoiachute.coordination.store.follower import Follower
+from sequoiachute.state.ledger import LEADER_KEY, Leader, Ledger, encode_leader
+from sequoiachute.transport.store import (
+    KeyedStore,
+    Membership,
+    StoreUnavailableError,
+    Writer,
+)
+
+GROUP = "placer"
+WRITER = "placer"
+TTL_SECONDS = 2.0  # a placer that is gone is replaced after it
+JOIN_SECONDS = 0.5  # four joins in a time to live
+CLAIM_SECONDS = 1.0
+
+
+class Election:
+    """Keeps this entry a candidate and claims the place when it falls free.
+
+    Parameters
+    ----------
+    member : str
+        Identity of this lifetime of the entry.
+    address : str
+        Where agents reach this entry.
+    topic : str
+        Topic that only the placer writes.
+    lead : callable
+        Takes the term once this entry is the placer.
+    """
+
+    def __init__(
+        self,
+        member: str,
+        address: str,
+        topic: str,
+        store: KeyedStore,
+        ledger: Ledger,
+        follower: Follower,
+        lead: Callable[[int], None],
+    ) -> None:
+        self._member = member
+        self._address = address
+        self._topic = topic
+        self._store = store
+        self._ledger = ledger
+        self._follower = follower
+        self._lead = lead
+        self._membership = Membership(0, False)
+        self._leaving = False
+        self._last_term = 0
+        self.term = 0
+        self.others: tuple[str, ...] = ()
+
+    @property
+    def is_leading(self) -> bool:
+        """Whether the newest claim known is this entry's."""
+        leader = self._ledger.leader
+        return self.term > 0 and leader is not None and leader.term == self.term
+
+    def run(self) -> None:
+        """Stand for election, for ever."""
+        self._follower.wait_caught_up(float("inf"))
+        while not self._leaving:
+            try:
+                self._stand()
+            except StoreUnavailableError as error:
+                logger.bind(reason=str(error)).debug("no place in the group")
+            clock.sleep(JOIN_SECONDS)
+
+    def resign(self) -> None:
+        """Stop leading; only a new claim leads again."""
+        self.term = 0
+
+    def leave(self) -> None:
+        """Let another entry take over at once."""
+        self._leaving = True
+        self.term = 0
+        try:
+            self._store.leave(GROUP, self._member)
+        except StoreUnavailableError as error:
+            logger.bind(reason=str(error)).info("the group keeps this entry a while")
+
+    def _stand(self) -> None:
+        generation = self._membership.generation
+        self._membership = self._store.join(
+            GROUP, self._member, generation, TTL_SECONDS
+        )
+        self._adopt_own_claim()
+        if not self._membership.candidate or self.is_leading:
+            return
+        leader = self._ledger.leader
+        self.others = self._store.members(GROUP)
+        if leader is None or leader.member == self._member:
+            self._claim()
+        elif leader.member not in self.others:
+            self._claim()
+
+    def _adopt_own_claim(self) -> None:
+        """Lead by a claim whose answer was lost."""
+        leader = self._ledger.leader
+        if leader is None or leader.member != self._member or self._leaving:
+            return
+        if leader.term > self._last_term:
+            self._begin(leader.term, "read back")
+
+    def _claim(self) -> None:
+        if not self._follower.read_once():
+            return
+        end = self._follower.next
+        leader = Leader(end + 1, self._address, self._member)
+        outcome = self._store.append(
+            self._topic,
+            [(LEADER_KEY, encode_leader(leader))],
+            at=end,
+            writer=Writer(WRITER, leader.term, 0),
+            timeout=CLAIM_SECONDS,
+        )
+        if outcome.is_err():
+            log = logger.bind(term=leader.term, reason=outcome.unwrap_err().reason)
+            log.info("claim of the placer's term failed")
+        self._follower.read_once()
+        self._adopt_own_claim()
+
+    def _begin(self, term: int, how: str) -> None:
+        self.term = self._last_term = term
+        logger.bind(term=term, how=how).info("leading")
+        self._lead(term)
--- a/src/sequoiachute/daemon.py
+++ b/src/sequoiachute/daemon.py
@@ -17,7 +17,7 @@
 from sequoiachute.transport.backend import BackendClient
 from sequoiachute.transport.logservice import LogServiceClient
 from sequoiachute.transport.rpc import RpcPool, RpcServer
-from sequoiachute.transport.webserver import WebServer
+from sequoiachute.transport.webserver import WebServer, split_address
 
 
 def run_entry(settings: EntrySettings) -> ExitStatus:
@@ -94,12 +94,6 @@
     return os.strerror(error.errno) if error.errno else str(error)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return the IP number and port of ``address``."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 def _end(role: str, ended: bool) -> ExitStatus:
     if ended:
         logger.info("{} stopped", role)
--- /dev/null
+++ b/src/sequoiachute/platform/jobs.py
@@ -0,0 +1,250 @@
+"""Callers' HTTP: jobs handed in, shown, counted and cancelled."""
+
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+import msgspec
+from loguru import logger
+
+from sequoiachute import clock
+from sequoiachute.coordination.control import Control
+from sequoiachute.coordination.intake import ABSENT, ACCEPTED, UNKNOWN, Outcome
+from sequoiachute.protocol.workload import JobSpec, Resources, StepSpec
+from sequoiachute.state.operations import Queue
+
+ID_DIGITS = frozenset("0123456789abcdef")
+ID_LENGTH = 16
+DEFAULT_DEADLINE_SECONDS = 3.0  # for a caller that names none
+MAX_STEPS = 64
+MAX_TASKS = 10_000
+MAX_PAYLOAD_BYTES = 4000
+RETRY_AFTER_SECONDS = 1.0
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class Reply(NamedTuple):
+    """An answer to a caller."""
+
+    status: int
+    body: dict[str, Any] = {}
+    retry_after: float = 0.0
+
+
+class InvalidJobError(ValueError):
+    """A job's fields are refused; the message names the remedy."""
+
+
+_REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    410: "Gone",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class JobsApp:
+    """WSGI application for callers."""
+
+    def __init__(self, control: Control) -> None:
+        self._control = control
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        try:
+            reply = self._serve(environ)
+        except InvalidJobError as error:
+            reply = Reply(400, {"error": str(error)})
+        return write_reply(reply, start_response)
+
+    def _serve(self, environ: dict[str, Any]) -> Reply:
+        operations = self._control.operations
+        if not self._control.is_ready:
+            return Reply(503, {"error": "starting"}, RETRY_AFTER_SECONDS)
+        path = environ.get("PATH_INFO", "")
+        host = environ.get("HTTP_HOST", "").partition(":")[0]
+        queue = operations.find_queue(host, path)
+        if queue is None:
+            _log_refused(path, 404, "no such queue", operations.version)
+            return Reply(404, {"error": "no such queue"})
+        account = ""
+        if not queue.public:
+            scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
+            found = operations.account_of(key.strip())
+            if found is None or scheme.lower() != "token":
+                _log_refused(path, 401, "unknown key", operations.version)
+                return Reply(401, {"error": "unknown key"})
+            account = found.name
+        job_id = path[len(queue.prefix) :]
+        return self._serve_queue(environ, queue, account, job_id)
+
+    def _serve_queue(
+        self, environ: dict[str, Any], queue: Queue, account: str, job_id: str
+    ) -> Reply:
+        method = environ["REQUEST_METHOD"]
+        if not job_id:
+            if method != "GET":
+                return Reply(405, {"error": "use GET"})
+            return Reply(200, {"waiting": self._control.ledger.waiting(queue.name)})
+        if len(job_id) != ID_LENGTH or not set(job_id) <= ID_DIGITS:
+            return Reply(404, {"error": "an identity is 16 hexadecimal digits"})
+        if method == "GET":
+            outcome, state = self._control.intake.state(job_id, account)
+            return _reply_to(outcome, {"state": state})
+        deadline = _deadline(environ)
+        if method == "DELETE":
+            outcome = self._control.intake.cancel(job_id, account, deadline)
+            return _reply_to(outcome, {})
+        if method == "POST":
+            job = self._read_job(environ, queue, account, job_id)
+            return _reply_to(self._control.intake.submit(job, deadline), {})
+        return Reply(405, {"error": "use GET, POST or DELETE"})
+
+    def _read_job(
+        self, environ: dict[str, Any], queue: Queue, account: str, job_id: str
+    ) -> JobSpec:
+        limit = self._control.operations.catalogue.body_limit
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        if length > limit:
+            raise InvalidJobError(f"send at most {limit} bytes")
+        data = environ["wsgi.input"].read(length)
+        return decode_job_body(data, queue, account, job_id)
+
+
+def decode_job_body(data: bytes, queue: Queue, account: str, job_id: str) -> JobSpec:
+    """Return the job in a caller's body.
+
+    Raises
+    ------
+    InvalidJobError
+        If the body is no job; the message names the field.
+    """
+    try:
+        body = msgspec.json.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise InvalidJobError("send a JSON object") from error
+    if not isinstance(body, dict):
+        raise InvalidJobError("send a JSON object")
+    payload = body.get("spec", "")
+    if not isinstance(payload, str) or len(payload.encode()) > MAX_PAYLOAD_BYTES:
+        raise InvalidJobError(f"spec: send a string of {MAX_PAYLOAD_BYTES} bytes")
+    steps = body.get("steps")
+    if not isinstance(steps, list) or not 0 < len(steps) <= MAX_STEPS:
+        raise InvalidJobError(f"steps: send 1 to {MAX_STEPS}")
+    decoded = tuple(_decode_step(step, index) for index, step in enumerate(steps))
+    if sum(step.count for step in decoded) > MAX_TASKS:
+        raise InvalidJobError(f"steps: send at most {MAX_TASKS} tasks")
+    return JobSpec(
+        job_id=job_id,
+        account=account,
+        queue=queue.name,
+        service=queue.service,
+        payload=payload,
+        steps=decoded,
+        accepted_at=clock.wall_time(),
+        occurrences=_number(body, "times"),
+        first_due=_number(body, "initial_ms") / 1000,
+        period_seconds=_number(body, "period_ms") / 1000,
+        priority=queue.priority,
+        attempts=queue.attempts,
+        stretch=queue.stretch,
+        slo_seconds=queue.slo_seconds,
+    )
+
+
+def _decode_step(step: Any, index: int) -> StepSpec:
+    if not isinstance(step, dict):
+        raise InvalidJobError(f"steps.{index}: send an object")
+    after = step.get("deps", [])
+    valid = isinstance(after, list) and all(
+        isinstance(item, int) and 0 <= item < index for item in after
+    )
+    if not valid:
+        raise InvalidJobError(f"steps.{index}.deps: name earlier steps")
+    count = _number(step, "count", 1)
+    if count < 1:
+        raise InvalidJobError(f"steps.{index}.count: send 1 or more")
+    need = Resources(
+        _number(step, "cpu"), _number(step, "mem_mb"), _number(step, "gpus")
+    )
+    return StepSpec(
+        count=count,
+        need=need,
+        estimate_seconds=_number(step, "est_ms") / 1000,
+        after=tuple(after),
+        checkpoints=bool(step.get("checkpoints", False)),
+        gang=bool(step.get("gang", False)),
+        same_rack=bool(step.get("same_rack", False)),
+        label=_text(step, "requires"),
+        data_rack=_text(step, "affinity"),
+        per_worker=_number(step, "anti_affinity"),
+        copies=bool(step.get("speculative", False)),
+        lasting=bool(step.get("persistent", False)),
+        image=_text(step, "image"),
+        latency_target_ms=_number(step, "target_ms"),
+        filling=bool(step.get("fills", False)),
+        max_unavailable=_number(step, "max_unavailable"),
+    )
+
+
+def _number(fields: dict[str, Any], name: str, default: int = 0) -> int:
+    value = fields.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise InvalidJobError(f"{name}: send a number")
+    if not 0 <= value < 2**53:
+        raise InvalidJobError(f"{name}: send a number from 0 to 2**53")
+    return int(value)
+
+
+def _text(fields: dict[str, Any], name: str) -> str:
+    value = fields.get(name, "")
+    if not isinstance(value, str):
+        raise InvalidJobError(f"{name}: send a string")
+    return value
+
+
+def _deadline(environ: dict[str, Any]) -> float:
+    text = environ.get("HTTP_X_DEADLINE_MS", "")
+    seconds = int(text) / 1000 if text.isdigit() else DEFAULT_DEADLINE_SECONDS
+    return clock.now() + seconds
+
+
+def _reply_to(outcome: Outcome, body: dict[str, Any]) -> Reply:
+    if outcome.kind == ACCEPTED:
+        return Reply(200, body)
+    told = {"error": outcome.reason}
+    if outcome.kind == ABSENT:
+        return Reply(410, told)
+    if outcome.kind == UNKNOWN:
+        return Reply(504, told)
+    if not outcome.retry_after:
+        return Reply(409, told)
+    return Reply(503, told, outcome.retry_after)
+
+
+def _log_refused(path: str, status: int, reason: str, version: int) -> None:
+    log = logger.bind(path=path, status=status, catalogue=version)
+    log.info("request refused: {}", reason)
+
+
+def write_reply(reply: Reply, start_response: StartResponse) -> list[bytes]:
+    """Start the response and return its body."""
+    body = msgspec.json.encode(reply.body)
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+    ]
+    if reply.retry_after:
+        headers.append(("Retry-After", str(max(1, round(reply.retry_after)))))
+    start_response(f"{reply.status} {_REASONS[reply.status]}", headers)
+    return [body]
--- /dev/null
+++ b/src/sequoiachute/platform/operator.py
@@ -0,0 +1,97 @@
+"""What operators write to the store, decoded into the product's types."""
+
+from typing import Any
+
+from loguru import logger
+
+from sequoiachute.platform.http import decode_object
+from sequoiachute.state.operations import (
+    Account,
+    Catalogue,
+    Operations,
+    Queue,
+    Wave,
+)
+
+CONFIG_KEY = "config"
+ZONE_PREFIX = "evacuate/"
+WAVE_PREFIX = "wave/"
+
+
+def put_in_force(records: dict[str, bytes], operations: Operations) -> None:
+    """Decode every record and put what is newer in force."""
+    config = records.get(CONFIG_KEY)
+    if config is not None:
+        catalogue = _decode_catalogue(config)
+        if catalogue is not None and operations.publish(catalogue):
+            log = logger.bind(version=catalogue.version)
+            log.bind(queues=len(catalogue.queues)).info("catalogue in force")
+    closed = frozenset(
+        key.removeprefix(ZONE_PREFIX) for key in records if key.startswith(ZONE_PREFIX)
+    )
+    if closed != operations.closed_zones:
+        logger.bind(zones=sorted(closed)).info("zones out of service")
+        operations.closed_zones = closed
+    operations.waves = _decode_waves(records)
+
+
+def _decode_catalogue(data: bytes) -> Catalogue | None:
+    body = decode_object(data)
+    try:
+        return Catalogue(
+            version=int(body["version"]),
+            queues=tuple(_decode_queue(item) for item in body.get("routes", ())),
+            accounts=tuple(_decode_account(item) for item in body.get("tenants", ())),
+            spare_services=frozenset(
+                item["name"] for item in body.get("services", ()) if item.get("spare")
+            ),
+            body_limit=int(body.get("limits", {}).get("max_body_bytes", 262144)),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        log = logger.bind(bytes=len(data))
+        log.error("unreadable configuration passed over: {}", type(error).__name__)
+        return None
+
+
+def _decode_queue(item: dict[str, Any]) -> Queue:
+    return Queue(
+        name=item["name"],
+        host=item["host"],
+        prefix=item["path_prefix"],
+        service=item["service"],
+        priority=int(item.get("prio", 0)),
+        attempts=int(item.get("attempts", 1)),
+        stretch=float(item.get("stretch", 1.0)),
+        slo_seconds=float(item.get("slo_ms", 0)) / 1000,
+        public=bool(item.get("public", False)),
+        advised=bool(item.get("advice")),
+    )
+
+
+def _decode_account(item: dict[str, Any]) -> Account:
+    guaranteed = item.get("guaranteed") or {}
+    return Account(
+        name=item["name"],
+        keys=frozenset(item.get("api_keys", ())),
+        guaranteed_gpus=int(guaranteed.get("gpus", 0)),
+    )
+
+
+def _decode_waves(records: dict[str, bytes]) -> dict[int, Wave]:
+    waves = {}
+    for key, data in records.items():
+        if not key.startswith(WAVE_PREFIX):
+            continue
+        body = decode_object(data)
+        try:
+            wave = Wave(
+                number=int(body["wave"]),
+                machines=tuple(body["machines"]),
+                finish_by_seconds=float(body.get("finish_by_s", 0)),
+                most=int(body.get("cap", 1)),
+            )
+        except (KeyError, TypeError, ValueError):
+            logger.bind(key=key).error("unreadable wave passed over")
+            continue
+        waves[wave.number] = wave
+    return waves
--- /dev/null
+++ b/src/sequoiachute/platform/processes.py
@@ -0,0 +1,92 @@
+"""Running an entry or an agent on the platform."""
+
+import os
+import sys
+from collections.abc import Iterable
+from typing import Any
+from uuid import uuid4
+
+from loguru import logger
+
+from sequoiachute import clock
+from sequoiachute.coordination.control import Control
+from sequoiachute.coordination.hosting.supervisor import Supervisor
+from sequoiachute.logs import configure_logging
+from sequoiachute.platform.heartbeats import HeartbeatsApp
+from sequoiachute.platform.jobs import JobsApp, Reply, StartResponse, write_reply
+from sequoiachute.platform.operator import put_in_force
+from sequoiachute.platform.settings import ProcessSettings
+from sequoiachute.platform.store import MetadataStore
+from sequoiachute.platform.worker import RpcWorker
+from sequoiachute.settings import LogSettings
+from sequoiachute.signals import StopSignals
+from sequoiachute.state.operations import Operations
+from sequoiachute.status import ExitStatus
+from sequoiachute.transport.rpc import RpcPool, RpcServer
+from sequoiachute.transport.webserver import WebServer, split_address
+
+LEAVE_SECONDS = 2.5  # the balancer takes note after two misses, one second apart
+STOP_SECONDS = 2.5  # then what is in progress ends; within the 6 s of grace
+
+
+def run_entry(settings: ProcessSettings) -> ExitStatus:
+    """Run an entry until SIGTERM; return how it stopped."""
+    signals = _begin("entry", settings)
+    operations = Operations()
+    member = f"{settings.inner_address}/{uuid4().hex[:8]}"
+    control = Control(
+        member,
+        settings.inner_address,
+        MetadataStore(settings.store),
+        RpcPool(),
+        settings.inner_seeds,
+        operations,
+        lambda records: put_in_force(records, operations),
+    )
+    control.run()
+    rpc = RpcServer(control.handlers())
+    rpc.start(settings.ip, settings.inner_port)
+    web = WebServer(JobsApp(control), *split_address(settings.front))
+    web.start()
+    ready = WebServer(_ready_app(control), *split_address(settings.ready))
+    ready.start()
+    signals.wait()
+    logger.bind(node=settings.name).info("stopping")
+    control.leave()
+    web.begin_stop()
+    clock.sleep(LEAVE_SECONDS)
+    answered = web.stop(STOP_SECONDS)
+    logger.bind(node=settings.name, answered=answered).info("stopped")
+    return ExitStatus.OK
+
+
+def run_agent(settings: ProcessSettings) -> ExitStatus:
+    """Run an agent until SIGTERM; return how it stopped."""
+    signals = _begin("agent", settings)
+    supervisor = Supervisor(
+        settings.ip, RpcWorker(settings.worker), RpcPool(), settings.inner_seeds
+    )
+    web = WebServer(HeartbeatsApp(supervisor), *split_address(settings.control))
+    web.start()
+    supervisor.run()
+    signals.wait()
+    logger.bind(node=settings.name).info("stopped")
+    return ExitStatus.OK
+
+
+def _begin(role: str, settings: ProcessSettings) -> StopSignals:
+    signals = StopSignals()
+    signals.install()
+    configure_logging(LogSettings(format="json"), stream=sys.stdout)
+    log = logger.bind(node=settings.name, zone=settings.zone, pid=os.getpid())
+    log.info("{} started", role)
+    return signals
+
+
+def _ready_app(control: Control) -> Any:
+    def serve(
+        environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        return write_reply(Reply(200 if control.is_ready else 503), start_response)
+
+    return serve
--- /dev/null
+++ b/src/sequoiachute/platform/settings.py
@@ -0,0 +1,85 @@
+"""The settings file that the platform writes for each process."""
+
+import os
+import tomllib
+from typing import Any, NamedTuple
+
+from sequoiachute.errors import SettingsError
+
+PATH_VARIABLE = "SEQUOIACHUTE_BOOT"
+
+
+class ProcessSettings(NamedTuple):
+    """What a process learns at its start.
+
+    ``front``, ``ready``, ``control`` and ``worker`` are addresses, empty where
+    the role has none; ``inner_port`` is free for calls between processes.
+    """
+
+    name: str
+    ip: str
+    zone: str
+    inner_port: int
+    seeds: tuple[str, ...]
+    store: str
+    machines: str
+    advice: str
+    front: str
+    ready: str
+    control: str
+    worker: str
+    service: str
+    bounds: dict[str, Any]
+
+    @property
+    def inner_address(self) -> str:
+        """Where other processes reach this one."""
+        return f"{self.ip}:{self.inner_port}"
+
+    @property
+    def inner_seeds(self) -> tuple[str, ...]:
+        """Where the seed machines are reached; ports are the same everywhere."""
+        ips = (seed.rpartition(":")[0] for seed in self.seeds)
+        return tuple(f"{ip}:{self.inner_port}" for ip in ips)
+
+
+def read_settings(path: str | None = None) -> ProcessSettings:
+    """Read the settings file.
+
+    Raises
+    ------
+    SettingsError
+        If it can't be read or lacks a key.
+    """
+    name = path or os.environ.get(PATH_VARIABLE, "")
+    try:
+        with open(name, "rb") as file:
+            fields = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        remedy = f"let {PATH_VARIABLE} name a TOML file"
+        raise SettingsError(name, "$", str(error), remedy) from error
+    try:
+        return _decode(fields)
+    except (KeyError, IndexError, TypeError) as error:
+        remedy = "let the platform write the file"
+        raise SettingsError(name, str(error), "is missing", remedy) from error
+
+
+def _decode(fields: dict[str, Any]) -> ProcessSettings:
+    listen = fields.get("listen", {})
+    return ProcessSettings(
+        name=fields["node"],
+        ip=fields["bind_ip"],
+        zone=fields["zone"],
+        inner_port=int(fields["port_range"][0]),
+        seeds=tuple(fields.get("seed_nodes", ())),
+        store=fields["platform"]["address"],
+        machines=fields.get("cloud", {}).get("address", ""),
+        advice=fields.get("advice", ""),
+        front=listen.get("front", ""),
+        ready=listen.get("ready", ""),
+        control=listen.get("control", ""),
+        worker=fields.get("app", ""),
+        service=fields.get("service", ""),
+        bounds=fields.get("bounds", {}),
+    )
--- /dev/null
+++ b/src/sequoiachute/state/operations.py
@@ -0,0 +1,109 @@
+"""What operators have published: queues, accounts, zones and upkeep."""
+
+from typing import NamedTuple
+
+
+class Queue(NamedTuple):
+    """A queue of the catalogue and where callers reach it."""
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int
+    attempts: int
+    stretch: float
+    slo_seconds: float
+    public: bool = False
+    advised: bool = False
+
+
+class Account(NamedTuple):
+    """A client account: its keys and the accelerators it can always reclaim."""
+
+    name: str
+    keys: frozenset[str]
+    guaranteed_gpus: int = 0
+
+
+class Wave(NamedTuple):
+    """Machines that need upkeep, ``most`` of them at once."""
+
+    number: int
+    machines: tuple[str, ...]
+    finish_by_seconds: float
+    most: int
+
+
+class Catalogue(NamedTuple):
+    """One published version; ``body_limit`` is in bytes."""
+
+    version: int
+    queues: tuple[Queue, ...]
+    accounts: tuple[Account, ...]
+    spare_services: frozenset[str] = frozenset()
+    body_limit: int = 262144
+
+
+class Operations:
+    """The newest of everything published; a version never goes back."""
+
+    def __init__(self) -> None:
+        self._catalogue: Catalogue | None = None
+        self._accounts: dict[str, Account] = {}
+        self._queues: dict[str, list[Queue]] = {}
+        self._by_name: dict[str, Queue] = {}
+        self.closed_zones: frozenset[str] = frozenset()
+        self.waves: dict[int, Wave] = {}
+
+    @property
+    def catalogue(self) -> Catalogue | None:
+        """The catalogue in force, ``None`` before the first."""
+        return self._catalogue
+
+    @property
+    def version(self) -> int:
+        """Version of the catalogue in force, zero before the first."""
+        return self._catalogue.version if self._catalogue is not None else 0
+
+    def publish(self, catalogue: Catalogue) -> bool:
+        """Put a catalogue in force; return whether it was newer."""
+        if self._catalogue is not None and catalogue.version <= self.version:
+            return False
+        self._catalogue = catalogue
+        self._accounts = {}
+        for account in catalogue.accounts:
+            for key in account.keys:
+                self._accounts[key] = account
+        self._queues = {}
+        self._by_name = {}
+        for queue in catalogue.queues:
+            self._queues.setdefault(queue.host.lower(), []).append(queue)
+            self._by_name[queue.name] = queue
+        for queues in self._queues.values():
+            queues.sort(key=lambda queue: len(queue.prefix), reverse=True)
+        return True
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of ``path``."""
+        for queue in self._queues.get(host.lower(), ()):
+            if path.startswith(queue.prefix):
+                return queue
+        return None
+
+    def queue(self, name: str) -> Queue | None:
+        """Return a queue by name."""
+        return self._by_name.get(name)
+
+    def account_of(self, key: str) -> Account | None:
+        """Return the account that a key belongs to."""
+        return self._accounts.get(key)
+
+    def account(self, name: str) -> Account | None:
+        """Return an account by name."""
+        if self._catalogue is None:
+            return None
+        for account in self._catalogue.accounts:
+            if account.name == name:
+                return account
+        return None
--- a/src/sequoiachute/transport/webserver.py
+++ b/src/sequoiachute/transport/webserver.py
@@ -292,6 +292,12 @@
     return max(1, min(wanted, files - RESERVED_FILES))
 
 
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and port of ``address``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 def _discard(body: Any) -> None:
     """Read the rest of a refused body, so that its sender reads the refusal.
 
