--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -12,6 +12,7 @@
 from sequoiachute.coordination.store.election import Election
 from sequoiachute.coordination.store.follower import Follower
 from sequoiachute.protocol.messages import Method
+from sequoiachute.protocol.stored import Record
 from sequoiachute.protocol.supervision import (
     REPORT,
     VIEW,
@@ -23,7 +24,7 @@
 from sequoiachute.state.ledger import Ledger
 from sequoiachute.state.operations import Operations
 from sequoiachute.transport.ports import Caller
-from sequoiachute.transport.store import KeyedStore, Record
+from sequoiachute.transport.store import KeyedStore
 
 JOBS = "jobs"
 RUNS = "runs"
--- a/src/sequoiachute/coordination/dispatch/evidence.py
+++ b/src/sequoiachute/coordination/dispatch/evidence.py
@@ -8,7 +8,8 @@
 
 PRIOR_WEIGHT = 0.5  # runs' worth of belief that a worker is typical
 MIN_PERCENT = 8  # progress from which a rate is told from its rounding
-FORGET_FAILURE_SECONDS = 8.0  # a suspect worker is tried again after it
+TRIAL_SECONDS = 2.5  # a suspect worker is tried again after it, then after twice
+MAX_TRIAL_SECONDS = 10.0
 SAVE_SECONDS = 1.0  # work between two checkpoints; the site's save_s
 
 
@@ -81,9 +82,17 @@
         self._failures.pop(life, None)
 
     def suspicion(self, life: Life, now: float) -> int:
-        """Return how many late failures no success has followed."""
-        failures = self._failures.get(life, ())
-        return sum(now - at < FORGET_FAILURE_SECONDS for at in failures)
+        """Return how many failures no success has followed.
+
+        One fewer once it is time to try the worker again.
+        """
+        failures = self._failures.get(life)
+        if not failures:
+            return 0
+        pause = min(MAX_TRIAL_SECONDS, TRIAL_SECONDS * 2 ** max(0, len(failures) - 2))
+        if now - failures[-1] > pause:
+            return 0
+        return len(failures)
 
     def failed_on(self, job_id: str) -> frozenset[str]:
         """Return the hosts on which runs of a job have failed."""
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -12,11 +12,12 @@
 from sequoiachute.coordination.scheduling import Decision, decide
 from sequoiachute.coordination.scheduling.space import FAR_FACTOR
 from sequoiachute.coordination.store.election import WRITER
+from sequoiachute.protocol.stored import Record
 from sequoiachute.protocol.supervision import DONE, RUN_FAILED
 from sequoiachute.protocol.workload import encode, parse_task_id
 from sequoiachute.state.ledger import Ledger
 from sequoiachute.state.operations import Operations
-from sequoiachute.transport.store import KeyedStore, Record, Writer
+from sequoiachute.transport.store import KeyedStore, Writer
 
 TICK_SECONDS = 0.25  # a look at silences and due times when nothing is heard
 GATHER_SECONDS = 0.005  # reports that come together are settled together
--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -6,9 +6,10 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.store.follower import Follower
+from sequoiachute.protocol.stored import Record
 from sequoiachute.protocol.workload import JobSpec, encode
 from sequoiachute.state.ledger import CANCEL_PREFIX, JOB_PREFIX, Ledger
-from sequoiachute.transport.store import KeyedStore, Record
+from sequoiachute.transport.store import KeyedStore
 
 ATTEMPT_SECONDS = 0.7  # one append; the store answers in some ms
 MARGIN_SECONDS = 0.25  # for the answer's way back to the caller
--- a/src/sequoiachute/coordination/scheduling/layout.py
+++ b/src/sequoiachute/coordination/scheduling/layout.py
@@ -9,6 +9,9 @@
     slowdown,
 )
 
+DOUBT = 0.5  # a failure that no success followed counts as this much time
+AVOID_FACTOR = 4.0  # a host where the job has failed comes after slow and far ones
+
 Layout = list[tuple[Host, int]]
 
 
@@ -65,7 +68,9 @@
 
 def _preference(unit: Unit, space: Space, host: Host) -> tuple[float, int, str]:
     """Sort hosts: quick ones first, then those that it fills best."""
-    time = slowdown(unit.step, host) * (1 + 0.5 * host.suspicion)
+    time = slowdown(unit.step, host) * (1 + DOUBT * host.suspicion)
+    if host.name in unit.avoid:
+        time *= AVOID_FACTOR
     left = space.free(host).minus(unit.step.reserved)
     return (round(time, 1), left.gpus, host.name)
 
--- a/src/sequoiachute/coordination/scheduling/space.py
+++ b/src/sequoiachute/coordination/scheduling/space.py
@@ -45,7 +45,8 @@
         return False
     if step.label and step.label not in host.labels:
         return False
-    if host.name in unit.avoid or host.suspicion >= SUSPECT_FAILURES:
+    trusted = 1 if unit.last_attempt else SUSPECT_FAILURES
+    if host.suspicion >= trusted:
         return False
     return host.capacity.holds(step.reserved)
 
--- a/src/sequoiachute/coordination/store/election.py
+++ b/src/sequoiachute/coordination/store/election.py
@@ -103,9 +103,11 @@
             return
         leader = self._ledger.leader
         self.others = self._store.members(GROUP)
-        if leader is None or leader.member == self._member:
-            self._claim()
-        elif leader.member not in self.others:
+        if (
+            leader is None
+            or leader.member == self._member
+            or leader.member not in self.others
+        ):
             self._claim()
 
     def _adopt_own_claim(self) -> None:
--- a/src/sequoiachute/coordination/store/follower.py
+++ b/src/sequoiachute/coordination/store/follower.py
@@ -7,11 +7,11 @@
 from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.protocol.stored import Record
 from sequoiachute.transport.store import (
     HistoryLostError,
     KeyedStore,
     Page,
-    Record,
     StoreUnavailableError,
 )
 
--- a/src/sequoiachute/platform/processes.py
+++ b/src/sequoiachute/platform/processes.py
@@ -11,11 +11,12 @@
 from sequoiachute import clock
 from sequoiachute.coordination.control import Control
 from sequoiachute.coordination.hosting.supervisor import Supervisor
+from sequoiachute.errors import SettingsError
 from sequoiachute.logs import configure_logging
 from sequoiachute.platform.heartbeats import HeartbeatsApp
 from sequoiachute.platform.jobs import JobsApp, Reply, StartResponse, write_reply
 from sequoiachute.platform.operator import put_in_force
-from sequoiachute.platform.settings import ProcessSettings
+from sequoiachute.platform.settings import ProcessSettings, read_settings
 from sequoiachute.platform.store import MetadataStore
 from sequoiachute.platform.worker import RpcWorker
 from sequoiachute.settings import LogSettings
@@ -76,13 +77,23 @@
 
 def _begin(role: str, settings: ProcessSettings) -> StopSignals:
     signals = StopSignals()
-    signals.install()
+    signals.install(reload=lambda: _note_reload(settings))
     configure_logging(LogSettings(format="json"), stream=sys.stdout)
     log = logger.bind(node=settings.name, zone=settings.zone, pid=os.getpid())
     log.info("{} started", role)
     return signals
 
 
+def _note_reload(settings: ProcessSettings) -> None:
+    """Say what a restart would change; addresses are not taken over meanwhile."""
+    try:
+        changed = read_settings() != settings
+    except SettingsError as error:
+        logger.bind(node=settings.name).error("settings kept: {}", error)
+        return
+    logger.bind(node=settings.name, changed=changed).info("settings read again")
+
+
 def _ready_app(control: Control) -> Any:
     def serve(
         environ: dict[str, Any], start_response: StartResponse
--- a/src/sequoiachute/platform/store.py
+++ b/src/sequoiachute/platform/store.py
@@ -14,12 +14,12 @@
     decode_object,
     json_headers,
 )
+from sequoiachute.protocol.stored import Record
 from sequoiachute.transport.store import (
     AppendError,
     HistoryLostError,
     Membership,
     Page,
-    Record,
     Snapshot,
     StoreUnavailableError,
     Writer,
--- a/src/sequoiachute/signals.py
+++ b/src/sequoiachute/signals.py
@@ -2,6 +2,7 @@
 
 import os
 import signal
+from collections.abc import Callable
 
 from eventlet import hubs
 from eventlet.event import Event
@@ -23,9 +24,14 @@
     def __init__(self) -> None:
         self._asked = Event()
 
-    def install(self) -> None:
-        """Take over the signals; call it before the process does any work."""
+    def install(self, reload: Callable[[], None] | None = None) -> None:
+        """Take over the signals; call it before the process does any work.
+
+        SIGHUP calls ``reload``; without one it ends the process, as usual.
+        """
         loop = hubs.get_hub().loop
+        if reload is not None:
+            loop.add_signal_handler(signal.SIGHUP, reload)
         for number in _SIGNALS:
             loop.add_signal_handler(number, self._take, number)
 
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -6,6 +6,7 @@
 import msgspec
 from loguru import logger
 
+from sequoiachute.protocol.stored import Record
 from sequoiachute.protocol.workload import (
     ACTIVE,
     CANCELLED,
@@ -17,7 +18,6 @@
     decode_job,
     decode_progress,
 )
-from sequoiachute.transport.store import Record
 
 LEADER_KEY = "leader"
 CANCEL_PREFIX = "cancel/"
--- a/src/sequoiachute/transport/store.py
+++ b/src/sequoiachute/transport/store.py
@@ -7,13 +7,7 @@
 
 from result import Result
 
-
-class Record(NamedTuple):
-    """One record of a keyed topic; no value means that the key is dropped."""
-
-    offset: int
-    key: str
-    value: bytes | None
+from sequoiachute.protocol.stored import Record
 
 
 class Snapshot(NamedTuple):
