--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -11,6 +11,7 @@
 from sequoiachute.coordination.intake import Intake
 from sequoiachute.coordination.store.election import Election
 from sequoiachute.coordination.store.follower import Follower
+from sequoiachute.errors import describe_failure
 from sequoiachute.protocol.messages import Method
 from sequoiachute.protocol.stored import Record
 from sequoiachute.protocol.supervision import (
@@ -153,9 +154,10 @@
     # Placing.
 
     def _lead(self, term: int) -> None:
-        self._stop_leading()
         if self._ended:
             return
+        if self._placer is not None:
+            self._placer.end()
         desk = Desk(self.ledger, term, self._wake, self._runs.age)
         placer = Placer(term, RUNS, self._store, self.ledger, self.operations, desk)
         self._desk, self._placer = desk, placer
@@ -164,9 +166,11 @@
     def _place(self, placer: Placer) -> None:
         try:
             placer.run()
-        finally:
-            if self._placer is placer:
-                self._stop_leading()
+        except Exception as error:
+            log = logger.bind(term=placer.term)
+            log.error("placing failed: {}", describe_failure(error))
+        if self._placer is placer:
+            self._stop_leading()
 
     def _stop_leading(self) -> None:
         if self._placer is not None:
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -62,6 +62,11 @@
         self._wake = Event()
         self._ended = False
 
+    @property
+    def term(self) -> int:
+        """Term for which this placer places."""
+        return self._term
+
     def wake(self) -> None:
         """Look again at once."""
         if not self._wake.ready():
