--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -4,6 +4,7 @@
 from sequoiachute.coordination.dispatch.evidence import SAVE_SECONDS, Evidence
 from sequoiachute.coordination.dispatch.sessions import FRESH_SECONDS, Desk, Session
 from sequoiachute.coordination.scheduling import Host, Running, Unit, View
+from sequoiachute.coordination.scheduling.policy import URGENT_PRIORITY
 from sequoiachute.protocol.workload import (
     JobSpec,
     Progress,
@@ -22,8 +23,9 @@
 ) -> View:
     """Return the view at wall time ``wall`` in seconds."""
     hosts = []
+    sure = guaranteed_accounts(ledger, operations)
     for session in desk.sessions.values():
-        host = _host(session, ledger, operations, evidence)
+        host = _host(session, ledger, operations, evidence, sure)
         if host is not None:
             hosts.append(host)
     units: list[Unit] = []
@@ -31,12 +33,33 @@
         progress = ledger.progress(job.job_id)
         if progress.state or ledger.is_cancelled(job.job_id):
             continue
-        _add_units(job, progress, operations, evidence, wall, units)
+        is_sure = job.account in sure and job.priority == URGENT_PRIORITY
+        _add_units(job, progress, operations, evidence, wall, is_sure, units)
     return View(wall, tuple(hosts), tuple(units))
 
 
+def guaranteed_accounts(ledger: Ledger, operations: Operations) -> frozenset[str]:
+    """Return the accounts whose urgent jobs are all within their guarantee."""
+    wanted: dict[str, int] = {}
+    for job in ledger.live():
+        if job.priority != URGENT_PRIORITY or ledger.is_cancelled(job.job_id):
+            continue
+        gpus = sum(step.count * step.need.gpus for step in job.steps)
+        wanted[job.account] = wanted.get(job.account, 0) + gpus
+    found = set()
+    for name, gpus in wanted.items():
+        account = operations.account(name)
+        if account is not None and gpus <= account.guaranteed_gpus:
+            found.add(name)
+    return frozenset(found)
+
+
 def _host(
-    session: Session, ledger: Ledger, operations: Operations, evidence: Evidence
+    session: Session,
+    ledger: Ledger,
+    operations: Operations,
+    evidence: Evidence,
+    sure: frozenset[str],
 ) -> Host | None:
     worker = session.worker
     if worker is None or worker.life in session.gone:
@@ -46,7 +69,7 @@
     for task, state in ledger.placed_at(session.host).items():
         job = ledger.job(task.job_id)
         if job is not None:
-            running.append(_running(task, state, job, session, evidence))
+            running.append(_running(task, state, job, session, evidence, sure))
     session.closed = worker.zone in operations.closed_zones
     is_open = (
         session.is_fenced
@@ -66,11 +89,17 @@
         speed=evidence.speed(worker.life),
         suspicion=evidence.suspicion(worker.life, now),
         running=tuple(running),
+        leaving_seconds=worker.leaving_seconds if worker.leaving else None,
     )
 
 
 def _running(
-    task: TaskId, state: TaskState, job: JobSpec, session: Session, evidence: Evidence
+    task: TaskId,
+    state: TaskState,
+    job: JobSpec,
+    session: Session,
+    evidence: Evidence,
+    sure: frozenset[str],
 ) -> Running:
     step = job.steps[task.step]
     done = unsaved = 0.0
@@ -93,6 +122,7 @@
         unsaved_seconds=unsaved,
         stopping=session.stops.get(task, 0) == state.run,
         lasting=step.lasting,
+        guaranteed=job.account in sure and job.priority == URGENT_PRIORITY,
     )
 
 
@@ -102,6 +132,7 @@
     operations: Operations,
     evidence: Evidence,
     wall: float,
+    is_sure: bool,
     units: list[Unit],
 ) -> None:
     for occurrence in range(job.rounds):
@@ -114,7 +145,7 @@
             tasks = _waiting_tasks(job, progress, occurrence, index)
             if tasks:
                 unit = _unit(job, progress, index, tasks, operations, evidence)
-                units.append(unit)
+                units.append(unit._replace(guaranteed=is_sure))
 
 
 def _is_ready(
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -54,6 +54,7 @@
         self._incarnation = uuid4().hex
         self._sequence = 0
         self._heartbeat: Heartbeat | None = None
+        self._announced_at = 0.0
         self._gone: Life | None = None
         self._view: WorkerView | None = None
         self._term = 0
@@ -80,6 +81,7 @@
             if new == old and heartbeat.sequence <= known.sequence:
                 return
         self._heartbeat = heartbeat
+        self._announced_at = clock.now()
         changed = known is None or known.info != heartbeat.info
         if changed:
             info = heartbeat.info
@@ -189,6 +191,10 @@
             info = None
         if info is not None and info.life == self._gone:
             info = None
+        if info is not None and info.leaving:
+            passed = clock.now() - self._announced_at
+            left = max(0.0, info.leaving_seconds - passed)
+            info = info._replace(leaving_seconds=left)
         shown = info is not None
         return Report(
             host=self._host,
--- a/src/sequoiachute/coordination/scheduling/layout.py
+++ b/src/sequoiachute/coordination/scheduling/layout.py
@@ -12,11 +12,13 @@
 DOUBT = 0.5  # a failure that no success followed counts as this much time
 AVOID_FACTOR = 4.0  # a host where the job has failed comes after slow and far ones
 
+IN_TIME_SHARE = 0.6  # of the time left; estimates are off by up to a half
+
 Layout = list[tuple[Host, int]]
 
 
 def best_layout(
-    unit: Unit, space: Space, count: int, whole: bool = True
+    unit: Unit, space: Space, count: int, now: float, whole: bool = True
 ) -> Layout | None:
     """Return hosts for ``count`` tasks of the unit, the soonest to finish.
 
@@ -24,35 +26,35 @@
     """
     hosts = [host for host in space.hosts.values() if may_run(unit, host)]
     if not unit.step.same_rack:
-        return _fill(unit, space, hosts, count, whole)
+        return _fill(unit, space, hosts, count, now, whole)
     best = None
-    for layout in _rack_layouts(unit, space, hosts, count, whole):
+    for layout in _rack_layouts(unit, space, hosts, count, now, whole):
         if best is None or _time(unit, layout) < _time(unit, best):
             best = layout
     return best
 
 
 def _rack_layouts(
-    unit: Unit, space: Space, hosts: list[Host], count: int, whole: bool
+    unit: Unit, space: Space, hosts: list[Host], count: int, now: float, whole: bool
 ) -> list[Layout]:
     racks: dict[str, list[Host]] = {}
     for host in hosts:
         racks.setdefault(host.rack, []).append(host)
     layouts = []
     for members in racks.values():
-        layout = _fill(unit, space, members, count, whole)
+        layout = _fill(unit, space, members, count, now, whole)
         if layout is not None:
             layouts.append(layout)
     return layouts
 
 
 def _fill(
-    unit: Unit, space: Space, hosts: list[Host], count: int, whole: bool
+    unit: Unit, space: Space, hosts: list[Host], count: int, now: float, whole: bool
 ) -> Layout | None:
     """Fill hosts in order of preference."""
     layout: Layout = []
     left = count
-    for host in sorted(hosts, key=lambda host: _preference(unit, space, host)):
+    for host in sorted(hosts, key=lambda host: _preference(unit, space, host, now)):
         already = unit.placed_per_host.get(host.name, 0)
         fits = min(left, room_for(unit, host, space, already))
         if fits <= 0:
@@ -66,13 +68,23 @@
     return layout
 
 
-def _preference(unit: Unit, space: Space, host: Host) -> tuple[float, int, str]:
-    """Sort hosts: quick ones first, then those that it fills best."""
-    time = slowdown(unit.step, host) * (1 + DOUBT * host.suspicion)
+def _preference(
+    unit: Unit, space: Space, host: Host, now: float
+) -> tuple[float, float, int, str]:
+    """Sort hosts: those in time first, of these the slow, then the best filled.
+
+    Fast workers are thus left to work that needs them.
+    """
+    slow = slowdown(unit.step, host) * (1 + DOUBT * host.suspicion)
     if host.name in unit.avoid:
-        time *= AVOID_FACTOR
+        slow *= AVOID_FACTOR
     left = space.free(host).minus(unit.step.reserved)
-    return (round(time, 1), left.gpus, host.name)
+    slack = unit.deadline - now - unit.chain_seconds
+    estimate = max(unit.step.estimate_seconds, 0.1)
+    bearable = IN_TIME_SHARE * (1 + slack / estimate)
+    if slow <= bearable:
+        return (0.0, -round(slow, 1), left.gpus, host.name)
+    return (round(slow, 1), 0.0, left.gpus, host.name)
 
 
 def _time(unit: Unit, layout: Layout) -> float:
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -22,13 +22,15 @@
     unsaved_seconds: float
     stopping: bool
     lasting: bool = False
+    guaranteed: bool = False
 
 
 class Host(NamedTuple):
     """A worker that may be given tasks.
 
     ``speed`` is its learned speed against the typical worker. ``suspicion``
-    counts its recent failures that no success has followed.
+    counts its recent failures that no success has followed. A worker that
+    leaves stays for ``leaving_seconds`` at least.
     """
 
     name: str
@@ -42,6 +44,7 @@
     speed: float
     suspicion: int
     running: tuple[Running, ...]
+    leaving_seconds: float | None = None
 
 
 class Unit(NamedTuple):
@@ -50,7 +53,8 @@
     ``deadline`` is the time until which the job earns its full worth, on the
     scale of ``View.now``; ``chain_seconds`` is the expected time from the
     start of this step to the end of the job. ``avoid`` names hosts per task
-    where it has failed.
+    where it has failed. ``guaranteed`` work is within what the catalogue
+    guarantees its account.
     """
 
     account: str
@@ -64,7 +68,7 @@
     avoid: frozenset[str]
     placed_per_host: dict[str, int]
     last_attempt: bool = False
-    good_hosts: frozenset[str] | None = None
+    guaranteed: bool = False
 
 
 class View(NamedTuple):
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -7,17 +7,19 @@
 from sequoiachute.coordination.scheduling.layout import Layout, best_layout
 from sequoiachute.coordination.scheduling.model import (
     Decision,
+    Host,
     Placement,
-    Running,
     Stop,
     Unit,
     View,
 )
-from sequoiachute.coordination.scheduling.space import Space, may_run
+from sequoiachute.coordination.scheduling.preemption import find_room
+from sequoiachute.coordination.scheduling.space import Space
 from sequoiachute.protocol.workload import Resources
 
 URGENT_PRIORITY = 0  # guarantees hold for it, and it preempts others
 HOPELESS_FACTOR = 3.0  # past this multiple of the objective a job earns nothing
+LEAVING_MARGIN_SECONDS = 0.5  # a worker that leaves stays a little longer
 
 
 def decide(view: View) -> Decision:
@@ -28,14 +30,21 @@
 def urgency(unit: Unit, now: float) -> tuple[int, int, float]:
     """Return the key by which units are served, the smallest first.
 
-    Urgent work goes first. Among the rest, work that can still earn its worth
-    goes before work that can't, by the time left until it must begin.
+    Guaranteed work goes first, then urgent work. Among the rest, work that can
+    still earn its worth goes before work that can't, by the time left until it
+    must begin.
     """
-    urgent = 0 if unit.priority == URGENT_PRIORITY else 1
+    if unit.guaranteed:
+        rank = 0
+    elif unit.priority == URGENT_PRIORITY:
+        rank = 1
+    else:
+        rank = 2
     window = max(unit.deadline - unit.accepted_at, 1.0)
     last_use = unit.accepted_at + HOPELESS_FACTOR * window - unit.chain_seconds
-    hopeless = 1 if now > last_use else 0
-    return (urgent + 2 * hopeless, unit.priority, unit.deadline - unit.chain_seconds)
+    if now > last_use and not unit.guaranteed:
+        rank += 2
+    return (rank, unit.priority, unit.deadline - unit.chain_seconds)
 
 
 class _Round:
@@ -49,30 +58,30 @@
 
     def run(self) -> Decision:
         """Serve the units in their order."""
+        for host in self._view.hosts:
+            self._empty_leaving(host)
         ordered = sorted(self._view.units, key=lambda u: urgency(u, self._view.now))
         for unit in ordered:
-            if unit.step.gang:
-                self._serve_gang(unit)
-            else:
-                self._serve_tasks(unit)
+            self._serve(unit)
         return Decision(tuple(self._placements), tuple(self._stops))
 
-    def _serve_gang(self, unit: Unit) -> None:
-        layout = best_layout(unit, self._space, len(unit.tasks))
-        if layout is not None:
-            self._place(unit, layout)
+    def _empty_leaving(self, host: Host) -> None:
+        """Stop what would be lost with the worker, while it can be saved."""
+        if host.leaving_seconds is None:
             return
-        self._make_room(unit, len(unit.tasks))
-
-    def _serve_tasks(self, unit: Unit) -> None:
-        layout = best_layout(unit, self._space, len(unit.tasks), whole=False)
-        placed = 0
-        if layout is not None:
-            placed = self._place(unit, layout)
-        left = len(unit.tasks) - placed
-        if left:
-            rest = unit._replace(tasks=unit.tasks[placed:])
-            self._make_room(rest, left)
+        left = host.leaving_seconds + LEAVING_MARGIN_SECONDS
+        for run in host.running:
+            if not run.stopping and run.left_seconds > left:
+                stop = Stop(run.task, run.run, host.name, "its worker leaves")
+                self._stops.append(stop)
+
+    def _serve(self, unit: Unit) -> None:
+        whole = unit.step.gang
+        now = self._view.now
+        layout = best_layout(unit, self._space, len(unit.tasks), now, whole)
+        placed = 0 if layout is None else self._place(unit, layout)
+        if placed < len(unit.tasks) and unit.priority == URGENT_PRIORITY:
+            self._make_room(unit._replace(tasks=unit.tasks[placed:]), whole)
 
     def _place(self, unit: Unit, layout: Layout) -> int:
         tasks = iter(unit.tasks)
@@ -84,61 +93,17 @@
                 placed += 1
         return placed
 
-    def _make_room(self, unit: Unit, count: int) -> None:
-        """Preempt for urgent work what loses least, and hold the room."""
-        if unit.priority != URGENT_PRIORITY:
+    def _make_room(self, unit: Unit, whole: bool) -> None:
+        """Preempt what loses least, and keep the room from later units."""
+        room = find_room(unit, self._space, whole)
+        if room is None:
             return
-        freed: list[tuple[str, Resources]] = []
-        victims: dict[tuple[str, object], Running] = {}
-        for host in self._space.hosts.values():
-            if not may_run(unit, host):
-                continue
-            for run in host.running:
-                if run.stopping or self._may_preempt(unit, run):
-                    self._space.give_back(host, run.need)
-                    freed.append((host.name, run.need))
-                    victims[(host.name, run.task)] = run
-        layout = best_layout(unit, self._space, count, whole=unit.step.gang)
-        for name, need in freed:
-            self._space.take(self._space.hosts[name], need)
-        if layout is None:
-            return
-        for host, wanted in layout:
-            self._preempt(unit, host, wanted, victims)
-
-    def _may_preempt(self, unit: Unit, run: Running) -> bool:
-        return run.priority > unit.priority
-
-    def _preempt(self, unit: Unit, host: object, count: int, victims: dict) -> None:
-        """Stop runs on ``host`` until ``count`` tasks fit, the cheapest first."""
-        need = Resources()
-        for _ in range(count):
-            need = need.plus(unit.step.reserved)
-        free = self._space.free(host)
-        here = [run for (name, _), run in victims.items() if name == host.name]
-        here.sort(key=lambda run: (not run.stopping, loss(run)))
-        for run in here:
-            if free.holds(need):
-                break
-            if _adds_nothing(free, need, run.need):
-                continue
-            free = free.plus(run.need)
-            if run.stopping:
-                continue
-            reason = f"preempted for {unit.tasks[0].job_id}"
-            self._stops.append(Stop(run.task, run.run, host.name, reason))
-        self._space.take(host, need)
-
-
-def loss(run: Running) -> float:
-    """Return the work in accelerator seconds that stopping ``run`` throws away."""
-    weight = run.need.gpus * 8 + run.need.cpu_millis / 1000
-    return run.unsaved_seconds * weight
-
-
-def _adds_nothing(free: Resources, need: Resources, run: Resources) -> bool:
-    """Return whether stopping a run of this size frees nothing that lacks."""
-    for have, want, gain in zip(free, need, run, strict=True):
-        if have < want and gain > 0:
-            return False
-    return True
+        stopped = {(stop.task, stop.run) for stop in self._stops}
+        for stop in room.stops:
+            if (stop.task, stop.run) not in stopped:
+                self._stops.append(stop)
+        for host, count in room.hosts:
+            need = Resources()
+            for _ in range(count):
+                need = need.plus(unit.step.reserved)
+            self._space.take(host, need)
--- /dev/null
+++ b/src/sequoiachute/coordination/scheduling/preemption.py
@@ -0,0 +1,187 @@
+"""Choosing what to stop so that urgent work fits, at the least loss.
+
+A stopped run loses the work that no checkpoint holds; stopping one member of a
+gang loses that of all members.
+"""
+
+from typing import NamedTuple
+
+from sequoiachute.coordination.scheduling.model import Host, Running, Stop, Unit
+from sequoiachute.coordination.scheduling.space import (
+    GPU_CORES,
+    Space,
+    may_run,
+    slowdown,
+)
+from sequoiachute.protocol.workload import Resources
+
+LOSS_PER_WORK = 1.0  # core-seconds that may be lost for each one of urgent work
+
+GangKey = tuple[str, int, int]
+
+
+class Room(NamedTuple):
+    """Hosts on which tasks fit once the victims are stopped."""
+
+    hosts: tuple[tuple[Host, int], ...]
+    stops: tuple[Stop, ...]
+    loss: float
+
+
+class _Offer(NamedTuple):
+    """One more task on a host: what must be stopped and the cost of it."""
+
+    cost: float
+    loss: float
+    victims: tuple[Running, ...]
+
+
+def find_room(unit: Unit, space: Space, whole: bool) -> Room | None:
+    """Return the cheapest room for the unit's tasks, ``None`` if there is none.
+
+    With ``whole`` for all of them. Unless the unit is guaranteed, no more work
+    is lost than the unit itself needs.
+    """
+    hosts = [host for host in space.hosts.values() if may_run(unit, host)]
+    groups = [hosts]
+    if unit.step.same_rack:
+        racks: dict[str, list[Host]] = {}
+        for host in hosts:
+            racks.setdefault(host.rack, []).append(host)
+        groups = list(racks.values())
+    best = None
+    for group in groups:
+        room = _Search(unit, space, group).run(whole)
+        if room is not None and (best is None or room.loss < best.loss):
+            best = room
+    return best
+
+
+def core_seconds(need: Resources, seconds: float) -> float:
+    """Return work in core-seconds; an accelerator counts as several cores."""
+    return (need.cpu_millis / 1000 + GPU_CORES * need.gpus) * seconds
+
+
+def loss(run: Running) -> float:
+    """Return the work in core-seconds that stopping ``run`` throws away."""
+    return core_seconds(run.need, run.unsaved_seconds)
+
+
+def gang_losses(space: Space) -> dict[GangKey, float]:
+    """Return what breaking each running gang would throw away."""
+    losses: dict[GangKey, float] = {}
+    for host in space.hosts.values():
+        for run in host.running:
+            if run.gang:
+                key = run.task[:3]
+                losses[key] = losses.get(key, 0.0) + loss(run)
+    return losses
+
+
+class _Search:
+    """Adds the unit's tasks one by one where the next costs least."""
+
+    def __init__(self, unit: Unit, space: Space, hosts: list[Host]) -> None:
+        self._unit = unit
+        self._hosts = hosts
+        self._gang_losses = gang_losses(space)
+        self._broken: set[GangKey] = set()
+        self._free = {host.name: space.free(host) for host in hosts}
+        self._victims = {host.name: self._candidates(host) for host in hosts}
+        self._counts: dict[str, int] = {}
+        self._stops: list[Stop] = []
+        self._loss = 0.0
+        seconds = unit.step.estimate_seconds
+        self._task_work = core_seconds(unit.step.need, seconds)
+
+    def run(self, whole: bool) -> Room | None:
+        wanted = len(self._unit.tasks)
+        for number in range(wanted):
+            if not self._add_one(number + 1):
+                if whole or not self._counts:
+                    return None
+                break
+        by_name = {host.name: host for host in self._hosts}
+        hosts = tuple((by_name[name], count) for name, count in self._counts.items())
+        return Room(hosts, tuple(self._stops), self._loss)
+
+    def _candidates(self, host: Host) -> list[Running]:
+        found = [run for run in host.running if self._may_stop(run)]
+        found.sort(key=self._loss_of)
+        return found
+
+    def _may_stop(self, run: Running) -> bool:
+        if run.stopping:
+            return True
+        if self._unit.guaranteed:
+            return not run.guaranteed
+        return run.priority > self._unit.priority and not run.lasting
+
+    def _loss_of(self, run: Running) -> float:
+        if run.stopping:
+            return 0.0
+        if not run.gang:
+            return loss(run)
+        key = run.task[:3]
+        return 0.0 if key in self._broken else self._gang_losses[key]
+
+    def _add_one(self, number: int) -> bool:
+        best_host, best = None, None
+        for host in self._hosts:
+            offer = self._offer(host)
+            if offer is not None and (best is None or offer.cost < best.cost):
+                best_host, best = host, offer
+        if best_host is None or best is None:
+            return False
+        budget = LOSS_PER_WORK * self._task_work * number
+        if self._unit.step.gang:
+            budget = LOSS_PER_WORK * self._task_work * len(self._unit.tasks)
+        if not self._unit.guaranteed and self._loss + best.loss > budget:
+            return False
+        self._take(best_host, best)
+        return True
+
+    def _offer(self, host: Host) -> _Offer | None:
+        step = self._unit.step
+        placed = self._counts.get(host.name, 0)
+        placed += self._unit.placed_per_host.get(host.name, 0)
+        if step.per_worker and placed >= step.per_worker:
+            return None
+        free = self._free[host.name]
+        victims = []
+        lost = 0.0
+        for run in self._victims[host.name]:
+            if free.holds(step.reserved):
+                break
+            if not _helps(free, step.reserved, run.need):
+                continue
+            victims.append(run)
+            lost += self._loss_of(run)
+            free = free.plus(run.need)
+        if not free.holds(step.reserved):
+            return None
+        slow = max(0.0, slowdown(step, host) - 1.0) * self._task_work
+        return _Offer(lost + slow, lost, tuple(victims))
+
+    def _take(self, host: Host, offer: _Offer) -> None:
+        free = self._free[host.name]
+        for run in offer.victims:
+            self._victims[host.name].remove(run)
+            free = free.plus(run.need)
+            if run.stopping:
+                continue
+            reason = f"preempted for {self._unit.tasks[0].job_id}"
+            self._stops.append(Stop(run.task, run.run, host.name, reason))
+            if run.gang:
+                self._broken.add(run.task[:3])
+        self._free[host.name] = free.minus(self._unit.step.reserved)
+        self._counts[host.name] = self._counts.get(host.name, 0) + 1
+        self._loss += offer.loss
+
+
+def _helps(free: Resources, need: Resources, gain: Resources) -> bool:
+    """Return whether a run of this size frees something that lacks."""
+    for have, want, more in zip(free, need, gain, strict=True):
+        if have < want and more > 0:
+            return True
+    return False
--- a/src/sequoiachute/coordination/scheduling/space.py
+++ b/src/sequoiachute/coordination/scheduling/space.py
@@ -4,6 +4,7 @@
 from sequoiachute.protocol.workload import Resources, StepSpec
 
 FAR_FACTOR = 3.0  # work away from its data or split over racks; the site's far_x
+GPU_CORES = 8  # what an accelerator counts as
 SUSPECT_FAILURES = 2  # failures without a success between them
 
 
