--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -5,22 +5,19 @@
 import eventlet
 from loguru import logger
 
-from sequoiachute import clock
 from sequoiachute.coordination.dispatch.placer import Placer
 from sequoiachute.coordination.dispatch.sessions import Desk
 from sequoiachute.coordination.intake import Intake
 from sequoiachute.coordination.store.election import Election
 from sequoiachute.coordination.store.follower import Follower
+from sequoiachute.coordination.store.relay import RelayedStore
 from sequoiachute.errors import describe_failure
 from sequoiachute.protocol.messages import Method
 from sequoiachute.protocol.stored import Record
 from sequoiachute.protocol.supervision import (
     REPORT,
-    VIEW,
     Orders,
     Report,
-    ViewQuery,
-    ViewReply,
 )
 from sequoiachute.state.ledger import Ledger
 from sequoiachute.state.operations import Operations
@@ -31,11 +28,6 @@
 RUNS = "runs"
 PUBLISHED = "op"
 
-STALE_SECONDS = 1.0  # beyond one long read that answers in time
-ASK_PEERS_SECONDS = 0.4
-PEER_CALL_SECONDS = 0.4
-FIRST_READ_SECONDS = 2.5
-
 
 class Control:
     """Follows the store, stands for election and serves agents and peers.
@@ -65,8 +57,8 @@
         publish: Callable[[dict[str, bytes]], None],
     ) -> None:
         self._address = address
-        self._store = store
-        self._caller = caller
+        self._store = RelayedStore(store, caller, self._peers)
+        store = self._store
         self._seeds = seeds
         self._publish = publish
         self.operations = operations
@@ -100,7 +92,6 @@
         for follower in (self._op, self._jobs, self._runs):
             eventlet.spawn(follower.run)
         eventlet.spawn(self._election.run)
-        eventlet.spawn(self._ask_peers_for_ever)
 
     def leave(self) -> None:
         """Let another entry place; go on serving callers."""
@@ -112,7 +103,7 @@
 
     def handlers(self) -> dict[Method, Callable]:
         """Return what agents and peers may call."""
-        return {REPORT: self._report, VIEW: self._view}
+        return {REPORT: self._report, **self._store.handlers()}
 
     # The store.
 
@@ -201,29 +192,6 @@
         found = [member.partition("/")[0] for member in self._election.others]
         return tuple(dict.fromkeys((*found, self._address)))
 
-    def _view(self, query: ViewQuery) -> ViewReply:
-        if query.end >= self._published_end:
-            return ViewReply(self._published_end)
-        return ViewReply(self._published_end, self._published)
-
-    def _ask_peers_for_ever(self) -> None:
-        """Learn what is published from peers while the store doesn't answer."""
-        while True:
-            clock.sleep(ASK_PEERS_SECONDS)
-            if self._op.age() < FIRST_READ_SECONDS:
-                continue
-            for address in (*self._entries(), *self._seeds):
-                if address != self._address:
-                    eventlet.spawn(self._ask_peer, address)
-
-    def _ask_peer(self, address: str) -> None:
-        query = ViewQuery(self._published_end)
-        outcome = self._caller.call(address, VIEW, query, PEER_CALL_SECONDS)
-        if outcome.is_err():
-            return
-        reply = outcome.unwrap()
-        if reply.end <= self._published_end:
-            return
-        self._published = dict(reply.records)
-        logger.bind(peer=address, end=reply.end).info("published records from a peer")
-        self._put_in_force(reply.end)
+    def _peers(self) -> tuple[str, ...]:
+        known = dict.fromkeys((*self._entries(), *self._seeds))
+        return tuple(address for address in known if address != self._address)
--- a/src/sequoiachute/coordination/store/election.py
+++ b/src/sequoiachute/coordination/store/election.py
@@ -23,6 +23,7 @@
 WRITER = "placer"
 TTL_SECONDS = 2.0  # a placer that is gone is replaced after it
 JOIN_SECONDS = 0.5  # four joins in a time to live
+LIST_SECONDS = 2.0  # members are told to agents and asked for the store
 CLAIM_SECONDS = 1.0
 
 
@@ -61,6 +62,7 @@
         self._membership = Membership(0, False)
         self._leaving = False
         self._last_term = 0
+        self._listed_at = float("-inf")
         self.term = 0
         self.others: tuple[str, ...] = ()
 
@@ -99,10 +101,12 @@
             GROUP, self._member, generation, TTL_SECONDS
         )
         self._adopt_own_claim()
+        if clock.now() >= self._listed_at + LIST_SECONDS:
+            self._list_others()
         if not self._membership.candidate or self.is_leading:
             return
         leader = self._ledger.leader
-        self.others = self._store.members(GROUP)
+        self._list_others()
         if (
             leader is None
             or leader.member == self._member
@@ -110,6 +114,10 @@
         ):
             self._claim()
 
+    def _list_others(self) -> None:
+        self.others = self._store.members(GROUP)
+        self._listed_at = clock.now()
+
     def _adopt_own_claim(self) -> None:
         """Lead by a claim whose answer was lost."""
         leader = self._ledger.leader
--- a/src/sequoiachute/protocol/supervision.py
+++ b/src/sequoiachute/protocol/supervision.py
@@ -113,18 +113,4 @@
     runs: tuple[RunOrder, ...] = ()
 
 
-class ViewQuery(NamedTuple):
-    """Asks a peer for what the operator wrote, if it is newer."""
-
-    end: int
-
-
-class ViewReply(NamedTuple):
-    """What the operator wrote: records by key, as of the offset ``end``."""
-
-    end: int
-    records: dict[str, bytes] = {}
-
-
 REPORT = Method("/sequoiachute.Supervision/Report", Report, Orders)
-VIEW = Method("/sequoiachute.Supervision/View", ViewQuery, ViewReply)
