--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -161,7 +161,10 @@
                 ),
             )
             log = logger.bind(task=str(task), run=run, host=placement.host)
-            log.bind(life=placement.life.worker_id, term=self._term).info("placed")
+            log = log.bind(life=placement.life.worker_id, term=self._term)
+            log = log.bind(expected=round(placement.expected_seconds, 2))
+            log = log.bind(speed=round(self._evidence.speed(placement.life), 2))
+            log.bind(slack=round(placement.slack_seconds, 2)).info("placed")
         self._write(draft)
 
     def _gang_token(self, task: object, count: int) -> str:
--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -52,7 +52,9 @@
             return self._repeat(known, job)
         outcome = self._store_record(JOB_PREFIX + job.job_id, encode(job), deadline)
         log = logger.bind(job=job.job_id, account=job.account, queue=job.queue)
-        log = log.bind(steps=len(job.steps), version_read=self._follower.next)
+        tasks = sum(step.count for step in job.steps)
+        log = log.bind(steps=len(job.steps), tasks=tasks, view=self._follower.next)
+        log = log.bind(occurrences=job.occurrences, lasts=job.lasts)
         log.bind(outcome=outcome.kind, reason=outcome.reason).info("job submitted")
         return outcome
 
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -80,11 +80,17 @@
 
 
 class Placement(NamedTuple):
-    """A task that is to run on a host."""
+    """A task that is to run on a host.
+
+    ``expected_seconds`` is the time it should take there; ``slack_seconds``
+    what would be left until the job's objective if that were so.
+    """
 
     task: TaskId
     host: str
     life: Life
+    expected_seconds: float = 0.0
+    slack_seconds: float = 0.0
 
 
 class Stop(NamedTuple):
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -14,8 +14,8 @@
     View,
 )
 from sequoiachute.coordination.scheduling.preemption import find_room
-from sequoiachute.coordination.scheduling.space import Space
-from sequoiachute.protocol.workload import Resources
+from sequoiachute.coordination.scheduling.space import Space, slowdown
+from sequoiachute.protocol.workload import Resources, TaskId
 
 URGENT_PRIORITY = 0  # guarantees hold for it, and it preempts others
 HOPELESS_FACTOR = 3.0  # past this multiple of the objective a job earns nothing
@@ -89,10 +89,16 @@
         for host, count in layout:
             for _ in range(count):
                 self._space.take(host, unit.step.reserved)
-                self._placements.append(Placement(next(tasks), host.name, host.life))
+                self._placements.append(self._placement(unit, next(tasks), host))
                 placed += 1
         return placed
 
+    def _placement(self, unit: Unit, task: TaskId, host: Host) -> Placement:
+        expected = unit.step.estimate_seconds * slowdown(unit.step, host)
+        rest = unit.chain_seconds - unit.step.estimate_seconds
+        slack = unit.deadline - self._view.now - rest - expected
+        return Placement(task, host.name, host.life, expected, slack)
+
     def _make_room(self, unit: Unit, whole: bool) -> None:
         """Preempt what loses least, and keep the room from later units."""
         room = find_room(unit, self._space, whole)
