--- a/src/sequoiachute/coordination/dispatch/evidence.py
+++ b/src/sequoiachute/coordination/dispatch/evidence.py
@@ -7,28 +7,61 @@
 from sequoiachute.protocol.workload import JobSpec, Life, TaskId
 
 PRIOR_WEIGHT = 0.5  # runs' worth of belief that a worker is typical
-MIN_PERCENT = 8  # progress from which a rate is told from its rounding
+WINDOW_SECONDS = 2.0  # progress is renewed each half second: four readings
+MIN_WATCH_SECONDS = 1.0  # two readings tell a rate
+STALLED_PERCENT = 4  # expected meanwhile; a sound run shows some of it
+HALF_LIFE_SECONDS = 6.0  # workers turn slow and quick again within seconds
+LEAST_SHARE = 0.2
 TRIAL_SECONDS = 2.5  # a suspect worker is tried again after it, then after twice
 MAX_TRIAL_SECONDS = 10.0
 SAVE_SECONDS = 1.0  # work between two checkpoints; the site's save_s
 
 
-class Observed(NamedTuple):
-    """A run's progress: first and newest reading."""
+class Reading(NamedTuple):
+    """A run's progress in percent at a time in seconds."""
 
-    first_at: float
-    first_percent: int
-    newest_at: float
-    newest_percent: int
+    at: float
+    percent: int
+
+
+class Observed:
+    """A run's progress as it was read."""
+
+    def __init__(self, now: float, percent: int) -> None:
+        self.first = Reading(now, percent)
+        self._readings = [self.first]
 
     @property
-    def rate(self) -> float:
-        """Percent a second, zero while it can't be told."""
-        seconds = self.newest_at - self.first_at
-        gained = self.newest_percent - self.first_percent
-        if gained < MIN_PERCENT or seconds <= 0:
-            return 0.0
-        return gained / seconds
+    def percent(self) -> int:
+        """Newest progress."""
+        return self._readings[-1].percent
+
+    def take(self, now: float, percent: int) -> None:
+        """Take a reading, also one that shows no progress."""
+        self._readings.append(Reading(now, percent))
+        while len(self._readings) > 2 and (
+            self._readings[1].at <= now - WINDOW_SECONDS
+        ):
+            del self._readings[0]
+
+    def is_stalled(self, estimate: float) -> bool:
+        """Return whether a run of ``estimate`` seconds has stopped working."""
+        begin, end = self._readings[0], self._readings[-1]
+        seconds = end.at - begin.at
+        if seconds < WINDOW_SECONDS or end.percent > begin.percent:
+            return False
+        return 100 * seconds / estimate >= STALLED_PERCENT
+
+    def rate(self) -> float | None:
+        """Return percent a second of late, ``None`` while it can't be told.
+
+        A run without progress gets what its rounding may hide.
+        """
+        begin, end = self._readings[0], self._readings[-1]
+        seconds = end.at - begin.at
+        if seconds < MIN_WATCH_SECONDS:
+            return None
+        return max(end.percent - begin.percent, 0.5) / seconds
 
 
 class Evidence:
@@ -36,9 +69,10 @@
 
     def __init__(self) -> None:
         self._observed: dict[tuple[str, int], Observed] = {}
-        self._samples: dict[Life, dict[str, float]] = {}
+        self._samples: dict[Life, dict[str, tuple[float, float]]] = {}
         self._failures: dict[Life, list[float]] = {}
         self._failed_on: dict[str, set[str]] = {}
+        self.moved: set[TaskId] = set()
 
     def see_run(
         self, run: RunReport, life: Life, estimate: float, far: float, now: float
@@ -47,14 +81,13 @@
         key = (run.task, run.run)
         known = self._observed.get(key)
         if known is None:
-            self._observed[key] = Observed(now, run.percent, now, run.percent)
+            self._observed[key] = Observed(now, run.percent)
             return
-        if run.percent > known.newest_percent:
-            known = known._replace(newest_at=now, newest_percent=run.percent)
-            self._observed[key] = known
-        if known.rate and estimate > 0:
-            sample = estimate * known.rate / 100 * far
-            self._samples.setdefault(life, {})[run.task] = sample
+        known.take(now, run.percent)
+        rate = known.rate()
+        if rate is not None and estimate > 0:
+            sample = estimate * rate / 100 * far
+            self._samples.setdefault(life, {})[run.task] = (now, sample)
 
     def observed(self, task: TaskId, run: int) -> Observed | None:
         """Return what was seen of a run."""
@@ -64,13 +97,17 @@
         """Forget a run that has ended."""
         self._observed.pop((str(task), run), None)
 
-    def speed(self, life: Life) -> float:
-        """Return a worker's speed against the typical worker."""
-        samples = self._samples.get(life)
-        if not samples:
-            return 1.0
-        total = sum(log(max(sample, 0.01)) for sample in samples.values())
-        return exp(total / (len(samples) + PRIOR_WEIGHT))
+    def speed(self, life: Life, now: float) -> float:
+        """Return a worker's speed against the typical worker, of late."""
+        total = 0.0
+        weight = PRIOR_WEIGHT
+        for at, sample in self._samples.get(life, {}).values():
+            share = 0.5 ** ((now - at) / HALF_LIFE_SECONDS)
+            # What is long known still counts for a little.
+            share = max(share, LEAST_SHARE)
+            total += share * log(max(sample, 0.01))
+            weight += share
+        return exp(total / weight)
 
     def note_failure(self, job: JobSpec, host: str, life: Life, now: float) -> None:
         """Take a run that failed by itself."""
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -136,6 +136,8 @@
             session = self._desk.sessions.get(stop.host)
             if session is not None:
                 session.stops[stop.task] = stop.run
+                if stop.moves:
+                    self._evidence.moved.add(stop.task)
                 log = logger.bind(task=str(stop.task), run=stop.run, host=stop.host)
                 log.bind(reason=stop.reason).info("stopping run")
         draft = Draft(self._ledger)
@@ -163,7 +165,9 @@
             log = logger.bind(task=str(task), run=run, host=placement.host)
             log = log.bind(life=placement.life.worker_id, term=self._term)
             log = log.bind(expected=round(placement.expected_seconds, 2))
-            log = log.bind(speed=round(self._evidence.speed(placement.life), 2))
+            log = log.bind(
+                speed=round(self._evidence.speed(placement.life, clock.elapsed()), 2)
+            )
             log.bind(slack=round(placement.slack_seconds, 2)).info("placed")
         self._write(draft)
 
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -69,7 +69,8 @@
     for task, state in ledger.placed_at(session.host).items():
         job = ledger.job(task.job_id)
         if job is not None:
-            running.append(_running(task, state, job, session, evidence, sure))
+            run = _running(task, state, job, session, evidence, sure)
+            running.append(run._replace(service=worker.service))
     session.closed = worker.zone in operations.closed_zones
     is_open = (
         session.is_fenced
@@ -86,7 +87,7 @@
         labels=frozenset(worker.labels),
         capacity=worker.capacity,
         is_open=is_open,
-        speed=evidence.speed(worker.life),
+        speed=evidence.speed(worker.life, now),
         suspicion=evidence.suspicion(worker.life, now),
         running=tuple(running),
         leaving_seconds=worker.leaving_seconds if worker.leaving else None,
@@ -102,15 +103,18 @@
     sure: frozenset[str],
 ) -> Running:
     step = job.steps[task.step]
-    done = unsaved = 0.0
     estimate = step.estimate_seconds or UNKNOWN_ESTIMATE_SECONDS
+    done = unsaved = 0.0
     left = estimate
+    rate = None
     seen = evidence.observed(task, state.run)
     if seen is not None:
-        done = clock.elapsed() - seen.first_at
-        rate = seen.rate or 100 / estimate
-        left = max(0.0, (100 - seen.newest_percent) / rate)
+        done = clock.elapsed() - seen.first.at
+        rate = seen.rate()
+        left = (100 - seen.percent) / (rate or 100 / estimate)
         unsaved = min(done, SAVE_SECONDS) if step.checkpoints else done
+    begins = max(job.accepted_at, job.due_at(task.occurrence))
+    deadline = begins + job.stretch * chain_seconds(job, 0) + job.slo_seconds
     return Running(
         task=task,
         run=state.run,
@@ -123,6 +127,14 @@
         stopping=session.stops.get(task, 0) == state.run,
         lasting=step.lasting,
         guaranteed=job.account in sure and job.priority == URGENT_PRIORITY,
+        measured=rate is not None,
+        moved=task in evidence.moved,
+        stalled=seen is not None and seen.is_stalled(estimate),
+        percent=seen.percent if seen is not None else 0,
+        step=step,
+        deadline=deadline,
+        rest_seconds=chain_seconds(job, task.step) - estimate,
+        accepted_at=begins,
     )
 
 
--- a/src/sequoiachute/coordination/scheduling/layout.py
+++ b/src/sequoiachute/coordination/scheduling/layout.py
@@ -29,7 +29,7 @@
         return _fill(unit, space, hosts, count, now, whole)
     best = None
     for layout in _rack_layouts(unit, space, hosts, count, now, whole):
-        if best is None or _time(unit, layout) < _time(unit, best):
+        if best is None or layout_slowdown(unit, layout) < layout_slowdown(unit, best):
             best = layout
     return best
 
@@ -87,7 +87,7 @@
     return (round(slow, 1), 0.0, left.gpus, host.name)
 
 
-def _time(unit: Unit, layout: Layout) -> float:
+def layout_slowdown(unit: Unit, layout: Layout) -> float:
     """Return the slowdown of the slowest member."""
     slowest = max(slowdown(unit.step, host) for host, _ in layout)
     racks = {host.rack for host, _ in layout}
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -9,7 +9,10 @@
     """A run that may be on a host.
 
     ``left_seconds`` is the expected time to its end, ``unsaved_seconds`` the
-    work that would be lost if it were stopped now.
+    work that would be lost if it were stopped now; both are guesses until the
+    run's progress was ``measured``; a ``stalled`` run makes none. A task that has been ``moved`` once for its
+    worker's slowness is not moved again. ``rest_seconds`` is the expected time from
+    the end of its step to the end of the job.
     """
 
     task: TaskId
@@ -23,6 +26,15 @@
     stopping: bool
     lasting: bool = False
     guaranteed: bool = False
+    measured: bool = False
+    moved: bool = False
+    stalled: bool = False
+    percent: int = 0
+    step: StepSpec = StepSpec(1, Resources())
+    service: str = ""
+    deadline: float = 0.0
+    rest_seconds: float = 0.0
+    accepted_at: float = 0.0
 
 
 class Host(NamedTuple):
@@ -94,12 +106,13 @@
 
 
 class Stop(NamedTuple):
-    """A run that is to be stopped, and why."""
+    """A run that is to be stopped, and why; ``moves`` if it is too slow there."""
 
     task: TaskId
     run: int
     host: str
     reason: str
+    moves: bool = False
 
 
 class Decision(NamedTuple):
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -14,6 +14,7 @@
     View,
 )
 from sequoiachute.coordination.scheduling.preemption import find_room
+from sequoiachute.coordination.scheduling.rescue import rescue
 from sequoiachute.coordination.scheduling.space import Space, slowdown
 from sequoiachute.protocol.workload import Resources, TaskId
 
@@ -63,6 +64,10 @@
         ordered = sorted(self._view.units, key=lambda u: urgency(u, self._view.now))
         for unit in ordered:
             self._serve(unit)
+        known = {(stop.task, stop.run) for stop in self._stops}
+        for stop in rescue(self._space, self._view.now):
+            if (stop.task, stop.run) not in known:
+                self._stops.append(stop)
         return Decision(tuple(self._placements), tuple(self._stops))
 
     def _empty_leaving(self, host: Host) -> None:
--- /dev/null
+++ b/src/sequoiachute/coordination/scheduling/rescue.py
@@ -0,0 +1,97 @@
+"""Moving runs that are too slow where they are, while it still helps.
+
+For workers that turn slow or stand still: the load is light enough that room
+is free elsewhere, and the run's own progress tells when it will end.
+"""
+
+from collections.abc import Iterator
+
+from sequoiachute.coordination.scheduling.layout import best_layout, layout_slowdown
+from sequoiachute.coordination.scheduling.model import Host, Running, Stop, Unit
+from sequoiachute.coordination.scheduling.space import Space
+
+SLOW_SPEED = 0.5  # sound workers differ by 0.6 to 1.6
+RESTART_SECONDS = 0.6  # stopping, recording and starting again
+DOUBT_FACTOR = 1.3  # estimates are off
+
+Group = list[tuple[Host, Running]]
+
+
+def rescue(space: Space, now: float) -> Iterator[Stop]:
+    """Yield runs to stop, keeping the room where they should start again."""
+    for group in _groups(space):
+        if any(run.stopping or run.lasting or run.moved for _, run in group):
+            continue
+        if not _is_slow(group):
+            continue
+        if _should_move(group, space, now):
+            for host, run in group:
+                yield Stop(run.task, run.run, host.name, "too slow here", True)
+
+
+def _is_slow(group: Group) -> bool:
+    """Return whether a run stands still, or an urgent one is on a slow worker."""
+    for host, run in group:
+        if run.stalled:
+            return True
+        if run.priority == 0 and run.measured and host.speed < SLOW_SPEED:
+            return True
+    return False
+
+
+def _groups(space: Space) -> list[Group]:
+    """Return single runs, and gangs as a whole, the most urgent first."""
+    groups: dict[tuple, Group] = {}
+    for host in space.hosts.values():
+        for run in host.running:
+            key = run.task[:3] if run.gang else run.task
+            groups.setdefault(key, []).append((host, run))
+    return sorted(groups.values(), key=lambda group: group[0][1].priority)
+
+
+def _should_move(group: Group, space: Space, now: float) -> bool:
+    left = max(run.left_seconds for _, run in group)
+    first = group[0][1]
+    is_stalled = any(run.stalled for _, run in group)
+    if now + left + first.rest_seconds <= first.deadline:
+        return False
+    unit = _as_unit(group)
+    for host, run in group:
+        space.give_back(host, run.need)
+    layout = best_layout(unit, space, len(group), now)
+    for host, run in group:
+        space.take(host, run.need)
+    if layout is None:
+        return False
+    again = RESTART_SECONDS + _work_left(first) * layout_slowdown(unit, layout)
+    in_time = now + DOUBT_FACTOR * again + first.rest_seconds <= first.deadline
+    if not in_time and not is_stalled:
+        return False
+    for host, count in layout:
+        for _ in range(count):
+            space.take(host, first.need)
+    return True
+
+
+def _work_left(run: Running) -> float:
+    """Return declared seconds of work from the newest checkpoint on."""
+    estimate = run.step.estimate_seconds
+    if run.step.checkpoints:
+        return estimate * (100 - run.percent) / 100
+    return estimate
+
+
+def _as_unit(group: Group) -> Unit:
+    first = group[0][1]
+    return Unit(
+        account=first.account,
+        priority=first.priority,
+        deadline=first.deadline,
+        chain_seconds=first.step.estimate_seconds + first.rest_seconds,
+        accepted_at=first.accepted_at,
+        service=first.service,
+        step=first.step,
+        tasks=tuple(run.task for _, run in group),
+        avoid=frozenset(),
+        placed_per_host={},
+    )
