--- a/src/sequoiachute/coordination/dispatch/evidence.py
+++ b/src/sequoiachute/coordination/dispatch/evidence.py
@@ -7,6 +7,7 @@
 from sequoiachute.protocol.workload import JobSpec, Life, TaskId
 
 PRIOR_WEIGHT = 0.5  # runs' worth of belief that a worker is typical
+EARLIER_WEIGHT = 1.0  # of what an earlier placer has learned
 WINDOW_SECONDS = 2.0  # progress is renewed each half second: four readings
 MIN_WATCH_SECONDS = 1.0  # two readings tell a rate
 STALLED_PERCENT = 4  # expected meanwhile; a sound run shows some of it
@@ -65,9 +66,16 @@
 
 
 class Evidence:
-    """Learns while this entry is the placer; a new one begins anew."""
+    """Learns while this entry is the placer.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    speeds : dict
+        What earlier placers have learned, by lifetime.
+    """
+
+    def __init__(self, speeds: dict[Life, float]) -> None:
+        self._earlier = dict(speeds)
         self._observed: dict[tuple[str, int], Observed] = {}
         self._samples: dict[Life, dict[str, tuple[float, float]]] = {}
         self._failures: dict[Life, list[float]] = {}
@@ -99,8 +107,8 @@
 
     def speed(self, life: Life, now: float) -> float:
         """Return a worker's speed against the typical worker, of late."""
-        total = 0.0
-        weight = PRIOR_WEIGHT
+        total = EARLIER_WEIGHT * log(self._earlier.get(life, 1.0))
+        weight = EARLIER_WEIGHT if life in self._earlier else PRIOR_WEIGHT
         for at, sample in self._samples.get(life, {}).values():
             share = 0.5 ** ((now - at) / HALF_LIFE_SECONDS)
             # What is long known still counts for a little.
@@ -109,6 +117,14 @@
             weight += share
         return exp(total / weight)
 
+    def speeds(self, lives: list[Life], now: float) -> dict[Life, float]:
+        """Return the speeds of ``lives`` of which anything is known."""
+        found = {}
+        for life in lives:
+            if life in self._samples or life in self._earlier:
+                found[life] = self.speed(life, now)
+        return found
+
     def note_failure(self, job: JobSpec, host: str, life: Life, now: float) -> None:
         """Take a run that failed by itself."""
         self._failures.setdefault(life, []).append(now)
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -15,7 +15,7 @@
 from sequoiachute.protocol.stored import Record
 from sequoiachute.protocol.supervision import DONE, RUN_FAILED
 from sequoiachute.protocol.workload import encode, parse_task_id
-from sequoiachute.state.ledger import Ledger
+from sequoiachute.state.ledger import SPEEDS_KEY, Ledger, encode_speeds
 from sequoiachute.state.operations import Operations
 from sequoiachute.transport.store import KeyedStore, Writer
 
@@ -23,6 +23,8 @@
 GATHER_SECONDS = 0.005  # reports that come together are settled together
 APPEND_SECONDS = 0.8  # an append without an answer is sent again after it
 RETRY_SECONDS = 0.1
+KEEP_SECONDS = 3.0  # between two records of speeds
+KEEP_CHANGE = 0.15  # relative; less is the noise of estimates
 RECORDS_PER_APPEND = 200
 
 
@@ -57,8 +59,9 @@
         self._operations = operations
         self._desk = desk
         self._settlement = Settlement(ledger, desk)
-        self._evidence = Evidence()
+        self._evidence = Evidence(ledger.speeds)
         self._sequence = 0
+        self._speeds_at = clock.now()
         self._wake = Event()
         self._ended = False
 
@@ -103,6 +106,7 @@
         )
         decision = decide(view)
         self._place(decision)
+        self._keep_speeds()
         for session in self._desk.sessions.values():
             session.refresh(self._ledger)
 
@@ -171,6 +175,22 @@
             log.bind(slack=round(placement.slack_seconds, 2)).info("placed")
         self._write(draft)
 
+    def _keep_speeds(self) -> None:
+        """Record learned speeds for the next placer, if they have changed."""
+        if clock.now() < self._speeds_at + KEEP_SECONDS:
+            return
+        self._speeds_at = clock.now()
+        lives = [session.life for session in self._desk.sessions.values()]
+        speeds = self._evidence.speeds(lives, clock.elapsed())
+        known = self._ledger.speeds
+        changed = [
+            life
+            for life, speed in speeds.items()
+            if abs(speed / known.get(life, 1.0) - 1) > KEEP_CHANGE
+        ]
+        if changed:
+            self._append([(SPEEDS_KEY, encode_speeds(speeds))])
+
     def _gang_token(self, task: object, count: int) -> str:
         tasks = self._ledger.progress(task.job_id).tasks
         best = ""
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -10,9 +10,10 @@
 
     ``left_seconds`` is the expected time to its end, ``unsaved_seconds`` the
     work that would be lost if it were stopped now; both are guesses until the
-    run's progress was ``measured``; a ``stalled`` run makes none. A task that has been ``moved`` once for its
-    worker's slowness is not moved again. ``rest_seconds`` is the expected time from
-    the end of its step to the end of the job.
+    run's progress was ``measured``. A ``stalled`` run makes no progress; a task
+    that was ``moved`` once for a worker's slowness is not moved again.
+    ``rest_seconds`` is the expected time from the end of its step to the end of
+    the job.
     """
 
     task: TaskId
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -4,7 +4,11 @@
 tasks for more room than there is.
 """
 
-from sequoiachute.coordination.scheduling.layout import Layout, best_layout
+from sequoiachute.coordination.scheduling.layout import (
+    Layout,
+    best_layout,
+    layout_slowdown,
+)
 from sequoiachute.coordination.scheduling.model import (
     Decision,
     Host,
@@ -13,13 +17,14 @@
     Unit,
     View,
 )
-from sequoiachute.coordination.scheduling.preemption import find_room
+from sequoiachute.coordination.scheduling.preemption import Room, find_room
 from sequoiachute.coordination.scheduling.rescue import rescue
 from sequoiachute.coordination.scheduling.space import Space, slowdown
 from sequoiachute.protocol.workload import Resources, TaskId
 
 URGENT_PRIORITY = 0  # guarantees hold for it, and it preempts others
 HOPELESS_FACTOR = 3.0  # past this multiple of the objective a job earns nothing
+PREEMPTION_SECONDS = 0.5  # to stop what is there and record the start
 LEAVING_MARGIN_SECONDS = 0.5  # a worker that leaves stays a little longer
 
 
@@ -83,10 +88,28 @@
     def _serve(self, unit: Unit) -> None:
         whole = unit.step.gang
         now = self._view.now
+        urgent = unit.priority == URGENT_PRIORITY
         layout = best_layout(unit, self._space, len(unit.tasks), now, whole)
+        if urgent and layout is not None and self._is_late(unit, layout):
+            room = find_room(unit, self._space, whole, self._bearable(unit))
+            if room is not None:
+                self._make_room(unit, room)
+                return
         placed = 0 if layout is None else self._place(unit, layout)
-        if placed < len(unit.tasks) and unit.priority == URGENT_PRIORITY:
-            self._make_room(unit._replace(tasks=unit.tasks[placed:]), whole)
+        if urgent and placed < len(unit.tasks):
+            rest = unit._replace(tasks=unit.tasks[placed:])
+            room = find_room(rest, self._space, whole)
+            if room is not None:
+                self._make_room(rest, room)
+
+    def _bearable(self, unit: Unit) -> float:
+        """Return the slowdown at which the unit just ends in time."""
+        rest = unit.chain_seconds - unit.step.estimate_seconds
+        left = unit.deadline - self._view.now - rest - PREEMPTION_SECONDS
+        return left / max(unit.step.estimate_seconds, 0.1)
+
+    def _is_late(self, unit: Unit, layout: Layout) -> bool:
+        return layout_slowdown(unit, layout) > self._bearable(unit)
 
     def _place(self, unit: Unit, layout: Layout) -> int:
         tasks = iter(unit.tasks)
@@ -104,11 +127,8 @@
         slack = unit.deadline - self._view.now - rest - expected
         return Placement(task, host.name, host.life, expected, slack)
 
-    def _make_room(self, unit: Unit, whole: bool) -> None:
-        """Preempt what loses least, and keep the room from later units."""
-        room = find_room(unit, self._space, whole)
-        if room is None:
-            return
+    def _make_room(self, unit: Unit, room: Room) -> None:
+        """Preempt, and keep the room from later units."""
         stopped = {(stop.task, stop.run) for stop in self._stops}
         for stop in room.stops:
             if (stop.task, stop.run) not in stopped:
--- a/src/sequoiachute/coordination/scheduling/preemption.py
+++ b/src/sequoiachute/coordination/scheduling/preemption.py
@@ -36,13 +36,18 @@
     victims: tuple[Running, ...]
 
 
-def find_room(unit: Unit, space: Space, whole: bool) -> Room | None:
+def find_room(
+    unit: Unit, space: Space, whole: bool, slowest: float = float("inf")
+) -> Room | None:
     """Return the cheapest room for the unit's tasks, ``None`` if there is none.
 
-    With ``whole`` for all of them. Unless the unit is guaranteed, no more work
-    is lost than the unit itself needs.
+    With ``whole`` for all of them; on no host slower than ``slowest``. Unless
+    the unit is guaranteed, no more work is lost than the unit itself needs.
     """
-    hosts = [host for host in space.hosts.values() if may_run(unit, host)]
+    hosts = []
+    for host in space.hosts.values():
+        if may_run(unit, host) and slowdown(unit.step, host) <= slowest:
+            hosts.append(host)
     groups = [hosts]
     if unit.step.same_rack:
         racks: dict[str, list[Host]] = {}
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -12,6 +12,7 @@
     CANCELLED,
     PENDING,
     JobSpec,
+    Life,
     Progress,
     TaskId,
     TaskState,
@@ -20,6 +21,7 @@
 )
 
 LEADER_KEY = "leader"
+SPEEDS_KEY = "speeds"
 CANCEL_PREFIX = "cancel/"
 JOB_PREFIX = "job/"
 NO_PROGRESS = Progress()
@@ -38,6 +40,18 @@
     return msgspec.msgpack.encode(leader)
 
 
+def encode_speeds(speeds: dict[Life, float]) -> bytes:
+    """Return the record of learned speeds."""
+    rows = [(*life, round(speed, 2)) for life, speed in speeds.items()]
+    return msgspec.msgpack.encode(rows)
+
+
+def decode_speeds(data: bytes) -> dict[Life, float]:
+    """Return learned speeds by lifetime; raise ``msgspec.DecodeError``."""
+    rows = msgspec.msgpack.decode(data, type=list[tuple[str, int, float]])
+    return {Life(name, born): speed for name, born, speed in rows}
+
+
 class Ledger:
     """Tables of what the store has acknowledged, and nothing else.
 
@@ -53,6 +67,7 @@
         self._by_host: dict[str, dict[TaskId, TaskState]] = {}
         self._live: dict[str, None] = {}
         self.leader: Leader | None = None
+        self.speeds: dict[Life, float] = {}
 
     @property
     def jobs(self) -> dict[str, JobSpec]:
@@ -121,6 +136,8 @@
         if key == LEADER_KEY:
             if value is not None:
                 self.leader = msgspec.msgpack.decode(value, type=Leader)
+        elif key == SPEEDS_KEY:
+            self.speeds = decode_speeds(value or b"")
         elif key.startswith(JOB_PREFIX):
             self._take_job(key.removeprefix(JOB_PREFIX), value)
         elif key.startswith(CANCEL_PREFIX):
