--- a/src/sequoiachute/coordination/scheduling/rescue.py
+++ b/src/sequoiachute/coordination/scheduling/rescue.py
@@ -31,14 +31,23 @@
 
 def _is_slow(group: Group) -> bool:
     """Return whether a run stands still, or an urgent one is on a slow worker."""
+    if _is_stalled(group):
+        return True
     for host, run in group:
-        if run.stalled:
-            return True
         if run.priority == 0 and run.measured and host.speed < SLOW_SPEED:
             return True
     return False
 
 
+def _is_stalled(group: Group) -> bool:
+    """Return whether nothing in the group works any more.
+
+    Members of a gang whose work is done wait for the others.
+    """
+    working = [run for _, run in group if run.percent < 100]
+    return bool(working) and all(run.stalled for run in working)
+
+
 def _groups(space: Space) -> list[Group]:
     """Return single runs, and gangs as a whole, the most urgent first."""
     groups: dict[tuple, Group] = {}
@@ -52,7 +61,6 @@
 def _should_move(group: Group, space: Space, now: float) -> bool:
     left = max(run.left_seconds for _, run in group)
     first = group[0][1]
-    is_stalled = any(run.stalled for _, run in group)
     if now + left + first.rest_seconds <= first.deadline:
         return False
     unit = _as_unit(group)
@@ -65,7 +73,7 @@
         return False
     again = RESTART_SECONDS + _work_left(first) * layout_slowdown(unit, layout)
     in_time = now + DOUBT_FACTOR * again + first.rest_seconds <= first.deadline
-    if not in_time and not is_stalled:
+    if not in_time and not _is_stalled(group):
         return False
     for host, count in layout:
         for _ in range(count):
