Test the placer, agents and store together on the paused clock

In-memory stand-ins of the keyed store (conditions, epochs, groups, lost and late answers) and of the worker (leases, fences, late orders) play deaths, outages and deposed placers; a checker of doubled runs has tests of its own. Found by them, each red first: - an old look at a worker counted as a run without progress, so runs beside a silent agent were stopped as stalled; - a start that the worker refuses because an earlier copy ran was settled as never run; now a stop and a later look decide; - an agent looked without a pause while an end waited for its acknowledgement.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -6,7 +6,7 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.dispatch.evidence import Evidence
-from sequoiachute.coordination.dispatch.sessions import Desk
+from sequoiachute.coordination.dispatch.sessions import Desk, Session
 from sequoiachute.coordination.dispatch.settlement import Draft, Settlement
 from sequoiachute.coordination.dispatch.views import build_view
 from sequoiachute.coordination.scheduling import Decision, decide
@@ -111,29 +111,39 @@
             session.refresh(self._ledger)
 
     def _learn(self) -> None:
-        now = clock.elapsed()
+        """Take every look at a worker once; an old one is no progress."""
         for session in self._desk.sessions.values():
-            placed = self._ledger.placed_at(session.host)
-            for run in session.runs.values():
-                task = parse_task_id(run.task)
-                if task is None or task not in placed:
-                    continue
-                step = self._ledger.job(task.job_id).steps[task.step]
-                rack = session.worker.rack if session.worker else ""
-                is_far = step.data_rack and step.data_rack != rack
-                far = FAR_FACTOR if is_far else 1.0
-                estimate = 0.0 if step.lasting else step.estimate_seconds
-                self._evidence.see_run(run, session.life, estimate, far, now)
-            for end in session.ends:
-                task = parse_task_id(end.task)
-                if task is None or task not in placed or placed[task].run != end.run:
-                    continue
-                self._evidence.forget_run(task, end.run)
-                if end.how == DONE:
-                    self._evidence.note_success(session.life)
-                elif end.how == RUN_FAILED:
-                    job = self._ledger.job(task.job_id)
-                    self._evidence.note_failure(job, session.host, session.life, now)
+            if session.worker_clock_ms != session.learned_clock_ms:
+                session.learned_clock_ms = session.worker_clock_ms
+                self._learn_progress(session)
+            self._learn_ends(session)
+
+    def _learn_progress(self, session: Session) -> None:
+        placed = self._ledger.placed_at(session.host)
+        for run in session.runs.values():
+            task = parse_task_id(run.task)
+            if task is None or task not in placed:
+                continue
+            step = self._ledger.job(task.job_id).steps[task.step]
+            rack = session.worker.rack if session.worker else ""
+            is_far = step.data_rack and step.data_rack != rack
+            far = FAR_FACTOR if is_far else 1.0
+            estimate = 0.0 if step.lasting else step.estimate_seconds
+            self._evidence.see_run(run, session.life, estimate, far, session.heard_at)
+
+    def _learn_ends(self, session: Session) -> None:
+        placed = self._ledger.placed_at(session.host)
+        for end in session.ends:
+            task = parse_task_id(end.task)
+            if task is None or task not in placed or placed[task].run != end.run:
+                continue
+            self._evidence.forget_run(task, end.run)
+            if end.how == DONE:
+                self._evidence.note_success(session.life)
+            elif end.how == RUN_FAILED:
+                job = self._ledger.job(task.job_id)
+                now = clock.elapsed()
+                self._evidence.note_failure(job, session.host, session.life, now)
 
     def _place(self, decision: Decision) -> None:
         for stop in decision.stops:
--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -38,6 +38,8 @@
         self.heard_at = float("-inf")
         self.wall_offset = 0.0
         self.is_fenced = False
+        self.worker_clock_ms = 0
+        self.learned_clock_ms = 0
         self.runs: dict[tuple[str, int], RunReport] = {}
         self.ends: tuple[EndReport, ...] = ()
         self.settled: tuple[SettledStart, ...] = ()
@@ -70,6 +72,7 @@
             self.gone.add(report.gone)
         self._take_worker(report.worker)
         self.is_fenced = report.term == term and report.worker is not None
+        self.worker_clock_ms = report.worker_clock_ms
         self.runs = {(run.task, run.run): run for run in report.runs}
         self.ends = report.ends
         self.settled = report.settled
--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -5,7 +5,7 @@
 
 from sequoiachute import clock
 from sequoiachute.protocol.supervision import RunOrder, SettledStart
-from sequoiachute.transport.worker import TaskWorker, WorkerView
+from sequoiachute.transport.worker import ALREADY_RAN, TaskWorker, WorkerView
 
 RETRY_SECONDS = 0.05  # between two tries of a call that got no answer
 
@@ -65,7 +65,7 @@
             if key in self._present:
                 continue
             del self._stopped_at[key]
-            if key not in self._ended:
+            if key not in self._ended and key in self.orders:
                 self._settle(key, "withdrawn")
         self.act()
 
@@ -127,12 +127,13 @@
                 logger.bind(task=key[0], run=key[1], term=self.term).info("started")
                 return
             error = outcome.unwrap_err()
-            if error.done is False and not error.fenced and not may_be_there:
-                self._settle(key, error.reason)
-                return
-            if error.done is False and error.reason == "old":
-                # An earlier copy has run and ended; its end is listed.
-                self._stopped_at[key] = clock.now()
+            if error.done is False and not error.fenced:
+                if error.reason == ALREADY_RAN or may_be_there:
+                    # An earlier copy of this start may have run: the next look
+                    # shows its end, or that there is none.
+                    self._stop(key)
+                else:
+                    self._settle(key, error.reason)
                 return
             may_be_there = may_be_there or error.done is None
             clock.sleep(RETRY_SECONDS)
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -115,7 +115,8 @@
 
     def _look_for_ever(self) -> None:
         while True:
-            if not self._look():
+            # A look returns at once while an end waits for its acknowledgement.
+            if not self._look() or self._view.ends:
                 clock.sleep(LOOK_RETRY_SECONDS)
 
     def _look(self) -> bool:
--- a/src/sequoiachute/platform/worker.py
+++ b/src/sequoiachute/platform/worker.py
@@ -14,7 +14,7 @@
 )
 from sequoiachute.protocol.supervision import EndReport, RunReport
 from sequoiachute.protocol.workload import Life
-from sequoiachute.transport.worker import WorkerError, WorkerView
+from sequoiachute.transport.worker import ALREADY_RAN, WorkerError, WorkerView
 
 LOOK_SECONDS = 0.5  # beyond the wait that was asked for
 ORDER_SECONDS = 0.4  # the worker is on this machine and answers in some ms
@@ -115,6 +115,8 @@
         return WorkerError(OTHER_LIFE, False)
     if answer.status == 409:
         reason = str(decode_object(answer.body).get("reason", "conflict"))
+        if reason == "old":
+            return WorkerError(ALREADY_RAN, False)
         return WorkerError(reason, False, fenced=reason == "fence")
     if answer.status in (400, 429, 503):
         return WorkerError(f"worker answered {answer.status}", False)
--- a/src/sequoiachute/transport/worker.py
+++ b/src/sequoiachute/transport/worker.py
@@ -7,10 +7,14 @@
 from sequoiachute.protocol.supervision import EndReport, RunReport
 from sequoiachute.protocol.workload import Life
 
+ALREADY_RAN = "already ran"
+
 
 class WorkerError(NamedTuple):
     """A call to the worker failed.
 
+    ``reason`` is ``ALREADY_RAN`` for a start of a run that was there before.
+
     ``done`` is false if the worker certainly did nothing, and ``None`` if the
     call may have been, or may yet be, carried out. ``fenced`` says that the
     worker has seen a higher term.
--- /dev/null
+++ b/standins/keyed_store.py
@@ -0,0 +1,254 @@
+"""The platform's store of keyed records in memory, with its faults."""
+
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+from eventlet.event import Event
+from result import Err, Ok, Result
+
+from sequoiachute import clock
+from sequoiachute.protocol.stored import Record
+from sequoiachute.transport.store import (
+    AppendError,
+    HistoryLostError,
+    Membership,
+    Page,
+    Snapshot,
+    StoreUnavailableError,
+    Writer,
+)
+from standins.memory import MemoryProcess
+
+READ_RECORDS = 500  # most in one page
+REPEATS = 5  # appends of a writer whose answers are kept
+PARTITIONS = 12
+
+
+class _WriterState:
+    """The newest epoch of a writer, and its last appends with their answers."""
+
+    def __init__(self) -> None:
+        self.epoch = -1
+        self.sequence: int | None = None
+        self.answers: dict[int, int] = {}
+
+
+class MemoryKeyedStore:
+    """Keyed topics, conditional appends, writers' epochs and groups.
+
+    ``down`` answers nobody. ``lose_answers`` lets appends take effect without
+    an answer, ``late_seconds`` lets them do so that much later, if their
+    condition still holds. ``delay`` slows every call.
+    """
+
+    def __init__(self, delay: float = 0.004) -> None:
+        self.delay = delay
+        self.down = False
+        self.lose_answers = False
+        self.late_seconds = 0.0
+        self.appends = 0
+        self._records: dict[str, list[Record]] = {}
+        self._firsts: dict[str, int] = {}
+        self._writers: dict[tuple[str, str], _WriterState] = {}
+        self._waiters: dict[str, Event] = {}
+        self._groups: dict[str, dict[str, float]] = {}
+        self._generations: dict[str, int] = {}
+        self._kept: dict[str, dict[str, Record]] = {}
+        self._turn = 0
+
+    def link(self, process: MemoryProcess | None = None) -> "StoreLink":
+        """Return the store as one process reaches it."""
+        return StoreLink(self, process or MemoryProcess())
+
+    def publish(self, key: str, value: bytes | None) -> None:
+        """Write as an operator does."""
+        self.put("op", [(key, value)])
+
+    def end(self, topic: str) -> int:
+        """Return the offset that the next record takes."""
+        return self._firsts.get(topic, 0) + len(self._records.get(topic, []))
+
+    def history(self, topic: str) -> list[Record]:
+        """Return every record kept."""
+        return list(self._records.get(topic, []))
+
+    def forget_history(self, topic: str) -> None:
+        """Keep only the newest record of each key, out of the readers' reach."""
+        newest = self.newest(topic)
+        self._firsts[topic] = self.end(topic)
+        self._records[topic] = []
+        self._kept[topic] = newest
+
+    def newest(self, topic: str) -> dict[str, Record]:
+        """Return the newest record of each key that has a value."""
+        found = dict(self._kept.get(topic, {}))
+        for record in self._records.get(topic, []):
+            if record.value is None:
+                found.pop(record.key, None)
+            else:
+                found[record.key] = record
+        return found
+
+    def read(self, topic: str, offset: int, wait: float) -> Page:
+        """Return records from ``offset`` on."""
+        if offset >= self.end(topic) and wait > 0:
+            waiter = self._waiters.setdefault(topic, Event())
+            with eventlet.Timeout(wait, False):
+                waiter.wait()
+        first = self._firsts.get(topic, 0)
+        if offset < first:
+            raise HistoryLostError(topic)
+        records = self._records.get(topic, [])[offset - first :][:READ_RECORDS]
+        return Page(tuple(records), offset + len(records))
+
+    def append(
+        self,
+        topic: str,
+        records: list[tuple[str, bytes | None]],
+        at: int | None,
+        writer: Writer | None,
+    ) -> Result[int, AppendError]:
+        """Append if the conditions hold."""
+        state = None
+        if writer is not None:
+            state = self._writers.setdefault((topic, writer.name), _WriterState())
+            if writer.epoch < state.epoch:
+                return Err(AppendError("fenced", False, fenced=True))
+            if writer.epoch == state.epoch:
+                if writer.sequence in state.answers:
+                    return Ok(state.answers[writer.sequence])
+                if writer.sequence != state.sequence + 1:
+                    return Err(AppendError("seq", False, fenced=True))
+        if at is not None and at != self.end(topic):
+            return Err(AppendError("elsewhere", False, end=self.end(topic)))
+        offset = self.put(topic, records)
+        if state is not None:
+            if writer.epoch > state.epoch:
+                state.answers.clear()
+            state.epoch, state.sequence = writer.epoch, writer.sequence
+            state.answers[writer.sequence] = offset
+            for old in sorted(state.answers)[:-REPEATS]:
+                del state.answers[old]
+        return Ok(offset)
+
+    def put(self, topic: str, records: list[tuple[str, bytes | None]]) -> int:
+        """Let records take effect; return the offset of the first."""
+        first = self.end(topic)
+        kept = self._records.setdefault(topic, [])
+        for number, (key, value) in enumerate(records):
+            kept.append(Record(first + number, key, value))
+        self.appends += 1
+        waiter = self._waiters.pop(topic, None)
+        if waiter is not None:
+            waiter.send(None)
+        return first
+
+    def join(self, group: str, member: str, ttl: float) -> Membership:
+        """Join or stay; partition 0 moves with each change of members."""
+        members = self._alive(group)
+        if member not in members:
+            self._generations[group] = self._generations.get(group, 0) + 1
+        members[member] = clock.now() + ttl
+        owners = self._owners(group)
+        return Membership(self._generations[group], owners[0] == member)
+
+    def leave(self, group: str, member: str) -> None:
+        """Leave a group."""
+        self._groups.get(group, {}).pop(member, None)
+
+    def members(self, group: str) -> tuple[str, ...]:
+        """Return the owners of partitions."""
+        return tuple(dict.fromkeys(self._owners(group)))
+
+    def reshuffle(self) -> None:
+        """Deal all partitions anew."""
+        self._turn += 1
+
+    def _alive(self, group: str) -> dict[str, float]:
+        members = self._groups.setdefault(group, {})
+        for member, until in list(members.items()):
+            if until < clock.now() and not self.down:
+                del members[member]
+        return members
+
+    def _owners(self, group: str) -> list[str]:
+        members = sorted(self._alive(group))
+        if not members:
+            return []
+        owners = []
+        for part in range(PARTITIONS):
+            owners.append(members[(part + self._turn) % len(members)])
+        return owners
+
+
+class StoreLink:
+    """The store as one process reaches it; ``refused`` turns it away."""
+
+    def __init__(self, store: MemoryKeyedStore, process: MemoryProcess) -> None:
+        self._store = store
+        self._process = process
+        self.refused = False
+        self.silent = False
+
+    def snapshot(self, topic: str) -> Snapshot:
+        """Return the newest record of every key."""
+        records = tuple(self._call(lambda: self._store.newest(topic)).values())
+        return Snapshot(records, self._store.end(topic))
+
+    def read(self, topic: str, offset: int, wait: float) -> Page:
+        """Return records from ``offset`` on."""
+        return self._call(lambda: self._store.read(topic, offset, wait))
+
+    def append(
+        self,
+        topic: str,
+        records: list[tuple[str, bytes | None]],
+        at: int | None = None,
+        writer: Writer | None = None,
+        timeout: float = 1.0,
+    ) -> Result[int, AppendError]:
+        """Append, or say what is known of it."""
+        self._process.check()
+        store = self._store
+        clock.sleep(store.delay)
+        if self.refused:
+            return Err(AppendError("the store answered 503", False))
+        if store.down or self.silent:
+            clock.sleep(timeout)
+            return Err(AppendError("no answer", None))
+        if store.late_seconds:
+            eventlet.spawn_after(
+                store.late_seconds, store.append, topic, records, at, writer
+            )
+            clock.sleep(timeout)
+            return Err(AppendError("no answer", None))
+        outcome = store.append(topic, records, at, writer)
+        self._process.check()
+        if store.lose_answers:
+            clock.sleep(timeout)
+            return Err(AppendError("no answer", None))
+        return outcome
+
+    def join(self, group: str, member: str, generation: int, ttl: float) -> Membership:
+        """Join a group or stay in it."""
+        return self._call(lambda: self._store.join(group, member, ttl))
+
+    def leave(self, group: str, member: str) -> None:
+        """Leave a group."""
+        self._call(lambda: self._store.leave(group, member))
+
+    def members(self, group: str) -> tuple[str, ...]:
+        """Return the members of a group."""
+        return self._call(lambda: self._store.members(group))
+
+    def _call(self, act: Callable[[], Any]) -> Any:
+        self._process.check()
+        clock.sleep(self._store.delay)
+        if self.refused or self._store.down or self.silent:
+            raise StoreUnavailableError("the store doesn't answer")
+        found = act()
+        self._process.check()
+        if self._store.down or self.refused or self.silent:
+            raise StoreUnavailableError("the answer is lost")
+        return found
--- /dev/null
+++ b/tests/run_checks.py
@@ -0,0 +1,23 @@
+"""Checks on what workers saw: no task runs twice."""
+
+
+def assert_single_runs(history):
+    """No two runs of a task at once, and none after one that is done."""
+    tasks = {start.task for start in history.starts}
+    for task in tasks:
+        spans = sorted(history.spans(task))
+        for earlier, later in zip(spans, spans[1:], strict=False):
+            assert later[0] >= earlier[1], f"{task} ran twice at once: {spans}"
+        done = [e.at for e in history.ends if e.task == task and e.how == "done"]
+        starts = [start.at for start in history.starts if start.task == task]
+        assert len(done) <= 1, f"{task} was done twice"
+        if done:
+            assert max(starts) <= done[0], f"{task} started after it was done"
+
+
+def assert_runs_numbered(history):
+    """Run numbers of a task only rise."""
+    numbers = {}
+    for start in history.starts:
+        assert start.run > numbers.get(start.task, 0), start
+        numbers[start.task] = start.run
--- /dev/null
+++ b/tests/test_control_site.py
@@ -0,0 +1,339 @@
+import pytest
+
+from sequoiachute import clock
+from sequoiachute.coordination.intake import ACCEPTED, REFUSED, UNKNOWN
+from sequoiachute.protocol.workload import COMPLETE, FAILED
+from standins.control_site import URGENT, ControlSite
+from tests.run_checks import assert_runs_numbered, assert_single_runs
+
+pytestmark = pytest.mark.usefixtures("paused_clock")
+
+LEASE_LOST_SECONDS = 10.0  # 9 s on a clock that may be 2 % slow, and a margin
+TAKEOVER_SECONDS = 3.5  # the group's time to live, one join and one claim
+
+
+def complete(site, jobs, seconds):
+    """Wait until all jobs are complete and check what the workers saw."""
+    until = clock.now() + seconds
+    alive = [i for i, e in enumerate(site.entries) if not e.process.killed]
+    while clock.now() < until:
+        site.run_for(0.1)
+        if all(site.state(job, alive[0]) == COMPLETE for job in jobs):
+            break
+    assert [site.state(job, alive[0]) for job in jobs] == [COMPLETE] * len(jobs)
+    assert_single_runs(site.history)
+    assert_runs_numbered(site.history)
+
+
+def accepted(site, *args, **kwargs):
+    job, outcome = site.submit(*args, **kwargs)
+    assert outcome.kind == ACCEPTED, outcome
+    return job
+
+
+def test_job_runs_and_every_entry_shows_it():
+    site = ControlSite()
+    jobs = [accepted(site, 1.0, count=3, entry=n) for n in range(3)]
+    site.run_for(0.3)
+    assert len(site.history.starts) == 9
+    complete(site, jobs, 3)
+    for entry in range(3):
+        assert [site.state(job, entry) for job in jobs] == [COMPLETE] * 3
+
+
+def test_steps_run_in_order():
+    site = ControlSite()
+    job = accepted(site, 0.5)
+    complete(site, [job], 3)
+    assert site.state(job) == COMPLETE
+
+
+def test_repeat_of_a_job_is_one_job():
+    site = ControlSite()
+    job = accepted(site, 1.0)
+    for entry in range(3):
+        assert accepted(site, 1.0, entry=entry, job_id=job) == job
+    complete(site, [job], 3)
+    assert len(site.history.starts) == 1
+
+
+def test_death_of_the_placer_is_borne():
+    site = ControlSite()
+    jobs = [accepted(site, 4.0, count=4), accepted(site, 2.0, count=8)]
+    site.run_for(0.5)
+    placer = site.placer()
+    site.kill_entry(placer)
+    site.run_for(TAKEOVER_SECONDS)
+    assert site.placer() not in (-1, placer)
+    complete(site, jobs, 10)
+    assert len(site.history.starts) == 12
+
+
+def test_death_of_every_entry_is_borne():
+    site = ControlSite()
+    jobs = [accepted(site, 3.0, count=4)]
+    site.run_for(0.5)
+    for entry in range(3):
+        site.kill_entry(entry)
+    site.run_for(1)
+    for entry in range(3):
+        site.restart_entry(entry)
+    site.run_for(TAKEOVER_SECONDS)
+    complete(site, jobs, 10)
+    assert len(site.history.starts) == 4
+
+
+def test_death_of_an_agent_stops_nothing():
+    site = ControlSite(workers=2)
+    job = accepted(site, 5.0, count=4)
+    site.run_for(0.5)
+    site.kill_agent(0)
+    site.run_for(2)
+    site.restart_agent(0)
+    complete(site, [job], 8)
+    assert len(site.history.starts) == 4
+
+
+def test_crash_of_a_worker_starts_its_runs_elsewhere():
+    site = ControlSite(workers=2)
+    job = accepted(site, 2.0, count=4)
+    site.run_for(0.5)
+    site.workers[0].begin_life()
+    complete(site, [job], 6)
+
+
+def test_silent_agent_is_given_up_once_its_leases_have_run_out():
+    site = ControlSite(workers=2)
+    job = accepted(site, 20.0, count=4)
+    site.run_for(0.5)
+    site.kill_agent(0)
+    site.run_for(LEASE_LOST_SECONDS - 2)
+    assert len(site.history.starts) == 4
+    site.run_for(4)
+    assert len(site.history.starts) > 4
+    complete(site, [job], 40)
+
+
+def test_outage_of_the_store_stops_nothing_that_runs():
+    site = ControlSite()
+    job = accepted(site, 9.0, count=6)
+    site.run_for(0.5)
+    site.store.down = True
+    site.run_for(8)
+    assert site.submit(1.0, wait=1.0)[1].kind == UNKNOWN
+    site.store.down = False
+    complete(site, [job], 6)
+    assert len(site.history.starts) == 6
+
+
+def test_refused_job_never_runs():
+    site = ControlSite(entries=1)
+    site.entries[0].store.refused = True
+    job, outcome = site.submit(1.0)
+    assert (outcome.kind, outcome.retry_after) == (REFUSED, 1.0)
+    site.entries[0].store.refused = False
+    site.run_for(5)
+    assert site.state(job) == ""
+    assert not site.history.starts
+
+
+def test_entry_that_the_store_turns_away_is_served_by_its_peers():
+    site = ControlSite()
+    other = (site.placer() + 1) % 3
+    site.entries[other].store.refused = True
+    site.run_for(1)
+    job = accepted(site, 1.0, entry=other)
+    complete(site, [job], 4)
+    assert site.state(job, other) == COMPLETE
+
+
+@pytest.mark.parametrize("fault", ["refused", "silent"])
+def test_placer_that_the_store_turns_away_is_followed_by_another(fault):
+    site = ControlSite()
+    jobs = [accepted(site, 4.0, count=6)]
+    site.run_for(0.5)
+    placer = site.placer()
+    setattr(site.entries[placer].store, fault, True)
+    site.run_for(TAKEOVER_SECONDS)
+    jobs.append(accepted(site, 1.0, count=4, entry=(placer + 1) % 3))
+    complete(site, jobs, 8)
+    assert site.placer() != placer
+
+
+def test_partitions_dealt_anew_change_no_placer():
+    site = ControlSite()
+    placer = site.placer()
+    for _ in range(4):
+        site.store.reshuffle()
+        site.run_for(0.7)
+    assert site.placer() == placer
+
+
+def test_lost_answers_of_the_store_double_nothing():
+    site = ControlSite()
+    jobs = [accepted(site, 2.0, count=3)]
+    site.store.lose_answers = True
+    job, outcome = site.submit(1.0, count=2, wait=2.0)
+    assert outcome.kind == UNKNOWN
+    site.run_for(3)
+    site.store.lose_answers = False
+    assert accepted(site, 1.0, count=2, job_id=job) == job
+    complete(site, [*jobs, job], 8)
+    assert len(site.history.starts) == 5
+
+
+@pytest.mark.parametrize("seconds", [1.0, 3.0])
+def test_late_appends_double_nothing(seconds):
+    site = ControlSite()
+    jobs = [accepted(site, 6.0, count=3)]
+    site.run_for(0.3)
+    site.store.late_seconds = seconds
+    site.run_for(1.5)
+    site.kill_entry(site.placer())
+    site.run_for(0.5)
+    site.store.late_seconds = 0.0
+    complete(site, jobs, 20)
+
+
+def test_orders_without_answers_double_nothing():
+    site = ControlSite()
+    for worker in site.workers:
+        worker.lose_answers = True
+    jobs = [accepted(site, 2.0, count=8)]
+    site.run_for(1)
+    for worker in site.workers:
+        worker.lose_answers = False
+    complete(site, jobs, 8)
+    assert len(site.history.starts) == 8
+
+
+def test_orders_carried_out_late_double_nothing():
+    site = ControlSite()
+    for worker in site.workers:
+        worker.late_seconds = 3.0
+    jobs = [accepted(site, 4.0, count=8)]
+    site.run_for(1)
+    for worker in site.workers:
+        worker.late_seconds = 0.0
+    site.run_for(2)
+    site.kill_entry(site.placer())
+    complete(site, jobs, 16)
+
+
+def test_cancelled_job_is_stopped_and_stays_so():
+    site = ControlSite()
+    job = accepted(site, 30.0, count=4)
+    site.run_for(0.5)
+    for entry in range(3):
+        outcome = site.entries[entry].control.intake.cancel(
+            job, "brocach", clock.now() + 2
+        )
+        assert outcome.kind == ACCEPTED
+    site.run_for(1)
+    assert {end.how for end in site.history.ends} == {"stopped"}
+    site.kill_entry(site.placer())
+    site.run_for(8)
+    assert len(site.history.starts) == 4
+
+
+def test_late_start_of_a_cancelled_job_is_stopped():
+    site = ControlSite(workers=1)
+    site.workers[0].late_seconds = 2.0
+    job = accepted(site, 30.0)
+    site.run_for(0.2)
+    site.entries[0].control.intake.cancel(job, "brocach", clock.now() + 2)
+    site.workers[0].late_seconds = 0.0
+    site.run_for(6)
+    running = [run for worker in site.workers for run in worker.view().runs]
+    assert not running
+
+
+def test_job_that_fails_everywhere_is_shown_as_failed():
+    site = ControlSite()
+    for worker in site.workers:
+        worker.fails = True
+    job = accepted(site, 5.0)
+    site.run_for(25)
+    assert site.state(job) == FAILED
+    assert len(site.history.starts) == 3
+
+
+def test_worker_that_fails_everything_costs_a_job_one_attempt():
+    site = ControlSite(workers=3)
+    site.workers[0].fails = True
+    jobs = [accepted(site, 0.5, count=6) for _ in range(4)]
+    complete(site, jobs, 20)
+
+
+def test_nothing_starts_in_a_zone_out_of_service():
+    site = ControlSite(workers=2)
+    site.workers[0].zone = "muc-2"
+    site.run_for(1)
+    site.store.publish("evacuate/muc-1", b"{}")
+    site.run_for(0.2)
+    job = accepted(site, 0.5, count=8)
+    complete(site, [job], 6)
+    assert {start.worker_id for start in site.history.starts} == {"worker-0-1"}
+    site.store.publish("evacuate/muc-1", None)
+    job = accepted(site, 0.5, count=8)
+    complete(site, [job], 6)
+    assert len({start.worker_id for start in site.history.starts}) == 2
+
+
+def test_worker_that_leaves_gets_nothing_and_is_emptied():
+    site = ControlSite(workers=2)
+    job = accepted(site, 6.0, count=8)
+    site.run_for(0.5)
+    site.workers[0].leaving_seconds = 2.0
+    site.run_for(1.5)
+    assert not site.workers[0].view().runs
+    complete(site, [job], 20)
+
+
+def test_urgent_work_takes_the_room_of_other_work():
+    site = ControlSite(workers=2)
+    batch = accepted(site, 10.0, count=8)
+    site.run_for(1)
+    urgent = accepted(site, 1.0, count=4, queue=URGENT)
+    site.run_for(2.2)
+    assert site.state(urgent) == COMPLETE
+    complete(site, [batch], 30)
+
+
+def test_deposed_placer_gives_no_leases_that_outlive_its_successors_patience():
+    site = ControlSite(workers=2)
+    job = accepted(site, 60.0, count=8)
+    site.run_for(0.5)
+    old = site.placer()
+    # The old placer alone hears agent 0.
+    site.entries[old].store.silent = True
+    for index in {0, 1, 2} - {old}:
+        other = site.entries[index].address
+        site.network.cut.add((site.agents[0].address, other))
+        site.network.cut.add((other, site.entries[old].address))
+        site.network.cut.add((site.entries[old].address, other))
+    site.run_for(40)
+    site.network.cut.clear()
+    site.entries[old].store.silent = False
+    complete(site, [job], 120)
+
+
+def test_history_that_the_store_forgets_loses_nothing():
+    site = ControlSite()
+    jobs = [accepted(site, 3.0, count=4)]
+    site.run_for(0.5)
+    for topic in ("jobs", "runs", "op"):
+        site.store.forget_history(topic)
+    jobs.append(accepted(site, 1.0, count=2, entry=1))
+    site.kill_entry(site.placer())
+    complete(site, jobs, 15)
+
+
+def test_ends_that_nobody_acknowledges_cost_few_looks():
+    site = ControlSite(workers=1)
+    accepted(site, 1.0)
+    site.run_for(0.5)
+    site.store.down = True
+    before = site.workers[0].looks
+    site.run_for(5)
+    assert site.workers[0].looks - before <= 60
--- /dev/null
+++ b/tests/test_run_checks.py
@@ -0,0 +1,45 @@
+import pytest
+
+from standins.task_worker import EndRecord, History, StartRecord
+from tests.run_checks import assert_runs_numbered, assert_single_runs
+
+
+def history_of(*records):
+    history = History()
+    for record in records:
+        kept = history.starts if isinstance(record, StartRecord) else history.ends
+        kept.append(record)
+    return history
+
+
+def start(at, run, worker="w-1"):
+    return StartRecord(at, "t.0.0.0", run, worker)
+
+
+def end(at, run, how="done", worker="w-1"):
+    return EndRecord(at, "t.0.0.0", run, how, worker)
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        (start(1, 1), start(2, 2, "w-2"), end(3, 1), end(4, 2, "stopped", "w-2")),
+        (start(1, 1), start(2, 2, "w-2")),
+        (start(1, 1), end(2, 1), start(3, 2), end(4, 2, "stopped")),
+        (start(1, 1), end(2, 1), start(3, 2), end(4, 2)),
+    ],
+)
+def test_doubled_runs_are_flagged(bad):
+    with pytest.raises(AssertionError):
+        assert_single_runs(history_of(*bad))
+
+
+def test_one_run_after_another_is_sound():
+    history = history_of(start(1, 1), end(2, 1, "stopped"), start(2, 2), end(3, 2))
+    assert_single_runs(history)
+    assert_runs_numbered(history)
+
+
+def test_number_used_twice_is_flagged():
+    with pytest.raises(AssertionError):
+        assert_runs_numbered(history_of(start(1, 1), end(2, 1, "lapsed"), start(3, 1)))
