--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -61,9 +61,13 @@
         return clock.elapsed() - self.heard_at
 
     def take(self, report: Report, term: int) -> bool:
-        """Take a report; return whether it is the newest."""
+        """Take a report; return whether it may change a decision.
+
+        An older report than the last one changes nothing.
+        """
         if report.incarnation == self.incarnation and report.sequence < self.sequence:
             return False
+        before = self._facts()
         self.incarnation = report.incarnation
         self.sequence = report.sequence
         self.heard_at = clock.elapsed()
@@ -76,7 +80,13 @@
         self.runs = {(run.task, run.run): run for run in report.runs}
         self.ends = report.ends
         self.settled = report.settled
-        return True
+        return self._facts() != before
+
+    def _facts(self) -> tuple:
+        worker = self.worker
+        leaving = worker is not None and worker.leaving
+        life = (self.life, leaving, self.is_fenced, len(self.gone))
+        return (life, self.runs.keys(), self.ends, self.settled)
 
     def _take_worker(self, worker: WorkerInfo | None) -> None:
         if worker is None:
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -157,12 +157,13 @@
     # Reporting to the placer.
 
     def _report_for_ever(self) -> None:
-        """Report on news and at least once in each interval."""
+        """Report news at once; the listening task reports in each interval."""
         while True:
             news = self._news
-            self._report(wait=0.0)
-            with eventlet.Timeout(REPORT_SECONDS, False):
-                news.wait()
+            if not self._report(wait=0.0):
+                clock.sleep(SEARCH_SECONDS)
+                continue
+            news.wait()
 
     def _listen_for_ever(self) -> None:
         """Keep one report waiting at the placer, so that orders come at once."""
@@ -182,6 +183,7 @@
                 reason = outcome.unwrap_err().reason
                 logger.bind(entry=address, reason=reason).warning("placer lost")
                 self._leader = ""
+                self._notify()
             return False
         return self._take_orders(address, outcome.unwrap())
 
@@ -216,11 +218,11 @@
     def _take_orders(self, address: str, orders: Orders) -> bool:
         if orders.entries:
             self._entries = orders.entries
-        if orders.term < self._term:
-            self._leader = "" if self._leader == address else self._leader
-            return False
-        if not orders.leading:
-            self._leader = orders.leader if orders.leader != address else ""
+        if orders.term < self._term or not orders.leading:
+            known = orders.leader if orders.term >= self._term else ""
+            if self._leader in ("", address):
+                self._leader = known if known != address else ""
+                self._notify()
             return False
         if orders.term > self._term:
             logger.bind(term=orders.term, entry=address).info("placer followed")
