--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -54,7 +54,7 @@
         log = logger.bind(job=job.job_id, account=job.account, queue=job.queue)
         tasks = sum(step.count for step in job.steps)
         log = log.bind(steps=len(job.steps), tasks=tasks, view=self._follower.next)
-        log = log.bind(occurrences=job.occurrences, lasts=job.lasts)
+        log = log.bind(occurrences=job.occurrences, shapes=_shapes(job))
         log.bind(outcome=outcome.kind, reason=outcome.reason).info("job submitted")
         return outcome
 
@@ -115,3 +115,17 @@
                 return Outcome(REFUSED, error.reason, RETRY_AFTER_SECONDS)
             may_exist = True
             clock.sleep(RETRY_SECONDS)
+
+
+def _shapes(job: JobSpec) -> list[str]:
+    """Return a short text for each step: what it needs and where it may run."""
+    texts = []
+    for step in job.steps:
+        need = ",".join(str(amount) for amount in step.need)
+        words = [f"{step.count}x{need}", f"{step.estimate_seconds:g}s"]
+        for name in ("gang", "same_rack", "checkpoints", "lasting", "filling"):
+            if getattr(step, name):
+                words.append(name)
+        words.extend(text for text in (step.label, step.data_rack) if text)
+        texts.append(" ".join(words))
+    return texts
--- a/src/sequoiachute/coordination/scheduling/rescue.py
+++ b/src/sequoiachute/coordination/scheduling/rescue.py
@@ -8,11 +8,11 @@
 
 from sequoiachute.coordination.scheduling.layout import best_layout, layout_slowdown
 from sequoiachute.coordination.scheduling.model import Host, Running, Stop, Unit
-from sequoiachute.coordination.scheduling.space import Space
+from sequoiachute.coordination.scheduling.space import Space, slowdown
 
-SLOW_SPEED = 0.5  # sound workers differ by 0.6 to 1.6
 RESTART_SECONDS = 0.6  # stopping, recording and starting again
-DOUBT_FACTOR = 1.3  # estimates are off
+DOUBT_FACTOR = 1.2  # the other worker's speed is a guess too
+LEAST_GAIN = 0.7  # of the time left here, at most, that the move may take
 
 Group = list[tuple[Host, Running]]
 
@@ -30,13 +30,9 @@
 
 
 def _is_slow(group: Group) -> bool:
-    """Return whether a run stands still, or an urgent one is on a slow worker."""
-    if _is_stalled(group):
-        return True
-    for host, run in group:
-        if run.priority == 0 and run.measured and host.speed < SLOW_SPEED:
-            return True
-    return False
+    """Return whether a run stands still, or urgent work can be told to be slow."""
+    urgent = all(run.priority == 0 and run.measured for _, run in group)
+    return urgent or _is_stalled(group)
 
 
 def _is_stalled(group: Group) -> bool:
@@ -71,9 +67,11 @@
         space.take(host, run.need)
     if layout is None:
         return False
-    again = RESTART_SECONDS + _work_left(first) * layout_slowdown(unit, layout)
-    in_time = now + DOUBT_FACTOR * again + first.rest_seconds <= first.deadline
-    if not in_time and not _is_stalled(group):
+    work = max(_work_left(host, run) for host, run in group)
+    again = RESTART_SECONDS + DOUBT_FACTOR * work * layout_slowdown(unit, layout)
+    in_time = now + again + first.rest_seconds <= first.deadline
+    worthwhile = in_time and again <= LEAST_GAIN * left
+    if not worthwhile and not _is_stalled(group):
         return False
     for host, count in layout:
         for _ in range(count):
@@ -81,12 +79,17 @@
     return True
 
 
-def _work_left(run: Running) -> float:
-    """Return declared seconds of work from the newest checkpoint on."""
-    estimate = run.step.estimate_seconds
-    if run.step.checkpoints:
-        return estimate * (100 - run.percent) / 100
-    return estimate
+def _work_left(host: Host, run: Running) -> float:
+    """Return seconds of work on the typical worker if the run starts again.
+
+    The run's progress tells how long it takes here, the worker's speed, learned
+    from other runs too, how much of that is the worker's doing.
+    """
+    if run.stalled:
+        return run.step.estimate_seconds
+    share_left = max(0.01, 1 - run.percent / 100)
+    whole = run.left_seconds / share_left / slowdown(run.step, host)
+    return whole * share_left if run.step.checkpoints else whole
 
 
 def _as_unit(group: Group) -> Unit:
