Refuse at once while the store is known to be out of reach

An entry that neither the store nor a peer has answered for 0.8 s refuses at once with the time to come back, and asks the balancer for no callers. Ruled out: slow appends (the store answered others in 4 ms).

--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -78,9 +78,16 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether callers can be served."""
+        """Whether the balancer should send callers here."""
+        if self._ended or self._store.is_unreachable:
+            return False
+        return self.can_serve
+
+    @property
+    def can_serve(self) -> bool:
+        """Whether a request that comes all the same can be answered."""
         caught_up = self._jobs.is_caught_up and self._runs.is_caught_up
-        return caught_up and self.operations.version > 0 and not self._ended
+        return caught_up and self.operations.version > 0
 
     @property
     def is_leading(self) -> bool:
--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -6,10 +6,10 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.store.follower import Follower
+from sequoiachute.coordination.store.relay import RelayedStore
 from sequoiachute.protocol.stored import Record
 from sequoiachute.protocol.workload import JobSpec, encode
 from sequoiachute.state.ledger import CANCEL_PREFIX, JOB_PREFIX, Ledger
-from sequoiachute.transport.store import KeyedStore
 
 ATTEMPT_SECONDS = 0.7  # one append; the store answers in some ms
 MARGIN_SECONDS = 0.25  # for the answer's way back to the caller
@@ -38,7 +38,7 @@
     """Writes jobs and cancels; the content is the same whoever writes it."""
 
     def __init__(
-        self, topic: str, store: KeyedStore, ledger: Ledger, follower: Follower
+        self, topic: str, store: RelayedStore, ledger: Ledger, follower: Follower
     ) -> None:
         self._topic = topic
         self._store = store
@@ -98,6 +98,8 @@
 
         The content is the same each time, so that a late copy changes nothing.
         """
+        if self._store.is_unreachable:
+            return Outcome(REFUSED, "the store can't be reached", RETRY_AFTER_SECONDS)
         may_exist = False
         while True:
             left = deadline - MARGIN_SECONDS - clock.now()
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -23,6 +23,7 @@
 
 AVOID_SECONDS = 1.0  # peers go first for so long after the store failed this entry
 CALL_SECONDS = 0.5  # a peer's call beyond what the store may wait
+UNREACHABLE_SECONDS = 0.8  # one read and one relayed read have failed meanwhile
 NO_OFFSET = -1
 LOST_OFFSET = -2  # the reply's offset where the history is lost
 
@@ -83,6 +84,13 @@
         self._peers = peers
         self._avoid_until = float("-inf")
         self._turn = 0
+        self._failing_since: float | None = None
+
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether neither the store nor a peer has answered for a while."""
+        since = self._failing_since
+        return since is not None and clock.now() - since > UNREACHABLE_SECONDS
 
     def handlers(self) -> dict[Method, Callable]:
         """Return what peers may ask; their calls are never passed on."""
@@ -110,6 +118,18 @@
         The same record twice changes nothing: it has one writer, or the same
         content whoever writes it.
         """
+        outcome = self._append(topic, records, at, writer, timeout)
+        self._note(outcome.is_ok() or _is_verdict(outcome.unwrap_err()))
+        return outcome
+
+    def _append(
+        self,
+        topic: str,
+        records: list[tuple[str, bytes | None]],
+        at: int | None,
+        writer: Writer | None,
+        timeout: float,
+    ) -> Result[int, AppendError]:
         deadline = clock.now() + timeout
         query = AppendQuery(topic, tuple(records), at, writer, timeout)
         if clock.now() < self._avoid_until:
@@ -144,6 +164,12 @@
         """Return the members of a group."""
         return self._store.members(group)
 
+    def _note(self, answered: bool) -> None:
+        if answered:
+            self._failing_since = None
+        elif self._failing_since is None:
+            self._failing_since = clock.now()
+
     def _avoid(self) -> None:
         if clock.now() >= self._avoid_until + AVOID_SECONDS:
             logger.bind(peers=len(self._peers())).info("asking peers for the store")
@@ -153,15 +179,19 @@
         if clock.now() < self._avoid_until:
             relayed = self._relay_read(ReadQuery(topic, offset, wait))
             if relayed is not None:
+                self._note(True)
                 return relayed
         try:
-            return _read_directly(self._store, topic, offset, wait)
+            page = _read_directly(self._store, topic, offset, wait)
         except StoreUnavailableError:
             self._avoid()
             relayed = self._relay_read(ReadQuery(topic, offset, 0.0))
+            self._note(relayed is not None)
             if relayed is None:
                 raise
             return relayed
+        self._note(True)
+        return page
 
     def _relay_read(self, query: ReadQuery) -> Page | None:
         reply = self._ask(READ, query, query.wait)
--- a/src/sequoiachute/platform/jobs.py
+++ b/src/sequoiachute/platform/jobs.py
@@ -69,7 +69,7 @@
 
     def _serve(self, environ: dict[str, Any]) -> Reply:
         operations = self._control.operations
-        if not self._control.is_ready:
+        if not self._control.can_serve:
             return Reply(503, {"error": "starting"}, RETRY_AFTER_SECONDS)
         path = environ.get("PATH_INFO", "")
         host = environ.get("HTTP_HOST", "").partition(":")[0]
