--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -20,6 +20,7 @@
     Report,
 )
 from sequoiachute.state.ledger import Ledger
+from sequoiachute.state.metrics import Metrics
 from sequoiachute.state.operations import Operations
 from sequoiachute.transport.ports import Caller
 from sequoiachute.transport.store import KeyedStore
@@ -57,7 +58,8 @@
         publish: Callable[[dict[str, bytes]], None],
     ) -> None:
         self._address = address
-        self._store = RelayedStore(store, caller, self._peers)
+        self.metrics = Metrics()
+        self._store = RelayedStore(store, caller, self._peers, self.metrics)
         store = self._store
         self._seeds = seeds
         self._publish = publish
@@ -68,13 +70,14 @@
         self._jobs = Follower(JOBS, store, self._apply_job)
         self._runs = Follower(RUNS, store, self._apply_run)
         self._op = Follower(PUBLISHED, store, self._take_published, self._replace)
-        self.intake = Intake(JOBS, store, self.ledger, self._jobs)
+        self.intake = Intake(JOBS, store, self.ledger, self._jobs, self.metrics)
         self._election = Election(
             member, address, RUNS, store, self.ledger, self._runs, self._lead
         )
         self._placer: Placer | None = None
         self._desk: Desk | None = None
         self._ended = False
+        self._add_gauges()
 
     @property
     def is_ready(self) -> bool:
@@ -100,6 +103,14 @@
             eventlet.spawn(follower.run)
         eventlet.spawn(self._election.run)
 
+    def _add_gauges(self) -> None:
+        metrics = self.metrics
+        metrics.gauge("leading", lambda: self.is_leading)
+        metrics.gauge("ready", lambda: self.is_ready)
+        metrics.gauge("jobs_live", lambda: sum(1 for _ in self.ledger.live()))
+        metrics.gauge("agents", lambda: len(self._desk.sessions) if self._desk else 0)
+        metrics.gauge("store_age_seconds", self._runs.age)
+
     def leave(self) -> None:
         """Let another entry place; go on serving callers."""
         self._ended = True
@@ -157,7 +168,9 @@
         if self._placer is not None:
             self._placer.end()
         desk = Desk(self.ledger, term, self._wake, self._runs.age)
-        placer = Placer(term, RUNS, self._store, self.ledger, self.operations, desk)
+        placer = Placer(
+            term, RUNS, self._store, self.ledger, self.operations, desk, self.metrics
+        )
         self._desk, self._placer = desk, placer
         eventlet.spawn(self._place, placer)
 
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -16,6 +16,7 @@
 from sequoiachute.protocol.supervision import DONE, RUN_FAILED
 from sequoiachute.protocol.workload import encode, parse_task_id
 from sequoiachute.state.ledger import SPEEDS_KEY, Ledger, encode_speeds
+from sequoiachute.state.metrics import Metrics
 from sequoiachute.state.operations import Operations
 from sequoiachute.transport.store import KeyedStore, Writer
 
@@ -51,7 +52,9 @@
         ledger: Ledger,
         operations: Operations,
         desk: Desk,
+        metrics: Metrics,
     ) -> None:
+        self._metrics = metrics
         self._term = term
         self._topic = topic
         self._store = store
@@ -104,7 +107,10 @@
         view = build_view(
             self._ledger, self._desk, self._operations, self._evidence, wall
         )
+        began = clock.now()
         decision = decide(view)
+        now = clock.now()
+        self._metrics.observe("decision_seconds", now - began, now)
         self._place(decision)
         self._keep_speeds()
         for session in self._desk.sessions.values():
@@ -138,6 +144,7 @@
             if task is None or task not in placed or placed[task].run != end.run:
                 continue
             self._evidence.forget_run(task, end.run)
+            self._metrics.count("runs_ended_total", how=end.how)
             if end.how == DONE:
                 self._evidence.note_success(session.life)
             elif end.how == RUN_FAILED:
@@ -150,6 +157,8 @@
             session = self._desk.sessions.get(stop.host)
             if session is not None:
                 session.stops[stop.task] = stop.run
+                reason = stop.reason.partition(" for ")[0]
+                self._metrics.count("runs_stopped_total", reason=reason)
                 if stop.moves:
                     self._evidence.moved.add(stop.task)
                 log = logger.bind(task=str(stop.task), run=stop.run, host=stop.host)
@@ -166,6 +175,9 @@
             state = draft.task(task)
             run = state.run + 1
             token = state.token
+            self._metrics.count("runs_placed_total")
+            if not draft.progress(task.job_id).tasks:
+                self._note_first_start(task.job_id)
             step = self._ledger.job(task.job_id).steps[task.step]
             if step.gang:
                 run = gang_runs[(task.job_id, task.occurrence, task.step)]
@@ -185,6 +197,11 @@
             log.bind(slack=round(placement.slack_seconds, 2)).info("placed")
         self._write(draft)
 
+    def _note_first_start(self, job_id: str) -> None:
+        waited = clock.wall_time() - self._ledger.job(job_id).accepted_at
+        now = clock.now()
+        self._metrics.observe("first_start_seconds", max(0.0, waited), now)
+
     def _keep_speeds(self) -> None:
         """Record learned speeds for the next placer, if they have changed."""
         if clock.now() < self._speeds_at + KEEP_SECONDS:
--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -1,10 +1,13 @@
 """Starting and stopping runs at the worker until their fate is known."""
 
+from collections.abc import Callable
+
 import eventlet
 from loguru import logger
 
 from sequoiachute import clock
 from sequoiachute.protocol.supervision import RunOrder, SettledStart
+from sequoiachute.state.metrics import Metrics
 from sequoiachute.transport.worker import ALREADY_RAN, TaskWorker, WorkerView
 
 RETRY_SECONDS = 0.05  # between two tries of a call that got no answer
@@ -17,8 +20,11 @@
     by a stop, after which the worker refuses it for good.
     """
 
-    def __init__(self, worker: TaskWorker, changed: object) -> None:
+    def __init__(
+        self, worker: TaskWorker, changed: Callable[[], None], metrics: Metrics
+    ) -> None:
         self._worker = worker
+        self._metrics = metrics
         self._changed = changed
         self.orders: dict[tuple[str, int], RunOrder] = {}
         self.settled: dict[tuple[str, int], SettledStart] = {}
@@ -85,11 +91,11 @@
             if self.term:
                 self._spawn(self._stop, key)
 
-    def _spawn(self, act: object, key: tuple[str, int]) -> None:
+    def _spawn(self, act: Callable, key: tuple[str, int]) -> None:
         self._busy.add(key)
         eventlet.spawn(self._run, act, key)
 
-    def _run(self, act: object, key: tuple[str, int]) -> None:
+    def _run(self, act: Callable, key: tuple[str, int]) -> None:
         try:
             act(key)
         finally:
@@ -122,6 +128,8 @@
                 self.term,
                 self.lease_ms,
             )
+            told = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
+            self._metrics.count("orders_total", kind="start", outcome=told)
             if outcome.is_ok():
                 self._asked.add(key)
                 logger.bind(task=key[0], run=key[1], term=self.term).info("started")
@@ -142,6 +150,8 @@
         worker_id = self.worker_id
         while worker_id == self.worker_id:
             outcome = self._worker.stop(worker_id, key[0], key[1], self.term)
+            told = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
+            self._metrics.count("orders_total", kind="stop", outcome=told)
             if outcome.is_ok():
                 self._stopped_at[key] = clock.now()
                 logger.bind(task=key[0], run=key[1], term=self.term).info("stop asked")
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -11,6 +11,7 @@
 from sequoiachute.coordination.hosting.runs import Runs
 from sequoiachute.protocol.supervision import REPORT, Orders, Report, WorkerInfo
 from sequoiachute.protocol.workload import Life
+from sequoiachute.state.metrics import Metrics
 from sequoiachute.transport.ports import Caller
 from sequoiachute.transport.worker import TaskWorker, WorkerView
 
@@ -45,6 +46,7 @@
     def __init__(
         self, host: str, worker: TaskWorker, caller: Caller, seeds: tuple[str, ...]
     ) -> None:
+        self.metrics = Metrics()
         self._host = host
         self._worker = worker
         self._caller = caller
@@ -63,7 +65,7 @@
         self._ack = 0
         self._closed = False
         self._news = Event()
-        self._runs = Runs(worker, self._notify)
+        self._runs = Runs(worker, self._notify, self.metrics)
 
     def run(self) -> None:
         """Look, report and obey, in tasks of their own."""
@@ -130,6 +132,8 @@
         lease_ms, ack = (self._runs.lease_ms, self._ack) if same else (0, 0)
         expected = heartbeat.info.life
         outcome = self._worker.look(expected, term, lease_ms, ack, LOOK_SECONDS)
+        told = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
+        self.metrics.count("looks_total", outcome=told)
         if outcome.is_err():
             return False
         view = outcome.unwrap()
@@ -182,6 +186,7 @@
             if self._leader == address:
                 reason = outcome.unwrap_err().reason
                 logger.bind(entry=address, reason=reason).warning("placer lost")
+                self.metrics.count("placer_lost_total")
                 self._leader = ""
                 self._notify()
             return False
--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -10,6 +10,7 @@
 from sequoiachute.protocol.stored import Record
 from sequoiachute.protocol.workload import JobSpec, encode
 from sequoiachute.state.ledger import CANCEL_PREFIX, JOB_PREFIX, Ledger
+from sequoiachute.state.metrics import Metrics
 
 ATTEMPT_SECONDS = 0.7  # one append; the store answers in some ms
 MARGIN_SECONDS = 0.25  # for the answer's way back to the caller
@@ -38,8 +39,14 @@
     """Writes jobs and cancels; the content is the same whoever writes it."""
 
     def __init__(
-        self, topic: str, store: RelayedStore, ledger: Ledger, follower: Follower
+        self,
+        topic: str,
+        store: RelayedStore,
+        ledger: Ledger,
+        follower: Follower,
+        metrics: Metrics,
     ) -> None:
+        self._metrics = metrics
         self._topic = topic
         self._store = store
         self._ledger = ledger
@@ -51,6 +58,7 @@
         if known is not None:
             return self._repeat(known, job)
         outcome = self._store_record(JOB_PREFIX + job.job_id, encode(job), deadline)
+        self._metrics.count("jobs_submitted_total", outcome=outcome.kind)
         log = logger.bind(job=job.job_id, account=job.account, queue=job.queue)
         tasks = sum(step.count for step in job.steps)
         log = log.bind(steps=len(job.steps), tasks=tasks, view=self._follower.next)
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -9,6 +9,7 @@
 from sequoiachute import clock
 from sequoiachute.protocol.messages import Method
 from sequoiachute.protocol.stored import Record
+from sequoiachute.state.metrics import Metrics
 from sequoiachute.transport.ports import Caller
 from sequoiachute.transport.store import (
     AppendError,
@@ -77,8 +78,13 @@
     """
 
     def __init__(
-        self, store: KeyedStore, caller: Caller, peers: Callable[[], tuple[str, ...]]
+        self,
+        store: KeyedStore,
+        caller: Caller,
+        peers: Callable[[], tuple[str, ...]],
+        metrics: Metrics,
     ) -> None:
+        self._metrics = metrics
         self._store = store
         self._caller = caller
         self._peers = peers
@@ -118,7 +124,12 @@
         The same record twice changes nothing: it has one writer, or the same
         content whoever writes it.
         """
+        began = clock.now()
         outcome = self._append(topic, records, at, writer, timeout)
+        now = clock.now()
+        self._metrics.observe("append_seconds", now - began, now, topic=topic)
+        told = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
+        self._metrics.count("appends_total", topic=topic, outcome=told)
         self._note(outcome.is_ok() or _is_verdict(outcome.unwrap_err()))
         return outcome
 
--- a/src/sequoiachute/http/metrics.py
+++ b/src/sequoiachute/http/metrics.py
@@ -4,30 +4,13 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.entry import Entry
+from sequoiachute.state.exposition import CONTENT_TYPE, format_samples
 from sequoiachute.state.jobs import QUEUED, RUNNING
-from sequoiachute.state.metrics import Metrics, Sample
-
-PREFIX = "sequoiachute_"
-CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+from sequoiachute.state.metrics import Metrics
 
 REQUESTS = "http_requests_total"
 REQUEST_SECONDS = "http_request_seconds"
 
-_HELP = {
-    REQUESTS: "HTTP requests by route, method and status.",
-    REQUEST_SECONDS: "Time to answer an HTTP request.",
-    "configuration_offset": "Offset of the configuration in force.",
-    "configuration_age_seconds": "Time since the configuration was confirmed.",
-    "jobs_queued": "Jobs that wait for accelerators.",
-    "jobs_running": "Jobs that run.",
-    "placer": "1 while this entry places jobs.",
-    "ready": "1 while the balancer may send requests here.",
-    "workers": "Workers heard of lately.",
-    "workers_leaving": "Workers that take nothing new.",
-    "accelerators": "Accelerators of the workers heard of lately.",
-    "accelerators_free": "Accelerators that no task holds.",
-}
-
 
 class MetricsResource:
     """Shows the metrics; they name no account, so that no key is needed."""
@@ -58,29 +41,6 @@
     return metrics
 
 
-def format_samples(samples: object) -> str:
-    """Return ``samples`` in the text exposition format, version 0.0.4."""
-    lines = []
-    last_name = ""
-    for sample in samples:
-        if sample.name != last_name:
-            last_name = sample.name
-            lines.append(f"# HELP {PREFIX}{last_name} {_HELP.get(last_name, '')}")
-            lines.append(f"# TYPE {PREFIX}{last_name} {sample.kind}")
-        lines.append(_format(sample))
-    return "\n".join(lines) + "\n"
-
-
-def _format(sample: Sample) -> str:
-    pairs = []
-    for name, value in sample.labels:
-        escaped = value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
-        pairs.append(f'{name}="{escaped}"')
-    labels = "{" + ",".join(pairs) + "}" if pairs else ""
-    value = "+Inf" if sample.value == float("inf") else f"{float(sample.value):.9g}"
-    return f"{PREFIX}{sample.name}{sample.suffix}{labels} {value}"
-
-
 def _leaving(entry: Entry) -> int:
     workers = entry.fleet.live(clock.now())
     return sum(worker.leaving for worker in workers)
--- a/src/sequoiachute/platform/processes.py
+++ b/src/sequoiachute/platform/processes.py
@@ -1,7 +1,6 @@
 """Running an entry or an agent on the platform."""
 
 import os
-import sys
 from collections.abc import Iterable
 from typing import Any
 from uuid import uuid4
@@ -13,6 +12,7 @@
 from sequoiachute.coordination.hosting.supervisor import Supervisor
 from sequoiachute.errors import SettingsError
 from sequoiachute.logs import configure_logging
+from sequoiachute.logstream import BoundedStream
 from sequoiachute.platform.heartbeats import HeartbeatsApp
 from sequoiachute.platform.jobs import JobsApp, Reply, StartResponse, write_reply
 from sequoiachute.platform.operator import put_in_force
@@ -21,11 +21,14 @@
 from sequoiachute.platform.worker import RpcWorker
 from sequoiachute.settings import LogSettings
 from sequoiachute.signals import StopSignals
+from sequoiachute.state.exposition import CONTENT_TYPE, format_samples
+from sequoiachute.state.metrics import Metrics
 from sequoiachute.state.operations import Operations
 from sequoiachute.status import ExitStatus
 from sequoiachute.transport.rpc import RpcPool, RpcServer
 from sequoiachute.transport.webserver import WebServer, split_address
 
+METRICS_PORT = 9464  # also in deploy/system.toml
 LEAVE_SECONDS = 2.5  # the balancer takes note after two misses, one second apart
 STOP_SECONDS = 2.5  # then what is in progress ends; within the 6 s of grace
 
@@ -51,6 +54,7 @@
     web.start()
     ready = WebServer(_ready_app(control), *split_address(settings.ready))
     ready.start()
+    _serve_metrics(control.metrics, settings)
     signals.wait()
     logger.bind(node=settings.name).info("stopping")
     control.leave()
@@ -70,6 +74,7 @@
     web = WebServer(HeartbeatsApp(supervisor), *split_address(settings.control))
     web.start()
     supervisor.run()
+    _serve_metrics(supervisor.metrics, settings)
     signals.wait()
     logger.bind(node=settings.name).info("stopped")
     return ExitStatus.OK
@@ -78,7 +83,7 @@
 def _begin(role: str, settings: ProcessSettings) -> StopSignals:
     signals = StopSignals()
     signals.install(reload=lambda: _note_reload(settings))
-    configure_logging(LogSettings(format="json"), stream=sys.stdout)
+    configure_logging(LogSettings(format="json"), stream=BoundedStream(1))
     log = logger.bind(node=settings.name, zone=settings.zone, pid=os.getpid())
     log.info("{} started", role)
     return signals
@@ -94,6 +99,18 @@
     logger.bind(node=settings.name, changed=changed).info("settings read again")
 
 
+def _serve_metrics(metrics: Metrics, settings: ProcessSettings) -> None:
+    def serve(
+        environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        body = format_samples(metrics.samples(clock.now())).encode()
+        headers = [("Content-Type", CONTENT_TYPE), ("Content-Length", str(len(body)))]
+        start_response("200 OK", headers)
+        return [body]
+
+    WebServer(serve, settings.ip, METRICS_PORT).start()
+
+
 def _ready_app(control: Control) -> Any:
     def serve(
         environ: dict[str, Any], start_response: StartResponse
