--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -5,7 +5,7 @@
 import eventlet
 from loguru import logger
 
-from sequoiachute.coordination.dispatch.placer import Placer
+from sequoiachute.coordination.dispatch.placer import Placer, Term
 from sequoiachute.coordination.dispatch.sessions import Desk
 from sequoiachute.coordination.intake import Intake
 from sequoiachute.coordination.store.election import Election
@@ -22,6 +22,7 @@
 from sequoiachute.state.ledger import Ledger
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.state.operations import Operations
+from sequoiachute.transport.machines import Advisor, Machines
 from sequoiachute.transport.ports import Caller
 from sequoiachute.transport.store import KeyedStore
 
@@ -45,6 +46,10 @@
         Other entries' addresses; they may be stale.
     publish : callable
         Takes the published records by key and puts them in force.
+    advisor : Advisor, optional
+        Asked where steps of an advised queue may run.
+    machines : Machines, optional
+        Takes workers' machines through their upkeep.
     """
 
     def __init__(
@@ -56,7 +61,12 @@
         seeds: tuple[str, ...],
         operations: Operations,
         publish: Callable[[dict[str, bytes]], None],
+        advisor: Advisor | None = None,
+        machines: Machines | None = None,
     ) -> None:
+        self._member = member
+        self._advisor = advisor
+        self._machines = machines
         self._address = address
         self.metrics = Metrics()
         self._store = RelayedStore(store, caller, self._peers, self.metrics)
@@ -169,7 +179,14 @@
             self._placer.end()
         desk = Desk(self.ledger, term, self._wake, self._runs.age)
         placer = Placer(
-            term, RUNS, self._store, self.ledger, self.operations, desk, self.metrics
+            Term(term, RUNS, self._member),
+            self._store,
+            self.ledger,
+            self.operations,
+            desk,
+            self.metrics,
+            self._advisor,
+            self._machines,
         )
         self._desk, self._placer = desk, placer
         eventlet.spawn(self._place, placer)
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -1,13 +1,17 @@
 """The placer's loop: settle what was heard, decide, record, then order."""
 
+from typing import NamedTuple
+
 import eventlet
 from eventlet.event import Event
 from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.dispatch.advice import Advisory
 from sequoiachute.coordination.dispatch.evidence import Evidence
 from sequoiachute.coordination.dispatch.sessions import Desk, Session
 from sequoiachute.coordination.dispatch.settlement import Draft, Settlement
+from sequoiachute.coordination.dispatch.upkeep import Upkeep, encode_wave
 from sequoiachute.coordination.dispatch.views import build_view
 from sequoiachute.coordination.scheduling import Decision, decide
 from sequoiachute.coordination.scheduling.space import FAR_FACTOR
@@ -15,9 +19,15 @@
 from sequoiachute.protocol.stored import Record
 from sequoiachute.protocol.supervision import DONE, RUN_FAILED
 from sequoiachute.protocol.workload import encode, parse_task_id
-from sequoiachute.state.ledger import SPEEDS_KEY, Ledger, encode_speeds
+from sequoiachute.state.ledger import (
+    SPEEDS_KEY,
+    WAVE_PREFIX,
+    Ledger,
+    encode_speeds,
+)
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.state.operations import Operations
+from sequoiachute.transport.machines import Advisor, Machines
 from sequoiachute.transport.store import KeyedStore, Writer
 
 TICK_SECONDS = 0.25  # a look at silences and due times when nothing is heard
@@ -29,6 +39,14 @@
 RECORDS_PER_APPEND = 200
 
 
+class Term(NamedTuple):
+    """One entry's time as the placer, and the topic that only it writes."""
+
+    number: int
+    topic: str
+    member: str
+
+
 class DeposedError(Exception):
     """Another entry has become the placer."""
 
@@ -38,29 +56,31 @@
 
     Parameters
     ----------
-    topic : str
-        Topic that only the placer writes.
+    identity : Term
     desk : Desk
         Sessions of the agents.
     """
 
     def __init__(
         self,
-        term: int,
-        topic: str,
+        identity: Term,
         store: KeyedStore,
         ledger: Ledger,
         operations: Operations,
         desk: Desk,
         metrics: Metrics,
+        advisor: Advisor | None,
+        machines: Machines | None,
     ) -> None:
         self._metrics = metrics
-        self._term = term
-        self._topic = topic
+        self._term = identity.number
+        self._topic = identity.topic
         self._store = store
         self._ledger = ledger
         self._operations = operations
         self._desk = desk
+        self._advisory = Advisory(advisor, self.wake)
+        self._upkeep = Upkeep(machines, identity.member, ledger, desk, operations)
         self._settlement = Settlement(ledger, desk)
         self._evidence = Evidence(ledger.speeds)
         self._sequence = 0
@@ -105,7 +125,12 @@
         self._write(draft)
         wall = clock.wall_time()
         view = build_view(
-            self._ledger, self._desk, self._operations, self._evidence, wall
+            self._ledger,
+            self._desk,
+            self._operations,
+            self._evidence,
+            self._advisory,
+            wall,
         )
         began = clock.now()
         decision = decide(view)
@@ -113,6 +138,7 @@
         self._metrics.observe("decision_seconds", now - began, now)
         self._place(decision)
         self._keep_speeds()
+        self._keep_waves()
         for session in self._desk.sessions.values():
             session.refresh(self._ledger)
 
@@ -188,6 +214,9 @@
                     run=run, host=placement.host, life=placement.life, token=token
                 ),
             )
+            if placement.ticket:
+                session = self._desk.sessions[placement.host]
+                session.tickets[(task, run)] = placement.ticket
             log = logger.bind(task=str(task), run=run, host=placement.host)
             log = log.bind(life=placement.life.worker_id, term=self._term)
             log = log.bind(expected=round(placement.expected_seconds, 2))
@@ -197,6 +226,13 @@
             log.bind(slack=round(placement.slack_seconds, 2)).info("placed")
         self._write(draft)
 
+    def _keep_waves(self) -> None:
+        records = []
+        for number, progress in self._upkeep.look().items():
+            records.append((f"{WAVE_PREFIX}{number}", encode_wave(progress)))
+        if records:
+            self._append(records)
+
     def _note_first_start(self, job_id: str) -> None:
         waited = clock.wall_time() - self._ledger.job(job_id).accepted_at
         now = clock.now()
--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -27,7 +27,10 @@
 
 
 class Session:
-    """One agent as the placer knows it; ``heard_at`` counts suspensions."""
+    """One agent as the placer knows it; ``heard_at`` counts suspensions.
+
+    A worker in ``reserved_life`` waits for its upkeep and gets nothing new.
+    """
 
     def __init__(self, host: str) -> None:
         self.host = host
@@ -46,6 +49,7 @@
         self.stops: dict[TaskId, int] = {}
         self.tickets: dict[tuple[TaskId, int], str] = {}
         self.closed = False
+        self.reserved_life: Life | None = None
         self.version = 1
         self._sent: tuple[RunOrder, ...] = ()
         self._sent_ack = 0
@@ -107,9 +111,18 @@
             payload = job.payload if job is not None else ""
             if (str(task), state.run) in self.runs:
                 payload = ""
-            ticket = self.tickets.get((task, state.run), "")
+            step = job.steps[task.step] if job is not None else None
             found.append(
-                RunOrder(str(task), state.run, payload, state.token, ticket, stop)
+                RunOrder(
+                    task=str(task),
+                    run=state.run,
+                    payload=payload,
+                    token=state.token,
+                    ticket=self.tickets.get((task, state.run), ""),
+                    stop=stop,
+                    target_ms=step.latency_target_ms if step is not None else 0,
+                    filling=step is not None and step.filling,
+                )
             )
         return tuple(found)
 
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -1,10 +1,12 @@
 """The scheduler's view of jobs and workers, from ledger, reports and evidence."""
 
 from sequoiachute import clock
+from sequoiachute.coordination.dispatch.advice import Advisory
 from sequoiachute.coordination.dispatch.evidence import SAVE_SECONDS, Evidence
 from sequoiachute.coordination.dispatch.sessions import FRESH_SECONDS, Desk, Session
 from sequoiachute.coordination.scheduling import Host, Running, Unit, View
 from sequoiachute.coordination.scheduling.policy import URGENT_PRIORITY
+from sequoiachute.coordination.scheduling.space import may_run
 from sequoiachute.protocol.workload import (
     JobSpec,
     Progress,
@@ -19,7 +21,12 @@
 
 
 def build_view(
-    ledger: Ledger, desk: Desk, operations: Operations, evidence: Evidence, wall: float
+    ledger: Ledger,
+    desk: Desk,
+    operations: Operations,
+    evidence: Evidence,
+    advisory: Advisory,
+    wall: float,
 ) -> View:
     """Return the view at wall time ``wall`` in seconds."""
     hosts = []
@@ -35,7 +42,27 @@
             continue
         is_sure = job.account in sure and job.priority == URGENT_PRIORITY
         _add_units(job, progress, operations, evidence, wall, is_sure, units)
-    return View(wall, tuple(hosts), tuple(units))
+    return View(wall, tuple(hosts), _advised(units, hosts, operations, advisory))
+
+
+def _advised(
+    units: list[Unit],
+    hosts: list[Host],
+    operations: Operations,
+    advisory: Advisory,
+) -> tuple[Unit, ...]:
+    """Return the units, those of advised queues with tickets."""
+    quick = sorted(hosts, key=lambda host: host.speed, reverse=True)
+    found = []
+    for unit in units:
+        queue = operations.queue(unit.queue)
+        if queue is None or not queue.advised:
+            found.append(unit)
+            continue
+        workers = tuple(host.life.worker_id for host in quick if may_run(unit, host))
+        step = str(unit.tasks[0]).rpartition(".")[0]
+        found.append(unit._replace(tickets=advisory.tickets(step, workers)))
+    return tuple(found)
 
 
 def guaranteed_accounts(ledger: Ledger, operations: Operations) -> frozenset[str]:
@@ -77,6 +104,7 @@
         and session.age() < FRESH_SECONDS
         and not worker.leaving
         and not session.closed
+        and session.reserved_life != worker.life
     )
     return Host(
         name=session.host,
@@ -219,6 +247,7 @@
         tasks=tasks,
         avoid=evidence.failed_on(job.job_id),
         placed_per_host=placed,
+        queue=job.queue,
         last_attempt=failures >= job.attempts - 1,
     )
 
--- /dev/null
+++ b/src/sequoiachute/coordination/hosting/pacing.py
@@ -0,0 +1,65 @@
+"""Slowing filling tasks down while they disturb those that serve.
+
+The figures come each half second, so the loop runs beside the worker.
+"""
+
+from sequoiachute.protocol.supervision import RunOrder, RunReport
+
+SLOW_SHARE = 0.85  # of a target: above it the filling tasks give way
+SPEED_SHARE = 0.6  # below it they may work more
+SPEED_UP_PERCENT = 10
+FULL_PERCENT = 100
+LEAST_PERCENT = 10  # below it a task stands still
+
+
+def next_percent(percent: int, worst_share: float) -> int:
+    """Return the pace for filling tasks.
+
+    Parameters
+    ----------
+    percent : int
+        Pace in force.
+    worst_share : float
+        Highest latency of a serving task, as a share of its target.
+    """
+    if worst_share > SLOW_SHARE:
+        halved = percent // 2
+        return halved if halved >= LEAST_PERCENT else 0
+    if worst_share < SPEED_SHARE:
+        return min(FULL_PERCENT, percent + SPEED_UP_PERCENT)
+    return percent
+
+
+class Pacer:
+    """Holds the pace of the filling tasks beside one worker."""
+
+    def __init__(self) -> None:
+        self._percent = FULL_PERCENT
+        self._told: dict[tuple[str, int], int] = {}
+
+    def changes(
+        self, runs: tuple[RunReport, ...], orders: dict[tuple[str, int], RunOrder]
+    ) -> list[tuple[str, int, int]]:
+        """Return task, run and percent of each filling task to be told."""
+        worst = 0.0
+        filling = []
+        for run in runs:
+            order = orders.get((run.task, run.run))
+            if order is None:
+                continue
+            if order.target_ms:
+                worst = max(worst, run.usage / order.target_ms)
+            elif order.filling:
+                filling.append((run.task, run.run))
+        self._told = {key: self._told.get(key, FULL_PERCENT) for key in filling}
+        self._percent = next_percent(self._percent, worst)
+        changes = []
+        for key in filling:
+            if self._told[key] != self._percent:
+                changes.append((*key, self._percent))
+        return changes
+
+    def note_told(self, task: str, run: int, percent: int) -> None:
+        """Take that the worker has accepted a pace."""
+        if (task, run) in self._told:
+            self._told[(task, run)] = percent
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.hosting.pacing import Pacer
 from sequoiachute.coordination.hosting.runs import Runs
 from sequoiachute.protocol.supervision import REPORT, Orders, Report, WorkerInfo
 from sequoiachute.protocol.workload import Life
@@ -65,6 +66,7 @@
         self._ack = 0
         self._closed = False
         self._news = Event()
+        self._pacer = Pacer()
         self._runs = Runs(worker, self._notify, self.metrics)
 
     def run(self) -> None:
@@ -145,10 +147,20 @@
         present = {(run.task, run.run) for run in view.runs}
         known_present = {(run.task, run.run) for run in known.runs} if known else None
         self._runs.take_view(view, looked_at)
+        self._pace(view)
         if ends_changed or present != known_present:
             self._notify()
         return True
 
+    def _pace(self, view: WorkerView) -> None:
+        """Let filling tasks give way to those that serve."""
+        life = view.life.worker_id
+        for task, run, percent in self._pacer.changes(view.runs, self._runs.orders):
+            outcome = self._worker.pace(life, task, run, percent, self._term)
+            if outcome.is_ok():
+                self._pacer.note_told(task, run, percent)
+                logger.bind(task=task, run=run, percent=percent).info("paced")
+
     def _begin_life(self, life: Life) -> None:
         logger.bind(worker=life.worker_id, born=life.born_ms).info("worker's lifetime")
         self._runs.reset()
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -67,7 +67,8 @@
     scale of ``View.now``; ``chain_seconds`` is the expected time from the
     start of this step to the end of the job. ``avoid`` names hosts per task
     where it has failed. ``guaranteed`` work is within what the catalogue
-    guarantees its account.
+    guarantees its account. With ``tickets`` only the workers that have one may
+    run it.
     """
 
     account: str
@@ -82,6 +83,8 @@
     placed_per_host: dict[str, int]
     last_attempt: bool = False
     guaranteed: bool = False
+    queue: str = ""
+    tickets: dict[str, str] | None = None
 
 
 class View(NamedTuple):
@@ -102,6 +105,7 @@
     task: TaskId
     host: str
     life: Life
+    ticket: str = ""
     expected_seconds: float = 0.0
     slack_seconds: float = 0.0
 
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -125,7 +125,8 @@
         expected = unit.step.estimate_seconds * slowdown(unit.step, host)
         rest = unit.chain_seconds - unit.step.estimate_seconds
         slack = unit.deadline - self._view.now - rest - expected
-        return Placement(task, host.name, host.life, expected, slack)
+        ticket = (unit.tickets or {}).get(host.life.worker_id, "")
+        return Placement(task, host.name, host.life, ticket, expected, slack)
 
     def _make_room(self, unit: Unit, room: Room) -> None:
         """Preempt, and keep the room from later units."""
--- a/src/sequoiachute/coordination/scheduling/preemption.py
+++ b/src/sequoiachute/coordination/scheduling/preemption.py
@@ -118,9 +118,11 @@
     def _may_stop(self, run: Running) -> bool:
         if run.stopping:
             return True
+        if run.lasting:
+            return False
         if self._unit.guaranteed:
             return not run.guaranteed
-        return run.priority > self._unit.priority and not run.lasting
+        return run.priority > self._unit.priority
 
     def _loss_of(self, run: Running) -> float:
         if run.stopping:
--- a/src/sequoiachute/coordination/scheduling/space.py
+++ b/src/sequoiachute/coordination/scheduling/space.py
@@ -46,6 +46,8 @@
         return False
     if step.label and step.label not in host.labels:
         return False
+    if unit.tickets is not None and host.life.worker_id not in unit.tickets:
+        return False
     trusted = 1 if unit.last_attempt else SUSPECT_FAILURES
     if host.suspicion >= trusted:
         return False
--- a/src/sequoiachute/platform/processes.py
+++ b/src/sequoiachute/platform/processes.py
@@ -15,6 +15,7 @@
 from sequoiachute.logstream import BoundedStream
 from sequoiachute.platform.heartbeats import HeartbeatsApp
 from sequoiachute.platform.jobs import JobsApp, Reply, StartResponse, write_reply
+from sequoiachute.platform.machines import AdviceService, CloudMachines
 from sequoiachute.platform.operator import put_in_force
 from sequoiachute.platform.settings import ProcessSettings, read_settings
 from sequoiachute.platform.store import MetadataStore
@@ -38,14 +39,17 @@
     signals = _begin("entry", settings)
     operations = Operations()
     member = f"{settings.inner_address}/{uuid4().hex[:8]}"
+    store = MetadataStore(settings.store)
     control = Control(
         member,
         settings.inner_address,
-        MetadataStore(settings.store),
+        store,
         RpcPool(),
         settings.inner_seeds,
         operations,
         lambda records: put_in_force(records, operations),
+        AdviceService(settings.advice) if settings.advice else None,
+        CloudMachines(settings.machines, store) if settings.machines else None,
     )
     control.run()
     rpc = RpcServer(control.handlers())
--- a/src/sequoiachute/platform/worker.py
+++ b/src/sequoiachute/platform/worker.py
@@ -81,6 +81,13 @@
         body = {"task": task, "run": run, "fence": term}
         return self._order("/v1/run-stop", worker_id, body)
 
+    def pace(
+        self, worker_id: str, task: str, run: int, percent: int, term: int
+    ) -> Result[None, WorkerError]:
+        """Let a run work at a share of its speed."""
+        body = {"task": task, "run": run, "percent": percent, "fence": term}
+        return self._order("/v1/pace", worker_id, body)
+
     def _order(
         self, path: str, worker_id: str, body: dict[str, Any]
     ) -> Result[None, WorkerError]:
--- a/src/sequoiachute/protocol/supervision.py
+++ b/src/sequoiachute/protocol/supervision.py
@@ -82,7 +82,8 @@
 class RunOrder(NamedTuple):
     """A run that should be there, or be stopped.
 
-    ``pace`` is the share of its speed in percent at which it may work.
+    The tail latency of a task that serves must stay under ``target_ms``; a
+    ``filling`` task gives way to it.
     """
 
     task: str
@@ -91,6 +92,8 @@
     token: str = ""
     ticket: str = ""
     stop: bool = False
+    target_ms: int = 0
+    filling: bool = False
 
 
 class Orders(NamedTuple):
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -22,6 +22,7 @@
 
 LEADER_KEY = "leader"
 SPEEDS_KEY = "speeds"
+WAVE_PREFIX = "wave/"
 CANCEL_PREFIX = "cancel/"
 JOB_PREFIX = "job/"
 NO_PROGRESS = Progress()
@@ -68,6 +69,11 @@
         self._live: dict[str, None] = {}
         self.leader: Leader | None = None
         self.speeds: dict[Life, float] = {}
+        self._waves: dict[str, bytes] = {}
+
+    def wave(self, number: int) -> bytes:
+        """Return the record of a wave, empty if there is none."""
+        return self._waves.get(f"{WAVE_PREFIX}{number}", b"")
 
     @property
     def jobs(self) -> dict[str, JobSpec]:
@@ -138,6 +144,8 @@
                 self.leader = msgspec.msgpack.decode(value, type=Leader)
         elif key == SPEEDS_KEY:
             self.speeds = decode_speeds(value or b"")
+        elif key.startswith(WAVE_PREFIX):
+            self._waves[key] = value or b""
         elif key.startswith(JOB_PREFIX):
             self._take_job(key.removeprefix(JOB_PREFIX), value)
         elif key.startswith(CANCEL_PREFIX):
--- a/src/sequoiachute/transport/worker.py
+++ b/src/sequoiachute/transport/worker.py
@@ -66,3 +66,9 @@
     ) -> Result[None, WorkerError]:
         """Stop a run; once answered, a run that isn't there never will be."""
         ...
+
+    def pace(
+        self, worker_id: str, task: str, run: int, percent: int, term: int
+    ) -> Result[None, WorkerError]:
+        """Let a run work at a share of its speed."""
+        ...
