--- /dev/null
+++ b/tests/test_platform_decoders.py
@@ -0,0 +1,148 @@
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sequoiachute.platform.heartbeats import decode_heartbeat
+from sequoiachute.platform.jobs import InvalidJobError, decode_job_body
+from sequoiachute.platform.operator import put_in_force
+from sequoiachute.platform.store import _decode_page, _encode_record
+from sequoiachute.protocol.stored import Record
+from sequoiachute.protocol.workload import (
+    JobSpec,
+    decode_job,
+    encode,
+    parse_task_id,
+)
+from sequoiachute.state.ledger import Ledger
+from sequoiachute.state.operations import Operations, Queue
+from sequoiachute.transport.store import StoreUnavailableError
+
+QUEUE = Queue("q", "h", "/p/", "s", 1, 2, 3.0, 1.0)
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+STEP_FIELDS = [
+    *("count", "cpu", "mem_mb", "gpus", "est_ms", "deps", "checkpoints", "gang"),
+    *("same_rack", "requires", "affinity", "anti_affinity", "speculative"),
+    *("persistent", "image", "target_ms", "fills", "max_unavailable"),
+]
+STEPS = st.lists(st.dictionaries(st.sampled_from(STEP_FIELDS), JSON), max_size=4)
+
+
+@given(st.binary(max_size=200) | JSON.map(lambda v: json.dumps(v).encode()))
+def test_any_body_is_a_job_or_a_refusal(data):
+    try:
+        job = decode_job_body(data, QUEUE, "a", "0" * 16)
+    except InvalidJobError:
+        return
+    assert isinstance(job, JobSpec)
+
+
+@given(STEPS, st.text(max_size=10))
+def test_any_steps_are_a_job_or_a_refusal_that_names_the_field(steps, payload):
+    data = json.dumps({"spec": payload, "steps": steps}).encode()
+    try:
+        job = decode_job_body(data, QUEUE, "a", "0" * 16)
+    except InvalidJobError as error:
+        assert ":" in str(error)
+        return
+    assert decode_job(encode(job)) == job
+
+
+def test_whole_job_is_decoded():
+    body = {
+        "spec": "text",
+        "times": 3,
+        "initial_ms": 5000,
+        "period_ms": 250,
+        "steps": [
+            {"count": 4, "cpu": 500, "mem_mb": 256, "est_ms": 900, "affinity": "r-1"},
+            {"count": 2, "gpus": 1, "deps": [0], "checkpoints": True, "gang": True},
+        ],
+    }
+    job = decode_job_body(json.dumps(body).encode(), QUEUE, "a", "0" * 16)
+    assert [step.count for step in job.steps] == [4, 2]
+    assert (job.steps[0].data_rack, job.steps[0].estimate_seconds) == ("r-1", 0.9)
+    assert job.steps[1].after == (0,)
+    assert job.steps[1].gang
+    assert [job.due_at(k) for k in range(3)] == [5.0, 5.25, 5.5]
+
+
+@pytest.mark.parametrize(
+    "steps",
+    [[], [{"deps": [0]}], [{"count": 0}], [{"count": 20_000}], [{"gpus": -1}], "x"],
+)
+def test_impossible_steps_are_refused(steps):
+    with pytest.raises(InvalidJobError):
+        decode_job_body(json.dumps({"steps": steps}).encode(), QUEUE, "a", "0" * 16)
+
+
+@given(st.binary(max_size=120))
+def test_any_record_of_an_operator_is_taken_or_passed_over(data):
+    operations = Operations()
+    put_in_force({"config": data, "wave/1": data, "evacuate/z": data}, operations)
+    assert operations.closed_zones == {"z"}
+
+
+@given(JSON)
+def test_any_configuration_is_taken_or_passed_over(value):
+    operations = Operations()
+    body = {"version": 1, "routes": value, "tenants": value, "services": value}
+    put_in_force({"config": json.dumps(body).encode()}, operations)
+    assert operations.version in (0, 1)
+
+
+def test_older_configuration_never_comes_back():
+    operations = Operations()
+    for version in (5, 9, 7):
+        body = {"version": version, "routes": [], "tenants": [], "services": []}
+        put_in_force({"config": json.dumps(body).encode()}, operations)
+    assert operations.version == 9
+
+
+@given(st.dictionaries(st.sampled_from(["state", "capacity", "seq", "zone"]), JSON))
+def test_any_heartbeat_is_taken_or_refused(body):
+    with pytest.raises((KeyError, TypeError, ValueError)):
+        decode_heartbeat("w-1", body)
+
+
+@given(st.lists(st.tuples(st.text(max_size=9), st.binary(max_size=30)), max_size=5))
+def test_records_are_read_as_they_were_written(records):
+    body = bytes(16) + b"".join(_encode_record(key, value) for key, value in records)
+    page = _decode_page(body, 40)
+    assert [(r.key, r.value or b"") for r in page.records] == records
+    assert page.next == 40 + len(records)
+
+
+@given(st.binary(max_size=60))
+def test_any_answer_is_records_or_no_answer(body):
+    try:
+        page = _decode_page(body, 0)
+    except StoreUnavailableError:
+        return
+    assert page.next == len(page.records)
+
+
+@given(st.text(max_size=20), st.binary(max_size=40))
+def test_unreadable_record_is_passed_over(key, value):
+    ledger = Ledger()
+    ledger.apply("jobs", Record(0, f"job/{key}", value))
+    ledger.apply("runs", Record(1, key, value))
+    assert len(ledger.jobs) <= 1
+
+
+@given(st.text(max_size=30))
+def test_any_text_is_a_task_or_none(text):
+    task = parse_task_id(text)
+    assert task is None or str(task).count(".") == 3
