--- /dev/null
+++ b/tests/test_upkeep.py
@@ -0,0 +1,162 @@
+import pytest
+
+from sequoiachute import clock
+from sequoiachute.coordination.dispatch.advice import MOST_WORKERS, Advisory
+from sequoiachute.coordination.dispatch.sessions import Desk, Session
+from sequoiachute.coordination.dispatch.upkeep import Upkeep, encode_wave
+from sequoiachute.protocol.stored import Record
+from sequoiachute.protocol.supervision import WorkerInfo
+from sequoiachute.protocol.workload import (
+    JobSpec,
+    Life,
+    Progress,
+    Resources,
+    StepSpec,
+    TaskState,
+    encode,
+)
+from sequoiachute.state.ledger import Ledger
+from sequoiachute.state.operations import Operations, Wave
+from standins.machines import MemoryAdvisor, MemoryMachines
+
+pytestmark = pytest.mark.usefixtures("paused_clock")
+
+
+class WaveSite:
+    """A ledger, sessions of workers and their machines."""
+
+    def __init__(self, count=4, most=1, finish_by=40.0):
+        self.machines = MemoryMachines({f"m-{n}": f"w-{n}" for n in range(count)})
+        self.ledger = Ledger()
+        self.operations = Operations()
+        names = tuple(f"m-{n}" for n in range(count))
+        self.operations.waves = {1: Wave(1, names, finish_by, most)}
+        self.desk = Desk(self.ledger, 7, lambda: None, lambda: 0.0)
+        self._offset = 0
+        for number in range(count):
+            session = Session(f"h-{number}")
+            session.worker = WorkerInfo(
+                Life(f"w-{number}", 1), "s", "z", "r", (), Resources()
+            )
+            self.desk.sessions[session.host] = session
+        self.upkeep = self.successor()
+
+    def successor(self):
+        return Upkeep(self.machines, "entry-1", self.ledger, self.desk, self.operations)
+
+    def record(self, key, value):
+        self._offset += 1
+        self.ledger.apply("runs", Record(self._offset, key, value))
+
+    def add_run(self, host, **step):
+        spec = StepSpec(1, Resources(), **step)
+        job = JobSpec("j", "a", "q", "s", "", (spec,))
+        self.record("job/j", encode(job))
+        state = TaskState(1, host, Life(host.replace("h", "w"), 1))
+        self.record("j", encode(Progress("", {"0.0.0": state})))
+
+    def run_for(self, seconds):
+        until = clock.now() + seconds
+        while clock.now() < until:
+            for number, progress in self.upkeep.look().items():
+                self.record(f"wave/{number}", encode_wave(progress))
+            assert self.machines.down <= self.operations.waves[1].most
+            clock.sleep(0.25)
+
+    @property
+    def begun(self):
+        return [name for _, name, _ in self.machines.begun]
+
+
+def test_wave_takes_each_machine_once_and_is_then_complete():
+    site = WaveSite()
+    site.run_for(20)
+    assert sorted(site.begun) == [f"m-{n}" for n in range(4)]
+    assert site.machines.shown == [(1, False), (1, True)]
+
+
+def test_wave_is_not_complete_before_every_machine_has_begun():
+    site = WaveSite()
+    site.add_run("h-2")
+    site.run_for(15)
+    assert sorted(site.begun) == ["m-0", "m-1", "m-3"]
+    assert (1, True) not in site.machines.shown
+    site.run_for(30)
+    assert site.begun[-1] == "m-2"
+    assert site.machines.shown[-1] == (1, True)
+
+
+def test_worker_that_waits_for_its_upkeep_is_reserved():
+    site = WaveSite()
+    site.add_run("h-2")
+    site.run_for(6)
+    assert site.desk.sessions["h-2"].reserved_life == Life("w-2", 1)
+
+
+def test_lasting_task_keeps_its_machine_while_too_few_are_there():
+    site = WaveSite(finish_by=10.0)
+    site.add_run("h-2", lasting=True, max_unavailable=1)
+    progress = site.ledger.progress("j")
+    two = JobSpec(
+        "j", "a", "q", "s", "", (StepSpec(2, Resources(), max_unavailable=1),)
+    )
+    site.record("job/j", None)
+    site.record("job/j", encode(two))
+    assert progress.tasks
+    site.run_for(30)
+    assert "m-2" not in site.begun
+
+
+def test_lost_answers_never_take_too_many_down():
+    site = WaveSite(most=2)
+    site.machines.lose_answers = True
+    site.run_for(8)
+    site.machines.lose_answers = False
+    site.run_for(25)
+    assert sorted(set(site.begun)) == [f"m-{n}" for n in range(4)]
+    assert site.machines.shown[-1] == (1, True)
+
+
+def test_next_placer_goes_on_where_the_last_one_stopped():
+    site = WaveSite()
+    site.run_for(6)
+    before = len(site.begun)
+    assert 0 < before < 4
+    site.upkeep = site.successor()
+    site.run_for(20)
+    assert sorted(site.begun) == [f"m-{n}" for n in range(4)]
+
+
+def test_advice_is_asked_once_a_step_and_one_at_a_time():
+    advisor = MemoryAdvisor({"w-1", "w-2"})
+    advisory = Advisory(advisor, lambda: None)
+    workers = tuple(f"w-{n}" for n in range(50))
+    for step in ("a.0.0", "b.0.0"):
+        assert advisory.tickets(step, workers) == {}
+    clock.sleep(1)
+    for step in ("a.0.0", "b.0.0"):
+        assert set(advisory.tickets(step, workers)) == {"w-1", "w-2"}
+    assert advisor.asked == [("a.0.0", MOST_WORKERS), ("b.0.0", MOST_WORKERS)]
+    assert advisor.most_open == 1
+
+
+def test_tickets_are_asked_for_again_before_they_expire():
+    advisor = MemoryAdvisor({"w-1"}, valid_seconds=2.0)
+    advisory = Advisory(advisor, lambda: None)
+    advisory.tickets("a.0.0", ("w-1",))
+    clock.sleep(0.5)
+    assert advisory.tickets("a.0.0", ("w-1",))
+    clock.sleep(1.0)
+    assert not advisory.tickets("a.0.0", ("w-1",))
+    clock.sleep(0.5)
+    assert advisory.tickets("a.0.0", ("w-1",))
+
+
+def test_refused_advice_is_asked_for_again_after_a_pause():
+    advisor = MemoryAdvisor({"w-1"})
+    advisor.refuses = True
+    advisory = Advisory(advisor, lambda: None)
+    for _ in range(20):
+        advisory.tickets("a.0.0", ("w-1",))
+        clock.sleep(0.05)
+    assert len(advisor.asked) <= 4
