Bound what a decision costs; urgent work takes the quickest hosts

Shapes that did not fit are not tried again in a round, offers are kept between tasks, and at most four searches are made in a round.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -137,6 +137,8 @@
         now = clock.now()
         self._metrics.observe("decision_seconds", now - began, now)
         self._place(decision)
+        if decision.is_cut and decision.stops:
+            self.wake()
         self._keep_speeds()
         self._keep_waves()
         for session in self._desk.sessions.values():
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -5,7 +5,7 @@
 from sequoiachute.coordination.dispatch.evidence import SAVE_SECONDS, Evidence
 from sequoiachute.coordination.dispatch.sessions import FRESH_SECONDS, Desk, Session
 from sequoiachute.coordination.scheduling import Host, Running, Unit, View
-from sequoiachute.coordination.scheduling.policy import URGENT_PRIORITY
+from sequoiachute.coordination.scheduling.model import URGENT_PRIORITY
 from sequoiachute.coordination.scheduling.space import may_run
 from sequoiachute.protocol.workload import (
     JobSpec,
--- a/src/sequoiachute/coordination/scheduling/layout.py
+++ b/src/sequoiachute/coordination/scheduling/layout.py
@@ -1,6 +1,6 @@
 """Choosing hosts for the tasks of a unit."""
 
-from sequoiachute.coordination.scheduling.model import Host, Unit
+from sequoiachute.coordination.scheduling.model import URGENT_PRIORITY, Host, Unit
 from sequoiachute.coordination.scheduling.space import (
     FAR_FACTOR,
     Space,
@@ -24,7 +24,11 @@
 
     With ``whole`` all of them or none; otherwise as many as fit.
     """
-    hosts = [host for host in space.hosts.values() if may_run(unit, host)]
+    need = unit.step.reserved
+    hosts = []
+    for host in space.with_room(need):
+        if may_run(unit, host):
+            hosts.append(host)
     if not unit.step.same_rack:
         return _fill(unit, space, hosts, count, now, whole)
     best = None
@@ -73,12 +77,15 @@
 ) -> tuple[float, float, int, str]:
     """Sort hosts: those in time first, of these the slow, then the best filled.
 
-    Fast workers are thus left to work that needs them.
+    Fast workers are thus left to urgent work, which takes the fastest: its
+    objective is tight and estimates are off.
     """
     slow = slowdown(unit.step, host) * (1 + DOUBT * host.suspicion)
     if host.name in unit.avoid:
         slow *= AVOID_FACTOR
     left = space.free(host).minus(unit.step.reserved)
+    if unit.priority == URGENT_PRIORITY:
+        return (round(slow, 1), 0.0, left.gpus, host.name)
     slack = unit.deadline - now - unit.chain_seconds
     estimate = max(unit.step.estimate_seconds, 0.1)
     bearable = IN_TIME_SHARE * (1 + slack / estimate)
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -4,6 +4,8 @@
 
 from sequoiachute.protocol.workload import Life, Resources, StepSpec, TaskId
 
+URGENT_PRIORITY = 0  # guarantees hold for it, and it preempts others
+
 
 class Running(NamedTuple):
     """A run that may be on a host.
@@ -121,7 +123,8 @@
 
 
 class Decision(NamedTuple):
-    """Placements and stops."""
+    """Placements and stops; if ``is_cut`` more would follow at once."""
 
     placements: tuple[Placement, ...] = ()
     stops: tuple[Stop, ...] = ()
+    is_cut: bool = False
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -10,6 +10,7 @@
     layout_slowdown,
 )
 from sequoiachute.coordination.scheduling.model import (
+    URGENT_PRIORITY,
     Decision,
     Host,
     Placement,
@@ -22,8 +23,9 @@
 from sequoiachute.coordination.scheduling.space import Space, slowdown
 from sequoiachute.protocol.workload import Resources, TaskId
 
-URGENT_PRIORITY = 0  # guarantees hold for it, and it preempts others
 HOPELESS_FACTOR = 3.0  # past this multiple of the objective a job earns nothing
+SEARCHES = 4  # for room by stopping others; each takes up to 25 ms at 670 workers
+MANY = 1_000_000
 PREEMPTION_SECONDS = 0.5  # to stop what is there and record the start
 LEAVING_MARGIN_SECONDS = 0.5  # a worker that leaves stays a little longer
 
@@ -53,6 +55,20 @@
     return (rank, unit.priority, unit.deadline - unit.chain_seconds)
 
 
+def _shape(unit: Unit) -> tuple:
+    """Return what decides where a unit fits, but for its number of tasks."""
+    step = unit.step
+    place = (unit.service, step.reserved, step.label, step.per_worker)
+    rules = (step.gang, step.same_rack, unit.last_attempt, unit.guaranteed)
+    tickets = frozenset(unit.tickets) if unit.tickets is not None else None
+    return (unit.priority, place, rules, tickets)
+
+
+def _least(unit: Unit) -> int:
+    """Return how many tasks must fit at least."""
+    return len(unit.tasks) if unit.step.gang else 1
+
+
 class _Round:
     """One decision over a view."""
 
@@ -61,6 +77,10 @@
         self._space = Space(view.hosts)
         self._placements: list[Placement] = []
         self._stops: list[Stop] = []
+        # Room only shrinks in a round: what did not fit need not be tried again.
+        self._too_large: dict[tuple, int] = {}
+        self._searches_left = SEARCHES
+        self._is_cut = False
 
     def run(self) -> Decision:
         """Serve the units in their order."""
@@ -73,7 +93,8 @@
         for stop in rescue(self._space, self._view.now):
             if (stop.task, stop.run) not in known:
                 self._stops.append(stop)
-        return Decision(tuple(self._placements), tuple(self._stops))
+        stops = tuple(self._stops)
+        return Decision(tuple(self._placements), stops, self._is_cut)
 
     def _empty_leaving(self, host: Host) -> None:
         """Stop what would be lost with the worker, while it can be saved."""
@@ -86,21 +107,40 @@
                 self._stops.append(stop)
 
     def _serve(self, unit: Unit) -> None:
+        shape = _shape(unit)
+        if self._too_large.get(shape, MANY) <= _least(unit):
+            return
+        if not self._try_to_place(unit):
+            self._too_large[shape] = _least(unit)
+
+    def _try_to_place(self, unit: Unit) -> bool:
+        """Place what fits, make room if urgent; return whether anything was done."""
         whole = unit.step.gang
         now = self._view.now
         urgent = unit.priority == URGENT_PRIORITY
         layout = best_layout(unit, self._space, len(unit.tasks), now, whole)
         if urgent and layout is not None and self._is_late(unit, layout):
-            room = find_room(unit, self._space, whole, self._bearable(unit))
+            room = self._find_room(unit, self._bearable(unit))
             if room is not None:
                 self._make_room(unit, room)
-                return
+                return True
         placed = 0 if layout is None else self._place(unit, layout)
-        if urgent and placed < len(unit.tasks):
-            rest = unit._replace(tasks=unit.tasks[placed:])
-            room = find_room(rest, self._space, whole)
-            if room is not None:
-                self._make_room(rest, room)
+        if not urgent or placed == len(unit.tasks):
+            return placed > 0
+        rest = unit._replace(tasks=unit.tasks[placed:])
+        room = self._find_room(rest)
+        if room is None:
+            return placed > 0
+        self._make_room(rest, room)
+        return True
+
+    def _find_room(self, unit: Unit, slowest: float = float("inf")) -> Room | None:
+        """Search for room; the searches left over are made in the next round."""
+        if not self._searches_left:
+            self._is_cut = True
+            return None
+        self._searches_left -= 1
+        return find_room(unit, self._space, unit.step.gang, slowest)
 
     def _bearable(self, unit: Unit) -> float:
         """Return the slowdown at which the unit just ends in time."""
--- a/src/sequoiachute/coordination/scheduling/preemption.py
+++ b/src/sequoiachute/coordination/scheduling/preemption.py
@@ -8,8 +8,10 @@
 
 from sequoiachute.coordination.scheduling.model import Host, Running, Stop, Unit
 from sequoiachute.coordination.scheduling.space import (
-    GPU_CORES,
+    GangKey,
     Space,
+    core_seconds,
+    loss,
     may_run,
     slowdown,
 )
@@ -17,8 +19,6 @@
 
 LOSS_PER_WORK = 1.0  # core-seconds that may be lost for each one of urgent work
 
-GangKey = tuple[str, int, int]
-
 
 class Room(NamedTuple):
     """Hosts on which tasks fit once the victims are stopped."""
@@ -62,38 +62,18 @@
     return best
 
 
-def core_seconds(need: Resources, seconds: float) -> float:
-    """Return work in core-seconds; an accelerator counts as several cores."""
-    return (need.cpu_millis / 1000 + GPU_CORES * need.gpus) * seconds
-
-
-def loss(run: Running) -> float:
-    """Return the work in core-seconds that stopping ``run`` throws away."""
-    return core_seconds(run.need, run.unsaved_seconds)
-
-
-def gang_losses(space: Space) -> dict[GangKey, float]:
-    """Return what breaking each running gang would throw away."""
-    losses: dict[GangKey, float] = {}
-    for host in space.hosts.values():
-        for run in host.running:
-            if run.gang:
-                key = run.task[:3]
-                losses[key] = losses.get(key, 0.0) + loss(run)
-    return losses
-
-
 class _Search:
     """Adds the unit's tasks one by one where the next costs least."""
 
     def __init__(self, unit: Unit, space: Space, hosts: list[Host]) -> None:
         self._unit = unit
         self._hosts = hosts
-        self._gang_losses = gang_losses(space)
+        self._gang_losses = space.gang_losses
         self._broken: set[GangKey] = set()
         self._free = {host.name: space.free(host) for host in hosts}
         self._victims = {host.name: self._candidates(host) for host in hosts}
         self._counts: dict[str, int] = {}
+        self._offers: dict[str, _Offer | None] = {}
         self._stops: list[Stop] = []
         self._loss = 0.0
         seconds = unit.step.estimate_seconds
@@ -135,7 +115,9 @@
     def _add_one(self, number: int) -> bool:
         best_host, best = None, None
         for host in self._hosts:
-            offer = self._offer(host)
+            if host.name not in self._offers:
+                self._offers[host.name] = self._offer(host)
+            offer = self._offers[host.name]
             if offer is not None and (best is None or offer.cost < best.cost):
                 best_host, best = host, offer
         if best_host is None or best is None:
@@ -171,6 +153,7 @@
         return _Offer(lost + slow, lost, tuple(victims))
 
     def _take(self, host: Host, offer: _Offer) -> None:
+        self._offers.pop(host.name, None)
         free = self._free[host.name]
         for run in offer.victims:
             self._victims[host.name].remove(run)
@@ -180,7 +163,9 @@
             reason = f"preempted for {self._unit.tasks[0].job_id}"
             self._stops.append(Stop(run.task, run.run, host.name, reason))
             if run.gang:
+                # Stopping its other members costs nothing more, wherever.
                 self._broken.add(run.task[:3])
+                self._offers.clear()
         self._free[host.name] = free.minus(self._unit.step.reserved)
         self._counts[host.name] = self._counts.get(host.name, 0) + 1
         self._loss += offer.loss
--- a/src/sequoiachute/coordination/scheduling/rescue.py
+++ b/src/sequoiachute/coordination/scheduling/rescue.py
@@ -7,7 +7,13 @@
 from collections.abc import Iterator
 
 from sequoiachute.coordination.scheduling.layout import best_layout, layout_slowdown
-from sequoiachute.coordination.scheduling.model import Host, Running, Stop, Unit
+from sequoiachute.coordination.scheduling.model import (
+    URGENT_PRIORITY,
+    Host,
+    Running,
+    Stop,
+    Unit,
+)
 from sequoiachute.coordination.scheduling.space import Space, slowdown
 
 RESTART_SECONDS = 0.6  # stopping, recording and starting again
@@ -31,7 +37,7 @@
 
 def _is_slow(group: Group) -> bool:
     """Return whether a run stands still, or urgent work can be told to be slow."""
-    urgent = all(run.priority == 0 and run.measured for _, run in group)
+    urgent = all(run.priority == URGENT_PRIORITY and run.measured for _, run in group)
     return urgent or _is_stalled(group)
 
 
--- a/src/sequoiachute/coordination/scheduling/space.py
+++ b/src/sequoiachute/coordination/scheduling/space.py
@@ -1,6 +1,8 @@
 """Free room on hosts while a decision is being made."""
 
-from sequoiachute.coordination.scheduling.model import Host, Unit
+from collections.abc import Iterable
+
+from sequoiachute.coordination.scheduling.model import Host, Running, Unit
 from sequoiachute.protocol.workload import Resources, StepSpec
 
 FAR_FACTOR = 3.0  # work away from its data or split over racks; the site's far_x
@@ -8,13 +10,36 @@
 SUSPECT_FAILURES = 2  # failures without a success between them
 
 
+GangKey = tuple[str, int, int]
+
+
+def core_seconds(need: Resources, seconds: float) -> float:
+    """Return work in core-seconds; an accelerator counts as several cores."""
+    return (need.cpu_millis / 1000 + GPU_CORES * need.gpus) * seconds
+
+
+def loss(run: Running) -> float:
+    """Return the work in core-seconds that stopping ``run`` throws away."""
+    return core_seconds(run.need, run.unsaved_seconds)
+
+
+def _gang_losses(hosts: Iterable[Host]) -> dict[GangKey, float]:
+    losses: dict[GangKey, float] = {}
+    for host in hosts:
+        for run in host.running:
+            if run.gang:
+                key = run.task[:3]
+                losses[key] = losses.get(key, 0.0) + loss(run)
+    return losses
+
+
 class Space:
     """What each host has left, decision by decision."""
 
     def __init__(self, hosts: tuple[Host, ...]) -> None:
         self._hosts = {host.name: host for host in hosts}
         self._free: dict[str, Resources] = {}
-        self._placed: dict[str, int] = {}
+        self._gang_losses: dict[GangKey, float] | None = None
         for host in hosts:
             free = host.capacity
             for run in host.running:
@@ -26,6 +51,21 @@
         """Every host by name."""
         return self._hosts
 
+    def with_room(self, need: Resources) -> list[Host]:
+        """Return the hosts on which one task of this size fits now."""
+        found = []
+        for name, free in self._free.items():
+            if free.holds(need):
+                found.append(self._hosts[name])
+        return found
+
+    @property
+    def gang_losses(self) -> dict[GangKey, float]:
+        """Work in core-seconds that breaking each running gang throws away."""
+        if self._gang_losses is None:
+            self._gang_losses = _gang_losses(self._hosts.values())
+        return self._gang_losses
+
     def free(self, host: Host) -> Resources:
         """Return what is left on ``host``."""
         return self._free[host.name]
--- a/tests/test_scheduling_policy.py
+++ b/tests/test_scheduling_policy.py
@@ -208,3 +208,16 @@
     decision = decide(View(NOW, (host("a"),), (late, fresh)))
     assert {placement.task.job_id for placement in decision.placements} == {"fresh"}
     assert decide(View(NOW, (host("a"),), (late,))).placements
+
+
+def test_urgent_work_takes_the_quickest_host_even_with_time_to_spare():
+    hosts = (host("slow", 0.6), host("typical"), host("quick", 1.6))
+    assert placed(decide(View(NOW, hosts, (unit(priority=0),)))) == {"quick": 1}
+
+
+def test_searches_for_room_are_bounded_and_said_to_be_cut():
+    hosts = [host(f"h-{n}", running=[running(f"o-{n}", gpus=8)]) for n in range(20)]
+    units = [unit(gpus=8, job=f"j-{n}", priority=0) for n in range(20)]
+    decision = decide(View(NOW, tuple(hosts), tuple(units)))
+    assert 0 < len(decision.stops) < 20
+    assert decision.is_cut
