--- a/src/sequoiachute/coordination/store/election.py
+++ b/src/sequoiachute/coordination/store/election.py
@@ -21,8 +21,8 @@
 
 GROUP = "placer"
 WRITER = "placer"
-TTL_SECONDS = 2.0  # a placer that is gone is replaced after it
-JOIN_SECONDS = 0.5  # four joins in a time to live
+TTL_SECONDS = 1.2  # a placer that is gone is replaced after it
+JOIN_SECONDS = 0.3  # four joins in a time to live
 LIST_SECONDS = 2.0  # members are told to agents and asked for the store
 CLAIM_SECONDS = 1.0
 
