--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -111,8 +111,11 @@
         may_exist = False
         while True:
             left = deadline - MARGIN_SECONDS - clock.now()
-            if left <= 0:
+            if left <= 0 and may_exist:
                 return Outcome(UNKNOWN, "no answer from the store in time")
+            if left <= 0:
+                reason = "too little time to store it"
+                return Outcome(REFUSED, reason, RETRY_AFTER_SECONDS)
             outcome = self._store.append(
                 self._topic, [(key, value)], timeout=min(left, ATTEMPT_SECONDS)
             )
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -25,6 +25,7 @@
 AVOID_SECONDS = 1.0  # peers go first for so long after the store failed this entry
 CALL_SECONDS = 0.5  # a peer's call beyond what the store may wait
 UNREACHABLE_SECONDS = 0.8  # one read and one relayed read have failed meanwhile
+MOST_PEERS = 2  # asked for one call; one of them may be cut off as well
 NO_OFFSET = -1
 LOST_OFFSET = -2  # the reply's offset where the history is lost
 
@@ -221,14 +222,16 @@
         return Err(reply.error)
 
     def _ask(self, method: Method, query: NamedTuple, wait: float) -> object | None:
-        """Ask one peer, the next one each time."""
+        """Ask a peer; another one if that one can't be reached."""
         peers = self._peers()
-        if not peers:
-            return None
-        self._turn += 1
-        peer = peers[self._turn % len(peers)]
-        outcome = self._caller.call(peer, method, query, wait + CALL_SECONDS)
-        return outcome.unwrap() if outcome.is_ok() else None
+        for _ in range(min(MOST_PEERS, len(peers))):
+            peer = peers[self._turn % len(peers)]
+            outcome = self._caller.call(peer, method, query, wait + CALL_SECONDS)
+            if outcome.is_ok():
+                return outcome.unwrap()
+            # The next call begins with the next one, too.
+            self._turn += 1
+        return None
 
     def _serve_read(self, query: ReadQuery) -> ReadReply:
         try:
--- a/tests/test_control_site.py
+++ b/tests/test_control_site.py
@@ -354,3 +354,23 @@
     site.run_for(2)
     assert all(entry.control.is_ready for entry in site.entries)
     complete(site, [accepted(site, 1.0)], 4)
+
+
+def test_too_little_time_to_store_a_job_is_a_refusal():
+    site = ControlSite()
+    outcome = site.submit(1.0, wait=0.1)[1]
+    assert (outcome.kind, outcome.retry_after) == (REFUSED, 1.0)
+    site.run_for(5)
+    assert not site.history.starts
+
+
+def test_peers_that_are_cut_off_do_not_hide_the_others():
+    site = ControlSite(entries=4)
+    other = (site.placer() + 1) % 4
+    for step in (1, 2):
+        cut = site.entries[(other + step) % 4].address
+        pair = (site.entries[other].address, cut)
+        site.network.cut.update((pair, pair[::-1]))
+    site.entries[other].store.refused = True
+    jobs = [accepted(site, 0.5, entry=other) for _ in range(6)]
+    complete(site, jobs, 5)
