Drop jobs that ended long ago; log a placement once it is recorded

Ended jobs stayed in the store's topics and every entry's memory for good. They go a quarter of an hour after their end, far beyond the 120 s for which they may be asked for and the seconds that a late append lives. A placement was logged before the store had taken it, so a deposed placer's log told of runs that never were. worker.start takes the order instead of five of its fields.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -13,13 +13,21 @@
 from sequoiachute.coordination.dispatch.settlement import Draft, Settlement
 from sequoiachute.coordination.dispatch.upkeep import Upkeep, encode_wave
 from sequoiachute.coordination.dispatch.views import build_view
-from sequoiachute.coordination.scheduling import Decision, decide
-from sequoiachute.coordination.scheduling.space import FAR_FACTOR
+from sequoiachute.coordination.scheduling import Placement, Stop, decide
+from sequoiachute.coordination.scheduling.space import FAR_FACTOR, GangKey
 from sequoiachute.coordination.store.election import WRITER
 from sequoiachute.protocol.stored import Record
 from sequoiachute.protocol.supervision import DONE, RUN_FAILED
-from sequoiachute.protocol.workload import encode, parse_task_id
+from sequoiachute.protocol.workload import (
+    StepSpec,
+    TaskId,
+    encode,
+    parse_task_id,
+    task_key,
+)
 from sequoiachute.state.ledger import (
+    CANCEL_PREFIX,
+    JOB_PREFIX,
     SPEEDS_KEY,
     WAVE_PREFIX,
     Ledger,
@@ -36,6 +44,10 @@
 RETRY_SECONDS = 0.1
 KEEP_SECONDS = 3.0  # between two records of speeds
 KEEP_CHANGE = 0.15  # relative; less is the noise of estimates
+# Callers may ask for an ended job for 120 s; a late append lives some seconds.
+KEEP_ENDED_SECONDS = 900.0
+DROP_SECONDS = 30.0  # between two looks for jobs to drop
+JOBS_TOPIC = "jobs"
 RECORDS_PER_APPEND = 200
 
 
@@ -85,6 +97,7 @@
         self._evidence = Evidence(ledger.speeds)
         self._sequence = 0
         self._speeds_at = clock.now()
+        self._dropped_at = clock.now()
         self._wake = Event()
         self._ended = False
 
@@ -136,11 +149,13 @@
         decision = decide(view)
         now = clock.now()
         self._metrics.observe("decision_seconds", now - began, now)
-        self._place(decision)
+        self._stop(decision.stops)
+        self._place(decision.placements)
         if decision.is_cut and decision.stops:
             self.wake()
         self._keep_speeds()
         self._keep_waves()
+        self._drop_ended()
         for session in self._desk.sessions.values():
             session.refresh(self._ledger)
 
@@ -180,53 +195,99 @@
                 now = clock.elapsed()
                 self._evidence.note_failure(job, session.host, session.life, now)
 
-    def _place(self, decision: Decision) -> None:
-        for stop in decision.stops:
+    def _stop(self, stops: tuple[Stop, ...]) -> None:
+        for stop in stops:
             session = self._desk.sessions.get(stop.host)
-            if session is not None:
-                session.stops[stop.task] = stop.run
-                reason = stop.reason.partition(" for ")[0]
-                self._metrics.count("runs_stopped_total", reason=reason)
-                if stop.moves:
-                    self._evidence.moved.add(stop.task)
-                log = logger.bind(task=str(stop.task), run=stop.run, host=stop.host)
-                log.bind(reason=stop.reason).info("stopping run")
+            if session is None:
+                continue
+            session.stops[stop.task] = stop.run
+            if stop.moves:
+                self._evidence.moved.add(stop.task)
+            reason = stop.reason.partition(" for ")[0]
+            self._metrics.count("runs_stopped_total", reason=reason)
+            log = logger.bind(task=str(stop.task), run=stop.run, host=stop.host)
+            log.bind(reason=stop.reason).info("stopping run")
+
+    def _place(self, placements: tuple[Placement, ...]) -> None:
+        """Record runs; the agents hear of them once that is acknowledged."""
+        if not placements:
+            return
         draft = Draft(self._ledger)
-        gang_runs: dict[tuple[str, int, int], int] = {}
-        for placement in decision.placements:
-            task = placement.task
-            gang = (task.job_id, task.occurrence, task.step)
-            run = draft.task(task).run + 1
-            gang_runs[gang] = max(run, gang_runs.get(gang, 0))
-        for placement in decision.placements:
-            task = placement.task
-            state = draft.task(task)
-            run = state.run + 1
-            token = state.token
-            self._metrics.count("runs_placed_total")
-            if not draft.progress(task.job_id).tasks:
-                self._note_first_start(task.job_id)
-            step = self._ledger.job(task.job_id).steps[task.step]
-            if step.gang:
-                run = gang_runs[(task.job_id, task.occurrence, task.step)]
-                token = self._gang_token(task, step.count)
-            draft.set_task(
-                task,
-                state._replace(
-                    run=run, host=placement.host, life=placement.life, token=token
-                ),
-            )
-            if placement.ticket:
-                session = self._desk.sessions[placement.host]
-                session.tickets[(task, run)] = placement.ticket
-            log = logger.bind(task=str(task), run=run, host=placement.host)
-            log = log.bind(life=placement.life.worker_id, term=self._term)
-            log = log.bind(expected=round(placement.expected_seconds, 2))
-            log = log.bind(
-                speed=round(self._evidence.speed(placement.life, clock.elapsed()), 2)
-            )
-            log.bind(slack=round(placement.slack_seconds, 2)).info("placed")
+        gang_runs = self._gang_runs(placements)
+        first = {p.task.job_id for p in placements if self._is_first(p.task.job_id)}
+        for placement in placements:
+            self._draft_run(placement, gang_runs, draft)
         self._write(draft)
+        for job_id in first:
+            self._note_first_start(job_id)
+        for placement in placements:
+            self._log_placed(placement)
+
+    def _gang_runs(self, placements: tuple[Placement, ...]) -> dict[GangKey, int]:
+        """Return the run number that all members of each gang get."""
+        runs: dict[GangKey, int] = {}
+        for placement in placements:
+            task = placement.task
+            if not self._step_of(task).gang:
+                continue
+            known = self._ledger.progress(task.job_id).tasks.get(task_key(task))
+            run = known.run + 1 if known is not None else 1
+            runs[task[:3]] = max(run, runs.get(task[:3], 0))
+        return runs
+
+    def _draft_run(
+        self, placement: Placement, gang_runs: dict[GangKey, int], draft: Draft
+    ) -> None:
+        task = placement.task
+        state = draft.task(task)
+        run = gang_runs.get(task[:3], state.run + 1)
+        step = self._step_of(task)
+        token = self._gang_token(task, step.count) if step.gang else state.token
+        placed = state._replace(
+            run=run, host=placement.host, life=placement.life, token=token
+        )
+        draft.set_task(task, placed)
+        if placement.ticket:
+            session = self._desk.sessions[placement.host]
+            session.tickets[(task, run)] = placement.ticket
+
+    def _log_placed(self, placement: Placement) -> None:
+        self._metrics.count("runs_placed_total")
+        task = placement.task
+        run = self._ledger.progress(task.job_id).tasks[task_key(task)].run
+        speed = self._evidence.speed(placement.life, clock.elapsed())
+        log = logger.bind(task=str(task), run=run, host=placement.host)
+        log = log.bind(life=placement.life.worker_id, term=self._term)
+        log = log.bind(expected=round(placement.expected_seconds, 2))
+        log = log.bind(speed=round(speed, 2))
+        log.bind(slack=round(placement.slack_seconds, 2)).info("placed")
+
+    def _step_of(self, task: TaskId) -> StepSpec:
+        return self._ledger.job(task.job_id).steps[task.step]
+
+    def _is_first(self, job_id: str) -> bool:
+        return not self._ledger.progress(job_id).tasks
+
+    def _drop_ended(self) -> None:
+        """Drop jobs from the store that ended long ago."""
+        now = clock.now()
+        if now < self._dropped_at + DROP_SECONDS:
+            return
+        self._dropped_at = now
+        before = clock.wall_time() - KEEP_ENDED_SECONDS
+        old = self._ledger.ended_before(before)[:RECORDS_PER_APPEND]
+        if not old:
+            return
+        jobs: list[tuple[str, bytes | None]] = []
+        for job_id in old:
+            jobs += [(JOB_PREFIX + job_id, None), (CANCEL_PREFIX + job_id, None)]
+        outcome = self._store.append(JOBS_TOPIC, jobs, timeout=APPEND_SECONDS)
+        if outcome.is_err():
+            reason = outcome.unwrap_err().reason
+            logger.bind(reason=reason).info("ended jobs are dropped later")
+            return
+        self._append([(job_id, None) for job_id in old])
+        logger.bind(jobs=len(old)).info("ended jobs dropped")
 
     def _keep_waves(self) -> None:
         records = []
@@ -256,7 +317,7 @@
         if changed:
             self._append([(SPEEDS_KEY, encode_speeds(speeds))])
 
-    def _gang_token(self, task: object, count: int) -> str:
+    def _gang_token(self, task: TaskId, count: int) -> str:
         tasks = self._ledger.progress(task.job_id).tasks
         best = ""
         for index in range(count):
--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -118,16 +118,7 @@
             if not self.lease_ms:
                 clock.sleep(RETRY_SECONDS)
                 continue
-            outcome = self._worker.start(
-                worker_id,
-                order.task,
-                order.run,
-                order.payload,
-                order.token,
-                order.ticket,
-                self.term,
-                self.lease_ms,
-            )
+            outcome = self._worker.start(worker_id, order, self.term, self.lease_ms)
             told = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
             self._metrics.count("orders_total", kind="start", outcome=told)
             if outcome.is_ok():
--- a/src/sequoiachute/platform/worker.py
+++ b/src/sequoiachute/platform/worker.py
@@ -12,7 +12,7 @@
     decode_object,
     json_headers,
 )
-from sequoiachute.protocol.supervision import EndReport, RunReport
+from sequoiachute.protocol.supervision import EndReport, RunOrder, RunReport
 from sequoiachute.protocol.workload import Life
 from sequoiachute.transport.worker import ALREADY_RAN, WorkerError, WorkerView
 
@@ -50,28 +50,20 @@
             return Err(WorkerError(reason, None))
 
     def start(
-        self,
-        worker_id: str,
-        task: str,
-        run: int,
-        payload: str,
-        token: str,
-        ticket: str,
-        term: int,
-        lease_ms: int,
+        self, worker_id: str, order: RunOrder, term: int, lease_ms: int
     ) -> Result[None, WorkerError]:
         """Start a run; the same run is started once."""
         body = {
-            "task": task,
-            "run": run,
-            "spec": payload,
+            "task": order.task,
+            "run": order.run,
+            "spec": order.payload,
             "due_ms": lease_ms,
             "fence": term,
         }
-        if token:
-            body["checkpoint_token"] = token
-        if ticket:
-            body["ticket"] = ticket
+        if order.token:
+            body["checkpoint_token"] = order.token
+        if order.ticket:
+            body["ticket"] = order.ticket
         return self._order("/v1/run-start", worker_id, body)
 
     def stop(
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -116,6 +116,16 @@
             count += not self.progress(job_id).tasks
         return count
 
+    def ended_before(self, wall: float) -> list[str]:
+        """Return the jobs that ended before a wall time and run nothing."""
+        found = []
+        for job_id, progress in self._progress.items():
+            if not progress.state or progress.ended_at >= wall:
+                continue
+            if not any(task.placed for task in progress.tasks.values()):
+                found.append(job_id)
+        return found
+
     def placed_at(self, host: str) -> dict[TaskId, TaskState]:
         """Return the tasks that may be running beside an agent."""
         return self._by_host.get(host, {})
--- a/src/sequoiachute/transport/worker.py
+++ b/src/sequoiachute/transport/worker.py
@@ -4,7 +4,7 @@
 
 from result import Result
 
-from sequoiachute.protocol.supervision import EndReport, RunReport
+from sequoiachute.protocol.supervision import EndReport, RunOrder, RunReport
 from sequoiachute.protocol.workload import Life
 
 ALREADY_RAN = "already ran"
@@ -48,15 +48,7 @@
         ...
 
     def start(
-        self,
-        worker_id: str,
-        task: str,
-        run: int,
-        payload: str,
-        token: str,
-        ticket: str,
-        term: int,
-        lease_ms: int,
+        self, worker_id: str, order: RunOrder, term: int, lease_ms: int
     ) -> Result[None, WorkerError]:
         """Start a run; the same run is started once."""
         ...
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -7,7 +7,12 @@
 from result import Err, Ok, Result
 
 from sequoiachute import clock
-from sequoiachute.protocol.supervision import EndReport, RunReport, WorkerInfo
+from sequoiachute.protocol.supervision import (
+    EndReport,
+    RunOrder,
+    RunReport,
+    WorkerInfo,
+)
 from sequoiachute.protocol.workload import Life, Resources
 from sequoiachute.transport.worker import ALREADY_RAN, WorkerError, WorkerView
 from standins.memory import MemoryProcess
@@ -177,9 +182,11 @@
                 ended.wait()
         return Ok(self.view())
 
-    def start(self, worker_id: str, order: tuple) -> Result[None, WorkerError]:
+    def start(
+        self, worker_id: str, order: RunOrder, term: int, lease_ms: int
+    ) -> Result[None, WorkerError]:
         """Carry out a start."""
-        task, run, payload, _token, _ticket, term, lease_ms = order
+        task, run = order.task, order.run
         if worker_id != self.life.worker_id:
             return Err(WorkerError("other lifetime", False))
         if term < self._fence:
@@ -194,7 +201,7 @@
             return Err(WorkerError("late", False))
         self._due_ms = max(self._due_ms, lease_ms)
         self._highest[task] = run
-        self._runs[task] = _Run(task, run, self.seconds_of(payload))
+        self._runs[task] = _Run(task, run, self.seconds_of(order.payload))
         start = StartRecord(clock.now(), task, run, self.life.worker_id)
         self.history.starts.append(start)
         return Ok(None)
@@ -238,9 +245,12 @@
         self._process.check()
         return outcome
 
-    def start(self, worker_id: str, *order: object) -> Result[None, WorkerError]:
+    def start(
+        self, worker_id: str, order: RunOrder, term: int, lease_ms: int
+    ) -> Result[None, WorkerError]:
         """Order a start."""
-        return self._order(lambda: self._worker.start(worker_id, order))
+        start = self._worker.start
+        return self._order(lambda: start(worker_id, order, term, lease_ms))
 
     def stop(
         self, worker_id: str, task: str, run: int, term: int
