--- a/tests/test_control_site.py
+++ b/tests/test_control_site.py
@@ -256,7 +256,7 @@
     job = accepted(site, 5.0)
     site.run_for(25)
     assert site.state(job) == FAILED
-    assert len(site.history.starts) == 2
+    assert len(site.history.starts) == 3
 
 
 def test_worker_that_fails_everything_costs_a_job_one_attempt():
