--- /dev/null
+++ b/tests/test_control_machine.py
@@ -0,0 +1,169 @@
+"""Random faults against entries, agents, workers and the store.
+
+Whatever happens, no task runs twice, and once all is well again every accepted
+job is done.
+"""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from sequoiachute import clock
+from sequoiachute.coordination.intake import ACCEPTED, REFUSED
+from sequoiachute.protocol.workload import COMPLETE
+from standins.control_site import QUEUE, URGENT, ControlSite
+from standins.paused import install_paused_clock
+from tests.run_checks import assert_runs_numbered, assert_single_runs
+
+ENTRIES = 3
+WORKERS = 3
+HEAL_SECONDS = 90.0
+
+entries = st.integers(0, ENTRIES - 1)
+workers = st.integers(0, WORKERS - 1)
+
+
+class ControlMachine(RuleBasedStateMachine):
+    @initialize()
+    def begin(self):
+        install_paused_clock()
+        self.site = ControlSite(ENTRIES, WORKERS)
+        self.accepted = []
+        self.refused = []
+
+    @rule(
+        entry=entries,
+        count=st.integers(1, 4),
+        seconds=st.sampled_from([0.3, 2.0, 8.0]),
+        urgent=st.booleans(),
+        gang=st.booleans(),
+    )
+    def submit(self, entry, count, seconds, urgent, gang):
+        if self.site.entries[entry].process.killed:
+            return
+        queue = URGENT if urgent else QUEUE
+        job, outcome = self.site.submit(
+            seconds, count, entry, queue, wait=1.0, gang=gang
+        )
+        if outcome.kind == ACCEPTED:
+            self.accepted.append(job)
+        elif outcome.kind == REFUSED:
+            self.refused.append(job)
+
+    @rule(seconds=st.sampled_from([0.1, 0.7, 2.5, 11.0]))
+    def wait(self, seconds):
+        self.site.run_for(seconds)
+
+    @rule()
+    def kill_placer(self):
+        placer = self.site.placer()
+        alive = sum(not entry.process.killed for entry in self.site.entries)
+        if placer >= 0 and alive > 1:
+            self.site.kill_entry(placer)
+
+    @rule(entry=entries)
+    def restart_entry(self, entry):
+        if self.site.entries[entry].process.killed:
+            self.site.restart_entry(entry)
+
+    @rule(entry=entries, frozen=st.booleans())
+    def freeze_entry(self, entry, frozen):
+        target = self.site.entries[entry]
+        target.process.frozen = frozen
+        change = (
+            self.site.network.frozen.add
+            if frozen
+            else (self.site.network.frozen.discard)
+        )
+        change(target.address)
+
+    @rule(worker=workers)
+    def kill_agent(self, worker):
+        self.site.kill_agent(worker)
+
+    @rule(worker=workers)
+    def restart_agent(self, worker):
+        if self.site.agents[worker].process.killed:
+            self.site.restart_agent(worker)
+
+    @rule(worker=workers, frozen=st.booleans())
+    def freeze_agent(self, worker, frozen):
+        self.site.agents[worker].process.frozen = frozen
+
+    @rule(worker=workers)
+    def crash_worker(self, worker):
+        self.site.workers[worker].begin_life()
+
+    @rule(worker=workers, late=st.sampled_from([0.0, 0.0, 3.0]), lost=st.booleans())
+    def disturb_orders(self, worker, late, lost):
+        self.site.workers[worker].late_seconds = late
+        self.site.workers[worker].lose_answers = lost
+
+    @rule(down=st.booleans(), lost=st.booleans(), late=st.sampled_from([0.0, 2.0]))
+    def disturb_store(self, down, lost, late):
+        self.site.store.down = down
+        self.site.store.lose_answers = lost
+        self.site.store.late_seconds = late
+
+    @rule(entry=entries, refused=st.booleans(), silent=st.booleans())
+    def turn_away(self, entry, refused, silent):
+        self.site.entries[entry].store.refused = refused
+        self.site.entries[entry].store.silent = silent
+
+    @rule()
+    def deal_partitions_anew(self):
+        self.site.store.reshuffle()
+
+    @rule(topic=st.sampled_from(["jobs", "runs", "op"]))
+    def forget_history(self, topic):
+        self.site.store.forget_history(topic)
+
+    @rule(entry=entries, worker=workers)
+    def cut(self, entry, worker):
+        pair = (self.site.agents[worker].address, self.site.entries[entry].address)
+        self.site.network.cut.add(pair)
+
+    @precondition(lambda self: hasattr(self, "site"))
+    @invariant()
+    def no_task_runs_twice(self):
+        assert_single_runs(self.site.history)
+        assert_runs_numbered(self.site.history)
+
+    def teardown(self):
+        if not hasattr(self, "site"):
+            return
+        self._heal()
+        until = clock.now() + HEAL_SECONDS
+        while clock.now() < until:
+            self.site.run_for(0.5)
+            if all(self.site.state(job) == COMPLETE for job in self.accepted):
+                break
+        states = {job: self.site.state(job) for job in self.accepted}
+        assert set(states.values()) <= {COMPLETE}, states
+        assert_single_runs(self.site.history)
+        started = {start.task.partition(".")[0] for start in self.site.history.starts}
+        assert not started & set(self.refused)
+
+    def _heal(self):
+        site = self.site
+        site.network.cut.clear()
+        site.network.frozen.clear()
+        self.disturb_store(False, False, 0.0)
+        for entry in range(ENTRIES):
+            site.entries[entry].process.frozen = False
+            self.turn_away(entry, False, False)
+            self.restart_entry(entry)
+        for worker in range(WORKERS):
+            site.agents[worker].process.frozen = False
+            self.disturb_orders(worker, 0.0, False)
+            self.restart_agent(worker)
+
+
+ControlMachine.TestCase.settings = settings(max_examples=40, stateful_step_count=25)
+TestControlMachine = ControlMachine.TestCase
