Drop what nothing reads, and call what stood twice

Behaviour is unchanged. Nothing read the follower's change event, the set of final states or the agents' wall time. The placer's choice of a gang's newest checkpoint called for newest_token, settlement for task_id_of; the objective of a job was reckoned in two places, and the name of the jobs' topic stood in two files.

--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -19,15 +19,13 @@
     Orders,
     Report,
 )
-from sequoiachute.state.ledger import Ledger
+from sequoiachute.state.ledger import JOBS, RUNS, Ledger
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.state.operations import Operations
 from sequoiachute.transport.machines import Advisor, Machines
 from sequoiachute.transport.ports import Caller
 from sequoiachute.transport.store import KeyedStore
 
-JOBS = "jobs"
-RUNS = "runs"
 PUBLISHED = "op"
 
 
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -10,7 +10,11 @@
 from sequoiachute.coordination.dispatch.advice import Advisory
 from sequoiachute.coordination.dispatch.evidence import Evidence
 from sequoiachute.coordination.dispatch.sessions import Desk, Session
-from sequoiachute.coordination.dispatch.settlement import Draft, Settlement
+from sequoiachute.coordination.dispatch.settlement import (
+    Draft,
+    Settlement,
+    newest_token,
+)
 from sequoiachute.coordination.dispatch.upkeep import Upkeep, encode_wave
 from sequoiachute.coordination.dispatch.views import build_view
 from sequoiachute.coordination.scheduling import Placement, Stop, decide
@@ -28,6 +32,7 @@
 from sequoiachute.state.ledger import (
     CANCEL_PREFIX,
     JOB_PREFIX,
+    JOBS,
     SPEEDS_KEY,
     WAVE_PREFIX,
     Ledger,
@@ -47,7 +52,6 @@
 # Callers may ask for an ended job for 120 s; a late append lives some seconds.
 KEEP_ENDED_SECONDS = 900.0
 DROP_SECONDS = 30.0  # between two looks for jobs to drop
-JOBS_TOPIC = "jobs"
 RECORDS_PER_APPEND = 200
 
 
@@ -281,7 +285,7 @@
         jobs: list[tuple[str, bytes | None]] = []
         for job_id in old:
             jobs += [(JOB_PREFIX + job_id, None), (CANCEL_PREFIX + job_id, None)]
-        outcome = self._store.append(JOBS_TOPIC, jobs, timeout=APPEND_SECONDS)
+        outcome = self._store.append(JOBS, jobs, timeout=APPEND_SECONDS)
         if outcome.is_err():
             reason = outcome.unwrap_err().reason
             logger.bind(reason=reason).info("ended jobs are dropped later")
@@ -323,7 +327,7 @@
         for index in range(count):
             state = tasks.get(f"{task.occurrence}.{task.step}.{index}")
             if state is not None:
-                best = max(best, state.token, key=lambda token: (len(token), token))
+                best = newest_token(best, state.token)
         return best
 
     def _write(self, draft: Draft) -> None:
--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -39,7 +39,6 @@
         self.worker: WorkerInfo | None = None
         self.gone: set[Life] = set()
         self.heard_at = float("-inf")
-        self.wall_offset = 0.0
         self.is_fenced = False
         self.worker_clock_ms = 0
         self.learned_clock_ms = 0
@@ -75,7 +74,6 @@
         self.incarnation = report.incarnation
         self.sequence = report.sequence
         self.heard_at = clock.elapsed()
-        self.wall_offset = report.wall_time - clock.now()
         if report.gone is not None:
             self.gone.add(report.gone)
         self._take_worker(report.worker)
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -21,7 +21,7 @@
     parse_task_id,
     task_key,
 )
-from sequoiachute.state.ledger import Ledger
+from sequoiachute.state.ledger import Ledger, task_id_of
 
 
 class Draft:
@@ -205,10 +205,8 @@
             session = self._desk.sessions.get(state.host)
             if session is None or session.life != state.life:
                 continue
-            occurrence, step, index = key.split(".")
-            task = TaskId(job.job_id, int(occurrence), int(step), int(index))
             if not state.done:
-                session.stops[task] = state.run
+                session.stops[task_id_of(job.job_id, key)] = state.run
 
 
 def is_complete(job: JobSpec, progress: Progress) -> bool:
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -96,8 +96,7 @@
     for task, state in ledger.placed_at(session.host).items():
         job = ledger.job(task.job_id)
         if job is not None:
-            run = _running(task, state, job, session, evidence, sure)
-            running.append(run._replace(service=worker.service))
+            running.append(_running(task, state, job, session, evidence, sure))
     session.closed = worker.zone in operations.closed_zones
     is_open = (
         session.is_fenced
@@ -141,8 +140,7 @@
         rate = seen.rate()
         left = (100 - seen.percent) / (rate or 100 / estimate)
         unsaved = min(done, SAVE_SECONDS) if step.checkpoints else done
-    begins = max(job.accepted_at, job.due_at(task.occurrence))
-    deadline = begins + job.stretch * chain_seconds(job, 0) + job.slo_seconds
+    begins, deadline = objective(job, task.occurrence)
     return Running(
         task=task,
         run=state.run,
@@ -160,6 +158,7 @@
         stalled=seen is not None and seen.is_stalled(estimate),
         percent=seen.percent if seen is not None else 0,
         step=step,
+        service=session.worker.service,
         deadline=deadline,
         rest_seconds=chain_seconds(job, task.step) - estimate,
         accepted_at=begins,
@@ -227,8 +226,7 @@
 ) -> Unit:
     queue = operations.queue(job.queue)
     occurrence = tasks[0].occurrence
-    begins = max(job.accepted_at, job.due_at(occurrence))
-    whole = chain_seconds(job, 0)
+    begins, deadline = objective(job, occurrence)
     placed: dict[str, int] = {}
     failures = 0
     for key, state in progress.tasks.items():
@@ -239,7 +237,7 @@
     return Unit(
         account=job.account,
         priority=queue.priority if queue is not None else job.priority,
-        deadline=begins + job.stretch * whole + job.slo_seconds,
+        deadline=deadline,
         chain_seconds=chain_seconds(job, index),
         accepted_at=begins,
         service=queue.service if queue is not None else job.service,
@@ -252,6 +250,13 @@
     )
 
 
+def objective(job: JobSpec, occurrence: int) -> tuple[float, float]:
+    """Return when an occurrence begins and its deadline, in wall time."""
+    begins = max(job.accepted_at, job.due_at(occurrence))
+    whole = chain_seconds(job, 0)
+    return begins, begins + job.stretch * whole + job.slo_seconds
+
+
 def chain_seconds(job: JobSpec, first: int) -> float:
     """Return the declared time from the start of a step to the job's end.
 
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -224,7 +224,6 @@
             gone=self._gone,
             term=self._fenced_term,
             worker_clock_ms=view.clock_ms if shown else 0,
-            wall_time=clock.wall_time(),
             runs=view.runs if shown else (),
             ends=view.ends if shown else (),
             settled=tuple(self._runs.settled.values()) if shown else (),
--- a/src/sequoiachute/coordination/store/follower.py
+++ b/src/sequoiachute/coordination/store/follower.py
@@ -44,7 +44,6 @@
         self._apply = apply
         self._replace = replace
         self._caught_up = Event()
-        self._changed = Event()
         self._lost = False
         self.next = -1
         self.confirmed_at = float("-inf")
@@ -64,12 +63,6 @@
             self._caught_up.wait()
         return self.is_caught_up
 
-    def wait_changed(self, timeout: float) -> None:
-        """Wait until records were applied, ``timeout`` seconds at most."""
-        changed = self._changed
-        with eventlet.Timeout(timeout, False):
-            changed.wait()
-
     def run(self) -> None:
         """Follow the topic, for ever."""
         while True:
@@ -128,17 +121,9 @@
         self.next = max(self.next, snapshot.end)
         if not self._caught_up.ready():
             self._caught_up.send(None)
-        self._notify()
 
     def _take(self, page: Page) -> None:
         for record in page.records:
             if record.offset >= self.next:
                 self._apply(record)
         self.next = max(self.next, page.next)
-        if page.records:
-            self._notify()
-
-    def _notify(self) -> None:
-        changed = self._changed
-        self._changed = Event()
-        changed.send(None)
--- a/src/sequoiachute/protocol/supervision.py
+++ b/src/sequoiachute/protocol/supervision.py
@@ -71,7 +71,6 @@
     gone: Life | None
     term: int
     worker_clock_ms: int
-    wall_time: float
     runs: tuple[RunReport, ...] = ()
     ends: tuple[EndReport, ...] = ()
     settled: tuple[SettledStart, ...] = ()
--- a/src/sequoiachute/protocol/workload.py
+++ b/src/sequoiachute/protocol/workload.py
@@ -13,7 +13,6 @@
 COMPLETE = "complete"
 FAILED = "failed"
 CANCELLED = "cancelled"
-FINAL_STATES = frozenset((COMPLETE, FAILED, CANCELLED))
 
 
 class Resources(NamedTuple):
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -20,6 +20,8 @@
     decode_progress,
 )
 
+JOBS = "jobs"  # topic of jobs and cancels, written by any entry
+RUNS = "runs"  # topic that only the placer writes
 LEADER_KEY = "leader"
 SPEEDS_KEY = "speeds"
 WAVE_PREFIX = "wave/"
