Give every test run ports that no other run is given

Cause: ports were drawn when free and bound up to seconds later, so that two servers, of one run or of two side by side, could get one port. Ruled out by a run: load alone, 3 and 7 clusters started side by side were up in 2.9 to 9.1 s. The logs of the failed run were not kept, so that this is the likely cause, not a proved one.

A start that fails ends what it began (it left processes behind before) and names who ended.

--- a/standins/agents.py
+++ b/standins/agents.py
@@ -21,8 +21,8 @@
 from sequoiachute.coordination.agent import Agent  # noqa: E402
 from sequoiachute.settings import AgentSettings  # noqa: E402
 from sequoiachute.transport.rpc import RpcPool, RpcServer  # noqa: E402
-from standins.cluster import free_address  # noqa: E402
 from standins.memory import MemoryBackend  # noqa: E402
+from standins.ports import free_address  # noqa: E402
 
 DATA_CENTRES = 7
 REGIONS = 2
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -5,7 +5,6 @@
 """
 
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -19,10 +18,9 @@
 import urllib3
 import yaml
 
-HOST = "127.0.0.1"
+from standins.ports import free_address
+
 OPERATOR_KEY = "operator-key-for-tests"
-FIRST_PORT = 10_000
-LAST_PORT = 32_000
 START_SECONDS = 20.0
 STOP_SECONDS = 40.0
 REGION = "bavaria"
@@ -30,10 +28,6 @@
 WORKERS_PER_RACK = 3
 
 
-# Runs side by side must not draw the same ports.
-_PORTS = random.SystemRandom()
-
-
 class Process(NamedTuple):
     """A started process and where it listens."""
 
@@ -60,22 +54,6 @@
         return self.popen.wait(STOP_SECONDS)
 
 
-def free_address() -> str:
-    """Return a loopback address that nothing listens on.
-
-    The port lies below those that the system gives to outgoing connections,
-    one of which could take it before the server listens.
-    """
-    while True:
-        port = _PORTS.randrange(FIRST_PORT, LAST_PORT)
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-        return f"{HOST}:{port}"
-
-
 def caller_key(account: str) -> str:
     """Return the key of a client account."""
     return f"caller-key-of-{account}"
@@ -124,7 +102,20 @@
         self.close()
 
     def start(self) -> None:
-        """Start everything and wait until every entry is ready."""
+        """Start everything and wait until every entry is ready.
+
+        Raises
+        ------
+        RuntimeError
+            A process ended meanwhile; what was started is ended too.
+        """
+        try:
+            self._start_all()
+        except BaseException:
+            self.close()
+            raise
+
+    def _start_all(self) -> None:
         self.log = self._start_standin(
             "log", "logservice", ["--retention", str(self._retention)]
         )
@@ -264,13 +255,20 @@
         return keys
 
     def _listens(self, process: Process) -> bool:
-        if process.popen.poll() is not None:
-            raise RuntimeError(f"{process.name} has ended")
+        self._check_running(process)
         host, _, port = process.address.rpartition(":")
         with socket.socket() as probe:
             return probe.connect_ex((host, int(port))) == 0
 
+    def _check_running(self, process: Process) -> None:
+        status = process.popen.poll()
+        if status is None:
+            return
+        hint = "SEQUOIACHUTE_SHOW_LOGS=1 shows why"
+        raise RuntimeError(f"{process.name} has ended with {status}; {hint}")
+
     def _is_ready(self, entry: Process) -> bool:
+        self._check_running(entry)
         try:
             response = self._http.request(
                 "GET", f"http://{entry.address}/readyz", timeout=1.0
--- a/standins/dist_check.py
+++ b/standins/dist_check.py
@@ -16,7 +16,7 @@
 
 import yaml
 
-from standins.cluster import free_address
+from standins.ports import free_address
 
 CHILD_FAULTS_FIELD = 8  # of the fields after the command name, from zero
 START_SECONDS = 60.0
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -11,8 +11,9 @@
 import yaml
 
 from sequoiachute.status import ExitStatus
-from standins.cluster import OPERATOR_KEY, Cluster, caller_key, free_address
+from standins.cluster import OPERATOR_KEY, Cluster, caller_key
 from standins.demo import CATALOGUE
+from standins.ports import free_address
 
 pytestmark = pytest.mark.processes
 
