Replay seeded arrivals through the placer, and mend what it found

Workers' speeds and steps' errors are now fitted together. - Checkpoints of a worker that came back in a new lifetime were forgotten with the old lifetime's report. - Urgent tasks that could partly start left the rest of their room to others.

--- a/src/sequoiachute/cli/app.py
+++ b/src/sequoiachute/cli/app.py
@@ -5,7 +5,7 @@
 import typer
 
 from sequoiachute import __version__
-from sequoiachute.cli import caller, daemons, operator, report, settings
+from sequoiachute.cli import caller, daemons, operator, replay, report, settings
 from sequoiachute.cli.options import environment_of
 from sequoiachute.cli.output import write_line
 
@@ -30,6 +30,7 @@
     cli.command()(caller.cancel)
     cli.command()(operator.drain)
     cli.command()(operator.restore)
+    cli.command()(replay.replay)
     cli.add_typer(_create_catalogue_cli(), name="catalogue")
     cli.add_typer(_create_report_cli(), name="report")
     cli.add_typer(_create_settings_cli(), name="settings")
--- /dev/null
+++ b/src/sequoiachute/cli/replay.py
@@ -0,0 +1,44 @@
+"""Playing arrivals through the placer's decisions."""
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from sequoiachute.cli.options import environment_of
+from sequoiachute.cli.output import Progress, write_line
+from sequoiachute.replay.comparison import compare, format_table, play_day
+from sequoiachute.replay.plot import draw_scores
+from sequoiachute.replay.policies import POLICIES
+from sequoiachute.replay.site import load_site
+from sequoiachute.status import ExitStatus
+
+
+def replay(
+    context: typer.Context,
+    site: Annotated[str, typer.Argument(help="Site and load in YAML.")],
+    days: Annotated[int, typer.Option(min=1, help="How many seeds to play.")] = 40,
+    seed: Annotated[int, typer.Option(min=0, help="The first seed.")] = 0,
+    load: Annotated[
+        float | None, typer.Option(min=0.01, help="Instead of the site's load.")
+    ] = None,
+    plot: Annotated[str, typer.Option(help="Write an SVG picture to FILE.")] = "",
+) -> ExitStatus:
+    """Play seeded days under each policy and compare what callers get."""
+    environment = environment_of(context)
+    scene = load_site(site)
+    if load is not None:
+        scene = scene.with_load(load)
+    progress = Progress(environment)
+    played = []
+    try:
+        for number in range(days):
+            progress.show(f"day {number + 1} of {days}")
+            played.append(play_day(scene, seed + number, POLICIES))
+    finally:
+        progress.end()
+    rows = compare(played)
+    if plot:
+        Path(plot).write_text(draw_scores(rows, played), encoding="utf-8")
+    write_line(environment, format_table(rows, played))
+    return ExitStatus.OK
--- a/src/sequoiachute/coordination/dispatch/evidence.py
+++ b/src/sequoiachute/coordination/dispatch/evidence.py
@@ -1,13 +1,16 @@
 """What runs have shown of workers and jobs: speeds, progress and failures."""
 
-from math import exp, log
+from math import log
 from typing import NamedTuple
 
+from sequoiachute.coordination.dispatch.speeds import Sample, SpeedEstimate
 from sequoiachute.protocol.supervision import RunReport
 from sequoiachute.protocol.workload import JobSpec, Life, TaskId
 
-PRIOR_WEIGHT = 0.5  # runs' worth of belief that a worker is typical
-EARLIER_WEIGHT = 1.0  # of what an earlier placer has learned
+ESTIMATE_SECONDS = 0.25  # between two estimates; progress is renewed each 0.5 s
+MAX_SAMPLES = 16  # the newest tasks of a worker; it runs 8 to 16 at a time
+FINISHED_PERCENT = 100
+LEAST_RATIO = 0.01  # of the declared speed, as of a run that stands still
 WINDOW_SECONDS = 2.0  # progress is renewed each half second: four readings
 MIN_WATCH_SECONDS = 1.0  # two readings tell a rate
 STALLED_PERCENT = 4  # expected meanwhile; a sound run shows some of it
@@ -15,7 +18,6 @@
 LEAST_SHARE = 0.2
 TRIAL_SECONDS = 2.5  # a suspect worker is tried again after it, then after twice
 MAX_TRIAL_SECONDS = 10.0
-SAVE_SECONDS = 1.0  # work between two checkpoints; the site's save_s
 
 
 class Reading(NamedTuple):
@@ -32,6 +34,11 @@
         self.first = Reading(now, percent)
         self._readings = [self.first]
 
+    @property
+    def begun_percent(self) -> int:
+        """Progress at the beginning of what is looked at."""
+        return self._readings[0].percent
+
     @property
     def percent(self) -> int:
         """Newest progress."""
@@ -78,6 +85,8 @@
         self._earlier = dict(speeds)
         self._observed: dict[tuple[str, int], Observed] = {}
         self._samples: dict[Life, dict[str, tuple[float, float]]] = {}
+        self._estimate = SpeedEstimate()
+        self._estimated_at = float("-inf")
         self._failures: dict[Life, list[float]] = {}
         self._failed_on: dict[str, set[str]] = {}
         self.moved: set[TaskId] = set()
@@ -92,10 +101,17 @@
             self._observed[key] = Observed(now, run.percent)
             return
         known.take(now, run.percent)
+        if not 0 < known.begun_percent <= run.percent < FINISHED_PERCENT:
+            # A gang's members wait for the others before and after their work.
+            return
         rate = known.rate()
         if rate is not None and estimate > 0:
-            sample = estimate * rate / 100 * far
-            self._samples.setdefault(life, {})[run.task] = (now, sample)
+            ratio = log(max(estimate * rate / 100 * far, LEAST_RATIO))
+            samples = self._samples.setdefault(life, {})
+            samples.pop(run.task, None)
+            samples[run.task] = (now, ratio)
+            if len(samples) > MAX_SAMPLES:
+                del samples[next(iter(samples))]
 
     def observed(self, task: TaskId, run: int) -> Observed | None:
         """Return what was seen of a run."""
@@ -107,15 +123,24 @@
 
     def speed(self, life: Life, now: float) -> float:
         """Return a worker's speed against the typical worker, of late."""
-        total = EARLIER_WEIGHT * log(self._earlier.get(life, 1.0))
-        weight = EARLIER_WEIGHT if life in self._earlier else PRIOR_WEIGHT
-        for at, sample in self._samples.get(life, {}).values():
-            share = 0.5 ** ((now - at) / HALF_LIFE_SECONDS)
-            # What is long known still counts for a little.
-            share = max(share, LEAST_SHARE)
-            total += share * log(max(sample, 0.01))
-            weight += share
-        return exp(total / weight)
+        self._renew(now)
+        return self._estimate.speed(life)
+
+    def _renew(self, now: float) -> None:
+        if now >= self._estimated_at + ESTIMATE_SECONDS:
+            self._estimated_at = now
+            self._estimate.renew(self._current(now), self._earlier)
+
+    def _current(self, now: float) -> list[Sample]:
+        """Return the samples with their weights by age."""
+        found = []
+        for life, samples in self._samples.items():
+            for task, (at, ratio) in samples.items():
+                weight = 0.5 ** ((now - at) / HALF_LIFE_SECONDS)
+                # What is long known still counts for a little.
+                step = task.rpartition(".")[0]
+                found.append(Sample(life, step, ratio, max(weight, LEAST_SHARE)))
+        return found
 
     def speeds(self, lives: list[Life], now: float) -> dict[Life, float]:
         """Return the speeds of ``lives`` of which anything is known."""
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -1,5 +1,6 @@
 """The placer's loop: settle what was heard, decide, record, then order."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import eventlet
@@ -17,7 +18,13 @@
 )
 from sequoiachute.coordination.dispatch.upkeep import Upkeep, encode_wave
 from sequoiachute.coordination.dispatch.views import build_view
-from sequoiachute.coordination.scheduling import Placement, Stop, decide
+from sequoiachute.coordination.scheduling import (
+    Decision,
+    Placement,
+    Stop,
+    View,
+    decide,
+)
 from sequoiachute.coordination.scheduling.space import FAR_FACTOR, GangKey
 from sequoiachute.coordination.store.election import WRITER
 from sequoiachute.protocol.stored import Record
@@ -75,6 +82,8 @@
     identity : Term
     desk : Desk
         Sessions of the agents.
+    policy : callable
+        Decides on the view of each round.
     """
 
     def __init__(
@@ -87,7 +96,9 @@
         metrics: Metrics,
         advisor: Advisor | None,
         machines: Machines | None,
+        policy: Callable[[View], Decision] = decide,
     ) -> None:
+        self._policy = policy
         self._metrics = metrics
         self._term = identity.number
         self._topic = identity.topic
@@ -125,7 +136,7 @@
         try:
             while not self._ended:
                 self._wait()
-                self._look()
+                self.look()
         except DeposedError as error:
             logger.bind(term=self._term, reason=str(error)).warning("deposed")
 
@@ -135,7 +146,8 @@
             clock.sleep(GATHER_SECONDS)
         self._wake = Event()
 
-    def _look(self) -> None:
+    def look(self) -> None:
+        """Settle what was heard, decide once and record it."""
         self._learn()
         draft = Draft(self._ledger)
         self._settlement.settle(draft)
@@ -150,7 +162,7 @@
             wall,
         )
         began = clock.now()
-        decision = decide(view)
+        decision = self._policy(view)
         now = clock.now()
         self._metrics.observe("decision_seconds", now - began, now)
         self._stop(decision.stops)
--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -30,6 +30,8 @@
     """One agent as the placer knows it; ``heard_at`` counts suspensions.
 
     A worker in ``reserved_life`` waits for its upkeep and gets nothing new.
+    ``saved`` holds the newest checkpoint of each run that was placed here, also
+    once the lifetime that ran it is over.
     """
 
     def __init__(self, host: str) -> None:
@@ -43,6 +45,7 @@
         self.worker_clock_ms = 0
         self.learned_clock_ms = 0
         self.runs: dict[tuple[str, int], RunReport] = {}
+        self.saved: dict[tuple[str, int], str] = {}
         self.ends: tuple[EndReport, ...] = ()
         self.settled: tuple[SettledStart, ...] = ()
         self.stops: dict[TaskId, int] = {}
@@ -80,6 +83,9 @@
         self.is_fenced = report.term == term and report.worker is not None
         self.worker_clock_ms = report.worker_clock_ms
         self.runs = {(run.task, run.run): run for run in report.runs}
+        for key, run in self.runs.items():
+            if run.token:
+                self.saved[key] = run.token
         self.ends = report.ends
         self.settled = report.settled
         return self._facts() != before
@@ -136,6 +142,7 @@
     def refresh(self, ledger: Ledger) -> tuple[tuple[RunOrder, ...], int]:
         """Return orders and acknowledgement; tell waiters if they are news."""
         orders = self.orders(ledger)
+        self._forget_saved(ledger)
         ack = self.acknowledged(ledger)
         short = tuple(order._replace(payload="") for order in orders)
         if short != self._sent or ack != self._sent_ack:
@@ -145,6 +152,13 @@
             news.send(None)
         return orders, ack
 
+    def _forget_saved(self, ledger: Ledger) -> None:
+        placed = ledger.placed_at(self.host)
+        held = {(str(task), state.run) for task, state in placed.items()}
+        held.update(self.runs)
+        for key in self.saved.keys() - held:
+            del self.saved[key]
+
     def wait_news(self, version: int, seconds: float) -> None:
         """Wait until there are orders newer than ``version``."""
         if self.version != version:
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -171,8 +171,9 @@
         reason: str,
     ) -> None:
         token = state.token
-        if session is not None and (str(task), state.run) in session.runs:
-            token = newest_token(token, session.runs[(str(task), state.run)].token)
+        if session is not None:
+            saved = session.saved.get((str(task), state.run), "")
+            token = newest_token(token, saved)
         draft.set_task(task, state._replace(host="", life=Life(), token=token))
         log = logger.bind(task=str(task), run=state.run, host=state.host)
         log.bind(life=state.life.worker_id, reason=reason).warning("run lost")
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -2,7 +2,7 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.dispatch.advice import Advisory
-from sequoiachute.coordination.dispatch.evidence import SAVE_SECONDS, Evidence
+from sequoiachute.coordination.dispatch.evidence import Evidence
 from sequoiachute.coordination.dispatch.sessions import FRESH_SECONDS, Desk, Session
 from sequoiachute.coordination.scheduling import Host, Running, Unit, View
 from sequoiachute.coordination.scheduling.model import URGENT_PRIORITY
@@ -17,6 +17,7 @@
 from sequoiachute.state.ledger import Ledger
 from sequoiachute.state.operations import Operations
 
+RESUME_SECONDS = 0.4  # a stop saves; the stop and the site's restore_ms are lost
 UNKNOWN_ESTIMATE_SECONDS = 5.0  # for a task that declares none
 
 
@@ -139,7 +140,7 @@
         done = clock.elapsed() - seen.first.at
         rate = seen.rate()
         left = (100 - seen.percent) / (rate or 100 / estimate)
-        unsaved = min(done, SAVE_SECONDS) if step.checkpoints else done
+        unsaved = min(done, RESUME_SECONDS) if step.checkpoints else done
     begins, deadline = objective(job, task.occurrence)
     return Running(
         task=task,
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -26,6 +26,7 @@
 HOPELESS_FACTOR = 3.0  # past this multiple of the objective a job earns nothing
 SEARCHES = 4  # for room by stopping others; each takes up to 25 ms at 670 workers
 MANY = 1_000_000
+NO_LIMIT = float("inf")
 PREEMPTION_SECONDS = 0.5  # to stop what is there and record the start
 LEAVING_MARGIN_SECONDS = 0.5  # a worker that leaves stays a little longer
 
@@ -48,13 +49,18 @@
         rank = 1
     else:
         rank = 2
-    window = max(unit.deadline - unit.accepted_at, 1.0)
-    last_use = unit.accepted_at + HOPELESS_FACTOR * window - unit.chain_seconds
-    if now > last_use and not unit.guaranteed:
+    if is_past_use(unit, now):
         rank += 2
     return (rank, unit.priority, unit.deadline - unit.chain_seconds)
 
 
+def is_past_use(unit: Unit, now: float) -> bool:
+    """Return whether the unit's job can earn nothing any more."""
+    window = max(unit.deadline - unit.accepted_at, 1.0)
+    last_use = unit.accepted_at + HOPELESS_FACTOR * window - unit.chain_seconds
+    return now > last_use and not unit.guaranteed
+
+
 def _shape(unit: Unit) -> tuple:
     """Return what decides where a unit fits, but for its number of tasks."""
     step = unit.step
@@ -115,26 +121,67 @@
 
     def _try_to_place(self, unit: Unit) -> bool:
         """Place what fits, make room if urgent; return whether anything was done."""
-        whole = unit.step.gang
+        # What comes last must stop nothing: it would be placed again before it.
+        if unit.priority == URGENT_PRIORITY and not is_past_use(unit, self._view.now):
+            rest = self._serve_urgent(unit)
+        else:
+            rest = self._place_some(unit)
+        return len(rest.tasks) < len(unit.tasks)
+
+    def _serve_urgent(self, unit: Unit) -> Unit:
+        """Place in time if there is room or others can be stopped, else late."""
+        bearable = self._bearable(unit)
+        rest = self._place_some(unit, bearable)
+        rest = self._reserve(rest, bearable)
+        rest = self._place_some(rest)
+        rest = self._reserve(rest)
+        if rest.tasks:
+            self._hold_room(rest)
+        return rest
+
+    def _place_some(self, unit: Unit, slowest: float = NO_LIMIT) -> Unit:
+        """Place tasks where there is room now; return the unit that is left."""
+        count = len(unit.tasks)
+        if not count:
+            return unit
         now = self._view.now
-        urgent = unit.priority == URGENT_PRIORITY
-        layout = best_layout(unit, self._space, len(unit.tasks), now, whole)
-        if urgent and layout is not None and self._is_late(unit, layout):
-            room = self._find_room(unit, self._bearable(unit))
-            if room is not None:
-                self._make_room(unit, room)
-                return True
-        placed = 0 if layout is None else self._place(unit, layout)
-        if not urgent or placed == len(unit.tasks):
-            return placed > 0
-        rest = unit._replace(tasks=unit.tasks[placed:])
-        room = self._find_room(rest)
+        whole = unit.step.gang
+        layout = best_layout(unit, self._space, count, now, whole)
+        if layout is None:
+            return unit
+        if whole and layout_slowdown(unit, layout) > slowest:
+            return unit
+        layout = [row for row in layout if slowdown(unit.step, row[0]) <= slowest]
+        placed = self._place(unit, layout)
+        return unit._replace(tasks=unit.tasks[placed:])
+
+    def _reserve(self, unit: Unit, slowest: float = NO_LIMIT) -> Unit:
+        """Stop others so that tasks fit; return the unit that is left."""
+        if not unit.tasks:
+            return unit
+        room = self._find_room(unit, slowest)
         if room is None:
-            return placed > 0
-        self._make_room(rest, room)
-        return True
+            return unit
+        self._make_room(unit, room)
+        count = sum(number for _, number in room.hosts)
+        return unit._replace(tasks=unit.tasks[count:])
 
-    def _find_room(self, unit: Unit, slowest: float = float("inf")) -> Room | None:
+    def _hold_room(self, unit: Unit) -> None:
+        """Leave free what urgent work waits for.
+
+        Whatever were placed there would be stopped again for it.
+        """
+        if not self._searches_left:
+            return
+        self._searches_left -= 1
+        room = find_room(unit, self._space, unit.step.gang, loss_per_work=NO_LIMIT)
+        if room is None:
+            return
+        for host, count in room.hosts:
+            for _ in range(count):
+                self._space.take(host, unit.step.reserved)
+
+    def _find_room(self, unit: Unit, slowest: float = NO_LIMIT) -> Room | None:
         """Search for room; the searches left over are made in the next round."""
         if not self._searches_left:
             self._is_cut = True
@@ -148,9 +195,6 @@
         left = unit.deadline - self._view.now - rest - PREEMPTION_SECONDS
         return left / max(unit.step.estimate_seconds, 0.1)
 
-    def _is_late(self, unit: Unit, layout: Layout) -> bool:
-        return layout_slowdown(unit, layout) > self._bearable(unit)
-
     def _place(self, unit: Unit, layout: Layout) -> int:
         tasks = iter(unit.tasks)
         placed = 0
--- a/src/sequoiachute/coordination/scheduling/preemption.py
+++ b/src/sequoiachute/coordination/scheduling/preemption.py
@@ -17,6 +17,7 @@
 )
 from sequoiachute.protocol.workload import Resources
 
+ENDS_SOON_SECONDS = 0.8  # a run that ends by then is left to; a stop takes as long
 LOSS_PER_WORK = 1.0  # core-seconds that may be lost for each one of urgent work
 
 
@@ -37,12 +38,17 @@
 
 
 def find_room(
-    unit: Unit, space: Space, whole: bool, slowest: float = float("inf")
+    unit: Unit,
+    space: Space,
+    whole: bool,
+    slowest: float = float("inf"),
+    loss_per_work: float = LOSS_PER_WORK,
 ) -> Room | None:
     """Return the cheapest room for the unit's tasks, ``None`` if there is none.
 
     With ``whole`` for all of them; on no host slower than ``slowest``. Unless
-    the unit is guaranteed, no more work is lost than the unit itself needs.
+    the unit is guaranteed, no more work is lost than ``loss_per_work`` times
+    what the unit itself needs.
     """
     hosts = []
     for host in space.hosts.values():
@@ -56,7 +62,7 @@
         groups = list(racks.values())
     best = None
     for group in groups:
-        room = _Search(unit, space, group).run(whole)
+        room = _Search(unit, space, group, loss_per_work).run(whole)
         if room is not None and (best is None or room.loss < best.loss):
             best = room
     return best
@@ -65,8 +71,11 @@
 class _Search:
     """Adds the unit's tasks one by one where the next costs least."""
 
-    def __init__(self, unit: Unit, space: Space, hosts: list[Host]) -> None:
+    def __init__(
+        self, unit: Unit, space: Space, hosts: list[Host], loss_per_work: float
+    ) -> None:
         self._unit = unit
+        self._loss_per_work = loss_per_work
         self._hosts = hosts
         self._gang_losses = space.gang_losses
         self._broken: set[GangKey] = set()
@@ -105,7 +114,7 @@
         return run.priority > self._unit.priority
 
     def _loss_of(self, run: Running) -> float:
-        if run.stopping:
+        if run.stopping or _ends_soon(run):
             return 0.0
         if not run.gang:
             return loss(run)
@@ -122,9 +131,8 @@
                 best_host, best = host, offer
         if best_host is None or best is None:
             return False
-        budget = LOSS_PER_WORK * self._task_work * number
-        if self._unit.step.gang:
-            budget = LOSS_PER_WORK * self._task_work * len(self._unit.tasks)
+        count = len(self._unit.tasks) if self._unit.step.gang else number
+        budget = self._loss_per_work * self._task_work * count
         if not self._unit.guaranteed and self._loss + best.loss > budget:
             return False
         self._take(best_host, best)
@@ -158,7 +166,7 @@
         for run in offer.victims:
             self._victims[host.name].remove(run)
             free = free.plus(run.need)
-            if run.stopping:
+            if run.stopping or _ends_soon(run):
                 continue
             reason = f"preempted for {self._unit.tasks[0].job_id}"
             self._stops.append(Stop(run.task, run.run, host.name, reason))
@@ -171,6 +179,11 @@
         self._loss += offer.loss
 
 
+def _ends_soon(run: Running) -> bool:
+    """Return whether the room comes as soon if the run is left to its end."""
+    return run.measured and run.left_seconds <= ENDS_SOON_SECONDS
+
+
 def _helps(free: Resources, need: Resources, gain: Resources) -> bool:
     """Return whether a run of this size frees something that lacks."""
     for have, want, more in zip(free, need, gain, strict=True):
--- /dev/null
+++ b/src/sequoiachute/replay/policies.py
@@ -0,0 +1,51 @@
+"""Policies to play side by side: ours, first-fit, and one that knows the truth."""
+
+from collections.abc import Callable
+
+from sequoiachute.coordination.scheduling import Decision, Placement, View, decide
+from sequoiachute.coordination.scheduling.space import Space, may_run, room_for
+from sequoiachute.replay.engine import Policy, Replay
+
+PolicyMaker = Callable[[Replay], Policy]
+
+
+def first_fit(view: View) -> Decision:
+    """Place whatever fits, in order of arrival, on the first worker with room.
+
+    Nothing is stopped, nothing learned.
+    """
+    space = Space(view.hosts)
+    placements: list[Placement] = []
+    for unit in sorted(view.units, key=lambda unit: unit.accepted_at):
+        found = []
+        for host in view.hosts:
+            if not may_run(unit, host):
+                continue
+            already = unit.placed_per_host.get(host.name, 0)
+            fits = room_for(unit, host, space, already)
+            found += [host] * min(fits, len(unit.tasks) - len(found))
+        if unit.step.gang and len(found) < len(unit.tasks):
+            continue
+        for task, host in zip(unit.tasks, found, strict=False):
+            space.take(host, unit.step.reserved)
+            placements.append(Placement(task, host.name, host.life))
+    return Decision(tuple(placements))
+
+
+def with_truth(replay: Replay) -> Policy:
+    """Return our policy given true times and speeds instead of guesses.
+
+    It is no optimum: with the same knowledge a better order may exist.
+    """
+
+    def decide_knowing(view: View) -> Decision:
+        return decide(replay.reveal(view))
+
+    return decide_knowing
+
+
+POLICIES: dict[str, PolicyMaker] = {
+    "ours": lambda replay: decide,
+    "first-fit": lambda replay: first_fit,
+    "with truth": with_truth,
+}
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,6 +12,7 @@
     "state": {"protocol"},
     "coordination": {"protocol", "transport", "state"},
     "report": {"protocol", "state"},
+    "replay": {"protocol", "transport", "state", "coordination"},
     "platform": {"protocol", "transport", "state", "coordination"},
     "http": {"protocol", "transport", "state", "coordination", "report"},
 }
--- a/tests/test_scheduling_policy.py
+++ b/tests/test_scheduling_policy.py
@@ -221,3 +221,42 @@
     decision = decide(View(NOW, tuple(hosts), tuple(units)))
     assert 0 < len(decision.stops) < 20
     assert decision.is_cut
+
+
+def test_urgent_work_past_its_use_stops_nothing():
+    """It is served last: what it stopped would be placed again before it."""
+    busy = host("a", running=[running(gpus=8, unsaved=0.0)])
+    late = unit(1, gpus=8, priority=0, left=-30.0, accepted_at=NOW - 40.0)
+    assert not decide(View(NOW, (busy,), (late,))).stops
+    in_time = unit(1, gpus=8, priority=0, left=7.0)
+    assert decide(View(NOW, (busy,), (in_time,))).stops
+
+
+def test_urgent_tasks_take_what_is_in_time_while_the_rest_makes_room():
+    """None of the room that is free meanwhile goes to other work."""
+    quick = host("quick", speed=1.0)
+    full = host("full", speed=1.0, running=[running(gpus=8, unsaved=0.0)])
+    slow = host("slow", speed=0.2)
+    urgent = unit(2, gpus=8, job="urgent", priority=0, left=7.0)
+    other = unit(8, gpus=1, job="other", left=600.0)
+    decision = decide(View(NOW, (quick, full, slow), (urgent, other)))
+    assert {(p.task.job_id, p.host) for p in decision.placements} == {
+        ("urgent", "quick"),
+        ("other", "slow"),
+    }
+    assert [stop.host for stop in decision.stops] == ["full"]
+
+
+def test_room_that_urgent_work_waits_for_is_left_free():
+    busy = host("a", running=[running(gpus=7, priority=1, unsaved=60.0)])
+    urgent = unit(1, gpus=8, job="urgent", priority=0, left=7.0)
+    decision = decide(View(NOW, (busy,), (urgent, unit(1, job="other"))))
+    assert not decision.stops
+    assert not decision.placements
+
+
+def test_run_that_ends_at_once_is_not_stopped():
+    ending = running(gpus=8, unsaved=10.0, left_seconds=0.3, measured=True)
+    urgent = unit(1, gpus=8, priority=0, left=7.0)
+    decision = decide(View(NOW, (host("a", running=[ending]),), (urgent,)))
+    assert not decision.stops
