--- a/tests/histories.py
+++ b/soak/histories.py
@@ -78,6 +78,7 @@
 
 
 def assert_sound(calls, runs, answer_to):
+    """Fail if anything is in a history that must never be."""
     found = faults(calls, runs, answer_to)
     assert not any(found.values()), found
 
@@ -130,3 +131,37 @@
         if known.setdefault(offset, value) != value:
             wrong.append((offset, value))
     return wrong
+
+
+class Start(NamedTuple):
+    """A start of a task at a worker; ``at`` in seconds since the epoch."""
+
+    job_id: str
+    attempt: int
+    member: int
+    at: float
+
+
+def doubled_starts(starts):
+    """Return the starts of a task whose attempt had started already."""
+    seen = set()
+    doubled = []
+    for start in starts:
+        key = start[:3]
+        if key in seen:
+            doubled.append(start)
+        seen.add(key)
+    return doubled
+
+
+def starts_after_end(starts, ended):
+    """Return the starts of jobs that had been shown as ended before.
+
+    ``ended`` maps jobs to the time at which a caller first saw that.
+    """
+    return [start for start in starts if start.at > ended.get(start.job_id, start.at)]
+
+
+def changed_ends(seen):
+    """Return the jobs that were shown with two different final states."""
+    return {job_id for job_id, states in seen.items() if len(states) > 1}
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -59,6 +60,10 @@
     return f"caller-key-of-{account}"
 
 
+def _direct(kind: str, name: str, address: str) -> str:
+    return address
+
+
 class Cluster:
     """Processes of one run: log service, workers, agents and entries.
 
@@ -68,6 +73,9 @@
         Client accounts that get a key each.
     workers : int
         Workers with an agent each, spread over ``DATA_CENTRES``.
+    route : callable, optional
+        Given the class of a link, the name of who uses it and the address it
+        leads to, returns the address to use instead.
     """
 
     def __init__(
@@ -78,6 +86,7 @@
         entry_settings: dict[str, Any] | None = None,
         agent_settings: dict[str, Any] | None = None,
         retention: float = 3600.0,
+        route: Callable[[str, str, str], str] | None = None,
     ) -> None:
         self.accounts = accounts
         self.log: Process | None = None
@@ -90,6 +99,7 @@
         self._entry_settings = entry_settings or {}
         self._agent_settings = agent_settings or {}
         self._retention = retention
+        self._route = route or _direct
         self._folder = tempfile.TemporaryDirectory(prefix="sequoiachute-")
         self._rpc_addresses: list[str] = []
         self._http = urllib3.PoolManager(retries=False)
@@ -137,7 +147,7 @@
             "data_centre": DATA_CENTRES[index % len(DATA_CENTRES)],
             "http_address": free_address(),
             "rpc_address": self._rpc_addresses[index],
-            "log_service": f"http://{self.log.address}",
+            "log_service": f"http://{self._log_address(index)}",
             "keys": self._keys(),
             "entries": self._rpc_addresses,
             "log_retention_seconds": self._retention,
@@ -162,8 +172,8 @@
             "rack": f"{data_centre}-rack-{place // WORKERS_PER_RACK}",
             "position": place % WORKERS_PER_RACK,
             "rpc_address": free_address(),
-            "backend_server": f"http://{self.workers[index].address}",
-            "entries": self._rpc_addresses,
+            "backend_server": f"http://{self._backend_address(index)}",
+            "entries": self._entries_of(index),
             "accelerators": 8,
             "slots": 8,
             "connections": 64,
@@ -172,6 +182,20 @@
         }
         return self._start_program("agent", settings, settings["rpc_address"])
 
+    def _log_address(self, entry: int) -> str:
+        return self._route("entry-log", f"entry-{entry}", self.log.address)
+
+    def _backend_address(self, worker: int) -> str:
+        address = self.workers[worker].address
+        return self._route("agent-worker", f"worker-{worker}", address)
+
+    def _entries_of(self, worker: int) -> list[str]:
+        found = []
+        for number, address in enumerate(self._rpc_addresses):
+            name = f"worker-{worker} to entry-{number}"
+            found.append(self._route("agent-entry", name, address))
+        return found
+
     def start_fake_agents(self, first: int, count: int) -> Process:
         """Start ``count`` agents in one process, with workers in memory."""
         arguments = [sys.executable, "-m", "standins.agents"]
@@ -231,12 +255,18 @@
         response = self._http.request("GET", f"http://{worker.address}/history")
         return msgspec.json.decode(response.data)
 
+    def thaw(self) -> None:
+        """Let every process go on that was paused."""
+        for process in [*self.entries, *self.agents]:
+            if process.popen.poll() is None:
+                process.thaw()
+
     def close(self) -> dict[str, int]:
         """Stop everything gracefully; return the exit statuses by name."""
         statuses = {}
+        self.thaw()
         for process in [*self.entries, *self.agents]:
             if process.popen.poll() is None:
-                process.thaw()
                 process.popen.send_signal(signal.SIGTERM)
         for process in [*self.entries, *self.agents]:
             statuses[process.name] = process.popen.wait(STOP_SECONDS)
--- a/tests/request_site.py
+++ b/tests/request_site.py
@@ -9,9 +9,9 @@
 from sequoiachute import clock
 from sequoiachute.coordination.router import Request
 from sequoiachute.errors import RpcError
+from soak.histories import Call, Run
 from standins.memory import MemoryBackend
 from standins.site import Site, agent_address, create_catalogue, entry_address
-from tests.histories import Call, Run
 
 ACCOUNT = "brocach"
 
--- a/tests/test_configuration_machine.py
+++ b/tests/test_configuration_machine.py
@@ -10,6 +10,7 @@
 from sequoiachute import clock
 from sequoiachute.protocol.records import CONFIGURATION_STREAM, decode_record
 from sequoiachute.state.configuration import Configuration
+from soak import histories
 from standins.paused import install_paused_clock
 from standins.site import (
     DATA_CENTRES,
@@ -18,7 +19,6 @@
     create_catalogue,
     entry_address,
 )
-from tests import histories
 
 ENTRIES = 3
 AGENTS = 2
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -2,7 +2,7 @@
 from result import Err, Ok
 
 from sequoiachute.errors import LogUnavailableError
-from tests import histories
+from soak import histories
 
 DENIED = Err(LogUnavailableError("down"))
 UNKNOWN = Err(LogUnavailableError("timeout", maybe_applied=True))
--- a/tests/test_intents.py
+++ b/tests/test_intents.py
@@ -3,7 +3,7 @@
 from sequoiachute import clock
 from sequoiachute.protocol.records import INTENTS_STREAM
 from sequoiachute.state.intents import IntentTable
-from tests.histories import assert_sound
+from soak.histories import assert_sound
 from tests.request_site import RequestSite, answer_to
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
--- a/tests/test_intents_machine.py
+++ b/tests/test_intents_machine.py
@@ -3,8 +3,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
+from soak.histories import assert_sound, held_calls
 from standins.paused import install_paused_clock
-from tests.histories import assert_sound, held_calls
 from tests.request_site import RequestSite, answer_to
 
 DEADLINE_SECONDS = 4.0
--- a/tests/test_log_machine.py
+++ b/tests/test_log_machine.py
@@ -10,9 +10,9 @@
 from sequoiachute import clock
 from sequoiachute.protocol.records import JOBS_STREAM, decode_record
 from sequoiachute.state.jobs import JobTable
+from soak import histories
 from standins.memory import MemoryLog
 from standins.paused import install_paused_clock
-from tests import histories
 from tests.lognode import HOLD_SECONDS, LogNode, accepted, ended
 
 RETENTION = 400.0
--- a/tests/test_recovery_processes.py
+++ b/tests/test_recovery_processes.py
@@ -5,9 +5,9 @@
 import pytest
 import urllib3
 
+from soak import histories
 from standins.cluster import OPERATOR_KEY, Cluster, caller_key
 from standins.demo import CATALOGUE
-from tests import histories
 
 pytestmark = pytest.mark.processes
 
--- a/tests/test_requests_histories.py
+++ b/tests/test_requests_histories.py
@@ -1,6 +1,6 @@
 import pytest
 
-from tests.histories import (
+from soak.histories import (
     Call,
     Run,
     doubled_runs,
--- a/tests/test_requests_processes.py
+++ b/tests/test_requests_processes.py
@@ -6,9 +6,9 @@
 import pytest
 import urllib3
 
+from soak.histories import Call, Run, assert_sound, held_calls
 from standins.cluster import OPERATOR_KEY, Cluster, caller_key
 from standins.demo import CATALOGUE
-from tests.histories import Call, Run, assert_sound, held_calls
 
 pytestmark = pytest.mark.processes
 
--- a/tests/test_requests_routing.py
+++ b/tests/test_requests_routing.py
@@ -2,8 +2,8 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.routing.retries import Patience, RetryBudget
+from soak.histories import assert_sound
 from standins.site import agent_address
-from tests.histories import assert_sound
 from tests.request_site import RequestSite, answer_to
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
