--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -1,5 +1,8 @@
 """The scheduler's view of jobs and workers, from ledger, reports and evidence."""
 
+from math import ceil
+from typing import NamedTuple
+
 from sequoiachute import clock
 from sequoiachute.coordination.dispatch.advice import Advisory
 from sequoiachute.coordination.dispatch.evidence import Evidence
@@ -10,6 +13,7 @@
 from sequoiachute.protocol.workload import (
     JobSpec,
     Progress,
+    Resources,
     StepSpec,
     TaskId,
     TaskState,
@@ -18,9 +22,20 @@
 from sequoiachute.state.operations import Operations
 
 RESUME_SECONDS = 0.4  # a stop saves; the stop and the site's restore_ms are lost
+WAVE_SHARE = 0.25  # of all room; a wider step's objective counts it in waves
 UNKNOWN_ESTIMATE_SECONDS = 5.0  # for a task that declares none
 
 
+class _Scene(NamedTuple):
+    """What a view is built from; ``room`` is the capacity of each service."""
+
+    ledger: Ledger
+    operations: Operations
+    evidence: Evidence
+    sure: frozenset[str]
+    room: dict[str, Resources]
+
+
 def build_view(
     ledger: Ledger,
     desk: Desk,
@@ -32,8 +47,9 @@
     """Return the view at wall time ``wall`` in seconds."""
     hosts = []
     sure = guaranteed_accounts(ledger, operations)
+    scene = _Scene(ledger, operations, evidence, sure, _room(desk))
     for session in desk.sessions.values():
-        host = _host(session, ledger, operations, evidence, sure)
+        host = _host(session, scene)
         if host is not None:
             hosts.append(host)
     units: list[Unit] = []
@@ -41,11 +57,21 @@
         progress = ledger.progress(job.job_id)
         if progress.state or ledger.is_cancelled(job.job_id):
             continue
-        is_sure = job.account in sure and job.priority == URGENT_PRIORITY
-        _add_units(job, progress, operations, evidence, wall, is_sure, units)
+        _add_units(job, progress, scene, wall, units)
     return View(wall, tuple(hosts), _advised(units, hosts, operations, advisory))
 
 
+def _room(desk: Desk) -> dict[str, Resources]:
+    """Return the capacity of the workers that are there, by service."""
+    room: dict[str, Resources] = {}
+    for session in desk.sessions.values():
+        worker = session.worker
+        if worker is not None and worker.life not in session.gone:
+            known = room.get(worker.service, Resources())
+            room[worker.service] = known.plus(worker.capacity)
+    return room
+
+
 def _advised(
     units: list[Unit],
     hosts: list[Host],
@@ -82,23 +108,17 @@
     return frozenset(found)
 
 
-def _host(
-    session: Session,
-    ledger: Ledger,
-    operations: Operations,
-    evidence: Evidence,
-    sure: frozenset[str],
-) -> Host | None:
+def _host(session: Session, scene: _Scene) -> Host | None:
     worker = session.worker
     if worker is None or worker.life in session.gone:
         return None
     running = []
     now = clock.elapsed()
-    for task, state in ledger.placed_at(session.host).items():
-        job = ledger.job(task.job_id)
+    for task, state in scene.ledger.placed_at(session.host).items():
+        job = scene.ledger.job(task.job_id)
         if job is not None:
-            running.append(_running(task, state, job, session, evidence, sure))
-    session.closed = worker.zone in operations.closed_zones
+            running.append(_running(task, state, job, session, scene))
+    session.closed = worker.zone in scene.operations.closed_zones
     is_open = (
         session.is_fenced
         and session.age() < FRESH_SECONDS
@@ -115,8 +135,8 @@
         labels=frozenset(worker.labels),
         capacity=worker.capacity,
         is_open=is_open,
-        speed=evidence.speed(worker.life, now),
-        suspicion=evidence.suspicion(worker.life, now),
+        speed=scene.evidence.speed(worker.life, now),
+        suspicion=scene.evidence.suspicion(worker.life, now),
         running=tuple(running),
         leaving_seconds=worker.leaving_seconds if worker.leaving else None,
     )
@@ -127,21 +147,21 @@
     state: TaskState,
     job: JobSpec,
     session: Session,
-    evidence: Evidence,
-    sure: frozenset[str],
+    scene: _Scene,
 ) -> Running:
     step = job.steps[task.step]
     estimate = step.estimate_seconds or UNKNOWN_ESTIMATE_SECONDS
     done = unsaved = 0.0
     left = estimate
     rate = None
-    seen = evidence.observed(task, state.run)
+    seen = scene.evidence.observed(task, state.run)
     if seen is not None:
         done = clock.elapsed() - seen.first.at
         rate = seen.rate()
         left = (100 - seen.percent) / (rate or 100 / estimate)
         unsaved = min(done, RESUME_SECONDS) if step.checkpoints else done
-    begins, deadline = objective(job, task.occurrence)
+    room = scene.room.get(session.worker.service, Resources())
+    begins, deadline = objective(job, task.occurrence, room)
     return Running(
         task=task,
         run=state.run,
@@ -153,9 +173,9 @@
         unsaved_seconds=unsaved,
         stopping=session.stops.get(task, 0) == state.run,
         lasting=step.lasting,
-        guaranteed=job.account in sure and job.priority == URGENT_PRIORITY,
+        guaranteed=_is_sure(job, scene),
         measured=rate is not None,
-        moved=task in evidence.moved,
+        moved=task in scene.evidence.moved,
         stalled=seen is not None and seen.is_stalled(estimate),
         percent=seen.percent if seen is not None else 0,
         step=step,
@@ -169,10 +189,8 @@
 def _add_units(
     job: JobSpec,
     progress: Progress,
-    operations: Operations,
-    evidence: Evidence,
+    scene: _Scene,
     wall: float,
-    is_sure: bool,
     units: list[Unit],
 ) -> None:
     for occurrence in range(job.rounds):
@@ -184,8 +202,11 @@
                 continue
             tasks = _waiting_tasks(job, progress, occurrence, index)
             if tasks:
-                unit = _unit(job, progress, index, tasks, operations, evidence)
-                units.append(unit._replace(guaranteed=is_sure))
+                units.append(_unit(job, progress, index, tasks, scene))
+
+
+def _is_sure(job: JobSpec, scene: _Scene) -> bool:
+    return job.account in scene.sure and job.priority == URGENT_PRIORITY
 
 
 def _is_ready(
@@ -222,12 +243,13 @@
     progress: Progress,
     index: int,
     tasks: tuple[TaskId, ...],
-    operations: Operations,
-    evidence: Evidence,
+    scene: _Scene,
 ) -> Unit:
-    queue = operations.queue(job.queue)
+    queue = scene.operations.queue(job.queue)
+    service = queue.service if queue is not None else job.service
     occurrence = tasks[0].occurrence
-    begins, deadline = objective(job, occurrence)
+    room = scene.room.get(service, Resources())
+    begins, deadline = objective(job, occurrence, room)
     placed: dict[str, int] = {}
     failures = 0
     for key, state in progress.tasks.items():
@@ -241,32 +263,48 @@
         deadline=deadline,
         chain_seconds=chain_seconds(job, index),
         accepted_at=begins,
-        service=queue.service if queue is not None else job.service,
+        service=service,
         step=job.steps[index],
         tasks=tasks,
-        avoid=evidence.failed_on(job.job_id),
+        avoid=scene.evidence.failed_on(job.job_id),
         placed_per_host=placed,
         queue=job.queue,
         last_attempt=failures >= job.attempts - 1,
+        guaranteed=_is_sure(job, scene),
     )
 
 
-def objective(job: JobSpec, occurrence: int) -> tuple[float, float]:
-    """Return when an occurrence begins and its deadline, in wall time."""
+def objective(job: JobSpec, occurrence: int, room: Resources) -> tuple[float, float]:
+    """Return when an occurrence begins and its deadline, in wall time.
+
+    A step that is wide for the ``room`` of all workers is granted the time of
+    the waves in which it would run on a share of it.
+    """
     begins = max(job.accepted_at, job.due_at(occurrence))
-    whole = chain_seconds(job, 0)
+    whole = chain_seconds(job, 0, room)
     return begins, begins + job.stretch * whole + job.slo_seconds
 
 
-def chain_seconds(job: JobSpec, first: int) -> float:
+def chain_seconds(job: JobSpec, first: int, room: Resources | None = None) -> float:
     """Return the declared time from the start of a step to the job's end.
 
-    With ``first`` zero, of the longest chain of the whole job.
+    With ``first`` zero, of the longest chain of the whole job; with ``room``
+    wide steps count as often as they have waves.
     """
     longest = [0.0] * len(job.steps)
     for index in reversed(range(len(job.steps))):
         step = job.steps[index]
-        longest[index] += step.estimate_seconds or UNKNOWN_ESTIMATE_SECONDS
+        seconds = step.estimate_seconds or UNKNOWN_ESTIMATE_SECONDS
+        longest[index] += seconds * (waves(step, room) if room else 1)
         for earlier in step.after:
             longest[earlier] = max(longest[earlier], longest[index])
     return max(longest) if first == 0 else longest[first]
+
+
+def waves(step: StepSpec, room: Resources) -> int:
+    """Return in how many waves a step runs that has a share of the room."""
+    fitting = float("inf")
+    for have, want in zip(room, step.reserved, strict=True):
+        if want:
+            fitting = min(fitting, WAVE_SHARE * have / want)
+    return max(1, ceil(step.count / max(1.0, fitting)))
--- a/src/sequoiachute/replay/payoff.py
+++ b/src/sequoiachute/replay/payoff.py
@@ -5,15 +5,15 @@
 from math import ceil
 from typing import NamedTuple
 
+from sequoiachute.coordination.dispatch.views import waves
 from sequoiachute.coordination.scheduling.space import core_seconds
-from sequoiachute.protocol.workload import Resources, StepSpec
+from sequoiachute.protocol.workload import Resources
 from sequoiachute.replay.day import Arrival, Day
 from sequoiachute.replay.site import Site
 
 LATE_FACTOR = 3.0  # up to this multiple of its objective a job earns its late worth
 LEAST_SHARE = 0.3  # of a kind's worth that the smallest job has
 MOST_SHARE = 4.0
-ROOM_SHARE = 0.25  # a wider step is expected to run in waves
 WINDOW_SECONDS = 5.0
 WORST_WINDOWS = 2
 WORST_ACCOUNTS = 0.1  # share of the accounts
@@ -93,18 +93,10 @@
         for index, seconds in enumerate(arrival.seconds[number]):
             shares = arrival.failures.get((number, index), ())
             longest = max(longest, seconds * (1 + sum(shares)))
-        total += longest * _waves(step, room)
+        total += longest * waves(step, room)
     return total
 
 
-def _waves(step: StepSpec, room: Resources) -> int:
-    widest = float("inf")
-    for have, want in zip(room, step.need, strict=True):
-        if want:
-            widest = min(widest, ROOM_SHARE * have / want)
-    return max(1, ceil(step.count / max(1.0, widest)))
-
-
 def pay(debt: Debt, took: float | None, as_owed: bool) -> Paid:
     """Return what a job has earned that ended after ``took`` seconds.
 
