--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,10 @@
 bench: $(READY) ## Run the measurements and print their tables
 	$(BIN)/python -m benchmarks
 
+.PHONY: soak
+soak: $(READY) ## Run fresh seeds of faults on real processes
+	$(BIN)/python -W ignore -m soak
+
 .PHONY: dist
 dist: $(READY) ## Build the one-file executable into dist/
 	$(BIN)/python onefile/build.py dist/sequoiachute
