--- a/src/sequoiachute/coordination/dispatch/speeds.py
+++ b/src/sequoiachute/coordination/dispatch/speeds.py
@@ -42,10 +42,6 @@
         """Return a worker's speed; one for a worker of which nothing is known."""
         return exp(self._speeds.get(life, 0.0))
 
-    def stretch(self, step: str) -> float:
-        """Return how many times as long as declared the step's tasks take."""
-        return exp(self._errors.get(step, 0.0))
-
     def renew(self, samples: list[Sample], earlier: dict[Life, float]) -> None:
         """Estimate anew; ``earlier`` are speeds that another placer has learned."""
         known = {life: log(speed) for life, speed in earlier.items()}
--- a/src/sequoiachute/replay/engine.py
+++ b/src/sequoiachute/replay/engine.py
@@ -16,8 +16,6 @@
 from sequoiachute.coordination.dispatch.sessions import Desk
 from sequoiachute.coordination.scheduling import (
     Decision,
-    Running,
-    Unit,
     View,
     decide,
 )
@@ -36,7 +34,7 @@
     Work,
     fate,
 )
-from sequoiachute.replay.payoff import Paid, Worth, pay, reckon_debts, weigh
+from sequoiachute.replay.payoff import Debt, Paid, Worth, pay, reckon_debts, weigh
 from sequoiachute.replay.site import Site
 from sequoiachute.state.ledger import CANCEL_PREFIX, JOB_PREFIX, JOBS, RUNS, Ledger
 from sequoiachute.state.metrics import Metrics
@@ -48,7 +46,6 @@
 LOOK_TICKS = 3  # the placer looks again after so many without news
 PATIENCE_SECONDS = 3.0  # callers try so long to hand a job in
 TERM = 1
-LEAST_SPEED = 0.05  # of the typical worker, as of one that stands still
 
 Policy = Callable[[View], Decision]
 GangRun = tuple[str, int, int, int]
@@ -143,45 +140,19 @@
             tuple(self._decisions),
         )
 
-    def reveal(self, view: View) -> View:
-        """Return the view with true times and speeds."""
-        hosts = []
-        for host in view.hosts:
-            worker = self._by_name[host.name]
-            speed = worker.machine.speed * max(worker.condition.factor, LEAST_SPEED)
-            running = tuple(self._reveal_run(worker, run) for run in host.running)
-            hosts.append(host._replace(speed=speed, running=running))
-        units = tuple(self._reveal_unit(unit) for unit in view.units)
-        return view._replace(hosts=tuple(hosts), units=units)
-
-    def _reveal_run(self, worker: SimulatedWorker, run: Running) -> Running:
-        known = worker.runs.get((run.task, run.run))
-        if known is None:
-            return run
-        speed = max(worker.speed_of(known, 1), LEAST_SPEED)
-        left = (known.work.seconds - known.done_seconds) / speed
-        unsaved = 0.0 if known.work.step.checkpoints else known.unsaved_time
-        return run._replace(
-            left_seconds=left, unsaved_seconds=unsaved, deadline=self._due(run.task)
-        )
+    @property
+    def day(self) -> Day:
+        """What happens whatever is decided."""
+        return self._day
 
-    def _reveal_unit(self, unit: Unit) -> Unit:
-        task = unit.tasks[0]
-        works = self._arrivals[task.job_id].seconds
-        longest = max(works[task.step][each.index] for each in unit.tasks)
-        chain = longest + sum(max(seconds) for seconds in works[task.step + 1 :])
-        return unit._replace(
-            step=unit.step._replace(estimate_seconds=longest),
-            chain_seconds=chain,
-            deadline=self._due(task),
-        )
+    @property
+    def debts(self) -> dict[str, Debt]:
+        """What is owed, by job."""
+        return self._debts
 
-    def _due(self, task: TaskId) -> float:
-        """Return a job's true objective on the scale of ``View.now``."""
-        debt = self._debts.get(task.job_id)
-        arrival = self._arrivals[task.job_id]
-        objective = debt.objective if debt is not None else self._site.seconds
-        return arrival.at + objective
+    def worker(self, name: str) -> SimulatedWorker:
+        """Return the simulated worker with this name."""
+        return self._by_name[name]
 
     def _clock(self) -> float:
         return self._now
--- a/src/sequoiachute/replay/policies.py
+++ b/src/sequoiachute/replay/policies.py
@@ -5,6 +5,7 @@
 from sequoiachute.coordination.scheduling import Decision, Placement, View, decide
 from sequoiachute.coordination.scheduling.space import Space, may_run, room_for
 from sequoiachute.replay.engine import Policy, Replay
+from sequoiachute.replay.truth import Truth
 
 PolicyMaker = Callable[[Replay], Policy]
 
@@ -38,8 +39,10 @@
     It is no optimum: with the same knowledge a better order may exist.
     """
 
+    truth = Truth(replay)
+
     def decide_knowing(view: View) -> Decision:
-        return decide(replay.reveal(view))
+        return decide(truth.reveal(view))
 
     return decide_knowing
 
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -26,7 +26,6 @@
     found = estimate(*steps, (QUICK, "other", 1.0), (SLOW, "other", 1.0))
     assert found.speed(QUICK) == pytest.approx(found.speed(SLOW))
     assert found.speed(QUICK) > 0.75
-    assert found.stretch("long") > 2.0
 
 
 def test_workers_are_told_apart_on_a_step_declared_wrongly():
