--- a/src/sequoiachute/replay/policies.py
+++ b/src/sequoiachute/replay/policies.py
@@ -38,7 +38,6 @@
 
     It is no optimum: with the same knowledge a better order may exist.
     """
-
     truth = Truth(replay)
 
     def decide_knowing(view: View) -> Decision:
