--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -17,7 +17,6 @@
 SILENT = "silent"
 CUT_TO_SERVER = "cut to the server"
 CUT_TO_CLIENT = "cut to the client"
-STATES = (CLEAR, DELAYED, SILENT, CUT_TO_SERVER, CUT_TO_CLIENT)
 
 # As on a network that loses packets, bytes held meanwhile arrive later.
 _HOLDS = {
@@ -50,7 +49,7 @@
 
     @property
     def state(self) -> str:
-        """What the link does now, one of ``STATES``."""
+        """What the link does now, ``CLEAR`` or one of the faults above."""
         return self._state
 
     @state.setter
--- a/soak/trial.py
+++ b/soak/trial.py
@@ -263,9 +263,6 @@
 
     def _accepted(self) -> set[str]:
         jobs = [job for caller in self._callers for job in list(caller.accepted)]
-        by_key: dict[str, set[str]] = {}
-        for job in jobs:
-            by_key.setdefault(job.key, set()).add(job.job_id)
         return {job.job_id for job in jobs}
 
     def _unfinished(self, accepted: set[str]) -> set[str]:
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -21,7 +21,7 @@
 from sequoiachute.coordination.scheduling.preemption import Room, find_room
 from sequoiachute.coordination.scheduling.rescue import rescue
 from sequoiachute.coordination.scheduling.space import Space, slowdown
-from sequoiachute.protocol.workload import Resources, TaskId
+from sequoiachute.protocol.workload import TaskId
 
 HOPELESS_FACTOR = 3.0  # past this multiple of the objective a job earns nothing
 SEARCHES = 4  # for room by stopping others; each takes up to 25 ms at 670 workers
@@ -175,11 +175,8 @@
             return
         self._searches_left -= 1
         room = find_room(unit, self._space, unit.step.gang, loss_per_work=NO_LIMIT)
-        if room is None:
-            return
-        for host, count in room.hosts:
-            for _ in range(count):
-                self._space.take(host, unit.step.reserved)
+        if room is not None:
+            self._keep(unit, room)
 
     def _find_room(self, unit: Unit, slowest: float = NO_LIMIT) -> Room | None:
         """Search for room; the searches left over are made in the next round."""
@@ -213,13 +210,15 @@
         return Placement(task, host.name, host.life, ticket, expected, slack)
 
     def _make_room(self, unit: Unit, room: Room) -> None:
-        """Preempt, and keep the room from later units."""
+        """Preempt, and keep the room."""
         stopped = {(stop.task, stop.run) for stop in self._stops}
         for stop in room.stops:
             if (stop.task, stop.run) not in stopped:
                 self._stops.append(stop)
+        self._keep(unit, room)
+
+    def _keep(self, unit: Unit, room: Room) -> None:
+        """Keep the room from later units of this round."""
         for host, count in room.hosts:
-            need = Resources()
             for _ in range(count):
-                need = need.plus(unit.step.reserved)
-            self._space.take(host, need)
+                self._space.take(host, unit.step.reserved)
--- a/src/sequoiachute/replay/day.py
+++ b/src/sequoiachute/replay/day.py
@@ -16,7 +16,6 @@
 BACK_SECONDS = (3.0, 15.0)
 BURST_SECONDS = 4.0
 BURST_FACTOR = 2.5  # times the usual rate of one kind
-BURST_ACCOUNTS = 1
 CANCEL_SECONDS = (1.0, 12.0)
 
 
--- a/src/sequoiachute/replay/fleet.py
+++ b/src/sequoiachute/replay/fleet.py
@@ -19,7 +19,6 @@
 
 BROKEN = "broken"
 ALONE = "alone"
-LOST = "lost"
 GANG_WAIT_SECONDS = 3.0  # a member waits so long for the others; the site's gang_ms
 
 
