Log what decides a refused submission and when the store is reachable

A refused submission did not say how much time the caller had left, how long it was held or whether the store was asked, and no line said when an entry begins or ends to believe that it can't reach the store.

'job submitted' and 'job cancelled' gain left, took and appends; 'store regained' gains seconds; 'calls to the store fail' and 'succeed' and the gauge store_reachable show the belief; a request refused while an entry starts is logged. No decision changes.

--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -132,6 +132,7 @@
         metrics = self.metrics
         metrics.gauge("leading", lambda: self.is_leading)
         metrics.gauge("ready", lambda: self.is_ready)
+        metrics.gauge("store_reachable", lambda: not self._store.is_unreachable)
         metrics.gauge("jobs_live", lambda: sum(1 for _ in self.ledger.live()))
         metrics.gauge(
             "agents", lambda: len(self._agents.sessions) if self._agents else 0
--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -1,6 +1,6 @@
 """Accepts and cancels jobs at an entry instance and returns their state."""
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from loguru import logger
 
@@ -28,12 +28,13 @@
     """Outcome of a caller's request; ``retry_after`` is in seconds.
 
     ``refused`` means that nothing has been or will be stored; ``unknown`` that the
-    store did not answer in time.
+    store did not answer in time. ``appends`` is the number of attempts to store it.
     """
 
     kind: str
     reason: str = ""
     retry_after: float = 0.0
+    appends: int = 0
 
 
 class Intake:
@@ -61,15 +62,16 @@
         existing = self._ledger.job(job.job_id)
         if existing is not None:
             return self._repeat_outcome(existing, job)
+        arrived_at = clock.now()
         outcome = self._store_record(JOB_PREFIX + job.job_id, encode(job), deadline)
         self._metrics.count("jobs_submitted_total", outcome=outcome.kind)
-        log = logger.bind(job=job.job_id, account=job.account, queue=job.queue)
+        log = _bind_outcome(outcome, arrived_at, deadline)
+        log = log.bind(job=job.job_id, account=job.account, queue=job.queue)
         tasks = sum(step.count for step in job.steps)
         log = log.bind(
             steps=len(job.steps), tasks=tasks, view=self._follower.next_offset
         )
-        log = log.bind(occurrences=job.occurrences, shapes=_shapes(job))
-        log.bind(outcome=outcome.kind, reason=outcome.reason).info("job submitted")
+        log.bind(occurrences=job.occurrences, shapes=_shapes(job)).info("job submitted")
         return outcome
 
     def cancel(self, job_id: str, account: str, deadline: float) -> IntakeOutcome:
@@ -78,9 +80,10 @@
             return self._absent_outcome(job_id)
         if self._ledger.is_cancelled(job_id) or self._ledger.progress(job_id).state:
             return IntakeOutcome(ACCEPTED)
+        arrived_at = clock.now()
         outcome = self._store_record(CANCEL_PREFIX + job_id, b"1", deadline)
-        log = logger.bind(job=job_id, outcome=outcome.kind, reason=outcome.reason)
-        log.info("job cancelled")
+        log = _bind_outcome(outcome, arrived_at, deadline)
+        log.bind(job=job_id).info("job cancelled")
         return outcome
 
     def state(self, job_id: str, account: str) -> tuple[IntakeOutcome, str]:
@@ -117,13 +120,16 @@
                 REFUSED, "the store can't be reached", RETRY_AFTER_SECONDS
             )
         may_exist = False
+        appends = 0
         while True:
             remaining = deadline - REPLY_MARGIN_SECONDS - clock.now()
             if remaining <= 0 and may_exist:
-                return IntakeOutcome(UNKNOWN, "no answer from the store in time")
+                reason = "no answer from the store in time"
+                return IntakeOutcome(UNKNOWN, reason, appends=appends)
             if remaining <= 0:
                 reason = "too little time left to store the record"
-                return IntakeOutcome(REFUSED, reason, RETRY_AFTER_SECONDS)
+                return IntakeOutcome(REFUSED, reason, RETRY_AFTER_SECONDS, appends)
+            appends += 1
             outcome = self._store.append(
                 self._topic,
                 [(key, value)],
@@ -132,14 +138,27 @@
             if outcome.is_ok():
                 record = StoredRecord(outcome.unwrap(), key, value)
                 self._ledger.apply(self._topic, record)
-                return IntakeOutcome(ACCEPTED)
+                return IntakeOutcome(ACCEPTED, appends=appends)
             error = outcome.unwrap_err()
             if error.applied is False and not may_exist:
-                return IntakeOutcome(REFUSED, error.reason, RETRY_AFTER_SECONDS)
+                return IntakeOutcome(
+                    REFUSED, error.reason, RETRY_AFTER_SECONDS, appends
+                )
             may_exist = True
             clock.sleep(APPEND_RETRY_SECONDS)
 
 
+def _bind_outcome(outcome: IntakeOutcome, arrived_at: float, deadline: float) -> Any:
+    """Return a logger bound to an outcome and the times that it was based on."""
+    return logger.bind(
+        outcome=outcome.kind,
+        reason=outcome.reason,
+        appends=outcome.appends,
+        left=round(deadline - arrived_at, 3),
+        took=round(clock.now() - arrived_at, 3),
+    )
+
+
 def _shapes(job: JobGraph) -> list[str]:
     """Return a short text per step: count, resources, estimate and constraints."""
     texts = []
--- a/src/sequoiachute/coordination/store/follower.py
+++ b/src/sequoiachute/coordination/store/follower.py
@@ -45,7 +45,7 @@
         self._apply = apply
         self._replace = replace
         self._caught_up = Event()
-        self._unavailable = False
+        self._unavailable_since: float | None = None
         self.next_offset = -1
         self.confirmed_at = float("-inf")
 
@@ -106,17 +106,18 @@
         return True
 
     def _confirm(self, requested_at: float) -> None:
-        if self._unavailable:
-            self._unavailable = False
-            logger.bind(topic=self._topic, offset=self.next_offset).info(
-                "store regained"
-            )
+        since = self._unavailable_since
+        if since is not None:
+            self._unavailable_since = None
+            log = logger.bind(topic=self._topic, offset=self.next_offset)
+            seconds = round(clock.elapsed() - since, 3)
+            log.bind(seconds=seconds).info("store regained")
         self.confirmed_at = max(self.confirmed_at, requested_at)
 
     def _note_unavailable(self, reason: str) -> None:
-        if self._unavailable:
+        if self._unavailable_since is not None:
             return
-        self._unavailable = True
+        self._unavailable_since = clock.elapsed()
         log = logger.bind(topic=self._topic, offset=self.next_offset, reason=reason)
         log.warning("store lost")
 
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -179,9 +179,13 @@
         return self._store.members(group)
 
     def _record_availability(self, answered: bool) -> None:
-        if answered:
+        since = self._failing_since
+        if answered and since is not None:
+            failed_for = round(clock.now() - since, 3)
+            logger.bind(seconds=failed_for).info("calls to the store succeed")
             self._failing_since = None
-        elif self._failing_since is None:
+        elif not answered and since is None:
+            logger.bind(peers=len(self._peers())).info("calls to the store fail")
             self._failing_since = clock.now()
 
     def _prefer_peers(self) -> None:
--- a/src/sequoiachute/platform/jobs.py
+++ b/src/sequoiachute/platform/jobs.py
@@ -72,9 +72,10 @@
 
     def _serve(self, environ: dict[str, Any]) -> HttpReply:
         operations = self._control.operations
+        path = environ.get("PATH_INFO", "")
         if not self._control.can_serve:
+            _log_rejected(path, 503, "starting", operations.version)
             return HttpReply(503, {"error": "starting"}, RETRY_AFTER_SECONDS)
-        path = environ.get("PATH_INFO", "")
         host = environ.get("HTTP_HOST", "").partition(":")[0]
         queue = operations.find_queue(host, path)
         if queue is None:
