Notice the return of the store within a retry, not at the end of a long poll

Cause: a follower reads a topic that it has lost by the same long poll of 2 s as before. Only a finished read ends the belief that the store is unreachable, so without a new record the return was noticed up to 2.2 s late (trace: store back at 22.2 s, op regained at 23.42, jobs at 24.24); until then every submission is refused without a call and the entry is not ready. Class: an observation made for another purpose decides how old a belief may be.

The calls made while the store refuses stay as they are: it refused long polls at once, too.

The test failed for 3 of 4 moments of the return before; at the fourth a read without waiting happened to be under way. The stand-in's memberships can now pause in an outage, as the platform's may: their expiry hid the fault, as the next placer's claim is a record that ends the long polls.

--- a/src/sequoiachute/coordination/store/follower.py
+++ b/src/sequoiachute/coordination/store/follower.py
@@ -67,8 +67,9 @@
     def run(self) -> None:
         """Follow the topic; does not return."""
         while True:
-            wait = LONG_POLL_SECONDS if self.is_caught_up else 0.0
-            if not self.read_once(wait):
+            # A long poll would show only at its end that the store is back.
+            may_wait = self.is_caught_up and self._unavailable_since is None
+            if not self.read_once(LONG_POLL_SECONDS if may_wait else 0.0):
                 clock.sleep(READ_RETRY_SECONDS)
 
     def read_once(self, wait: float = 0.0) -> bool:
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -40,11 +40,14 @@
     ``down`` makes every call fail. With ``lose_replies`` appends take effect but
     time out; with ``late_seconds`` they time out and take effect that much later
     if their condition still holds. ``delay`` is the duration of a call in seconds.
+    While the store is down, memberships of groups expire unless
+    ``pauses_memberships`` is set.
     """
 
     def __init__(self, delay: float = 0.004) -> None:
         self.delay = delay
-        self.down = False
+        self.pauses_memberships = False
+        self._down_since: float | None = None
         self.lose_replies = False
         self.late_seconds = 0.0
         self.appends = 0
@@ -57,6 +60,21 @@
         self._discarded_newest: dict[str, dict[str, StoredRecord]] = {}
         self._partition_shift = 0
 
+    @property
+    def down(self) -> bool:
+        """Whether every call fails."""
+        return self._down_since is not None
+
+    @down.setter
+    def down(self, down: bool) -> None:
+        since = self._down_since
+        if since is not None and not down and self.pauses_memberships:
+            self._extend_memberships(clock.now() - since)
+        if down and since is None:
+            self._down_since = clock.now()
+        if not down:
+            self._down_since = None
+
     def link(self, process: MemoryProcess | None = None) -> "StoreLink":
         """Return a client of the store for one process."""
         return StoreLink(self, process or MemoryProcess())
@@ -172,6 +190,11 @@
                 del members[member]
         return members
 
+    def _extend_memberships(self, seconds: float) -> None:
+        for members in self._groups.values():
+            for member in members:
+                members[member] += seconds
+
     def _owners(self, group: str) -> list[str]:
         members = sorted(self._live_members(group))
         if not members:
--- a/tests/test_control_site.py
+++ b/tests/test_control_site.py
@@ -9,6 +9,7 @@
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
 LEASE_LOST_SECONDS = 10.0  # 9 s on a clock up to 2 % slow, plus a margin
+NOTICE_SECONDS = 0.5  # of the store's return, a fraction of a caller's 3 s
 TAKEOVER_SECONDS = 3.5  # the membership's time to live, one join and one claim
 
 
@@ -356,6 +357,18 @@
     complete(site, [accepted(site, 1.0)], 4)
 
 
+@pytest.mark.parametrize("seconds", [5.0, 5.05, 5.1, 5.15])
+def test_submission_after_an_outage_is_not_refused_until_the_next_record(seconds):
+    site = ControlSite()
+    site.store.pauses_memberships = True
+    site.store.down = True
+    site.run_for(seconds)
+    site.store.down = False
+    site.run_for(NOTICE_SECONDS)
+    assert all(entry.control.is_ready for entry in site.entries)
+    complete(site, [accepted(site, 1.0, entry=entry) for entry in range(3)], 4)
+
+
 def test_job_with_too_little_time_to_store_is_refused():
     site = ControlSite()
     outcome = site.submit(1.0, wait=0.1)[1]
