Let a submission wait for the store when its caller can't come back

Cause: an entry that believes the store unreachable refuses every submission at once, which is right while the caller can try another entry later, and spends its last try when it can't. Class: a retryable refusal given to a caller that has no retry left.

A submission is still refused at once while more time is left than Retry-After says. With less, it waits for the first successful call to the store, at most 1 s, and is refused, truthfully, 0.25 s before the deadline. At most 32 wait. Waiting until the deadline in every case was weighed: it holds callers that another entry could serve.

Ruled out: a longer Retry-After.

The test of the last try failed before in both cases, outage known and not yet known; the others guard what was right.

--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -1,5 +1,7 @@
 """Accepts and cancels jobs at an entry instance and returns their state."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any, NamedTuple
 
 from loguru import logger
@@ -16,6 +18,8 @@
 REPLY_MARGIN_SECONDS = 0.25  # for the reply to reach the caller in time
 APPEND_RETRY_SECONDS = 0.05
 RETRY_AFTER_SECONDS = 1.0
+REFUSED_RETRY_SECONDS = 0.2  # between appends that the store refuses
+MAX_WAITING_SUBMISSIONS = 32  # so that they don't flood a store that returns
 MAX_VIEW_AGE_SECONDS = 2.0  # an older view cannot prove that a job is unknown
 
 ACCEPTED = "accepted"
@@ -56,6 +60,8 @@
         self._store = store
         self._ledger = ledger
         self._follower = follower
+        self._waiting = 0
+        metrics.gauge("submissions_waiting", lambda: self._waiting)
 
     def submit(self, job: JobGraph, deadline: float) -> IntakeOutcome:
         """Store a job before ``deadline`` in clock time; a repeat is accepted."""
@@ -115,10 +121,7 @@
 
         The content is the same each time, so a delayed copy changes nothing.
         """
-        if self._store.is_unreachable:
-            return IntakeOutcome(
-                REFUSED, "the store can't be reached", RETRY_AFTER_SECONDS
-            )
+        refusal = "too little time left to store the record"
         may_exist = False
         appends = 0
         while True:
@@ -127,8 +130,12 @@
                 reason = "no answer from the store in time"
                 return IntakeOutcome(UNKNOWN, reason, appends=appends)
             if remaining <= 0:
-                reason = "too little time left to store the record"
-                return IntakeOutcome(REFUSED, reason, RETRY_AFTER_SECONDS, appends)
+                return IntakeOutcome(REFUSED, refusal, RETRY_AFTER_SECONDS, appends)
+            if self._store.is_unreachable and not may_exist:
+                refusal = "the store can't be reached"
+                if not self._wait_for_store(key, remaining):
+                    return IntakeOutcome(REFUSED, refusal, RETRY_AFTER_SECONDS, appends)
+                continue
             appends += 1
             outcome = self._store.append(
                 self._topic,
@@ -140,12 +147,49 @@
                 self._ledger.apply(self._topic, record)
                 return IntakeOutcome(ACCEPTED, appends=appends)
             error = outcome.unwrap_err()
-            if error.applied is False and not may_exist:
-                return IntakeOutcome(
-                    REFUSED, error.reason, RETRY_AFTER_SECONDS, appends
-                )
-            may_exist = True
-            clock.sleep(APPEND_RETRY_SECONDS)
+            refusal = error.reason
+            may_exist = may_exist or error.applied is not False
+            if may_exist:
+                clock.sleep(APPEND_RETRY_SECONDS)
+                continue
+            remaining = deadline - REPLY_MARGIN_SECONDS - clock.now()
+            if not self._wait_before_retry(remaining):
+                return IntakeOutcome(REFUSED, refusal, RETRY_AFTER_SECONDS, appends)
+
+    def _may_wait(self, remaining: float) -> bool:
+        """Return whether waiting for the store serves a caller better than a refusal.
+
+        A caller that has time to come back may reach an entry that reaches the
+        store. An entry that no peer answers can't tell whether others do.
+        """
+        if remaining > RETRY_AFTER_SECONDS or self._store.is_isolated:
+            return False
+        return self._waiting < MAX_WAITING_SUBMISSIONS
+
+    def _wait_for_store(self, key: str, remaining: float) -> bool:
+        """Wait until a call to the store succeeds; return whether to try again."""
+        if not self._may_wait(remaining):
+            return False
+        logger.bind(key=key, left=round(remaining, 3)).info("waiting for the store")
+        with self._count_waiting():
+            self._store.wait_reachable(remaining)
+        return True
+
+    def _wait_before_retry(self, remaining: float) -> bool:
+        """Wait after a refused append; return whether to try again."""
+        if not self._may_wait(remaining):
+            return False
+        with self._count_waiting():
+            clock.sleep(min(max(remaining, 0.0), REFUSED_RETRY_SECONDS))
+        return True
+
+    @contextmanager
+    def _count_waiting(self) -> Iterator[None]:
+        self._waiting += 1
+        try:
+            yield
+        finally:
+            self._waiting -= 1
 
 
 def _bind_outcome(outcome: IntakeOutcome, arrived_at: float, deadline: float) -> Any:
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+import eventlet
+from eventlet.event import Event
 from loguru import logger
 from result import Err, Ok, Result
 
@@ -92,6 +94,13 @@
         self._prefer_peers_until = float("-inf")
         self._next_peer = 0
         self._failing_since: float | None = None
+        self._reachable = Event()
+        self._is_isolated = False
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether no peer answered the last call to peers."""
+        return self._is_isolated
 
     @property
     def is_unreachable(self) -> bool:
@@ -99,6 +108,13 @@
         since = self._failing_since
         return since is not None and clock.now() - since > UNREACHABLE_AFTER_SECONDS
 
+    def wait_reachable(self, timeout: float) -> None:
+        """Wait up to ``timeout`` seconds until a call to the store succeeds."""
+        if self._failing_since is None:
+            return
+        with eventlet.Timeout(timeout, False):
+            self._reachable.wait()
+
     def handlers(self) -> dict[Method, Callable]:
         """Return the handlers of peers' calls, which are never relayed further."""
         return {READ: self._serve_read, APPEND: self._serve_append}
@@ -184,6 +200,8 @@
             failed_for = round(clock.now() - since, 3)
             logger.bind(seconds=failed_for).info("calls to the store succeed")
             self._failing_since = None
+            self._reachable.send(None)
+            self._reachable = Event()
         elif not answered and since is None:
             logger.bind(peers=len(self._peers())).info("calls to the store fail")
             self._failing_since = clock.now()
@@ -238,9 +256,11 @@
                 peer, method, query, wait + PEER_CALL_MARGIN_SECONDS
             )
             if outcome.is_ok():
+                self._is_isolated = False
                 return outcome.unwrap()
             # Later calls start with the next peer, too.
             self._next_peer += 1
+        self._is_isolated = bool(peers)
         return None
 
     def _serve_read(self, query: ReadQuery) -> ReadReply:
--- a/tests/test_control_site.py
+++ b/tests/test_control_site.py
@@ -1,7 +1,13 @@
+import eventlet
 import pytest
 
 from sequoiachute import clock
-from sequoiachute.coordination.intake import ACCEPTED, REFUSED, UNKNOWN
+from sequoiachute.coordination.intake import (
+    ACCEPTED,
+    MAX_WAITING_SUBMISSIONS,
+    REFUSED,
+    UNKNOWN,
+)
 from sequoiachute.protocol.workload import COMPLETE, FAILED
 from standins.control_site import URGENT, ControlSite
 from tests.run_checks import assert_no_duplicate_runs, assert_run_numbers_increase
@@ -369,6 +375,68 @@
     complete(site, [accepted(site, 1.0, entry=entry) for entry in range(3)], 4)
 
 
+def submit_during(site, outage, entry=0):
+    """Submit with 1 s left and end the outage after 0.4 s; return the outcome."""
+    submission = eventlet.spawn(site.submit, 1.0, entry=entry, wait=1.0)
+    site.run_for(0.4)
+    outage(False)
+    return submission.wait()[1]
+
+
+@pytest.mark.parametrize("known", [False, True])
+def test_last_try_of_a_caller_is_not_refused_before_the_store_returns(known):
+    site = ControlSite()
+
+    def outage(down):
+        for entry in site.entries:
+            entry.store.rejecting = down
+
+    outage(True)
+    site.run_for(5 if known else 0.05)
+    outcome = submit_during(site, outage, entry=(site.placer() + 1) % 3)
+    assert outcome.kind == ACCEPTED, outcome
+    site.run_for(TAKEOVER_SECONDS)
+    assert len(site.history.starts) == 1
+
+
+def test_submission_that_waits_in_vain_is_refused_in_time_and_never_runs():
+    site = ControlSite()
+    site.store.down = True
+    site.run_for(5)
+    began = clock.now()
+    outcome = site.submit(1.0, wait=1.0)[1]
+    assert (outcome.kind, outcome.retry_after) == (REFUSED, 1.0)
+    assert clock.now() < began + 1.0
+    site.store.down = False
+    site.run_for(8)
+    assert not site.history.starts
+
+
+def test_entry_that_reaches_no_peer_does_not_hold_submissions():
+    site = ControlSite()
+    other = (site.placer() + 1) % 3
+    address = site.entries[other].address
+    for peer in {entry.address for entry in site.entries} - {address}:
+        site.network.cut.update({(address, peer), (peer, address)})
+    site.entries[other].store.rejecting = True
+    site.run_for(5)
+    began = clock.now()
+    assert site.submit(1.0, entry=other, wait=1.0)[1].kind == REFUSED
+    assert clock.now() == began
+
+
+def test_waiting_submissions_are_bounded():
+    site = ControlSite()
+    site.store.down = True
+    site.run_for(5)
+    for _ in range(MAX_WAITING_SUBMISSIONS):
+        eventlet.spawn(site.submit, 1.0, wait=1.0)
+    site.run_for(0.1)
+    began = clock.now()
+    assert site.submit(1.0, wait=1.0)[1].kind == REFUSED
+    assert clock.now() == began
+
+
 def test_job_with_too_little_time_to_store_is_refused():
     site = ControlSite()
     outcome = site.submit(1.0, wait=0.1)[1]
