Say unknown when a peer may have stored a refused submission

A caller could be told 503, «not run», for a job that then ran: the store refuses an entry's call, a peer appends the record for it and the peer's reply is lost.

Cause: a lost reply of a relayed append counted as if no peer had been asked, so the definite refusal of the direct call was the answer. Class: the outcome of several attempts is taken from one of them. An append now merges the errors of its routes, and a peer that was reached but did not reply makes it unknown. Calls to peers also end by the caller's deadline: two hung peers held an append of 0.7 s for up to 2.4 s.

The test failed before: refused, and the job ran. The state machine of faults never loses replies between entries, so it did not find this.

--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -1,7 +1,7 @@
 """Access to the store that falls back to peers when direct calls fail."""
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import eventlet
 from eventlet.event import Event
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from sequoiachute import clock
+from sequoiachute.errors import RpcError
 from sequoiachute.protocol.messages import Method
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.state.metrics import Metrics
@@ -160,27 +161,32 @@
         writer: Writer | None,
         timeout: float,
     ) -> Result[int, AppendError]:
+        """Try each route until one is conclusive or the time is over."""
         deadline = clock.now() + timeout
         query = AppendQuery(topic, tuple(records), at, writer, timeout)
+        routes = [self._append_directly, self._relay_append]
         if clock.now() < self._prefer_peers_until:
-            relayed = self._relay_append(query)
-            if relayed is not None:
-                return relayed
-        outcome = self._store.append(topic, records, at, writer, timeout)
-        if outcome.is_ok() or _is_conclusive(outcome.unwrap_err()):
-            return outcome
-        self._prefer_peers()
-        error = outcome.unwrap_err()
-        remaining = deadline - clock.now()
-        if remaining <= 0:
-            return outcome
-        relayed = self._relay_append(query._replace(timeout=remaining))
-        if relayed is None:
-            return outcome
-        if relayed.is_err() and error.applied is None:
-            # The direct append may still take effect, whatever the peer reports.
-            return Err(relayed.unwrap_err()._replace(applied=None))
-        return relayed
+            routes.reverse()
+        error: AppendError | None = None
+        while routes and (error is None or clock.now() < deadline):
+            remaining = max(deadline - clock.now(), 0.0)
+            outcome = routes.pop(0)(query._replace(timeout=remaining))
+            if outcome.is_ok():
+                return outcome
+            error = _merge_errors(error, outcome.unwrap_err())
+            refused_by_peer = bool(routes) and routes[0] == self._append_directly
+            if _is_conclusive(error) or (refused_by_peer and error.applied is False):
+                break
+        return Err(error)
+
+    def _append_directly(self, query: AppendQuery) -> Result[int, AppendError]:
+        records = list(query.records)
+        outcome = self._store.append(
+            query.topic, records, query.at, query.writer, query.timeout
+        )
+        if outcome.is_err() and not _is_conclusive(outcome.unwrap_err()):
+            self._prefer_peers()
+        return outcome
 
     def join(self, group: str, member: str, generation: int, ttl: float) -> Membership:
         """Join a group, always directly: a member must reach the store itself."""
@@ -230,38 +236,50 @@
         return page
 
     def _relay_read(self, query: ReadQuery) -> RecordPage | None:
-        reply = self._call_peer(READ, query, query.wait)
-        if reply is None or reply.next == NO_OFFSET:
+        outcome = self._call_peer(READ, query, query.wait + PEER_CALL_MARGIN_SECONDS)
+        if outcome.is_err() or outcome.unwrap().next == NO_OFFSET:
             return None
+        reply = outcome.unwrap()
         if reply.next == HISTORY_LOST_OFFSET:
             raise HistoryLostError(query.topic)
         return RecordPage(reply.records, reply.next)
 
-    def _relay_append(self, query: AppendQuery) -> Result[int, AppendError] | None:
-        reply = self._call_peer(APPEND, query, query.timeout)
-        if reply is None:
-            return None
-        if reply.error is None:
-            return Ok(reply.offset)
-        return Err(reply.error)
+    def _relay_append(self, query: AppendQuery) -> Result[int, AppendError]:
+        deadline = clock.now() + query.timeout
+        outcome = self._call_peer(APPEND, query, query.timeout, deadline)
+        if outcome.is_err():
+            # The peer may have appended although it did not reply.
+            applied = None if outcome.unwrap_err().delivered else False
+            return Err(AppendError("no reply from a peer", applied))
+        reply = outcome.unwrap()
+        return Ok(reply.offset) if reply.error is None else Err(reply.error)
 
     def _call_peer(
-        self, method: Method, query: NamedTuple, wait: float
-    ) -> object | None:
-        """Call a peer, or the next one if it is unreachable."""
+        self,
+        method: Method,
+        query: NamedTuple,
+        timeout: float,
+        deadline: float = float("inf"),
+    ) -> Result[Any, RpcError]:
+        """Call a peer, or the next one if it is unreachable.
+
+        A call takes at most ``timeout`` seconds, all of them end by ``deadline``. The
+        error of several peers says ``delivered`` if any of them was reached.
+        """
         peers = self._peers()
+        delivered = False
         for _ in range(min(MAX_PEERS_PER_CALL, len(peers))):
             peer = peers[self._next_peer % len(peers)]
-            outcome = self._caller.call(
-                peer, method, query, wait + PEER_CALL_MARGIN_SECONDS
-            )
+            remaining = min(timeout, max(deadline - clock.now(), 0.0))
+            outcome = self._caller.call(peer, method, query, remaining)
             if outcome.is_ok():
                 self._is_isolated = False
-                return outcome.unwrap()
+                return outcome
+            delivered = delivered or outcome.unwrap_err().delivered
             # Later calls start with the next peer, too.
             self._next_peer += 1
         self._is_isolated = bool(peers)
-        return None
+        return Err(RpcError("", "no peer replied", delivered))
 
     def _serve_read(self, query: ReadQuery) -> ReadReply:
         try:
@@ -290,6 +308,13 @@
     return store.read(topic, offset, wait)
 
 
+def _merge_errors(earlier: AppendError | None, later: AppendError) -> AppendError:
+    """Return the later error; it is unknown if the earlier append may take effect."""
+    if earlier is None or earlier.applied is False:
+        return later
+    return later._replace(applied=None)
+
+
 def _is_conclusive(error: AppendError) -> bool:
     """Return whether the store gave a definite refusal, so that a retry is useless."""
     return error.fenced or error.end >= 0
--- a/tests/test_control_site.py
+++ b/tests/test_control_site.py
@@ -457,6 +457,19 @@
     complete(site, jobs, 5)
 
 
+def test_submission_stored_by_a_peer_whose_reply_is_lost_is_not_refused():
+    site = ControlSite()
+    other = (site.placer() + 1) % 3
+    address = site.entries[other].address
+    for entry in site.entries:
+        site.network.lose_replies.add((address, entry.address))
+    site.entries[other].store.rejecting = True
+    job, outcome = site.submit(1.0, entry=other)
+    site.run_for(5)
+    assert len(site.history.starts) == 1
+    assert outcome.kind == UNKNOWN, outcome
+
+
 def test_ended_jobs_are_dropped_everywhere_after_their_retention():
     site = ControlSite()
     old = accepted(site, 0.5, count=2)
