Don't take one peer's refusal for the answer of the store

While the store turned some entries away and served others, an entry that was turned away could refuse every submission and report not ready although a peer reached the store; and an entry that the store served could refuse submissions because it had asked a peer first that was turned away.

Cause: the first peer that replied decided, also when its reply was that the store refused its call; only an unreachable peer was passed over, and a peer's refusal ended an append before the direct call. Class: a failure of one path is taken as the state of the thing behind it. A reply that does not help now leads to the next peer, and a relayed append that fails to the direct call.

Tests failed before: two of three arrangements with one served entry; the direct call in the second. Ruled out: order of the peers alone (each arrangement fails for one of the orders).

--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -1,6 +1,6 @@
 """Access to the store that falls back to peers when direct calls fail."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
 import eventlet
@@ -167,15 +167,16 @@
         routes = [self._append_directly, self._relay_append]
         if clock.now() < self._prefer_peers_until:
             routes.reverse()
-        error: AppendError | None = None
-        while routes and (error is None or clock.now() < deadline):
-            remaining = max(deadline - clock.now(), 0.0)
-            outcome = routes.pop(0)(query._replace(timeout=remaining))
+        error = AppendError("no time to append", False)
+        for route in routes:
+            remaining = deadline - clock.now()
+            if remaining <= 0:
+                break
+            outcome = route(query._replace(timeout=remaining))
             if outcome.is_ok():
                 return outcome
             error = _merge_errors(error, outcome.unwrap_err())
-            refused_by_peer = bool(routes) and routes[0] == self._append_directly
-            if _is_conclusive(error) or (refused_by_peer and error.applied is False):
+            if _is_conclusive(error):
                 break
         return Err(error)
 
@@ -236,50 +237,50 @@
         return page
 
     def _relay_read(self, query: ReadQuery) -> RecordPage | None:
-        outcome = self._call_peer(READ, query, query.wait + PEER_CALL_MARGIN_SECONDS)
-        if outcome.is_err() or outcome.unwrap().next == NO_OFFSET:
-            return None
-        reply = outcome.unwrap()
-        if reply.next == HISTORY_LOST_OFFSET:
-            raise HistoryLostError(query.topic)
-        return RecordPage(reply.records, reply.next)
+        timeout = query.wait + PEER_CALL_MARGIN_SECONDS
+        for outcome in self._ask_peers(READ, query, timeout):
+            if outcome.is_err() or outcome.unwrap().next == NO_OFFSET:
+                continue
+            reply = outcome.unwrap()
+            if reply.next == HISTORY_LOST_OFFSET:
+                raise HistoryLostError(query.topic)
+            return RecordPage(reply.records, reply.next)
+        return None
 
     def _relay_append(self, query: AppendQuery) -> Result[int, AppendError]:
         deadline = clock.now() + query.timeout
-        outcome = self._call_peer(APPEND, query, query.timeout, deadline)
-        if outcome.is_err():
-            # The peer may have appended although it did not reply.
-            applied = None if outcome.unwrap_err().delivered else False
-            return Err(AppendError("no reply from a peer", applied))
-        reply = outcome.unwrap()
-        return Ok(reply.offset) if reply.error is None else Err(reply.error)
-
-    def _call_peer(
+        error = AppendError("there is no peer", False)
+        for outcome in self._ask_peers(APPEND, query, query.timeout, deadline):
+            if outcome.is_ok() and outcome.unwrap().error is None:
+                return Ok(outcome.unwrap().offset)
+            error = _merge_errors(error, _peer_error(outcome))
+            if _is_conclusive(error):
+                break
+        return Err(error)
+
+    def _ask_peers(
         self,
         method: Method,
         query: NamedTuple,
         timeout: float,
         deadline: float = float("inf"),
-    ) -> Result[Any, RpcError]:
-        """Call a peer, or the next one if it is unreachable.
+    ) -> Iterator[Result[Any, RpcError]]:
+        """Yield the outcomes of calls to peers, for as long as the caller asks on.
 
-        A call takes at most ``timeout`` seconds, all of them end by ``deadline``. The
-        error of several peers says ``delivered`` if any of them was reached.
+        A call takes at most ``timeout`` seconds, all of them end by ``deadline``.
         """
         peers = self._peers()
-        delivered = False
+        replied = False
         for _ in range(min(MAX_PEERS_PER_CALL, len(peers))):
             peer = peers[self._next_peer % len(peers)]
             remaining = min(timeout, max(deadline - clock.now(), 0.0))
             outcome = self._caller.call(peer, method, query, remaining)
             if outcome.is_ok():
-                self._is_isolated = False
-                return outcome
-            delivered = delivered or outcome.unwrap_err().delivered
-            # Later calls start with the next peer, too.
+                replied, self._is_isolated = True, False
+            yield outcome
+            # The outcome did not help: later calls start with the next peer, too.
             self._next_peer += 1
-        self._is_isolated = bool(peers)
-        return Err(RpcError("", "no peer replied", delivered))
+        self._is_isolated = bool(peers) and not replied
 
     def _serve_read(self, query: ReadQuery) -> ReadReply:
         try:
@@ -308,9 +309,17 @@
     return store.read(topic, offset, wait)
 
 
-def _merge_errors(earlier: AppendError | None, later: AppendError) -> AppendError:
+def _peer_error(outcome: Result[AppendReply, RpcError]) -> AppendError:
+    if outcome.is_ok():
+        return outcome.unwrap().error
+    # A peer that was reached may have appended although it did not reply.
+    applied = None if outcome.unwrap_err().delivered else False
+    return AppendError("no reply from a peer", applied)
+
+
+def _merge_errors(earlier: AppendError, later: AppendError) -> AppendError:
     """Return the later error; it is unknown if the earlier append may take effect."""
-    if earlier is None or earlier.applied is False:
+    if earlier.applied is False:
         return later
     return later._replace(applied=None)
 
--- a/tests/test_control_site.py
+++ b/tests/test_control_site.py
@@ -457,6 +457,31 @@
     complete(site, jobs, 5)
 
 
+@pytest.mark.parametrize("served", range(3))
+def test_peer_that_the_store_refuses_does_not_hide_one_that_it_serves(served):
+    site = ControlSite()
+    refused = [index for index in range(3) if index != served]
+    for index in refused:
+        site.entries[index].store.rejecting = True
+    site.run_for(5)
+    jobs = [accepted(site, 0.5, entry=index) for index in refused]
+    assert all(site.entries[index].control.is_ready for index in refused)
+    complete(site, jobs, 4)
+
+
+def test_peer_that_the_store_refuses_does_not_replace_a_direct_call():
+    site = ControlSite()
+    placer = site.placer()
+    lone, *refused = sorted(range(3), key=lambda index: index == placer)
+    site.entries[lone].store.rejecting = True
+    site.run_for(0.5)
+    site.entries[lone].store.rejecting = False
+    for index in refused:
+        site.entries[index].store.rejecting = True
+    site.run_for(0.02)
+    accepted(site, 0.5, entry=lone)
+
+
 def test_submission_stored_by_a_peer_whose_reply_is_lost_is_not_refused():
     site = ControlSite()
     other = (site.placer() + 1) % 3
