Relay calls to members of the group, to seeds only while none answers

Cause: the seeds of the settings, which may be stale, were asked like members of the store's group. A member that dies leaves that list within its time to live; seeds are now added only while no member answers.

The test failed before: unknown in place of refused, with one entry gone for 6 s. The second test guards the use of the seeds, it passed before.

--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -248,5 +248,13 @@
         return tuple(dict.fromkeys((*listed, self._address)))
 
     def _peer_addresses(self) -> tuple[str, ...]:
-        known = dict.fromkeys((*self._entry_addresses(), *self._seeds))
-        return tuple(address for address in known if address != self._address)
+        """Return the group's other members, and seeds while none of them answers.
+
+        Seeds may be gone, and the outcome of a call to an entry that is gone is often
+        unknown.
+        """
+        members = [a for a in self._entry_addresses() if a != self._address]
+        if members and not self._store.is_isolated:
+            return tuple(members)
+        seeds = [address for address in self._seeds if address != self._address]
+        return tuple(dict.fromkeys((*members, *seeds)))
--- a/tests/test_control_site.py
+++ b/tests/test_control_site.py
@@ -9,7 +9,7 @@
     UNKNOWN,
 )
 from sequoiachute.protocol.workload import COMPLETE, FAILED
-from standins.control_site import URGENT, ControlSite
+from standins.control_site import URGENT, ControlSite, Entry
 from tests.run_checks import assert_no_duplicate_runs, assert_run_numbers_increase
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
@@ -495,6 +495,35 @@
     assert outcome.kind == UNKNOWN, outcome
 
 
+def test_entry_that_is_gone_does_not_make_refused_submissions_unknown():
+    site = ControlSite()
+    gone = (site.placer() + 1) % 3
+    site.entries[gone].process.frozen = True
+    site.network.frozen.add(site.entries[gone].address)
+    site.run_for(6)
+    rest = [index for index in range(3) if index != gone]
+    for index in rest:
+        site.entries[index].store.rejecting = True
+    for index in rest:
+        outcome = site.submit(1.0, entry=index)[1]
+        assert outcome.kind == REFUSED, outcome
+
+
+def test_seeds_are_asked_while_no_member_of_the_group_answers():
+    site = ControlSite()
+    site.seeds = (*site.seeds, "10.0.0.8:7000")
+    lone = (site.placer() + 1) % 3
+    site.kill_entry(lone)
+    site.restart_entry(lone)
+    site.run_for(3)
+    site.entries[lone].store.rejecting = True
+    for index in {0, 1, 2} - {lone}:
+        site.kill_entry(index)
+    site.entries.append(Entry(site, 8))
+    site.run_for(4)
+    complete(site, [accepted(site, 0.5, entry=lone)], 6)
+
+
 def test_ended_jobs_are_dropped_everywhere_after_their_retention():
     site = ControlSite()
     old = accepted(site, 0.5, count=2)
