Listen before the libraries are loaded

Cause: a start is almost all import time, and the port was opened after it. A refused connection is retried at once by callers, so that all five tries fell into the 0.8 s between the kill and the first accept (last one 0.67 s after it).

The program now opens the address that callers or the worker use before it imports anything but the settings; connections wait in the backlog while the libraries load.

The own interface listens first thing after its imports; its command line loads the settings checks before and is not changed here.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -10,7 +10,19 @@
 
 
 def run() -> None:
-    """Run the role given as the first argument and exit with its status."""
+    """Run the role given as the first argument and exit with its status.
+
+    It listens first: loading the libraries takes longer than callers retry a refused
+    connection.
+    """
+    from sequoiachute.platform.settings import read_settings
+    from sequoiachute.transport.listener import open_listener
+
+    role = sys.argv[1]
+    settings = read_settings()
+    address = {"entry": settings.front, "agent": settings.control}[role]
+    listener = open_listener(address)
+
     import warnings
 
     warnings.filterwarnings("ignore", message="(?s).*Eventlet is deprecated")
@@ -18,10 +30,9 @@
 
     eventlet.monkey_patch()
     from sequoiachute.platform import processes
-    from sequoiachute.platform.settings import read_settings
 
     roles = {"entry": processes.run_entry, "agent": processes.run_agent}
-    sys.exit(roles[sys.argv[1]](read_settings()))
+    sys.exit(roles[role](settings, listener))
 
 
 if __name__ == "__main__":
--- a/src/sequoiachute/platform/processes.py
+++ b/src/sequoiachute/platform/processes.py
@@ -2,6 +2,7 @@
 
 import os
 from collections.abc import Iterable
+from socket import socket
 from typing import Any
 from uuid import uuid4
 
@@ -36,8 +37,11 @@
 STOP_TIMEOUT_SECONDS = 2.5
 
 
-def run_entry(settings: ProcessSettings) -> ExitStatus:
-    """Run an entry until SIGTERM; return the exit status."""
+def run_entry(settings: ProcessSettings, listener: socket) -> ExitStatus:
+    """Run an entry until SIGTERM; return the exit status.
+
+    ``listener`` listens on the front address.
+    """
     signals = _start_process("entry", settings)
     operations = Operations()
     member = f"{settings.inner_address}/{uuid4().hex[:8]}"
@@ -56,7 +60,8 @@
     control.run()
     rpc = RpcServer(control.handlers())
     rpc.start(settings.ip, settings.inner_port)
-    web = WebServer(JobsApp(control), *split_address(settings.front))
+    front = split_address(settings.front)
+    web = WebServer(JobsApp(control), *front, listener=listener)
     web.start()
     ready = WebServer(_create_ready_app(control), *split_address(settings.ready))
     ready.start()
@@ -71,13 +76,17 @@
     return ExitStatus.OK
 
 
-def run_agent(settings: ProcessSettings) -> ExitStatus:
-    """Run an agent until SIGTERM; return the exit status."""
+def run_agent(settings: ProcessSettings, listener: socket) -> ExitStatus:
+    """Run an agent until SIGTERM; return the exit status.
+
+    ``listener`` listens on the control address.
+    """
     signals = _start_process("agent", settings)
     supervisor = Supervisor(
         settings.ip, RpcWorker(settings.worker), RpcPool(), settings.inner_seeds
     )
-    web = WebServer(HeartbeatsApp(supervisor), *split_address(settings.control))
+    control = split_address(settings.control)
+    web = WebServer(HeartbeatsApp(supervisor), *control, listener=listener)
     web.start()
     supervisor.run()
     _serve_metrics(supervisor.metrics, settings)
--- a/src/sequoiachute/transport/webserver.py
+++ b/src/sequoiachute/transport/webserver.py
@@ -9,11 +9,13 @@
 import eventlet
 import msgspec
 from eventlet import wsgi
+from eventlet.greenio import GreenSocket
 from greenlet import GreenletExit
 from loguru import logger
 
 from sequoiachute import clock
 from sequoiachute.settings import HttpSettings
+from sequoiachute.transport.listener import open_listener
 from sequoiachute.transport.web import PROBLEM_JSON, problem_body
 
 RESERVED_FILE_DESCRIPTORS = 256  # for files, agents and the log service
@@ -23,7 +25,6 @@
 DISCARD_CHUNK_BYTES = 64 * 1024
 DISCARD_TIMEOUT_SECONDS = 2.0
 ACCEPT_PAUSE_SECONDS = 0.1
-LISTEN_BACKLOG = 1024
 
 _REASON_PHRASES = {400: "Bad Request", 408: "Request Timeout", 414: "URI Too Long"}
 _REASON_PHRASES[431] = "Request Header Fields Too Large"
@@ -167,6 +168,8 @@
         Address to listen on; port zero takes a free one.
     limits : HttpSettings
         Limits on callers' connections and requests.
+    listener : socket, optional
+        Listens on the address already.
     """
 
     def __init__(
@@ -175,10 +178,15 @@
         host: str,
         port: int,
         limits: HttpSettings = HttpSettings(),  # noqa: B008
+        listener: socket.socket | None = None,
     ) -> None:
         self._app = app
         self._limits = limits
-        self._listener = eventlet.listen((host, port), backlog=LISTEN_BACKLOG)
+        if listener is None:
+            listener = open_listener(f"{host}:{port}")
+        if not isinstance(listener, GreenSocket):
+            listener = GreenSocket(listener)
+        self._listener = listener
         self._max_connections = max_connections(limits.connections)
         self._idle_connections: dict[Any, None] = {}  # longest idle first
         self._open_connections = 0
