Let callers of an entry that has just started wait for its state

For a caller on its last try that is a lost job.

Cause: refused at once in a state that is over long before the caller can come back; the same class as the last try in an outage. A request now waits up to 0.5 s for the entry's first read of jobs, runs and catalogue; an entry that can't read them, in an outage, refuses after that.

The test failed before: 503 in place of 200.

--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -5,6 +5,7 @@
 import eventlet
 from loguru import logger
 
+from sequoiachute import clock
 from sequoiachute.coordination.dispatch.placer import TaskPlacer, Term
 from sequoiachute.coordination.dispatch.sessions import AgentSessions
 from sequoiachute.coordination.intake import Intake
@@ -118,6 +119,19 @@
         """Whether this entry is the placer."""
         return self._agents is not None
 
+    def wait_can_serve(self, timeout: float) -> bool:
+        """Wait up to ``timeout`` seconds for ``can_serve``; return its value."""
+        if self.can_serve:
+            return True
+        deadline = clock.now() + timeout
+        for follower in (
+            self._published_follower,
+            self._jobs_follower,
+            self._runs_follower,
+        ):
+            follower.wait_caught_up(max(0.0, deadline - clock.now()))
+        return self.can_serve
+
     def run(self) -> None:
         """Start the followers and the election, each in its own green thread."""
         for follower in (
--- a/src/sequoiachute/platform/jobs.py
+++ b/src/sequoiachute/platform/jobs.py
@@ -19,6 +19,7 @@
 MAX_TASKS = 10_000
 MAX_PAYLOAD_BYTES = 4000
 RETRY_AFTER_SECONDS = 1.0
+START_WAIT_SECONDS = 0.5  # an entry usually reads its state within 0.1 s
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
@@ -73,7 +74,7 @@
     def _serve(self, environ: dict[str, Any]) -> HttpReply:
         operations = self._control.operations
         path = environ.get("PATH_INFO", "")
-        if not self._control.can_serve:
+        if not self._control.wait_can_serve(START_WAIT_SECONDS):
             _log_rejected(path, 503, "starting", operations.version)
             return HttpReply(503, {"error": "starting"}, RETRY_AFTER_SECONDS)
         host = environ.get("HTTP_HOST", "").partition(":")[0]
--- a/tests/test_control_site.py
+++ b/tests/test_control_site.py
@@ -1,3 +1,5 @@
+from io import BytesIO
+
 import eventlet
 import pytest
 
@@ -8,8 +10,9 @@
     REFUSED,
     UNKNOWN,
 )
+from sequoiachute.platform.jobs import JobsApp
 from sequoiachute.protocol.workload import COMPLETE, FAILED
-from standins.control_site import URGENT, ControlSite, Entry
+from standins.control_site import QUEUE, URGENT, ControlSite, Entry
 from tests.run_checks import assert_no_duplicate_runs, assert_run_numbers_increase
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
@@ -437,6 +440,42 @@
     assert clock.now() == began
 
 
+def post_job(site, entry):
+    """Post a job over HTTP; return the status and whether Retry-After was sent."""
+    body = b'{"spec": "", "steps": [{"count": 1, "cpu": 100, "est_ms": 500}]}'
+    environ = {
+        "REQUEST_METHOD": "POST",
+        "HTTP_HOST": QUEUE.host,
+        "PATH_INFO": f"{QUEUE.prefix}{'0' * 15}a",
+        "HTTP_AUTHORIZATION": "Token key-1",
+        "HTTP_X_DEADLINE_MS": "3000",
+        "CONTENT_LENGTH": str(len(body)),
+        "wsgi.input": BytesIO(body),
+    }
+    started = []
+    app = JobsApp(site.entries[entry].control)
+    app(environ, lambda status, headers: started.append((status, dict(headers))))
+    status, headers = started[0]
+    return int(status[:3]), "Retry-After" in headers
+
+
+def test_request_to_an_entry_that_has_just_started_is_served():
+    site = ControlSite()
+    site.kill_entry(0)
+    site.restart_entry(0)
+    assert post_job(site, 0) == (200, False)
+
+
+def test_request_to_an_entry_that_cannot_start_is_refused_soon():
+    site = ControlSite()
+    site.store.down = True
+    site.kill_entry(0)
+    site.restart_entry(0)
+    began = clock.now()
+    assert post_job(site, 0) == (503, True)
+    assert clock.now() <= began + NOTICE_SECONDS
+
+
 def test_job_with_too_little_time_to_store_is_refused():
     site = ControlSite()
     outcome = site.submit(1.0, wait=0.1)[1]
