Confirm the return of the log before the end of a long poll

While the jobs stream is not confirmed the placer starts nothing.

A failed read is now followed by one that does not wait. The test failed before: the view was still unconfirmed 1.5 s after the return, 22.5 s old.

--- a/src/sequoiachute/coordination/follower.py
+++ b/src/sequoiachute/coordination/follower.py
@@ -118,15 +118,19 @@
     def run(self) -> None:
         """Follow the stream; never returns."""
         backoff = FIRST_BACKOFF_SECONDS
+        wait = 0.0
         while True:
             try:
-                self.read_once(self._poll_seconds if self._caught_up.ready() else 0.0)
+                self.read_once(wait)
             except LogUnavailableError as error:
                 logger.debug("reading {} failed: {}", self._stream, error.reason)
                 clock.sleep(backoff)
                 backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
+                # A long poll would confirm the log's return only at its end.
+                wait = 0.0
                 continue
             backoff = FIRST_BACKOFF_SECONDS
+            wait = self._poll_seconds if self._caught_up.ready() else 0.0
 
     def read_once(self, wait: float) -> None:
         """Read one page and apply its records.
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -3,6 +3,7 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.breaker import AppendRateLimiter
+from sequoiachute.coordination.follower import IDLE_POLL_SECONDS
 from sequoiachute.coordination.log import StreamFollower, StreamWriter, new_record_id
 from sequoiachute.coordination.writer import MAX_QUEUED_RECORDS
 from sequoiachute.protocol.records import encode_record
@@ -143,6 +144,18 @@
     assert node.applied == ["whole", "added"]
 
 
+def test_return_of_the_log_is_confirmed_before_the_end_of_a_long_poll():
+    log = MemoryLog()
+    follower = StreamFollower(log, STREAM, print, poll_seconds=IDLE_POLL_SECONDS)
+    eventlet.spawn(follower.run)
+    clock.sleep(1)
+    log.down = True
+    clock.sleep(20)
+    log.down = False
+    clock.sleep(1.5)
+    assert follower.confirmation_age() < 1.5
+
+
 def test_record_that_cannot_be_applied_does_not_stop_the_rest():
     log = MemoryLog()
     node = StreamNode(log)
