Order peers by their last failure, seeds behind silent members

An entry whose known members were all gone could refuse submissions although a seed would have served it: whether seeds were asked depended on the outcome of the call before, so that every second call failed.

Cause: peers were taken in turn by a counter that several readers advance in step, so that some peers were never first, and seeds came and went with one flag. Peers are now asked in the order of their last failure, those that did not reply within 3 s last, and seeds only while every member is silent.

--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -69,9 +69,11 @@
         self._machines = machines
         self._address = address
         self.metrics = Metrics()
-        self._store = RelayedStore(store, caller, self._peer_addresses, self.metrics)
+        other_seeds = tuple(seed for seed in seeds if seed != address)
+        self._store = RelayedStore(
+            store, caller, self._other_members, other_seeds, self.metrics
+        )
         store = self._store
-        self._seeds = seeds
         self._on_published = on_published
         self.operations = operations
         self.ledger = Ledger()
@@ -261,14 +263,5 @@
         listed = [member.partition("/")[0] for member in self._election.group_members]
         return tuple(dict.fromkeys((*listed, self._address)))
 
-    def _peer_addresses(self) -> tuple[str, ...]:
-        """Return the group's other members, and seeds while none of them answers.
-
-        Seeds may be gone, and the outcome of a call to an entry that is gone is often
-        unknown.
-        """
-        members = [a for a in self._entry_addresses() if a != self._address]
-        if members and not self._store.is_isolated:
-            return tuple(members)
-        seeds = [address for address in self._seeds if address != self._address]
-        return tuple(dict.fromkeys((*members, *seeds)))
+    def _other_members(self) -> tuple[str, ...]:
+        return tuple(a for a in self._entry_addresses() if a != self._address)
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -29,6 +29,7 @@
 PEER_CALL_MARGIN_SECONDS = 0.5  # of a peer call's timeout over the store's wait
 UNREACHABLE_AFTER_SECONDS = 0.8  # time for one direct and one relayed read to fail
 MAX_PEERS_PER_CALL = 2  # so that one of them may be unreachable as well
+SILENT_PEER_SECONDS = 3.0  # a peer that did not reply is asked last this long
 NO_OFFSET = -1
 HISTORY_LOST_OFFSET = -2  # the reply's offset where the history is lost
 
@@ -78,7 +79,9 @@
         Direct access to the store.
     caller : RpcCaller
     peers : callable
-        Returns the addresses of other entries.
+        Returns the addresses of the group's other members.
+    seeds : tuple of str
+        Addresses of other entries that may be gone.
     """
 
     def __init__(
@@ -86,14 +89,17 @@
         store: KeyedStore,
         caller: RpcCaller,
         peers: Callable[[], tuple[str, ...]],
+        seeds: tuple[str, ...],
         metrics: Metrics,
     ) -> None:
         self._metrics = metrics
         self._store = store
         self._caller = caller
         self._peers = peers
+        self._seeds = seeds
         self._prefer_peers_until = float("-inf")
-        self._next_peer = 0
+        self._failed_at: dict[str, float] = {}
+        self._silent_until: dict[str, float] = {}
         self._failing_since: float | None = None
         self._reachable = Event()
         self._is_isolated = False
@@ -269,18 +275,40 @@
 
         A call takes at most ``timeout`` seconds, all of them end by ``deadline``.
         """
-        peers = self._peers()
         replied = False
-        for _ in range(min(MAX_PEERS_PER_CALL, len(peers))):
-            peer = peers[self._next_peer % len(peers)]
+        for peer in self._candidates()[:MAX_PEERS_PER_CALL]:
             remaining = min(timeout, max(deadline - clock.now(), 0.0))
             outcome = self._caller.call(peer, method, query, remaining)
             if outcome.is_ok():
                 replied, self._is_isolated = True, False
+            else:
+                self._silent_until[peer] = clock.now() + SILENT_PEER_SECONDS
             yield outcome
-            # The outcome did not help: later calls start with the next peer, too.
-            self._next_peer += 1
-        self._is_isolated = bool(peers) and not replied
+            # The outcome did not help.
+            self._failed_at[peer] = clock.now()
+        known = {*self._peers(), *self._seeds}
+        self._is_isolated = not replied and bool(known)
+        for gone in self._failed_at.keys() - known:
+            del self._failed_at[gone]
+            self._silent_until.pop(gone, None)
+
+    def _candidates(self) -> list[str]:
+        """Return the peers to ask, those that failed last at the end.
+
+        Seeds may be gone, and the outcome of a call to an entry that is gone is often
+        unknown: they are asked only while all members of the group are silent.
+        """
+        members = self._peers()
+        for peers in (members, self._seeds):
+            if not all(self._is_silent(peer) for peer in peers):
+                return sorted(peers, key=self._rank)
+        return sorted(dict.fromkeys((*members, *self._seeds)), key=self._rank)
+
+    def _rank(self, peer: str) -> tuple[bool, float]:
+        return self._is_silent(peer), self._failed_at.get(peer, float("-inf"))
+
+    def _is_silent(self, peer: str) -> bool:
+        return clock.now() < self._silent_until.get(peer, float("-inf"))
 
     def _serve_read(self, query: ReadQuery) -> ReadReply:
         try:
