Judge a restart of a late urgent run by the objective of its measured work

Cause: a restart elsewhere counts only if it ends before the deadline. Its length came from the progress made, the deadline from the declared time; where the work is longer than declared, a restart looked late although it would meet the objective, which is a multiple of the true work. A margin of 1.2 on the measured time did the same to gangs: job was found late 1.6 s into its 25.7 s and never moved. Class: two figures of one comparison from different sources.

The objective now grows with the work that progress shows; the margin is gone, as staying is late for certain, and a restart must save a fifth of the time in place of three tenths.

--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -221,6 +221,7 @@
         deadline=deadline,
         downstream_seconds=chain_seconds(job, task.step) - estimate,
         accepted_at=starts_at,
+        stretch=job.stretch,
     )
 
 
--- a/src/sequoiachute/coordination/scheduling/migration.py
+++ b/src/sequoiachute/coordination/scheduling/migration.py
@@ -17,8 +17,7 @@
 )
 
 RESTART_SECONDS = 0.6  # to stop, record and start the run again
-SPEED_MARGIN = 1.2  # on the run time elsewhere: that worker's speed is an estimate too
-MAX_TIME_RATIO = 0.7  # a migration must cut the remaining time to this share
+MAX_TIME_RATIO = 0.8  # a migration must cut the remaining time to this share
 
 RunGroup = list[tuple[Host, ActiveRun]]
 
@@ -78,10 +77,9 @@
     if layout is None:
         return False
     work_seconds = max(_remaining_work(host, run) for host, run in group)
-    restarted_seconds = RESTART_SECONDS + SPEED_MARGIN * work_seconds * layout_slowdown(
-        unit, layout
-    )
-    in_time = now + restarted_seconds + first.downstream_seconds <= first.deadline
+    restarted_seconds = RESTART_SECONDS + work_seconds * layout_slowdown(unit, layout)
+    ends_at = now + restarted_seconds + first.downstream_seconds
+    in_time = ends_at <= first.deadline + _objective_growth(group)
     worthwhile = in_time and restarted_seconds <= MAX_TIME_RATIO * remaining_seconds
     if not worthwhile and not _is_stalled(group):
         return False
@@ -91,17 +89,38 @@
     return True
 
 
+def _objective_growth(group: RunGroup) -> float:
+    """Return the seconds by which the work that runs have shown moves the deadline.
+
+    The objective is a multiple of a job's true work, its deadline one of the declared
+    time.
+    """
+    first = group[0][1]
+    excess = max(_full_work(host, run) for host, run in group)
+    return first.stretch * max(0.0, excess - first.step.estimate_seconds)
+
+
 def _remaining_work(host: Host, run: ActiveRun) -> float:
-    """Return the seconds that a restarted run takes on the typical worker.
+    """Return the seconds that a restarted run takes on the typical worker."""
+    full_seconds = _full_work(host, run)
+    if run.stalled or not run.step.checkpoints:
+        return full_seconds
+    return full_seconds * _remaining_share(run)
+
+
+def _full_work(host: Host, run: ActiveRun) -> float:
+    """Return the seconds that the whole run takes on the typical worker.
 
     The run's progress gives its time on this host. Dividing by the slowdown of
     the host, which is learned from other runs too, removes the host's share.
     """
     if run.stalled:
         return run.step.estimate_seconds
-    remaining_share = max(0.01, 1 - run.percent / 100)
-    full_seconds = run.remaining_seconds / remaining_share / slowdown(run.step, host)
-    return full_seconds * remaining_share if run.step.checkpoints else full_seconds
+    return run.remaining_seconds / _remaining_share(run) / slowdown(run.step, host)
+
+
+def _remaining_share(run: ActiveRun) -> float:
+    return max(0.01, 1 - run.percent / 100)
 
 
 def _unit_of(group: RunGroup) -> SchedulingUnit:
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -35,6 +35,8 @@
         Time until which the job earns its full worth.
     downstream_seconds : float
         Expected time from the end of the run's step to the end of the job.
+    stretch : float
+        Seconds of the objective for each second of the job's work.
     """
 
     task: TaskId
@@ -57,6 +59,7 @@
     deadline: float = 0.0
     downstream_seconds: float = 0.0
     accepted_at: float = 0.0
+    stretch: float = 1.0
 
 
 class Host(NamedTuple):
--- a/src/sequoiachute/replay/truth.py
+++ b/src/sequoiachute/replay/truth.py
@@ -54,6 +54,7 @@
             remaining_seconds=remaining_seconds,
             unsaved_seconds=unsaved_seconds,
             deadline=self._true_deadline(run.task),
+            stretch=0.0,
         )
 
     def _correct_unit(self, unit: SchedulingUnit) -> SchedulingUnit:
--- a/tests/test_scheduling_policy.py
+++ b/tests/test_scheduling_policy.py
@@ -216,6 +216,34 @@
     assert not decide(SchedulingView(NOW, (moved, host("b")), ())).stops
 
 
+def urgent_run(estimate_seconds, deadline_in, **fields):
+    """Return a run of an urgent job whose objective is 1.5 times its work."""
+    step = StepSpec(1, Resources(1000, 1000, 4), estimate_seconds)
+    deadline = NOW + deadline_in
+    values = {"priority": 0, "gpus": 4, "measured": True, "stretch": 1.5}
+    return running(step=step, deadline=deadline, **{**values, **fields})
+
+
+def test_late_urgent_run_on_a_slow_host_moves_though_its_work_is_longer_than_declared():
+    slow = host(
+        "slow", 0.8, running=[urgent_run(2.9, 2.9, remaining_seconds=7.2, percent=17)]
+    )
+    stops = decide(SchedulingView(NOW, (slow, host("quick", 1.6)), ())).stops
+    assert [(stop.host, stop.is_migration) for stop in stops] == [("slow", True)]
+    assert not decide(SchedulingView(NOW, (slow, host("similar", 0.9)), ())).stops
+
+
+def test_late_urgent_gang_with_one_slow_host_moves():
+    gang = {"estimate_seconds": 14.8, "deadline_in": 19.4, "gang": True}
+    behind = [
+        urgent_run(**gang, index=n, remaining_seconds=24.6, percent=10) for n in (0, 1)
+    ]
+    ahead = [urgent_run(**gang, index=2, remaining_seconds=7.5, percent=26)]
+    hosts = (host("a", 0.66, running=behind), host("b", 1.57, running=ahead), host("c"))
+    stops = decide(SchedulingView(NOW, hosts, ())).stops
+    assert sorted(stop.host for stop in stops) == ["a", "a", "b"]
+
+
 def test_gang_that_waits_for_one_member_is_not_stalled():
     ready = running("g", 0, gang=True, percent=100, stalled=True, remaining_seconds=0.0)
     works = running(
