Let the members of a gang end with their gang in preemption and drain

Cause: a run that is about to end is left to end rather than stopped. A gang's member that has completed its own part shows no time left, though it holds its worker until the slowest member is done. The placer counted two workers of job (a gang of 22) as about to be free at 15.2 s; they were at 17.8 s. The same figure kept such members on workers that leave until these were gone. Class: a figure of one part read as that of the whole.

The time left of a gang's run is now that of its slowest member, and known only if every member's is.

Both tests failed before.

--- a/src/sequoiachute/coordination/scheduling/capacity.py
+++ b/src/sequoiachute/coordination/scheduling/capacity.py
@@ -1,6 +1,7 @@
 """Tracks the free capacity of hosts during a decision."""
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from sequoiachute.coordination.scheduling.model import ActiveRun, Host, SchedulingUnit
 from sequoiachute.protocol.workload import Resources, StepSpec
@@ -22,14 +23,32 @@
     return core_seconds(run.need, run.unsaved_seconds)
 
 
-def _gang_losses(hosts: Iterable[Host]) -> dict[GangKey, float]:
-    losses: dict[GangKey, float] = {}
+class Gang(NamedTuple):
+    """What holds for all members of a running gang.
+
+    ``lost_work`` is lost if the gang is stopped, in core-seconds. Its members end
+    together, in ``remaining_seconds``, which is ``measured`` if all members' are.
+    """
+
+    lost_work: float
+    remaining_seconds: float
+    measured: bool
+
+
+def _running_gangs(hosts: Iterable[Host]) -> dict[GangKey, Gang]:
+    gangs: dict[GangKey, Gang] = {}
     for host in hosts:
         for run in host.running:
-            if run.gang:
-                key = run.task[:3]
-                losses[key] = losses.get(key, 0.0) + lost_work(run)
-    return losses
+            if not run.gang:
+                continue
+            key = run.task[:3]
+            others = gangs.get(key, Gang(0.0, 0.0, True))
+            gangs[key] = Gang(
+                others.lost_work + lost_work(run),
+                max(others.remaining_seconds, run.remaining_seconds),
+                others.measured and run.measured,
+            )
+    return gangs
 
 
 class FreeCapacity:
@@ -44,7 +63,7 @@
     def __init__(self, hosts: tuple[Host, ...]) -> None:
         self._hosts = {host.name: host for host in hosts}
         self._free: dict[str, Resources] = {}
-        self._gang_losses: dict[GangKey, float] | None = None
+        self._gangs: dict[GangKey, Gang] | None = None
         for host in hosts:
             free = host.capacity
             for run in host.running:
@@ -65,11 +84,18 @@
         return found
 
     @property
-    def gang_losses(self) -> dict[GangKey, float]:
-        """Work in core-seconds that is lost if a gang is stopped, by gang."""
-        if self._gang_losses is None:
-            self._gang_losses = _gang_losses(self._hosts.values())
-        return self._gang_losses
+    def gangs(self) -> dict[GangKey, Gang]:
+        """The running gangs."""
+        if self._gangs is None:
+            self._gangs = _running_gangs(self._hosts.values())
+        return self._gangs
+
+    def end_of(self, run: ActiveRun) -> tuple[float, bool]:
+        """Return the seconds until ``run`` ends, and whether they are measured."""
+        if not run.gang:
+            return run.remaining_seconds, run.measured
+        gang = self.gangs[run.task[:3]]
+        return gang.remaining_seconds, gang.measured
 
     def free(self, host: Host) -> Resources:
         """Return the free resources of ``host``."""
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -116,7 +116,7 @@
             return
         stay = host.leaving_seconds + LEAVING_MARGIN_SECONDS
         for run in host.running:
-            if not run.stopping and run.remaining_seconds > stay:
+            if not run.stopping and self._capacity.end_of(run)[0] > stay:
                 stop = RunStop(run.task, run.run, host.name, "its worker leaves")
                 self._stops.append(stop)
 
--- a/src/sequoiachute/coordination/scheduling/preemption.py
+++ b/src/sequoiachute/coordination/scheduling/preemption.py
@@ -110,7 +110,7 @@
         self._unit = unit
         self._max_loss_ratio = max_loss_ratio
         self._hosts = hosts
-        self._gang_losses = capacity.gang_losses
+        self._capacity = capacity
         self._stopped_gangs: set[GangKey] = set()
         self._free = {host.name: capacity.free(host) for host in hosts}
         self._victims = {host.name: self._stoppable_runs(host) for host in hosts}
@@ -147,12 +147,19 @@
         return run.priority > self._unit.priority
 
     def _loss_of(self, run: ActiveRun) -> float:
-        if run.stopping or _ends_soon(run):
+        if run.stopping or self._ends_soon(run):
             return 0.0
         if not run.gang:
             return lost_work(run)
         key = run.task[:3]
-        return 0.0 if key in self._stopped_gangs else self._gang_losses[key]
+        return (
+            0.0 if key in self._stopped_gangs else self._capacity.gangs[key].lost_work
+        )
+
+    def _ends_soon(self, run: ActiveRun) -> bool:
+        """Return whether the run should end as soon as a stop would take effect."""
+        remaining_seconds, measured = self._capacity.end_of(run)
+        return measured and remaining_seconds <= STOP_SECONDS
 
     def _add_task(self, number: int) -> bool:
         best_host, best = None, None
@@ -199,7 +206,7 @@
         for run in option.victims:
             self._victims[host.name].remove(run)
             free = free.plus(run.need)
-            if run.stopping or _ends_soon(run):
+            if run.stopping or self._ends_soon(run):
                 continue
             reason = f"preempted for {self._unit.tasks[0].job_id}"
             self._stops.append(RunStop(run.task, run.run, host.name, reason))
@@ -212,11 +219,6 @@
         self._lost_work += option.lost_work
 
 
-def _ends_soon(run: ActiveRun) -> bool:
-    """Return whether the run should end as soon as a stop would take effect."""
-    return run.measured and run.remaining_seconds <= STOP_SECONDS
-
-
 def _relieves_shortage(free: Resources, need: Resources, gain: Resources) -> bool:
     """Return whether ``gain`` adds to a resource of which ``free`` has too little."""
     for available, needed, gained in zip(free, need, gain, strict=True):
--- a/tests/test_scheduling_policy.py
+++ b/tests/test_scheduling_policy.py
@@ -253,6 +253,29 @@
     assert not decide(SchedulingView(NOW, hosts, ())).stops
 
 
+def gang_with_one_slow_member():
+    """Return a member that has completed and waits, and one that works on."""
+    shared = {"job": "g", "gang": True, "gpus": 8, "measured": True}
+    waits = running(index=0, percent=100, remaining_seconds=0.0, **shared)
+    works = running(index=1, percent=40, remaining_seconds=30.0, **shared)
+    return waits, works
+
+
+def test_guaranteed_work_does_not_wait_for_a_gang_member_that_waits_for_the_others():
+    waits, works = gang_with_one_slow_member()
+    hosts = (host("a", running=[waits]), host("b", running=[works], is_open=False))
+    urgent = unit(1, gpus=8, priority=0, deadline_in=7.0, guaranteed=True)
+    decision = decide(SchedulingView(NOW, hosts, (urgent,)))
+    assert [stop.host for stop in decision.stops] == ["a"]
+
+
+def test_waiting_gang_member_leaves_with_its_worker_if_the_others_outlast_it():
+    waits, works = gang_with_one_slow_member()
+    leaving = host("a", running=[waits], leaving_seconds=3.0)
+    decision = decide(SchedulingView(NOW, (leaving, host("b", running=[works])), ()))
+    assert [stop.host for stop in decision.stops] == ["a"]
+
+
 def test_expired_work_is_served_last_but_is_served():
     late = unit(8, job="late", deadline_in=-300.0, accepted_at=NOW - 310)
     fresh = unit(8, job="fresh", priority=2)
