Don't count peers that can't be connected to against the bound on peers

An entry that the store turned away refused submissions, 503, although a peer would have stored them, when the first two peers that it asked could not be connected to.

Cause: two peers were asked for a call, whether they were reached or not. Only those that a call may have reached count now; the time for all is bounded as before by the deadline of an append, and by two timeouts for a read.

The test now runs with each of the three peers as the reachable one; one of the three failed before. Merged errors also keep every reason, so that the refusal of the store is not hidden behind a peer's silence.

--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -28,7 +28,7 @@
 PREFER_PEERS_SECONDS = 1.0  # peers are called first this long after a failed call
 PEER_CALL_MARGIN_SECONDS = 0.5  # of a peer call's timeout over the store's wait
 UNREACHABLE_AFTER_SECONDS = 0.8  # time for one direct and one relayed read to fail
-MAX_PEERS_PER_CALL = 2  # so that one of them may be unreachable as well
+MAX_PEERS_PER_CALL = 2  # that were reached, so that one of them may be slow
 SILENT_PEER_SECONDS = 3.0  # a peer that did not reply is asked last this long
 NO_OFFSET = -1
 HISTORY_LOST_OFFSET = -2  # the reply's offset where the history is lost
@@ -173,7 +173,7 @@
         routes = [self._append_directly, self._relay_append]
         if clock.now() < self._prefer_peers_until:
             routes.reverse()
-        error = AppendError("no time to append", False)
+        error = AppendError("", False)
         for route in routes:
             remaining = deadline - clock.now()
             if remaining <= 0:
@@ -255,7 +255,7 @@
 
     def _relay_append(self, query: AppendQuery) -> Result[int, AppendError]:
         deadline = clock.now() + query.timeout
-        error = AppendError("there is no peer", False)
+        error = AppendError("", False)
         for outcome in self._ask_peers(APPEND, query, query.timeout, deadline):
             if outcome.is_ok() and outcome.unwrap().error is None:
                 return Ok(outcome.unwrap().offset)
@@ -276,13 +276,18 @@
         A call takes at most ``timeout`` seconds, all of them end by ``deadline``.
         """
         replied = False
-        for peer in self._candidates()[:MAX_PEERS_PER_CALL]:
-            remaining = min(timeout, max(deadline - clock.now(), 0.0))
+        reached = 0
+        deadline = min(deadline, clock.now() + MAX_PEERS_PER_CALL * timeout)
+        for peer in self._candidates():
+            remaining = min(timeout, deadline - clock.now())
+            if reached >= MAX_PEERS_PER_CALL or remaining <= 0:
+                break
             outcome = self._caller.call(peer, method, query, remaining)
             if outcome.is_ok():
                 replied, self._is_isolated = True, False
             else:
                 self._silent_until[peer] = clock.now() + SILENT_PEER_SECONDS
+            reached += outcome.is_ok() or outcome.unwrap_err().delivered
             yield outcome
             # The outcome did not help.
             self._failed_at[peer] = clock.now()
@@ -346,10 +351,13 @@
 
 
 def _merge_errors(earlier: AppendError, later: AppendError) -> AppendError:
-    """Return the later error; it is unknown if the earlier append may take effect."""
-    if earlier.applied is False:
-        return later
-    return later._replace(applied=None)
+    """Return the later error with both reasons.
+
+    It is unknown if the earlier append may take effect.
+    """
+    reasons = dict.fromkeys((earlier.reason, later.reason))
+    applied = later.applied if earlier.applied is False else None
+    return later._replace(reason="; ".join(filter(None, reasons)), applied=applied)
 
 
 def _is_conclusive(error: AppendError) -> bool:
--- a/tests/test_control_site.py
+++ b/tests/test_control_site.py
@@ -484,10 +484,11 @@
     assert not site.history.starts
 
 
-def test_unreachable_peers_do_not_prevent_calls_to_other_peers():
+@pytest.mark.parametrize("reachable", [1, 2, 3])
+def test_unreachable_peers_do_not_prevent_calls_to_other_peers(reachable):
     site = ControlSite(entries=4)
     other = (site.placer() + 1) % 4
-    for step in (1, 2):
+    for step in {1, 2, 3} - {reachable}:
         cut = site.entries[(other + step) % 4].address
         pair = (site.entries[other].address, cut)
         site.network.cut.update((pair, pair[::-1]))
