--- a/standins/paused.py
+++ b/standins/paused.py
@@ -1,11 +1,24 @@
 """An eventlet hub on simulated time, for deterministic tests."""
 
+from itertools import count
 from typing import Any
 
 from eventlet import hubs
 from eventlet.hubs.hub import BaseHub
 
 
+class _TimerEntry(tuple):
+    """A timer with its time; entries of the same time keep their order.
+
+    The hub's own entries of the same time are ordered by memory address.
+    """
+
+    number: int
+
+    def __lt__(self, other: Any) -> bool:
+        return (self[0], self.number) < (other[0], other.number)
+
+
 class PausedHub(BaseHub):
     """An eventlet hub whose clock advances only while every task waits.
 
@@ -16,8 +29,16 @@
     def __init__(self) -> None:
         self._now_seconds = 0.0
         self.errors: list[BaseException] = []
+        self._entry_numbers = count()
         super().__init__(clock=lambda: self._now_seconds)
 
+    def add_timer(self, timer: Any) -> float:
+        """Set a timer; return its time."""
+        entry = _TimerEntry((self.clock() + timer.seconds, timer))
+        entry.number = next(self._entry_numbers)
+        self.next_timers.append(entry)
+        return entry[0]
+
     def squelch_timer_exception(self, timer: Any, exc_info: Any) -> None:
         """Record the exception of a task in ``errors``, for tests to check."""
         self.errors.append(exc_info[1])
