Wait for the store in one place of the intake

The wait in a known outage and the one after a refused append had two callers, a counter of their own and the same conditions with different margins. One function now decides and waits.

--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -1,7 +1,5 @@
 """Accepts and cancels jobs at an entry instance and returns their state."""
 
-from collections.abc import Iterator
-from contextlib import contextmanager
 from typing import Any, NamedTuple
 
 from loguru import logger
@@ -123,7 +121,7 @@
         The content is the same each time, so a delayed copy changes nothing.
         """
         wait_until = clock.now() + MAX_WAIT_SHARE * (deadline - clock.now())
-        refusal = "too little time left to store the record"
+        reason = "too little time left to store the record"
         may_exist = False
         appends = 0
         while True:
@@ -132,55 +130,52 @@
                 reason = "no answer from the store in time"
                 return IntakeOutcome(UNKNOWN, reason, appends=appends)
             if remaining <= 0:
-                return IntakeOutcome(REFUSED, refusal, RETRY_AFTER_SECONDS, appends)
+                return IntakeOutcome(REFUSED, reason, RETRY_AFTER_SECONDS, appends)
             if self._store.is_unreachable and not may_exist:
-                refusal = "the store can't be reached"
-                if not self._may_wait(remaining, wait_until):
-                    return IntakeOutcome(REFUSED, refusal, RETRY_AFTER_SECONDS, appends)
-                logger.bind(key=key, left=round(remaining, 3)).info(
-                    "waiting for the store"
+                reason = "the store can't be reached"
+            else:
+                appends += 1
+                outcome = self._store.append(
+                    self._topic,
+                    [(key, value)],
+                    timeout=min(remaining, APPEND_TIMEOUT_SECONDS),
                 )
-                with self._count_waiting():
-                    self._store.wait_reachable(wait_until - clock.now())
-                continue
-            appends += 1
-            outcome = self._store.append(
-                self._topic,
-                [(key, value)],
-                timeout=min(remaining, APPEND_TIMEOUT_SECONDS),
-            )
-            if outcome.is_ok():
-                record = StoredRecord(outcome.unwrap(), key, value)
-                self._ledger.apply(self._topic, record)
-                return IntakeOutcome(ACCEPTED, appends=appends)
-            error = outcome.unwrap_err()
-            refusal = error.reason
-            may_exist = may_exist or error.applied is not False
+                if outcome.is_ok():
+                    record = StoredRecord(outcome.unwrap(), key, value)
+                    self._ledger.apply(self._topic, record)
+                    return IntakeOutcome(ACCEPTED, appends=appends)
+                error = outcome.unwrap_err()
+                reason = error.reason
+                may_exist = may_exist or error.applied is not False
             if may_exist:
                 clock.sleep(APPEND_RETRY_SECONDS)
-                continue
-            if not self._may_wait(deadline - clock.now(), wait_until):
-                return IntakeOutcome(REFUSED, refusal, RETRY_AFTER_SECONDS, appends)
-            with self._count_waiting():
-                clock.sleep(REFUSED_RETRY_SECONDS)
+            elif not self._wait_for_store(key, deadline, wait_until):
+                return IntakeOutcome(REFUSED, reason, RETRY_AFTER_SECONDS, appends)
 
-    def _may_wait(self, remaining: float, wait_until: float) -> bool:
-        """Return whether waiting for the store serves a caller better than a refusal.
+    def _wait_for_store(self, key: str, deadline: float, wait_until: float) -> bool:
+        """Wait if that serves a caller better than a refusal; return whether it did.
 
         A caller that has time to come back may reach an entry that reaches the
         store. An entry that no peer answers can't tell whether others do.
         """
+        now = clock.now()
+        remaining = deadline - REPLY_MARGIN_SECONDS - now
         if remaining > RETRY_AFTER_SECONDS or self._store.is_isolated:
             return False
-        return clock.now() < wait_until and self._waiting < MAX_WAITING_SUBMISSIONS
-
-    @contextmanager
-    def _count_waiting(self) -> Iterator[None]:
+        if now >= wait_until or self._waiting >= MAX_WAITING_SUBMISSIONS:
+            return False
+        logger.bind(key=key, left=round(deadline - now, 3)).info(
+            "waiting for the store"
+        )
         self._waiting += 1
         try:
-            yield
+            if self._store.is_unreachable:
+                self._store.wait_reachable(wait_until - now)
+            else:
+                clock.sleep(min(REFUSED_RETRY_SECONDS, wait_until - now))
         finally:
             self._waiting -= 1
+        return True
 
 
 def _bind_outcome(outcome: IntakeOutcome, arrived_at: float, deadline: float) -> Any:
