Let the gangs' state machine wait for the work that it has drawn

What must have ended is unchanged.

The draw follows from the source, which this changes, so that the failing draw itself was not played again.

--- a/tests/test_gangs_machine.py
+++ b/tests/test_gangs_machine.py
@@ -8,6 +8,7 @@
     rule,
 )
 
+from sequoiachute import clock
 from sequoiachute.coordination.bounds import (
     AGENT_LOST_SECONDS,
     MAX_PARTIAL_GANG_SECONDS,
@@ -26,6 +27,8 @@
 ENTRIES = 2
 SWITCH_EFFECT_SECONDS = 5.0
 CHECK_INTERVAL_SECONDS = 0.2
+ACCELERATORS_PER_WORKER = 8
+RECOVERY_SECONDS = 6 * AGENT_LOST_SECONDS
 ACCOUNT = {"owner": "Brocach", "job_class": "batch"}
 
 AGENT_ADDRESSES = [agent_address(i) for i in range(WORKERS)]
@@ -46,6 +49,7 @@
             self.site, MAX_PARTIAL_GANG_SECONDS, SWITCH_EFFECT_SECONDS
         )
         self.jobs = []
+        self.work = 0.0  # accelerator-seconds submitted
         self.site.run_for(8)
         self.submit(2, 8, "data_centre", 20.0, 0.0)
         self.submit(4, 2, "rack", 60.0, 0.0)
@@ -67,6 +71,7 @@
         job_id = f"job-{len(self.jobs)}"
         self.jobs.append(job_id)
         self.checker.gang_sizes[job_id] = tasks
+        self.work += tasks * accelerators * run_seconds
         self.site.try_append(
             lambda: self.site.submit(
                 job_id,
@@ -195,7 +200,10 @@
             site.switch(data_centre, True)
             self.checker.note_switch(data_centre, True)
         self.run_for(2)
-        for _ in range(60):
+        # A greedy schedule takes at most twice the time of the work on all of them.
+        work_seconds = 2 * self.work / (WORKERS * ACCELERATORS_PER_WORKER)
+        until = clock.now() + RECOVERY_SECONDS + work_seconds
+        while clock.now() < until:
             if all(self.checker.has_ended(job_id) for job_id in self.jobs):
                 break
             self.run_for(AGENT_LOST_SECONDS / 10)
