Lose replies between entries in the control plane's state machine

An entry's relayed appends could lose their replies only in a test of their own; the state machine cut, froze and killed entries but answered every call. It now loses replies between any two entries as well.

--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -131,6 +131,16 @@
         pair = (self.site.agents[worker].address, self.site.entries[entry].address)
         self.site.network.cut.add(pair)
 
+    @rule(entry=entries, other=entries, lost=st.booleans())
+    def disturb_peer_replies(self, entry, other, lost):
+        pair = (self.site.entries[entry].address, self.site.entries[other].address)
+        update = (
+            self.site.network.lose_replies.add
+            if lost
+            else self.site.network.lose_replies.discard
+        )
+        update(pair)
+
     @precondition(lambda self: hasattr(self, "site"))
     @invariant()
     def no_task_runs_twice(self):
@@ -155,6 +165,7 @@
     def _repair(self):
         site = self.site
         site.network.cut.clear()
+        site.network.lose_replies.clear()
         self.disturb_store(False, False, 0.0)
         for entry in range(ENTRIES):
             site.entries[entry].process.frozen = False
