Settle an unanswered submission once reads notice the store's return

It now waits for the first successful call, as the readers' are under way all the time, and appends then. Fewer calls hang meanwhile.

--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -131,7 +131,8 @@
                 return IntakeOutcome(UNKNOWN, reason, appends=appends)
             if remaining <= 0:
                 return IntakeOutcome(REFUSED, reason, RETRY_AFTER_SECONDS, appends)
-            if self._store.is_unreachable and not may_exist:
+            is_reachable = not self._store.is_unreachable
+            if not is_reachable:
                 reason = "the store can't be reached"
             else:
                 appends += 1
@@ -147,8 +148,11 @@
                 error = outcome.unwrap_err()
                 reason = error.reason
                 may_exist = may_exist or error.applied is not False
-            if may_exist:
+            if may_exist and is_reachable:
                 clock.sleep(APPEND_RETRY_SECONDS)
+            elif may_exist:
+                # Reads notice the store's return sooner than an unanswered append.
+                self._store.wait_reachable(remaining)
             elif not self._wait_for_store(key, deadline, wait_until):
                 return IntakeOutcome(REFUSED, reason, RETRY_AFTER_SECONDS, appends)
 
--- a/tests/test_control_site.py
+++ b/tests/test_control_site.py
@@ -402,6 +402,18 @@
     assert len(site.history.starts) == 1
 
 
+@pytest.mark.parametrize("seconds", [2.0, 2.1, 2.2, 2.3, 2.4])
+def test_unanswered_submission_is_settled_soon_after_the_store_returns(seconds):
+    site = ControlSite()
+    site.store.down = True
+    submission = eventlet.spawn(site.submit, 1.0, wait=3.0)
+    site.run_for(seconds)
+    site.store.down = False
+    site.run_for(NOTICE_SECONDS)
+    assert submission.dead
+    assert submission.wait()[1].kind == ACCEPTED
+
+
 def test_submission_waits_in_vain_for_half_of_the_callers_time_and_never_runs():
     site = ControlSite()
     site.store.down = True
