Send no append that has less time than a sound store may need

Cause: the margin for the reply had become smaller without a least time for the append itself. One is now sent with 50 ms or more, and refused, not sent, with less.

The test of too little time got a second case, 20 ms beyond the margin; it failed before: accepted in the stand-in, whose store needs 4 ms.

--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -14,6 +14,7 @@
 
 APPEND_TIMEOUT_SECONDS = 0.7  # of one attempt; the store usually needs a few ms
 REPLY_MARGIN_SECONDS = 0.1  # for the reply to reach the caller in time
+MIN_APPEND_SECONDS = 0.05  # with less, a sound store looks like one that is down
 APPEND_RETRY_SECONDS = 0.05
 RETRY_AFTER_SECONDS = 1.0
 REFUSED_RETRY_SECONDS = 0.2  # between appends that the store refuses
@@ -126,10 +127,10 @@
         appends = 0
         while True:
             remaining = deadline - REPLY_MARGIN_SECONDS - clock.now()
-            if remaining <= 0 and may_exist:
+            if remaining < MIN_APPEND_SECONDS and may_exist:
                 reason = "no answer from the store in time"
                 return IntakeOutcome(UNKNOWN, reason, appends=appends)
-            if remaining <= 0:
+            if remaining < MIN_APPEND_SECONDS:
                 return IntakeOutcome(REFUSED, reason, RETRY_AFTER_SECONDS, appends)
             is_reachable = not self._store.is_unreachable
             if not is_reachable:
--- a/tests/test_control_site.py
+++ b/tests/test_control_site.py
@@ -488,9 +488,10 @@
     assert clock.now() <= began + NOTICE_SECONDS
 
 
-def test_job_with_too_little_time_to_store_is_refused():
+@pytest.mark.parametrize("wait", [0.1, 0.12])
+def test_job_with_too_little_time_to_store_is_refused(wait):
     site = ControlSite()
-    outcome = site.submit(1.0, wait=0.1)[1]
+    outcome = site.submit(1.0, wait=wait)[1]
     assert (outcome.kind, outcome.retry_after) == (REFUSED, 1.0)
     site.run_for(5)
     assert not site.history.starts
