--- /dev/null
+++ b/tests/test_store_outages.py
@@ -0,0 +1,208 @@
+from io import BytesIO
+
+import eventlet
+import pytest
+
+from sequoiachute import clock
+from sequoiachute.coordination.intake import (
+    ACCEPTED,
+    MAX_WAITING_SUBMISSIONS,
+    REFUSED,
+    UNKNOWN,
+)
+from sequoiachute.platform.jobs import JobsApp
+from standins.control_site import QUEUE, ControlSite, Entry
+from tests.control_checks import TAKEOVER_SECONDS, accepted, complete
+
+pytestmark = pytest.mark.usefixtures("paused_clock")
+
+NOTICE_SECONDS = 0.5  # of the store's return, a fraction of a caller's 3 s
+
+
+@pytest.mark.parametrize("seconds", [5.0, 5.05, 5.1, 5.15])
+def test_submission_after_an_outage_is_not_refused_until_the_next_record(seconds):
+    site = ControlSite()
+    site.store.pauses_memberships = True
+    site.store.down = True
+    site.run_for(seconds)
+    site.store.down = False
+    site.run_for(NOTICE_SECONDS)
+    assert all(entry.control.is_ready for entry in site.entries)
+    complete(site, [accepted(site, 1.0, entry=entry) for entry in range(3)], 4)
+
+
+def submit_during(site, outage, entry=0):
+    """Submit with 1 s left and end the outage after 0.4 s; return the outcome."""
+    submission = eventlet.spawn(site.submit, 1.0, entry=entry, wait=1.0)
+    site.run_for(0.4)
+    outage(False)
+    return submission.wait()[1]
+
+
+@pytest.mark.parametrize("known", [False, True])
+def test_last_try_of_a_caller_is_not_refused_before_the_store_returns(known):
+    site = ControlSite()
+
+    def outage(down):
+        for entry in site.entries:
+            entry.store.rejecting = down
+
+    outage(True)
+    site.run_for(5 if known else 0.05)
+    outcome = submit_during(site, outage, entry=(site.placer() + 1) % 3)
+    assert outcome.kind == ACCEPTED, outcome
+    site.run_for(TAKEOVER_SECONDS)
+    assert len(site.history.starts) == 1
+
+
+@pytest.mark.parametrize("seconds", [2.0, 2.1, 2.2, 2.3, 2.4])
+def test_unanswered_submission_is_settled_soon_after_the_store_returns(seconds):
+    site = ControlSite()
+    site.store.down = True
+    submission = eventlet.spawn(site.submit, 1.0, wait=3.0)
+    site.run_for(seconds)
+    site.store.down = False
+    site.run_for(NOTICE_SECONDS)
+    assert submission.dead
+    assert submission.wait()[1].kind == ACCEPTED
+
+
+def test_submission_waits_in_vain_for_half_of_the_callers_time_and_never_runs():
+    site = ControlSite()
+    site.store.down = True
+    site.run_for(5)
+    began = clock.now()
+    outcome = site.submit(1.0, wait=1.0)[1]
+    assert (outcome.kind, outcome.retry_after) == (REFUSED, 1.0)
+    assert clock.now() <= began + 0.5
+    site.store.down = False
+    site.run_for(8)
+    assert not site.history.starts
+
+
+def test_entry_that_reaches_no_peer_does_not_hold_submissions():
+    site = ControlSite()
+    other = (site.placer() + 1) % 3
+    address = site.entries[other].address
+    for peer in {entry.address for entry in site.entries} - {address}:
+        site.network.cut.update({(address, peer), (peer, address)})
+    site.entries[other].store.rejecting = True
+    site.run_for(5)
+    began = clock.now()
+    assert site.submit(1.0, entry=other, wait=1.0)[1].kind == REFUSED
+    assert clock.now() == began
+
+
+def test_waiting_submissions_are_bounded():
+    site = ControlSite()
+    site.store.down = True
+    site.run_for(5)
+    for _ in range(MAX_WAITING_SUBMISSIONS):
+        eventlet.spawn(site.submit, 1.0, wait=1.0)
+    site.run_for(0.1)
+    began = clock.now()
+    assert site.submit(1.0, wait=1.0)[1].kind == REFUSED
+    assert clock.now() == began
+
+
+def post_job(site, entry):
+    """Post a job over HTTP; return the status and whether Retry-After was sent."""
+    body = b'{"spec": "", "steps": [{"count": 1, "cpu": 100, "est_ms": 500}]}'
+    environ = {
+        "REQUEST_METHOD": "POST",
+        "HTTP_HOST": QUEUE.host,
+        "PATH_INFO": f"{QUEUE.prefix}{'0' * 15}a",
+        "HTTP_AUTHORIZATION": "Token key-1",
+        "HTTP_X_DEADLINE_MS": "3000",
+        "CONTENT_LENGTH": str(len(body)),
+        "wsgi.input": BytesIO(body),
+    }
+    started = []
+    app = JobsApp(site.entries[entry].control)
+    app(environ, lambda status, headers: started.append((status, dict(headers))))
+    status, headers = started[0]
+    return int(status[:3]), "Retry-After" in headers
+
+
+def test_request_to_an_entry_that_has_just_started_is_served():
+    site = ControlSite()
+    site.kill_entry(0)
+    site.restart_entry(0)
+    assert post_job(site, 0) == (200, False)
+
+
+def test_request_to_an_entry_that_cannot_start_is_refused_soon():
+    site = ControlSite()
+    site.store.down = True
+    site.kill_entry(0)
+    site.restart_entry(0)
+    began = clock.now()
+    assert post_job(site, 0) == (503, True)
+    assert clock.now() <= began + NOTICE_SECONDS
+
+
+@pytest.mark.parametrize("served", range(3))
+def test_peer_that_the_store_refuses_does_not_hide_one_that_it_serves(served):
+    site = ControlSite()
+    refused = [index for index in range(3) if index != served]
+    for index in refused:
+        site.entries[index].store.rejecting = True
+    site.run_for(5)
+    jobs = [accepted(site, 0.5, entry=index) for index in refused]
+    assert all(site.entries[index].control.is_ready for index in refused)
+    complete(site, jobs, 4)
+
+
+def test_peer_that_the_store_refuses_does_not_replace_a_direct_call():
+    site = ControlSite()
+    placer = site.placer()
+    lone, *refused = sorted(range(3), key=lambda index: index == placer)
+    site.entries[lone].store.rejecting = True
+    site.run_for(0.5)
+    site.entries[lone].store.rejecting = False
+    for index in refused:
+        site.entries[index].store.rejecting = True
+    site.run_for(0.02)
+    accepted(site, 0.5, entry=lone)
+
+
+def test_submission_stored_by_a_peer_whose_reply_is_lost_is_not_refused():
+    site = ControlSite()
+    other = (site.placer() + 1) % 3
+    address = site.entries[other].address
+    for entry in site.entries:
+        site.network.lose_replies.add((address, entry.address))
+    site.entries[other].store.rejecting = True
+    job, outcome = site.submit(1.0, entry=other)
+    site.run_for(5)
+    assert len(site.history.starts) == 1
+    assert outcome.kind == UNKNOWN, outcome
+
+
+def test_entry_that_is_gone_does_not_make_refused_submissions_unknown():
+    site = ControlSite()
+    gone = (site.placer() + 1) % 3
+    site.entries[gone].process.frozen = True
+    site.network.frozen.add(site.entries[gone].address)
+    site.run_for(6)
+    rest = [index for index in range(3) if index != gone]
+    for index in rest:
+        site.entries[index].store.rejecting = True
+    for index in rest:
+        outcome = site.submit(1.0, entry=index)[1]
+        assert outcome.kind == REFUSED, outcome
+
+
+def test_seeds_are_asked_while_no_member_of_the_group_answers():
+    site = ControlSite()
+    site.seeds = (*site.seeds, "10.0.0.8:7000")
+    lone = (site.placer() + 1) % 3
+    site.kill_entry(lone)
+    site.restart_entry(lone)
+    site.run_for(3)
+    site.entries[lone].store.rejecting = True
+    for index in {0, 1, 2} - {lone}:
+        site.kill_entry(index)
+    site.entries.append(Entry(site, 8))
+    site.run_for(4)
+    complete(site, [accepted(site, 0.5, entry=lone)], 6)
