Split an address in one place

open_listener took an address apart by itself, and WebServer put one together for it; split_address stood in the web server, which the start must not load first. It moves beside open_listener, which takes host and port as the server does.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -16,12 +16,12 @@
     connection.
     """
     from sequoiachute.platform.settings import read_settings
-    from sequoiachute.transport.listener import open_listener
+    from sequoiachute.transport.listener import open_listener, split_address
 
     role = sys.argv[1]
     settings = read_settings()
     address = {"entry": settings.front, "agent": settings.control}[role]
-    listener = open_listener(address)
+    listener = open_listener(*split_address(address))
 
     import warnings
 
--- a/src/sequoiachute/daemon.py
+++ b/src/sequoiachute/daemon.py
@@ -15,9 +15,10 @@
 from sequoiachute.signals import StopSignals
 from sequoiachute.status import ExitStatus
 from sequoiachute.transport.backend import BackendClient
+from sequoiachute.transport.listener import split_address
 from sequoiachute.transport.logservice import LogServiceClient
 from sequoiachute.transport.rpc import RpcPool, RpcServer
-from sequoiachute.transport.webserver import WebServer, split_address
+from sequoiachute.transport.webserver import WebServer
 
 
 def run_entry(settings: EntrySettings) -> ExitStatus:
--- a/src/sequoiachute/platform/processes.py
+++ b/src/sequoiachute/platform/processes.py
@@ -27,8 +27,9 @@
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.state.operations import Operations
 from sequoiachute.status import ExitStatus
+from sequoiachute.transport.listener import split_address
 from sequoiachute.transport.rpc import RpcPool, RpcServer
-from sequoiachute.transport.webserver import WebServer, split_address
+from sequoiachute.transport.webserver import WebServer
 
 METRICS_PORT = 9464  # keep in step with deploy/system.toml
 # The load balancer stops routing after two failed probes, one second apart.
--- a/src/sequoiachute/transport/listener.py
+++ b/src/sequoiachute/transport/listener.py
@@ -5,17 +5,22 @@
 LISTEN_BACKLOG = 1024
 
 
-def open_listener(address: str) -> socket.socket:
-    """Return a socket that listens on ``host:port``.
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``host:port`` into the IP address and the port."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def open_listener(host: str, port: int) -> socket.socket:
+    """Return a socket that listens on ``host`` and ``port``.
 
     Raises
     ------
     OSError
         If the address can't be listened on.
     """
-    host, _, port = address.rpartition(":")
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, int(port)))
+    listener.bind((host, port))
     listener.listen(LISTEN_BACKLOG)
     return listener
--- a/src/sequoiachute/transport/webserver.py
+++ b/src/sequoiachute/transport/webserver.py
@@ -183,7 +183,7 @@
         self._app = app
         self._limits = limits
         if listener is None:
-            listener = open_listener(f"{host}:{port}")
+            listener = open_listener(host, port)
         if not isinstance(listener, GreenSocket):
             listener = GreenSocket(listener)
         self._listener = listener
@@ -305,12 +305,6 @@
     return max(1, min(wanted, files - RESERVED_FILE_DESCRIPTORS))
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``host:port`` into the IP address and the port."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 def _discard_body(body: Any) -> None:
     """Read the rest of a rejected body, so that its sender reads the response.
 
