Keep a machine's learned speed across its worker's lifetimes

Cause: speeds were kept by the worker's lifetime. Ruled out: that the speed is drawn anew with the lifetime. Change: samples and recorded speeds are kept by machine (its agent's address and the worker's labels, since a machine of another kind may return at the address). The record's key becomes machine-speeds; the old one is not read.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -207,7 +207,7 @@
             distance_factor = REMOTE_SLOWDOWN if is_remote else 1.0
             estimate = 0.0 if step.lasting else step.estimate_seconds
             self._statistics.record_progress(
-                run, session.lifetime, estimate, distance_factor, session.reported_at
+                run, session.machine, estimate, distance_factor, session.reported_at
             )
 
     def _record_ends(self, session: Session) -> None:
@@ -292,7 +292,8 @@
         self._metrics.count("runs_placed_total")
         task = placement.task
         run = self._ledger.progress(task.job_id).tasks[task_key(task)].run
-        speed = self._statistics.speed(placement.lifetime, clock.elapsed())
+        machine = self._agents.sessions[placement.host].machine
+        speed = self._statistics.speed(machine, clock.elapsed())
         log = logger.bind(task=str(task), run=run, host=placement.host)
         log = log.bind(life=placement.lifetime.worker_id, term=self._term)
         log = log.bind(expected=round(placement.expected_seconds, 2))
@@ -343,13 +344,13 @@
         if clock.now() < self._speeds_recorded_at + SPEEDS_INTERVAL_SECONDS:
             return
         self._speeds_recorded_at = clock.now()
-        lifetimes = [session.lifetime for session in self._agents.sessions.values()]
-        speeds = self._statistics.speeds(lifetimes, clock.elapsed())
+        machines = [session.machine for session in self._agents.sessions.values()]
+        speeds = self._statistics.speeds(machines, clock.elapsed())
         recorded = self._ledger.speeds
         changed = [
-            lifetime
-            for lifetime, speed in speeds.items()
-            if abs(speed / recorded.get(lifetime, 1.0) - 1) > MIN_SPEED_CHANGE
+            machine
+            for machine, speed in speeds.items()
+            if abs(speed / recorded.get(machine, 1.0) - 1) > MIN_SPEED_CHANGE
         ]
         if changed:
             self._append([(SPEEDS_KEY, encode_speeds(speeds))])
--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -5,7 +5,7 @@
 
 from sequoiachute.coordination.dispatch.speeds import SpeedEstimator, SpeedSample
 from sequoiachute.protocol.supervision import RunReport
-from sequoiachute.protocol.workload import JobGraph, Lifetime, TaskId
+from sequoiachute.protocol.workload import JobGraph, Lifetime, Machine, TaskId
 
 # Workers report progress every 0.5 s.
 ESTIMATE_INTERVAL_SECONDS = 0.25
@@ -90,13 +90,13 @@
     Parameters
     ----------
     speeds : dict
-        Speeds recorded by earlier placers, by lifetime.
+        Speeds recorded by earlier placers, by machine.
     """
 
-    def __init__(self, speeds: dict[Lifetime, float]) -> None:
+    def __init__(self, speeds: dict[Machine, float]) -> None:
         self._inherited_speeds = dict(speeds)
         self._progress: dict[tuple[str, int], RunProgress] = {}
-        self._samples: dict[Lifetime, dict[str, tuple[float, float]]] = {}
+        self._samples: dict[Machine, dict[str, tuple[float, float]]] = {}
         self._estimator = SpeedEstimator()
         self._estimated_at = float("-inf")
         self._failures: dict[Lifetime, list[float]] = {}
@@ -106,18 +106,18 @@
     def record_progress(
         self,
         run: RunReport,
-        lifetime: Lifetime,
+        machine: Machine,
         estimate: float,
         distance_factor: float,
         now: float,
     ) -> None:
-        """Add a progress reading of a run and sample its worker's speed.
+        """Add a progress reading of a run and sample its machine's speed.
 
         Parameters
         ----------
         run : RunReport
-        lifetime : Lifetime
-            Lifetime of the worker.
+        machine : Machine
+            Machine of the worker; its speed outlasts the worker's lifetime.
         estimate : float
             Declared time of the run in seconds, zero if it has none.
         distance_factor : float
@@ -139,7 +139,7 @@
             log_ratio = log(
                 max(estimate * rate / 100 * distance_factor, MIN_SPEED_RATIO)
             )
-            samples = self._samples.setdefault(lifetime, {})
+            samples = self._samples.setdefault(machine, {})
             samples.pop(run.task, None)
             samples[run.task] = (now, log_ratio)
             if len(samples) > MAX_SAMPLES_PER_WORKER:
@@ -153,10 +153,10 @@
         """Drop the progress of a run that has ended."""
         self._progress.pop((str(task), run), None)
 
-    def speed(self, lifetime: Lifetime, now: float) -> float:
-        """Return a worker's recent speed relative to the typical worker."""
+    def speed(self, machine: Machine, now: float) -> float:
+        """Return a machine's recent speed relative to the typical one."""
         self._update_estimate(now)
-        return self._estimator.speed(lifetime)
+        return self._estimator.speed(machine)
 
     def _update_estimate(self, now: float) -> None:
         if now >= self._estimated_at + ESTIMATE_INTERVAL_SECONDS:
@@ -166,24 +166,24 @@
     def _weighted_samples(self, now: float) -> list[SpeedSample]:
         """Return the samples, weighted by age."""
         found = []
-        for lifetime, samples in self._samples.items():
+        for machine, samples in self._samples.items():
             for task, (at, log_ratio) in samples.items():
                 # MIN_SAMPLE_WEIGHT keeps a speed where there are only old samples.
                 weight = 0.5 ** ((now - at) / SAMPLE_HALF_LIFE_SECONDS)
                 step = task.rpartition(".")[0]
                 found.append(
                     SpeedSample(
-                        lifetime, step, log_ratio, max(weight, MIN_SAMPLE_WEIGHT)
+                        machine, step, log_ratio, max(weight, MIN_SAMPLE_WEIGHT)
                     )
                 )
         return found
 
-    def speeds(self, lifetimes: list[Lifetime], now: float) -> dict[Lifetime, float]:
-        """Return the speeds of ``lifetimes`` that have samples or a recorded speed."""
+    def speeds(self, machines: list[Machine], now: float) -> dict[Machine, float]:
+        """Return the speeds of ``machines`` that have samples or a recorded speed."""
         found = {}
-        for lifetime in lifetimes:
-            if lifetime in self._samples or lifetime in self._inherited_speeds:
-                found[lifetime] = self.speed(lifetime, now)
+        for machine in machines:
+            if machine in self._samples or machine in self._inherited_speeds:
+                found[machine] = self.speed(machine, now)
         return found
 
     def record_failure(
--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -16,7 +16,7 @@
     SettledStart,
     WorkerInfo,
 )
-from sequoiachute.protocol.workload import Lifetime, TaskId, parse_task_id
+from sequoiachute.protocol.workload import Lifetime, Machine, TaskId, parse_task_id
 from sequoiachute.state.ledger import Ledger
 
 LEASE_SECONDS = 9.0  # the platform allows at most 10 s
@@ -65,6 +65,11 @@
         """Lifetime of the worker; an empty one before its first report."""
         return self.worker.lifetime if self.worker is not None else Lifetime()
 
+    @property
+    def machine(self) -> Machine:
+        """Machine of the worker, whatever its lifetime."""
+        return Machine(self.host, self.worker.labels if self.worker is not None else ())
+
     def age(self) -> float:
         """Return seconds since the agent's last report."""
         return clock.elapsed() - self.reported_at
--- a/src/sequoiachute/coordination/dispatch/speeds.py
+++ b/src/sequoiachute/coordination/dispatch/speeds.py
@@ -10,7 +10,7 @@
 from math import exp, log
 from typing import NamedTuple
 
-from sequoiachute.protocol.workload import Lifetime
+from sequoiachute.protocol.workload import Machine
 
 # Variances are of natural logarithms.
 FIT_ITERATIONS = 5  # further ones change the fit by less than 2 %
@@ -25,7 +25,7 @@
 class SpeedSample(NamedTuple):
     """Logarithm of a task's actual to declared rate of progress."""
 
-    lifetime: Lifetime
+    machine: Machine
     step: str
     log_ratio: float
     weight: float
@@ -35,29 +35,29 @@
     """Fits workers' speeds and steps' errors to samples."""
 
     def __init__(self) -> None:
-        self._speeds: dict[Lifetime, float] = {}
+        self._speeds: dict[Machine, float] = {}
         self._errors: dict[str, float] = {}
         self._error_variance = PRIOR_ERROR_VARIANCE
 
-    def speed(self, lifetime: Lifetime) -> float:
+    def speed(self, machine: Machine) -> float:
         """Return a worker's speed; 1.0 for a worker without samples."""
-        return exp(self._speeds.get(lifetime, 0.0))
+        return exp(self._speeds.get(machine, 0.0))
 
-    def fit(self, samples: list[SpeedSample], inherited: dict[Lifetime, float]) -> None:
+    def fit(self, samples: list[SpeedSample], inherited: dict[Machine, float]) -> None:
         """Fit speeds and errors to ``samples``.
 
         Parameters
         ----------
         samples : list of SpeedSample
         inherited : dict
-            Speeds recorded by earlier placers, by lifetime.
+            Speeds recorded by earlier placers, by machine.
         """
-        inherited_logs = {lifetime: log(speed) for lifetime, speed in inherited.items()}
+        inherited_logs = {machine: log(speed) for machine, speed in inherited.items()}
         speeds = dict(inherited_logs)
-        by_lifetime: dict[Lifetime, list[SpeedSample]] = {}
+        by_machine: dict[Machine, list[SpeedSample]] = {}
         by_step: dict[str, list[SpeedSample]] = {}
         for sample in samples:
-            by_lifetime.setdefault(sample.lifetime, []).append(sample)
+            by_machine.setdefault(sample.machine, []).append(sample)
             by_step.setdefault(sample.step, []).append(sample)
         errors: dict[str, float] = {}
         for _ in range(FIT_ITERATIONS):
@@ -65,21 +65,21 @@
             for step, group in by_step.items():
                 total = weight = 0.0
                 for sample in group:
-                    residual = speeds.get(sample.lifetime, 0.0) - sample.log_ratio
+                    residual = speeds.get(sample.machine, 0.0) - sample.log_ratio
                     total += sample.weight * residual
                     weight += sample.weight
                 errors[step] = total / (weight + prior_weight)
-            for lifetime, group in by_lifetime.items():
+            for machine, group in by_machine.items():
                 weight = TASK_VARIANCE / SPEED_VARIANCE
                 total = 0.0
-                if lifetime in inherited_logs:
+                if machine in inherited_logs:
                     weight = INHERITED_WEIGHT
-                    total = INHERITED_WEIGHT * inherited_logs[lifetime]
+                    total = INHERITED_WEIGHT * inherited_logs[machine]
                 for sample in group:
                     residual = sample.log_ratio + errors[sample.step]
                     total += sample.weight * residual
                     weight += sample.weight
-                speeds[lifetime] = total / weight
+                speeds[machine] = total / weight
         self._speeds = speeds
         self._errors = errors
         self._update_error_variance()
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -169,7 +169,7 @@
         labels=frozenset(worker.labels),
         capacity=worker.capacity,
         is_open=is_open,
-        speed=context.statistics.speed(worker.lifetime, now),
+        speed=context.statistics.speed(session.machine, now),
         recent_failures=context.statistics.recent_failures(worker.lifetime, now),
         running=tuple(running),
         leaving_seconds=worker.leaving_seconds if worker.leaving else None,
--- a/src/sequoiachute/protocol/workload.py
+++ b/src/sequoiachute/protocol/workload.py
@@ -151,6 +151,17 @@
     started_ms: int = 0
 
 
+class Machine(NamedTuple):
+    """The machine of a worker across its lifetimes.
+
+    ``host`` is the worker's agent. A worker that returns with other ``labels`` is on a
+    machine of another kind.
+    """
+
+    host: str = ""
+    labels: tuple[str, ...] = ()
+
+
 class TaskState(NamedTuple):
     """Recorded state of a task.
 
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -13,7 +13,7 @@
     PENDING,
     JobGraph,
     JobProgress,
-    Lifetime,
+    Machine,
     TaskId,
     TaskState,
     decode_job,
@@ -23,7 +23,7 @@
 JOBS = "jobs"  # topic of jobs and cancellations, written by any entry instance
 RUNS = "runs"  # topic that only the placer writes
 LEADER_KEY = "leader"
-SPEEDS_KEY = "speeds"
+SPEEDS_KEY = "machine-speeds"
 WAVE_PREFIX = "wave/"
 CANCEL_PREFIX = "cancel/"
 JOB_PREFIX = "job/"
@@ -43,16 +43,16 @@
     return msgspec.msgpack.encode(leader)
 
 
-def encode_speeds(speeds: dict[Lifetime, float]) -> bytes:
-    """Return the value of the record of learned worker speeds."""
-    rows = [(*lifetime, round(speed, 2)) for lifetime, speed in speeds.items()]
+def encode_speeds(speeds: dict[Machine, float]) -> bytes:
+    """Return the value of the record of learned speeds of machines."""
+    rows = [(*machine, round(speed, 2)) for machine, speed in speeds.items()]
     return msgspec.msgpack.encode(rows)
 
 
-def decode_speeds(data: bytes) -> dict[Lifetime, float]:
-    """Return learned speeds by lifetime; raise ``msgspec.DecodeError``."""
-    rows = msgspec.msgpack.decode(data, type=list[tuple[str, int, float]])
-    return {Lifetime(name, born): speed for name, born, speed in rows}
+def decode_speeds(data: bytes) -> dict[Machine, float]:
+    """Return learned speeds by machine; raise ``msgspec.DecodeError``."""
+    rows = msgspec.msgpack.decode(data, type=list[tuple[str, tuple[str, ...], float]])
+    return {Machine(host, labels): speed for host, labels, speed in rows}
 
 
 class Ledger:
@@ -70,7 +70,7 @@
         self._tasks_by_host: dict[str, dict[TaskId, TaskState]] = {}
         self._live: dict[str, None] = {}
         self.leader: Leader | None = None
-        self.speeds: dict[Lifetime, float] = {}
+        self.speeds: dict[Machine, float] = {}
         self._waves: dict[str, bytes] = {}
 
     def wave(self, number: int) -> bytes:
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -118,6 +118,21 @@
     )
 
 
+def test_speed_of_a_machine_is_known_after_its_worker_has_lost_power():
+    machines = [machine("w0", speed=0.5), machine("w1", speed=2.0)]
+    faults = [Fault("lost", 5.0, 6.0, number) for number in range(2)]
+    urgent = msgspec.structs.replace(JOB_KIND, name="u", priority=0)
+    result = simulate(
+        arrival("a", seconds=9.0),
+        arrival("b", seconds=9.0),
+        arrival("urgent", at=5.5, seconds=4.0, kind=urgent),
+        machines=machines,
+        faults=faults,
+        site=msgspec.structs.replace(SITE, kinds=(JOB_KIND, urgent)),
+    )
+    assert completion_times(result)["urgent"] == pytest.approx(0.5 + 2.0, abs=0.6)
+
+
 def test_hopeless_job_earns_its_value_only_by_failing():
     hopeless_job = arrival(failures={(0, 0): (0.5, 0.5)}, hopeless=True)
     result = simulate(hopeless_job)
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -7,16 +7,15 @@
 from sequoiachute.coordination.dispatch.run_statistics import RunStatistics
 from sequoiachute.coordination.dispatch.speeds import SpeedEstimator, SpeedSample
 from sequoiachute.protocol.supervision import RunReport
-from sequoiachute.protocol.workload import Lifetime
+from sequoiachute.protocol.workload import Machine
 
-FAST, SLOW, NEW = Lifetime("quick", 1), Lifetime("slow", 1), Lifetime("new", 1)
+FAST, SLOW, NEW = Machine("quick"), Machine("slow"), Machine("new")
 
 
 def estimate(*samples, earlier=None):
     found = SpeedEstimator()
     rows = [
-        SpeedSample(lifetime, step, log(ratio), 1.0)
-        for lifetime, step, ratio in samples
+        SpeedSample(machine, step, log(ratio), 1.0) for machine, step, ratio in samples
     ]
     # Each fit updates the error variance that the next one uses.
     for _ in range(3):
@@ -25,7 +24,7 @@
 
 
 def test_step_declared_too_short_does_not_lower_speeds():
-    steps = [(lifetime, "long", 0.3) for lifetime in (FAST, SLOW) for _ in range(3)]
+    steps = [(machine, "long", 0.3) for machine in (FAST, SLOW) for _ in range(3)]
     found = estimate(*steps, (FAST, "other", 1.0), (SLOW, "other", 1.0))
     assert found.speed(FAST) == pytest.approx(found.speed(SLOW))
     assert found.speed(FAST) > 0.75
@@ -50,13 +49,13 @@
     assert found.speed(NEW) == 1.0
 
 
-def speed_after(run_statistics, percents, lifetime, task, estimate_seconds=10.0):
+def speed_after(run_statistics, percents, machine, task, estimate_seconds=10.0):
     for number, percent in enumerate(percents):
         run = RunReport(task, 1, "", percent)
         run_statistics.record_progress(
-            run, lifetime, estimate_seconds, 1.0, number * 0.5
+            run, machine, estimate_seconds, 1.0, number * 0.5
         )
-    return run_statistics.speed(lifetime, len(percents) * 0.5)
+    return run_statistics.speed(machine, len(percents) * 0.5)
 
 
 def test_waiting_for_the_gang_does_not_lower_a_members_speed():
