--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -9,7 +9,7 @@
 from sequoiachute.coordination.dispatch.placer import TaskPlacer, Term
 from sequoiachute.coordination.dispatch.sessions import AgentSessions
 from sequoiachute.coordination.intake import Intake
-from sequoiachute.coordination.store.election import Election
+from sequoiachute.coordination.store.election import Election, address_of
 from sequoiachute.coordination.store.follower import Follower
 from sequoiachute.coordination.store.relay import RelayedStore
 from sequoiachute.errors import describe_failure
@@ -260,7 +260,7 @@
         return agents.handle_report(report, reply._replace(term=agents.term))
 
     def _entry_addresses(self) -> tuple[str, ...]:
-        listed = [member.partition("/")[0] for member in self._election.group_members]
+        listed = [address_of(member) for member in self._election.group_members]
         return tuple(dict.fromkeys((*listed, self._address)))
 
     def _other_members(self) -> tuple[str, ...]:
--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -221,16 +221,18 @@
     def handle_report(self, report: Report, reply: Orders) -> Orders:
         """Apply a report and return ``reply`` with the agent's orders.
 
-        Waits for a change of the orders for as long as the report allows.
+        Waits for a change of the orders for as long as the report allows, but not at
+        an agent's first report: the agent learns the term from its reply.
         """
         session = self.sessions.get(report.host)
+        is_first = session is None
         if session is None:
             session = self.sessions[report.host] = Session(report.host)
             logger.bind(host=report.host, term=self.term).info("first report of agent")
         lease_ms = self._lease_ms(report)
         if session.apply_report(report, self.term):
             self._wake()
-        if report.wait:
+        if report.wait and not is_first:
             session.wait_for_change(report.known_version, report.wait)
         orders, ack = session.refresh(self._ledger)
         return reply._replace(
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -139,8 +139,11 @@
         lease_ms, ack = (
             (self._reconciler.lease_ms, self._ack) if is_same_lifetime else (0, 0)
         )
+        # The placer orders nothing before the worker has answered under its term.
+        is_fenced = is_same_lifetime and term == self._fenced_term
+        wait = POLL_WAIT_SECONDS if is_fenced else 0.0
         expected = heartbeat.info.lifetime
-        outcome = self._worker.poll(expected, term, lease_ms, ack, POLL_WAIT_SECONDS)
+        outcome = self._worker.poll(expected, term, lease_ms, ack, wait)
         label = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
         self.metrics.count("looks_total", outcome=label)
         if outcome.is_err():
@@ -149,7 +152,7 @@
         self._status = status
         if previous is None or previous.lifetime != status.lifetime:
             self._start_lifetime(status.lifetime)
-        self._fenced_term = term
+        self._fenced_term = max(self._fenced_term, term)
         ends_changed = previous is None or previous.ends != status.ends
         present = {(run.task, run.run) for run in status.runs}
         previously_present = (
@@ -157,7 +160,7 @@
         )
         self._reconciler.apply_status(status, polled_at)
         self._adjust_pace(status)
-        if ends_changed or present != previously_present:
+        if ends_changed or present != previously_present or not is_fenced:
             self._request_report()
         return True
 
@@ -179,6 +182,7 @@
         self._reconciler.reset()
         self._reconciler.worker_id = lifetime.worker_id
         self._reconciler.lease_ms = 0
+        self._fenced_term = 0
         self._ack = 0
         self._version = 0
         self._update_may_start()
@@ -259,6 +263,7 @@
             logger.bind(term=orders.term, entry=address).info("placer followed")
             self._term = orders.term
             self._version = 0
+            eventlet.spawn(self._poll_once)
         self._placer_address = address
         status = self._status
         if status is None or orders.lifetime != status.lifetime:
--- a/src/sequoiachute/coordination/store/election.py
+++ b/src/sequoiachute/coordination/store/election.py
@@ -28,13 +28,18 @@
 CLAIM_TIMEOUT_SECONDS = 1.0
 
 
+def address_of(member: str) -> str:
+    """Return the address of a member of the group."""
+    return member.partition("/")[0]
+
+
 class Election:
     """Keeps this entry a candidate and claims the term when there is no placer.
 
     Parameters
     ----------
     member : str
-        Identity of this lifetime of the entry.
+        Identity of this lifetime of the entry, ``address/name``.
     address : str
         Address at which agents reach this entry.
     topic : str
@@ -76,8 +81,12 @@
     def run(self) -> None:
         """Renew the candidacy until this entry leaves."""
         self._follower.wait_caught_up(float("inf"))
+        may_have_predecessor = True
         while not self._leaving:
             try:
+                if may_have_predecessor:
+                    self._remove_predecessors()
+                    may_have_predecessor = False
                 self._renew_candidacy()
             except StoreUnavailableError as error:
                 logger.bind(reason=str(error)).debug("joining the group failed")
@@ -98,6 +107,17 @@
                 "leaving the group failed, membership expires"
             )
 
+    def _remove_predecessors(self) -> None:
+        """End the memberships of earlier processes at this entry's address.
+
+        They have ended, since this process listens there. Until their memberships
+        expire one of them may be the candidate, and no entry can replace it.
+        """
+        for member in self._store.members(GROUP):
+            if member != self._member and address_of(member) == self._address:
+                logger.bind(member=member).info("removing an ended member")
+                self._store.leave(GROUP, member)
+
     def _renew_candidacy(self) -> None:
         generation = self._membership.generation
         self._membership = self._store.join(
--- a/tests/test_control_site.py
+++ b/tests/test_control_site.py
@@ -8,6 +8,7 @@
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
+RESTART_SECONDS = 0.5  # a fraction of the 1.2 s for which memberships last
 LEASE_LOST_SECONDS = 10.0  # 9 s on a clock up to 2 % slow, plus a margin
 
 
@@ -63,6 +64,18 @@
     assert len(site.history.starts) == 4
 
 
+def test_work_starts_soon_after_every_entry_has_been_restarted():
+    site = ControlSite()
+    site.run_for(1)
+    for entry in range(3):
+        site.kill_entry(entry)
+        site.restart_entry(entry)
+    restarted_at = clock.now()
+    job = accepted(site, 1.0)
+    complete(site, [job], 4)
+    assert site.history.starts[0].at < restarted_at + RESTART_SECONDS
+
+
 def test_runs_survive_the_death_of_their_agent():
     site = ControlSite(workers=2)
     job = accepted(site, 5.0, count=4)
