Store jobs and ends in whichever topic answers; race an append's routes

In the recorded incident all writes were unanswered for 3 s while reads were served: the job was held for 2.95 s and then answered 504, and nobody looked whether it was stored. Change: jobs, cancellations and, while the placer's topic does not answer, ends are appended to the first of three topics that takes them; their content never changes, so a copy in two topics is harmless. Availability is kept by topic. An append's direct and relayed ways are raced with a stagger that grows with the store's latency, instead of a direct call that used up all the time; a record read back ends the race. An entry that no peer answers says after half of the caller's time that the effect is unknown. A last try is refused by what appends lately needed instead of 0.15 s. Readers of one entry take turns while the store fails. A worker with runs of a job that is not read yet gets no more work. Ruled out: several partitions for the placer's own topic. A new placer must fence and read all of them, so that an outage of any one would block every takeover.

--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -1,6 +1,7 @@
 """Control plane of an entry instance: ledger, election, placer and intake."""
 
 from collections.abc import Callable
+from functools import partial
 
 import eventlet
 from loguru import logger
@@ -20,7 +21,7 @@
     Orders,
     Report,
 )
-from sequoiachute.state.ledger import JOBS, RUNS, Ledger
+from sequoiachute.state.ledger import JOB_TOPICS, RUNS, Ledger
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.state.operations import Operations
 from sequoiachute.transport.machines import Advisor, MachineService
@@ -79,14 +80,20 @@
         self.ledger = Ledger()
         self._published: dict[str, bytes] = {}
         self._published_end = -1
-        self._jobs_follower = Follower(JOBS, store, self._apply_job)
-        self._runs_follower = Follower(RUNS, store, self._apply_run)
-        self._published_follower = Follower(
-            PUBLISHED_TOPIC, store, self._apply_published, self._replace_published
+        pause = store.availability.wait_for_probe
+        self._jobs_followers = tuple(
+            Follower(topic, store, partial(self._apply_job, topic), pause=pause)
+            for topic in JOB_TOPICS
         )
-        self.intake = Intake(
-            JOBS, store, self.ledger, self._jobs_follower, self.metrics
+        self._runs_follower = Follower(RUNS, store, self._apply_run, pause=pause)
+        self._published_follower = Follower(
+            PUBLISHED_TOPIC,
+            store,
+            self._apply_published,
+            self._replace_published,
+            pause,
         )
+        self.intake = Intake(store, self.ledger, self._jobs_followers, self.metrics)
         self._election = Election(
             member,
             address,
@@ -104,17 +111,20 @@
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers to this entry."""
-        if self._ended or self._store.is_unreachable:
+        if self._ended or self._is_store_unreachable():
             return False
         return self.can_serve
 
     @property
     def can_serve(self) -> bool:
-        """Whether requests can be answered: jobs, runs and catalogue are read."""
-        caught_up = (
-            self._jobs_follower.is_caught_up and self._runs_follower.is_caught_up
-        )
-        return caught_up and self.operations.version > 0
+        """Whether requests can be answered: jobs, runs and catalogue are read.
+
+        Some topics of jobs may be missing in an outage of a part of the store; a job
+        that is not found is then not said to be unknown.
+        """
+        has_jobs = any(follower.is_caught_up for follower in self._jobs_followers)
+        is_read = has_jobs and self._runs_follower.is_caught_up
+        return is_read and self.operations.version > 0
 
     @property
     def is_leading(self) -> bool:
@@ -126,29 +136,28 @@
         if self.can_serve:
             return True
         deadline = clock.now() + timeout
-        for follower in (
-            self._published_follower,
-            self._jobs_follower,
-            self._runs_follower,
-        ):
-            follower.wait_caught_up(max(0.0, deadline - clock.now()))
+        for follower in self._followers():
+            if not self.can_serve:
+                follower.wait_caught_up(max(0.0, deadline - clock.now()))
         return self.can_serve
 
     def run(self) -> None:
         """Start the followers and the election, each in its own green thread."""
-        for follower in (
-            self._published_follower,
-            self._jobs_follower,
-            self._runs_follower,
-        ):
+        for follower in self._followers():
             eventlet.spawn(follower.run)
         eventlet.spawn(self._election.run)
 
+    def _followers(self) -> tuple[Follower, ...]:
+        return (self._published_follower, self._runs_follower, *self._jobs_followers)
+
+    def _is_store_unreachable(self) -> bool:
+        return self._store.availability.is_unreachable(JOB_TOPICS)
+
     def _add_gauges(self) -> None:
         metrics = self.metrics
         metrics.gauge("leading", lambda: self.is_leading)
         metrics.gauge("ready", lambda: self.is_ready)
-        metrics.gauge("store_reachable", lambda: not self._store.is_unreachable)
+        metrics.gauge("store_reachable", lambda: not self._is_store_unreachable())
         metrics.gauge("jobs_live", lambda: sum(1 for _ in self.ledger.live()))
         metrics.gauge(
             "agents", lambda: len(self._agents.sessions) if self._agents else 0
@@ -169,8 +178,10 @@
 
     # Records from the store.
 
-    def _apply_job(self, record: StoredRecord) -> None:
-        if self.ledger.apply(JOBS, record) and self._placer is not None:
+    def _apply_job(self, topic: str, record: StoredRecord) -> None:
+        is_new = self.ledger.apply(topic, record)
+        self.intake.record_applied(topic, record)
+        if is_new and self._placer is not None:
             self._placer.wake()
 
     def _apply_run(self, record: StoredRecord) -> None:
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -9,6 +9,7 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.dispatch.advice import TicketCache
+from sequoiachute.coordination.dispatch.end_backup import EndBackup
 from sequoiachute.coordination.dispatch.run_statistics import RunStatistics
 from sequoiachute.coordination.dispatch.sessions import AgentSessions, Session
 from sequoiachute.coordination.dispatch.settlement import (
@@ -37,9 +38,6 @@
     task_key,
 )
 from sequoiachute.state.ledger import (
-    CANCEL_PREFIX,
-    JOB_PREFIX,
-    JOBS,
     SPEEDS_KEY,
     WAVE_PREFIX,
     Ledger,
@@ -120,6 +118,7 @@
         self._settlement = Settlement(ledger, agents)
         self._statistics = RunStatistics(ledger.speeds)
         self._sequence = 0
+        self._end_backup = EndBackup(store, ledger, agents)
         self._speeds_recorded_at = clock.now()
         self._retention_checked_at = clock.now()
         self._wake = Event()
@@ -201,7 +200,10 @@
             task = parse_task_id(run.task)
             if task is None or task not in placed:
                 continue
-            step = self._ledger.job(task.job_id).steps[task.step]
+            job = self._ledger.job(task.job_id)
+            if job is None:
+                continue
+            step = job.steps[task.step]
             rack = session.worker.rack if session.worker else ""
             is_remote = step.data_rack and step.data_rack != rack
             distance_factor = REMOTE_SLOWDOWN if is_remote else 1.0
@@ -221,10 +223,8 @@
             if end.outcome == DONE:
                 self._statistics.record_success(session.lifetime)
             elif end.outcome == RUN_FAILED:
-                job = self._ledger.job(task.job_id)
-                now = clock.elapsed()
                 self._statistics.record_failure(
-                    job, session.host, session.lifetime, now
+                    task.job_id, session.host, session.lifetime, clock.elapsed()
                 )
 
     def _order_stops(self, stops: tuple[RunStop, ...]) -> None:
@@ -316,14 +316,16 @@
         expired = self._ledger.ended_before(cutoff)[:MAX_RECORDS_PER_APPEND]
         if not expired:
             return
-        deletions: list[tuple[str, bytes | None]] = []
+        deletions: dict[str, list[tuple[str, bytes | None]]] = {}
         for job_id in expired:
-            deletions += [(JOB_PREFIX + job_id, None), (CANCEL_PREFIX + job_id, None)]
-        outcome = self._store.append(JOBS, deletions, timeout=APPEND_TIMEOUT_SECONDS)
-        if outcome.is_err():
-            reason = outcome.unwrap_err().reason
-            logger.bind(reason=reason).info("dropping ended jobs failed")
-            return
+            for topic, key in self._ledger.stored_keys(job_id):
+                deletions.setdefault(topic, []).append((key, None))
+        for topic, records in deletions.items():
+            outcome = self._store.append(topic, records, timeout=APPEND_TIMEOUT_SECONDS)
+            if outcome.is_err():
+                reason = outcome.unwrap_err().reason
+                logger.bind(reason=reason).info("dropping ended jobs failed")
+                return
         self._append([(job_id, None) for job_id in expired])
         logger.bind(jobs=len(expired)).info("ended jobs dropped")
 
@@ -393,6 +395,7 @@
                 raise DeposedError(error.reason)
             log = logger.bind(term=self._term, reason=error.reason)
             log.bind(records=len(records)).info("append failed, retrying")
+            eventlet.spawn(self._end_backup.record)
             clock.sleep(APPEND_RETRY_SECONDS)
         self._sequence += 1
         first_offset = outcome.unwrap()
--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -5,7 +5,7 @@
 
 from sequoiachute.coordination.dispatch.speeds import SpeedEstimator, SpeedSample
 from sequoiachute.protocol.supervision import RunReport
-from sequoiachute.protocol.workload import JobGraph, Lifetime, Machine, TaskId
+from sequoiachute.protocol.workload import Lifetime, Machine, TaskId
 
 # Workers report progress every 0.5 s.
 ESTIMATE_INTERVAL_SECONDS = 0.25
@@ -187,11 +187,11 @@
         return found
 
     def record_failure(
-        self, job: JobGraph, host: str, lifetime: Lifetime, now: float
+        self, job_id: str, host: str, lifetime: Lifetime, now: float
     ) -> None:
         """Record a run that failed without being stopped."""
         self._failures.setdefault(lifetime, []).append(now)
-        self._failed_on.setdefault(job.job_id, set()).add(host)
+        self._failed_on.setdefault(job_id, set()).add(host)
 
     def record_success(self, lifetime: Lifetime) -> None:
         """Record a successful run; it clears the worker's failures."""
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -25,7 +25,12 @@
     parse_task_id,
     task_key,
 )
-from sequoiachute.state.ledger import Ledger, task_id_of
+from sequoiachute.state.ledger import (
+    Ledger,
+    done_with,
+    is_complete,
+    task_id_of,
+)
 
 
 class ProgressDraft:
@@ -87,6 +92,7 @@
             if self._agents.is_lost(host):
                 self._settle_expired_leases(host, draft)
         for job in list(self._ledger.live()):
+            self._settle_recorded_ends(job, draft)
             self._settle_job(job, draft)
 
     def _settle_ends(self, session: Session, draft: ProgressDraft) -> None:
@@ -187,6 +193,19 @@
         log = logger.bind(task=str(task), run=state.run, host=state.host)
         log.bind(life=state.lifetime.worker_id, reason=reason).warning("run lost")
 
+    def _settle_recorded_ends(self, job: JobGraph, draft: ProgressDraft) -> None:
+        """Take over ends that were recorded while progress could not be."""
+        for end, run in self._ledger.ends(job.job_id).items():
+            for key in done_with(job, end):
+                task = task_id_of(job.job_id, key)
+                state = draft.task(task)
+                if state.done:
+                    continue
+                state = state._replace(done=True)
+                if key == end and state.run == run:
+                    state = state._replace(host="", lifetime=Lifetime())
+                draft.set_task(task, state)
+
     def _settle_job(self, job: JobGraph, draft: ProgressDraft) -> None:
         progress = draft.progress(job.job_id)
         if not progress.state:
@@ -219,16 +238,6 @@
                 session.stops[task_id_of(job.job_id, key)] = state.run
 
 
-def is_complete(job: JobGraph, progress: JobProgress) -> bool:
-    """Return whether every task of every occurrence is done."""
-    if job.is_lasting:
-        return False
-    expected = job.occurrence_count * sum(step.count for step in job.steps)
-    if len(progress.tasks) < expected:
-        return False
-    return sum(task.done for task in progress.tasks.values()) >= expected
-
-
 def newest_token(known: str, other: str) -> str:
     """Return the checkpoint token with more work saved.
 
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -147,17 +147,22 @@
     if worker is None or worker.lifetime in session.ended_lifetimes:
         return None
     running = []
+    knows_runs = True
     now = clock.elapsed()
     for task, state in context.ledger.tasks_on_host(session.host).items():
         job = context.ledger.job(task.job_id)
-        if job is not None:
-            running.append(_build_running(task, state, job, session, context))
+        if job is None:
+            # Its record is in a topic that can't be read yet.
+            knows_runs = False
+            continue
+        running.append(_build_running(task, state, job, session, context))
     session.zone_closed = worker.zone in context.operations.closed_zones
     is_open = (
         session.is_fenced
         and session.age() < MAX_REPORT_AGE_SECONDS
         and not worker.leaving
         and not session.zone_closed
+        and knows_runs
         and session.reserved_lifetime != worker.lifetime
     )
     return Host(
--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -1,20 +1,25 @@
 """Accepts and cancels jobs at an entry instance and returns their state."""
 
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from loguru import logger
+from result import Result
 
 from sequoiachute import clock
+from sequoiachute.coordination.store.availability import PROBE_INTERVAL_SECONDS
 from sequoiachute.coordination.store.follower import Follower
+from sequoiachute.coordination.store.race import Race, RecordPosition, topic_appends
 from sequoiachute.coordination.store.relay import RelayedStore
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.workload import JobGraph, encode
-from sequoiachute.state.ledger import CANCEL_PREFIX, JOB_PREFIX, Ledger
+from sequoiachute.state.ledger import CANCEL_PREFIX, JOB_PREFIX, JOB_TOPICS, Ledger
 from sequoiachute.state.metrics import Metrics
+from sequoiachute.transport.store import AppendError
 
-APPEND_TIMEOUT_SECONDS = 0.7  # of one attempt; the store usually needs a few ms
-REPLY_MARGIN_SECONDS = 0.1  # for the reply to reach the caller in time
-MIN_APPEND_SECONDS = 0.05  # with less, a sound store looks like one that is down
+REPLY_MARGIN_SECONDS = 0.03  # for the reply to reach the caller in time
+APPEND_SECONDS_MARGIN = 2.0  # of the time that an append lately took
+ATTEMPT_SECONDS = 0.7  # without an answer, further appends follow
 APPEND_RETRY_SECONDS = 0.05
 RETRY_AFTER_SECONDS = 1.0
 REFUSED_RETRY_SECONDS = 0.2  # between appends that the store refuses
@@ -49,17 +54,16 @@
 
     def __init__(
         self,
-        topic: str,
         store: RelayedStore,
         ledger: Ledger,
-        follower: Follower,
+        followers: tuple[Follower, ...],
         metrics: Metrics,
     ) -> None:
         self._metrics = metrics
-        self._topic = topic
         self._store = store
         self._ledger = ledger
-        self._follower = follower
+        self._followers = followers
+        self._races: dict[str, Race[RecordPosition]] = {}
         self._waiting = 0
         metrics.gauge("submissions_waiting", lambda: self._waiting)
 
@@ -74,9 +78,7 @@
         log = _bind_outcome(outcome, arrived_at, deadline)
         log = log.bind(job=job.job_id, account=job.account, queue=job.queue)
         tasks = sum(step.count for step in job.steps)
-        log = log.bind(
-            steps=len(job.steps), tasks=tasks, view=self._follower.next_offset
-        )
+        log = log.bind(steps=len(job.steps), tasks=tasks, view=self._view())
         log.bind(occurrences=job.occurrences, shapes=_shapes(job)).info("job submitted")
         return outcome
 
@@ -104,58 +106,97 @@
         return IntakeOutcome(ACCEPTED, "already accepted")
 
     def _is_known(self, job_id: str, account: str) -> bool:
-        if self._ledger.job(job_id) is None:
-            self._follower.read_once()
+        for follower in self._followers:
+            if self._ledger.job(job_id) is None:
+                follower.read_once()
         job = self._ledger.job(job_id)
         return job is not None and account in ("", job.account)
 
     def _absent_outcome(self, job_id: str) -> IntakeOutcome:
-        if self._follower.age() > MAX_VIEW_AGE_SECONDS:
+        if max(follower.age() for follower in self._followers) > MAX_VIEW_AGE_SECONDS:
             reason = "the store can't be read, so the job may exist"
             return IntakeOutcome(REFUSED, reason, RETRY_AFTER_SECONDS)
-        logger.bind(job=job_id, view=self._follower.next_offset).info("unknown job")
+        logger.bind(job=job_id, view=self._view()).info("unknown job")
         return IntakeOutcome(ABSENT, "no such job")
 
+    def _view(self) -> list[int]:
+        """Return the offsets up to which the jobs' topics have been read."""
+        return [follower.next_offset for follower in self._followers]
+
     def _store_record(self, key: str, value: bytes, deadline: float) -> IntakeOutcome:
-        """Append until the effect is known or the deadline has come.
+        """Store a record before ``deadline`` in clock time."""
+        race: Race[RecordPosition] = Race(self._store.availability.stagger_seconds)
+        self._races[key] = race
+        try:
+            return self._run_race(race, key, value, deadline)
+        finally:
+            if self._races.get(key) is race:
+                del self._races[key]
+
+    def _run_race(
+        self, race: Race[RecordPosition], key: str, value: bytes, deadline: float
+    ) -> IntakeOutcome:
+        """Append until the effect is known or the caller does better elsewhere.
 
         The content is the same each time, so a delayed copy changes nothing.
         """
         wait_until = clock.now() + MAX_WAIT_SHARE * (deadline - clock.now())
+        last_moment = deadline - REPLY_MARGIN_SECONDS
         reason = "too little time left to store the record"
         may_exist = False
-        appends = 0
         while True:
-            remaining = deadline - REPLY_MARGIN_SECONDS - clock.now()
-            if remaining < MIN_APPEND_SECONDS and may_exist:
-                reason = "no answer from the store in time"
-                return IntakeOutcome(UNKNOWN, reason, appends=appends)
-            if remaining < MIN_APPEND_SECONDS:
-                return IntakeOutcome(REFUSED, reason, RETRY_AFTER_SECONDS, appends)
-            is_reachable = not self._store.is_unreachable
-            if not is_reachable:
-                reason = "the store can't be reached"
-            else:
-                appends += 1
-                outcome = self._store.append(
-                    self._topic,
-                    [(key, value)],
-                    timeout=min(remaining, APPEND_TIMEOUT_SECONDS),
-                )
-                if outcome.is_ok():
-                    record = StoredRecord(outcome.unwrap(), key, value)
-                    self._ledger.apply(self._topic, record)
-                    return IntakeOutcome(ACCEPTED, appends=appends)
-                error = outcome.unwrap_err()
-                reason = error.reason
-                may_exist = may_exist or error.applied is not False
-            if may_exist and is_reachable:
-                clock.sleep(APPEND_RETRY_SECONDS)
+            now = clock.now()
+            # An entry that no peer answers can't tell whether others reach the store.
+            is_over = now >= (wait_until if self._store.is_isolated else last_moment)
+            if may_exist and is_over:
+                return IntakeOutcome(UNKNOWN, reason, appends=race.started)
+            if not may_exist and last_moment - now < self._needed_seconds():
+                return self._refusal(reason, race)
+            boundary = wait_until if now < wait_until else last_moment
+            timeout = min(ATTEMPT_SECONDS, boundary - now)
+            if not self._is_unreachable():
+                race.add(self._appends(key, value, last_moment - now))
             elif may_exist:
                 # Reads notice the store's return sooner than an unanswered append.
-                self._store.wait_reachable(remaining)
-            elif not self._wait_for_store(key, deadline, wait_until):
-                return IntakeOutcome(REFUSED, reason, RETRY_AFTER_SECONDS, appends)
+                timeout = min(PROBE_INTERVAL_SECONDS, timeout)
+            else:
+                reason = "the store can't be reached"
+            outcome = race.run(timeout)
+            if outcome.is_ok():
+                topic, offset = outcome.unwrap()
+                self._ledger.apply(topic, StoredRecord(offset, key, value))
+                return IntakeOutcome(ACCEPTED, appends=race.started)
+            error = outcome.unwrap_err()
+            reason = error.reason or reason
+            may_exist = may_exist or error.applied is not False
+            if may_exist and not race.is_pending:
+                self._store.availability.wait_recovered(APPEND_RETRY_SECONDS)
+            elif not may_exist and not self._wait_for_store(key, deadline, wait_until):
+                return self._refusal(reason, race)
+
+    def _refusal(self, reason: str, race: Race[RecordPosition]) -> IntakeOutcome:
+        return IntakeOutcome(REFUSED, reason, RETRY_AFTER_SECONDS, race.started)
+
+    def _appends(
+        self, key: str, value: bytes, timeout: float
+    ) -> list[Callable[[], Result[RecordPosition, AppendError]]]:
+        """Return the ways to store a record, in the topics that answer."""
+        availability = self._store.availability
+        topics = [t for t in JOB_TOPICS if not availability.is_unreachable([t])]
+        return topic_appends(self._store, topics, [(key, value)], timeout)
+
+    def record_applied(self, topic: str, record: StoredRecord) -> None:
+        """Note that a record is stored; its submission need not wait for an answer."""
+        race = self._races.get(record.key)
+        if race is not None and record.value is not None:
+            race.confirm(RecordPosition(topic, record.offset))
+
+    def _is_unreachable(self) -> bool:
+        return self._store.availability.is_unreachable(JOB_TOPICS)
+
+    def _needed_seconds(self) -> float:
+        """Return the time that the store has lately needed for an append, at most."""
+        return APPEND_SECONDS_MARGIN * self._store.availability.append_seconds
 
     def _wait_for_store(self, key: str, deadline: float, wait_until: float) -> bool:
         """Wait if that serves a caller better than a refusal; return whether it did.
@@ -174,8 +215,8 @@
         )
         self._waiting += 1
         try:
-            if self._store.is_unreachable:
-                self._store.wait_reachable(wait_until - now)
+            if self._is_unreachable():
+                self._store.availability.wait_recovered(wait_until - now)
             else:
                 clock.sleep(min(REFUSED_RETRY_SECONDS, wait_until - now))
         finally:
--- /dev/null
+++ b/src/sequoiachute/coordination/store/availability.py
@@ -0,0 +1,80 @@
+"""What an entry's own calls show of the store: which topics answer, and how soon."""
+
+from collections.abc import Iterable
+
+import eventlet
+from eventlet.event import Event
+from loguru import logger
+
+from sequoiachute import clock
+
+UNREACHABLE_AFTER_SECONDS = 0.8  # time for one direct and one relayed read to fail
+PROBE_INTERVAL_SECONDS = 0.25  # between two reads of topics that fail, all together
+STAGGER_SECONDS = 0.3  # far above what a sound store needs, soon for urgent work
+SLOW_STAGGER_FACTOR = 2.0  # of what the latest appends needed
+TYPICAL_APPEND_SECONDS = 0.02  # assumed before the first append
+# Share of a longer append that is still expected at the next one.
+APPEND_SECONDS_DECAY = 0.8
+
+
+class Availability:
+    """Topics that fail, each by itself: an outage may hit a part of the store only."""
+
+    def __init__(self) -> None:
+        self._failing_since: dict[str, float] = {}
+        self._recovered = Event()
+        self._next_probe_at = float("-inf")
+        self._append_seconds = TYPICAL_APPEND_SECONDS
+
+    @property
+    def append_seconds(self) -> float:
+        """Seconds that the slowest of the latest successful appends took."""
+        return self._append_seconds
+
+    @property
+    def stagger_seconds(self) -> float:
+        """Seconds after which an append without an answer is tried in another way.
+
+        A slow store is not loaded with copies.
+        """
+        return max(STAGGER_SECONDS, SLOW_STAGGER_FACTOR * self._append_seconds)
+
+    def record_append(self, seconds: float) -> None:
+        """Take the duration of a successful append into account."""
+        self._append_seconds = max(seconds, APPEND_SECONDS_DECAY * self._append_seconds)
+
+    def record(self, topic: str, answered: bool) -> None:
+        """Record whether a call on a topic was answered."""
+        since = self._failing_since.get(topic)
+        log = logger.bind(topic=topic)
+        if answered and since is not None:
+            failed_for = round(clock.now() - since, 3)
+            log.bind(seconds=failed_for).info("calls to the store succeed")
+            del self._failing_since[topic]
+            self._next_probe_at = float("-inf")
+            recovered, self._recovered = self._recovered, Event()
+            recovered.send(None)
+        elif not answered and since is None:
+            log.info("calls to the store fail")
+            self._failing_since[topic] = clock.now()
+
+    def is_unreachable(self, topics: Iterable[str]) -> bool:
+        """Return whether all calls on all topics have failed for a while."""
+        latest = clock.now() - UNREACHABLE_AFTER_SECONDS
+        return all(self._failing_since.get(topic, latest) < latest for topic in topics)
+
+    def wait_recovered(self, timeout: float) -> None:
+        """Wait up to ``timeout`` seconds until a topic that fails answers a call."""
+        recovered = self._recovered
+        with eventlet.Timeout(timeout, False):
+            recovered.wait()
+
+    def wait_for_probe(self) -> None:
+        """Wait for the caller's turn to read a topic that fails.
+
+        The readers of one process take turns, so that the calls in an outage don't
+        grow with the topics. All turns come at once when any topic answers.
+        """
+        turn = max(clock.now(), self._next_probe_at) + PROBE_INTERVAL_SECONDS
+        self._next_probe_at = turn
+        self.wait_recovered(turn - clock.now())
--- a/src/sequoiachute/coordination/store/follower.py
+++ b/src/sequoiachute/coordination/store/follower.py
@@ -19,6 +19,10 @@
 READ_RETRY_SECONDS = 0.2  # while the store does not answer
 
 
+def _pause() -> None:
+    clock.sleep(READ_RETRY_SECONDS)
+
+
 class Follower:
     """Applies a topic's snapshot, then every later record in order.
 
@@ -31,6 +35,8 @@
     replace : callable, optional
         Called with all records of a snapshot instead of ``apply``; needed where
         keys that are absent from the snapshot must be dropped.
+    pause : callable, optional
+        Returns when to read again after a read that failed.
     """
 
     def __init__(
@@ -39,11 +45,13 @@
         store: KeyedStore,
         apply: Callable[[StoredRecord], None],
         replace: Callable[[tuple[StoredRecord, ...]], None] | None = None,
+        pause: Callable[[], None] = _pause,
     ) -> None:
         self._topic = topic
         self._store = store
         self._apply = apply
         self._replace = replace
+        self._pause = pause
         self._caught_up = Event()
         self._unavailable_since: float | None = None
         self.next_offset = -1
@@ -70,7 +78,7 @@
             # A long poll would show only at its end that the store is back.
             may_wait = self.is_caught_up and self._unavailable_since is None
             if not self.read_once(LONG_POLL_SECONDS if may_wait else 0.0):
-                clock.sleep(READ_RETRY_SECONDS)
+                self._pause()
 
     def read_once(self, wait: float = 0.0) -> bool:
         """Read and apply what follows; return whether the store answered.
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -1,14 +1,15 @@
 """Access to the store that falls back to peers when direct calls fail."""
 
 from collections.abc import Callable, Iterator
+from functools import partial
 from typing import Any, NamedTuple
 
-import eventlet
-from eventlet.event import Event
 from loguru import logger
 from result import Err, Ok, Result
 
 from sequoiachute import clock
+from sequoiachute.coordination.store.availability import Availability
+from sequoiachute.coordination.store.race import Race, is_conclusive, merge_errors
 from sequoiachute.errors import RpcError
 from sequoiachute.protocol.messages import Method
 from sequoiachute.protocol.stored import StoredRecord
@@ -27,7 +28,7 @@
 
 PREFER_PEERS_SECONDS = 1.0  # peers are called first this long after a failed call
 PEER_CALL_MARGIN_SECONDS = 0.5  # of a peer call's timeout over the store's wait
-UNREACHABLE_AFTER_SECONDS = 0.8  # time for one direct and one relayed read to fail
+PEER_TIMEOUT_SHARE = 0.8  # of the time of a relayed append, for the store
 MAX_PEERS_PER_CALL = 2  # that were reached, so that one of them may be slow
 SILENT_PEER_SECONDS = 3.0  # a peer that did not reply is asked last this long
 NO_OFFSET = -1
@@ -100,28 +101,14 @@
         self._prefer_peers_until = float("-inf")
         self._failed_at: dict[str, float] = {}
         self._silent_until: dict[str, float] = {}
-        self._failing_since: float | None = None
-        self._reachable = Event()
         self._is_isolated = False
+        self.availability = Availability()
 
     @property
     def is_isolated(self) -> bool:
         """Whether no peer answered the last call to peers."""
         return self._is_isolated
 
-    @property
-    def is_unreachable(self) -> bool:
-        """Whether all calls have failed for ``UNREACHABLE_AFTER_SECONDS``."""
-        since = self._failing_since
-        return since is not None and clock.now() - since > UNREACHABLE_AFTER_SECONDS
-
-    def wait_reachable(self, timeout: float) -> None:
-        """Wait up to ``timeout`` seconds until a call to the store succeeds."""
-        if self._failing_since is None:
-            return
-        with eventlet.Timeout(timeout, False):
-            self._reachable.wait()
-
     def handlers(self) -> dict[Method, Callable]:
         """Return the handlers of peers' calls, which are never relayed further."""
         return {READ: self._serve_read, APPEND: self._serve_append}
@@ -143,7 +130,7 @@
         writer: Writer | None = None,
         timeout: float = 1.0,
     ) -> Result[int, AppendError]:
-        """Append; through a peer if the direct call had no or an unknown effect.
+        """Append directly; through peers if that fails or is not answered soon.
 
         Appending a record twice is harmless: it has a single writer, or the same
         content whoever writes it.
@@ -154,9 +141,10 @@
         self._metrics.observe("append_seconds", now - began, now, topic=topic)
         label = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
         self._metrics.count("appends_total", topic=topic, outcome=label)
-        self._record_availability(
-            outcome.is_ok() or _is_conclusive(outcome.unwrap_err())
-        )
+        answered = outcome.is_ok() or is_conclusive(outcome.unwrap_err())
+        self.availability.record(topic, answered)
+        if answered:
+            self.availability.record_append(now - began)
         return outcome
 
     def _append(
@@ -167,31 +155,21 @@
         writer: Writer | None,
         timeout: float,
     ) -> Result[int, AppendError]:
-        """Try each route until one is conclusive or the time is over."""
-        deadline = clock.now() + timeout
+        """Race the routes until one is conclusive or the time is over."""
         query = AppendQuery(topic, tuple(records), at, writer, timeout)
         routes = [self._append_directly, self._relay_append]
         if clock.now() < self._prefer_peers_until:
             routes.reverse()
-        error = AppendError("", False)
-        for route in routes:
-            remaining = deadline - clock.now()
-            if remaining <= 0:
-                break
-            outcome = route(query._replace(timeout=remaining))
-            if outcome.is_ok():
-                return outcome
-            error = _merge_errors(error, outcome.unwrap_err())
-            if _is_conclusive(error):
-                break
-        return Err(error)
+        race: Race[int] = Race(self.availability.stagger_seconds)
+        race.add(partial(route, query) for route in routes)
+        return race.run(timeout)
 
     def _append_directly(self, query: AppendQuery) -> Result[int, AppendError]:
         records = list(query.records)
         outcome = self._store.append(
             query.topic, records, query.at, query.writer, query.timeout
         )
-        if outcome.is_err() and not _is_conclusive(outcome.unwrap_err()):
+        if outcome.is_err() and not is_conclusive(outcome.unwrap_err()):
             self._prefer_peers()
         return outcome
 
@@ -207,44 +185,35 @@
         """Return the members of a group."""
         return self._store.members(group)
 
-    def _record_availability(self, answered: bool) -> None:
-        since = self._failing_since
-        if answered and since is not None:
-            failed_for = round(clock.now() - since, 3)
-            logger.bind(seconds=failed_for).info("calls to the store succeed")
-            self._failing_since = None
-            self._reachable.send(None)
-            self._reachable = Event()
-        elif not answered and since is None:
-            logger.bind(peers=len(self._peers())).info("calls to the store fail")
-            self._failing_since = clock.now()
-
     def _prefer_peers(self) -> None:
         if clock.now() >= self._prefer_peers_until + PREFER_PEERS_SECONDS:
             logger.bind(peers=len(self._peers())).info("asking peers for the store")
         self._prefer_peers_until = clock.now() + PREFER_PEERS_SECONDS
 
     def _read(self, topic: str, offset: int, wait: float) -> RecordPage:
-        if clock.now() < self._prefer_peers_until:
+        asks_peers_first = clock.now() < self._prefer_peers_until
+        if asks_peers_first:
             relayed = self._relay_read(ReadQuery(topic, offset, wait))
             if relayed is not None:
-                self._record_availability(True)
+                self.availability.record(topic, True)
                 return relayed
         try:
             page = _read_directly(self._store, topic, offset, wait)
         except StoreUnavailableError:
             self._prefer_peers()
-            relayed = self._relay_read(ReadQuery(topic, offset, 0.0))
-            self._record_availability(relayed is not None)
+            relayed = None
+            if not asks_peers_first:
+                relayed = self._relay_read(ReadQuery(topic, offset, 0.0))
+            self.availability.record(topic, relayed is not None)
             if relayed is None:
                 raise
             return relayed
-        self._record_availability(True)
+        self.availability.record(topic, True)
         return page
 
     def _relay_read(self, query: ReadQuery) -> RecordPage | None:
         timeout = query.wait + PEER_CALL_MARGIN_SECONDS
-        for outcome in self._ask_peers(READ, query, timeout):
+        for outcome in self._ask_peers(READ, lambda _: query, timeout):
             if outcome.is_err() or outcome.unwrap().next == NO_OFFSET:
                 continue
             reply = outcome.unwrap()
@@ -256,24 +225,30 @@
     def _relay_append(self, query: AppendQuery) -> Result[int, AppendError]:
         deadline = clock.now() + query.timeout
         error = AppendError("", False)
-        for outcome in self._ask_peers(APPEND, query, query.timeout, deadline):
+
+        def make_query(remaining: float) -> AppendQuery:
+            # The peer's answer that the store gives none should arrive in time.
+            return query._replace(timeout=PEER_TIMEOUT_SHARE * remaining)
+
+        for outcome in self._ask_peers(APPEND, make_query, query.timeout, deadline):
             if outcome.is_ok() and outcome.unwrap().error is None:
                 return Ok(outcome.unwrap().offset)
-            error = _merge_errors(error, _peer_error(outcome))
-            if _is_conclusive(error):
+            error = merge_errors(error, _peer_error(outcome))
+            if is_conclusive(error):
                 break
         return Err(error)
 
     def _ask_peers(
         self,
         method: Method,
-        query: NamedTuple,
+        make_query: Callable[[float], NamedTuple],
         timeout: float,
         deadline: float = float("inf"),
     ) -> Iterator[Result[Any, RpcError]]:
         """Yield the outcomes of calls to peers, for as long as the caller asks on.
 
-        A call takes at most ``timeout`` seconds, all of them end by ``deadline``.
+        ``make_query`` is given the seconds that a call may take. A call takes at most
+        ``timeout`` seconds, all of them end by ``deadline``.
         """
         replied = False
         reached = 0
@@ -282,7 +257,7 @@
             remaining = min(timeout, deadline - clock.now())
             if reached >= MAX_PEERS_PER_CALL or remaining <= 0:
                 break
-            outcome = self._caller.call(peer, method, query, remaining)
+            outcome = self._caller.call(peer, method, make_query(remaining), remaining)
             if outcome.is_ok():
                 replied, self._is_isolated = True, False
             else:
@@ -348,18 +323,3 @@
     # A peer that was reached may have appended although it did not reply.
     applied = None if outcome.unwrap_err().delivered else False
     return AppendError("no reply from a peer", applied)
-
-
-def _merge_errors(earlier: AppendError, later: AppendError) -> AppendError:
-    """Return the later error with both reasons.
-
-    It is unknown if the earlier append may take effect.
-    """
-    reasons = dict.fromkeys((earlier.reason, later.reason))
-    applied = later.applied if earlier.applied is False else None
-    return later._replace(reason="; ".join(filter(None, reasons)), applied=applied)
-
-
-def _is_conclusive(error: AppendError) -> bool:
-    """Return whether the store gave a definite refusal, so that a retry is useless."""
-    return error.fenced or error.end >= 0
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -10,6 +10,7 @@
 from sequoiachute.protocol.workload import (
     ACTIVE,
     CANCELLED,
+    COMPLETE,
     PENDING,
     JobGraph,
     JobProgress,
@@ -20,13 +21,17 @@
     decode_progress,
 )
 
-JOBS = "jobs"  # topic of jobs and cancellations, written by any entry instance
+# Topics of records that never change: jobs, cancellations and ends of tasks. Each
+# record is in the first topic that took it, since an outage may hit some topics only.
+JOB_TOPICS = ("jobs", "jobs-2", "jobs-3")
+JOBS = JOB_TOPICS[0]
 RUNS = "runs"  # topic that only the placer writes
 LEADER_KEY = "leader"
 SPEEDS_KEY = "machine-speeds"
 WAVE_PREFIX = "wave/"
 CANCEL_PREFIX = "cancel/"
 JOB_PREFIX = "job/"
+END_PREFIX = "end/"
 NO_PROGRESS = JobProgress()
 
 
@@ -49,6 +54,11 @@
     return msgspec.msgpack.encode(rows)
 
 
+def end_record(task: TaskId, run: int) -> tuple[str, bytes]:
+    """Return key and value of the record that a run of a task has ended done."""
+    return END_PREFIX + str(task), msgspec.msgpack.encode(run)
+
+
 def decode_speeds(data: bytes) -> dict[Machine, float]:
     """Return learned speeds by machine; raise ``msgspec.DecodeError``."""
     rows = msgspec.msgpack.decode(data, type=list[tuple[str, tuple[str, ...], float]])
@@ -58,14 +68,16 @@
 class Ledger:
     """State built only from records that the store has acknowledged.
 
-    Records at or before the last applied offset of their key are skipped, so that
-    a record applied on its acknowledgement may also be read back later.
+    Records at or before the last applied offset of their key in their topic are
+    skipped, so that a record applied on its acknowledgement may also be read back
+    later.
     """
 
     def __init__(self) -> None:
         self._jobs: dict[str, JobGraph] = {}
         self._cancelled: dict[str, float] = {}
         self._progress: dict[str, JobProgress] = {}
+        self._ends: dict[str, dict[str, int]] = {}
         self._offsets: dict[tuple[str, str], int] = {}
         self._tasks_by_host: dict[str, dict[TaskId, TaskState]] = {}
         self._live: dict[str, None] = {}
@@ -90,6 +102,10 @@
         """Return what is recorded of a job's tasks."""
         return self._progress.get(job_id, NO_PROGRESS)
 
+    def ends(self, job_id: str) -> dict[str, int]:
+        """Return the runs that were recorded as done beside the progress, by task."""
+        return self._ends.get(job_id, {})
+
     def is_cancelled(self, job_id: str) -> bool:
         """Return whether a cancellation of the job has been accepted."""
         return job_id in self._cancelled
@@ -99,10 +115,33 @@
         progress = self.progress(job_id)
         if progress.state:
             return progress.state
+        if job_id in self._ends and self._is_complete(job_id, progress):
+            return COMPLETE
         if job_id in self._cancelled:
             return CANCELLED
         return ACTIVE if progress.tasks else PENDING
 
+    def _is_complete(self, job_id: str, progress: JobProgress) -> bool:
+        job = self.job(job_id)
+        if job is None:
+            return False
+        tasks = dict(progress.tasks)
+        for key in self._ends[job_id]:
+            for member in done_with(job, key):
+                tasks[member] = tasks.get(member, TaskState())._replace(done=True)
+        return is_complete(job, progress._replace(tasks=tasks))
+
+    def stored_keys(self, job_id: str) -> list[tuple[str, str]]:
+        """Return topic and key of each record of a job in the jobs' topics."""
+        keys = [JOB_PREFIX + job_id, CANCEL_PREFIX + job_id]
+        keys += [f"{END_PREFIX}{job_id}.{key}" for key in self.ends(job_id)]
+        return [
+            (topic, key)
+            for topic in JOB_TOPICS
+            for key in keys
+            if (topic, key) in self._offsets
+        ]
+
     def live(self) -> Iterator[JobGraph]:
         """Yield the jobs that have no final state or may still have runs."""
         for job_id in self._live:
@@ -169,6 +208,13 @@
                 self._cancelled.pop(job_id, None)
             else:
                 self._cancelled.setdefault(job_id, record.offset)
+        elif key.startswith(END_PREFIX):
+            job_id, _, task = key.removeprefix(END_PREFIX).partition(".")
+            if value is None:
+                self._ends.pop(job_id, None)
+            else:
+                ends = self._ends.setdefault(job_id, {})
+                ends.setdefault(task, msgspec.msgpack.decode(value, type=int))
         else:
             self._apply_progress(key, value)
 
@@ -178,8 +224,11 @@
             self._live.pop(job_id, None)
             return
         job = decode_job(value)
-        # Of repeated acceptances of a job the first one counts.
-        self._jobs.setdefault(job_id, job)
+        # Of repeated acceptances of a job the first one counts, in whatever order the
+        # topics are read.
+        known = self._jobs.get(job_id)
+        if known is None or job.accepted_at < known.accepted_at:
+            self._jobs[job_id] = job
         if not self.progress(job_id).state:
             self._live[job_id] = None
 
@@ -203,6 +252,28 @@
                 tasks[task_id_of(job_id, key)] = task
 
 
+def done_with(job: JobGraph, key: str) -> list[str]:
+    """Return the keys of the tasks that are done when task ``key`` has ended done.
+
+    One member of a gang that is done implies the others.
+    """
+    occurrence, step, _ = key.split(".")
+    spec = job.steps[int(step)]
+    if not spec.gang:
+        return [key]
+    return [f"{occurrence}.{step}.{index}" for index in range(spec.count)]
+
+
+def is_complete(job: JobGraph, progress: JobProgress) -> bool:
+    """Return whether every task of every occurrence is done."""
+    if job.is_lasting:
+        return False
+    expected = job.occurrence_count * sum(step.count for step in job.steps)
+    if len(progress.tasks) < expected:
+        return False
+    return sum(task.done for task in progress.tasks.values()) >= expected
+
+
 def task_id_of(job_id: str, key: str) -> TaskId:
     """Return the identity of the task with ``key`` in a job's progress."""
     occurrence, step, index = key.split(".")
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -41,7 +41,8 @@
     time out; with ``late_seconds`` they time out and take effect that much later
     if their condition still holds. ``delay`` is the duration of a call in seconds.
     While the store is down, memberships of groups expire unless
-    ``pauses_memberships`` is set.
+    ``pauses_memberships`` is set. Calls on ``down_topics`` fail, others do not;
+    ``reads`` counts the reads of all processes.
     """
 
     def __init__(self, delay: float = 0.004) -> None:
@@ -51,6 +52,8 @@
         self.lose_replies = False
         self.late_seconds = 0.0
         self.appends = 0
+        self.reads = 0
+        self.down_topics: set[str] = set()
         self._records: dict[str, list[StoredRecord]] = {}
         self._first_offsets: dict[str, int] = {}
         self._writers: dict[tuple[str, str], _WriterState] = {}
@@ -220,12 +223,12 @@
 
     def snapshot(self, topic: str) -> TopicSnapshot:
         """Return the newest record of every key."""
-        records = tuple(self._call(lambda: self._store.newest(topic)).values())
+        records = tuple(self._call(lambda: self._store.newest(topic), topic).values())
         return TopicSnapshot(records, self._store.end(topic))
 
     def read(self, topic: str, offset: int, wait: float) -> RecordPage:
         """Return records from ``offset`` on, waiting up to ``wait`` seconds."""
-        return self._call(lambda: self._store.read(topic, offset, wait))
+        return self._call(lambda: self._store.read(topic, offset, wait), topic)
 
     def append(
         self,
@@ -241,7 +244,7 @@
         clock.sleep(store.delay)
         if self.rejecting:
             return Err(AppendError("the store answered 503", False))
-        if store.down or self.unresponsive:
+        if store.down or topic in store.down_topics or self.unresponsive:
             clock.sleep(timeout)
             return Err(AppendError("no answer", None))
         if store.late_seconds:
@@ -269,13 +272,19 @@
         """Return the members of a group."""
         return self._call(lambda: self._store.members(group))
 
-    def _call(self, operation: Callable[[], Any]) -> Any:
+    def _call(self, operation: Callable[[], Any], topic: str = "") -> Any:
         self._process.apply_faults()
+        self._store.reads += bool(topic)
         clock.sleep(self._store.delay)
-        if self.rejecting or self._store.down or self.unresponsive:
+        if self._is_failing(topic):
             raise StoreUnavailableError("the store doesn't answer")
         result = operation()
         self._process.apply_faults()
-        if self._store.down or self.rejecting or self.unresponsive:
+        if self._is_failing(topic):
             raise StoreUnavailableError("the answer is lost")
         return result
+
+    def _is_failing(self, topic: str) -> bool:
+        store = self._store
+        is_down = store.down or topic in store.down_topics
+        return is_down or self.rejecting or self.unresponsive
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -11,6 +11,7 @@
     UNKNOWN,
 )
 from sequoiachute.platform.jobs import JobsApp
+from sequoiachute.protocol.workload import COMPLETE
 from standins.control_site import QUEUE, ControlSite, Entry
 from tests.control_checks import TAKEOVER_SECONDS, accepted, complete
 
@@ -67,6 +68,108 @@
     assert submission.wait()[1].kind == ACCEPTED
 
 
+def test_caller_learns_while_it_can_ask_another_entry_that_the_effect_is_unknown():
+    site = ControlSite()
+    entry = (site.placer() + 1) % 3
+    site.entries[entry].store.unresponsive = True
+    for other in {0, 1, 2} - {entry}:
+        pair = (site.entries[entry].address, site.entries[other].address)
+        site.network.cut.update((pair, pair[::-1]))
+    began = clock.now()
+    job, outcome = site.submit(1.0, entry=entry, wait=3.0)
+    assert outcome.kind == UNKNOWN
+    assert clock.now() <= began + 1.6
+    assert accepted(site, 1.0, entry=(entry + 1) % 3, job_id=job)
+    complete(site, [job], 5)
+
+
+@pytest.mark.parametrize("delay", [0.5, 0.9])
+def test_submission_waits_for_a_slow_store(delay):
+    site = ControlSite()
+    site.store.delay = delay
+    began = clock.now()
+    job = accepted(site, 1.0)
+    assert clock.now() < began + delay + 0.1
+    complete(site, [job], 12)
+
+
+def test_submission_is_stored_in_another_topic_while_one_is_down():
+    site = ControlSite()
+    site.store.down_topics = {"jobs"}
+    for known in (False, True):
+        began = clock.now()
+        job = accepted(site, 1.0, entry=1)
+        assert clock.now() < began + (0.1 if known else 0.5)
+        site.run_for(3)
+        assert site.state(job, 2) == COMPLETE
+        assert all(entry.control.is_ready for entry in site.entries)
+    site.store.down_topics = set()
+    complete(site, [accepted(site, 1.0)], 3)
+
+
+def test_entry_that_starts_while_a_topic_of_jobs_is_down_denies_no_job():
+    site = ControlSite()
+    job = accepted(site, 4.0)
+    site.run_for(1)
+    site.store.down_topics = {"jobs"}
+    site.kill_entry(1)
+    site.restart_entry(1)
+    site.run_for(0.5)
+    outcome = site.entries[1].control.intake.state(job, "brocach")[0]
+    assert outcome.kind == REFUSED
+    complete(site, [accepted(site, 1.0, entry=1)], 3)
+    site.store.down_topics = set()
+    complete(site, [job], 5)
+
+
+def test_workers_that_run_unknown_jobs_get_no_more_work():
+    site = ControlSite(workers=1)
+    job = accepted(site, 30.0, count=4)
+    site.run_for(1)
+    site.store.down_topics = {"jobs"}
+    for entry in range(3):
+        site.kill_entry(entry)
+        site.restart_entry(entry)
+    site.run_for(1)
+    later = accepted(site, 1.0)
+    site.run_for(3)
+    assert len(site.history.starts) == 4
+    site.store.down_topics = set()
+    complete(site, [job, later], 40)
+
+
+def test_ends_of_runs_survive_an_outage_of_the_placers_topic():
+    site = ControlSite()
+    job = accepted(site, 2.0, count=4)
+    site.run_for(1)
+    site.store.down_topics = {"runs"}
+    site.run_for(2)
+    assert [site.state(job, entry) for entry in range(3)] == [COMPLETE] * 3
+    for entry in range(3):
+        site.kill_entry(entry)
+        site.restart_entry(entry)
+    for worker in site.workers:
+        worker.restart()
+    site.store.down_topics = set()
+    complete(site, [job, accepted(site, 1.0)], 8)
+    assert len(site.history.starts) == 5
+
+
+@pytest.mark.parametrize("known_seconds", [0.0, 5.0])
+def test_entries_make_few_calls_while_the_store_is_down(known_seconds):
+    site = ControlSite()
+    site.store.down = True
+    site.run_for(3)
+    site.run_for(known_seconds)
+    before = site.store.reads
+    site.run_for(5)
+    # 14 entries may make a tenth of the 2,000 reads a second that are allowed.
+    assert (site.store.reads - before) / 5 / len(site.entries) < 200 / 14
+    site.store.down = False
+    site.run_for(0.3)
+    assert all(entry.control.is_ready for entry in site.entries)
+
+
 def test_submission_waits_in_vain_for_half_of_the_callers_time_and_never_runs():
     site = ControlSite()
     site.store.down = True
