Decide what a stop gains: leaving workers, stalls, late work, a placer's first second

Change: on a leaving worker urgent runs and gangs are stopped at once, runs with checkpoints 1.5 s before the announced end, others stay; a stalled run moves once it has stood still for as long as it would lose, unless it is urgent and in time elsewhere; work that is late anyway preempts for a quarter of its size; a task started three times is stopped for guaranteed work only; while agents still report to a new placer only urgent work is placed and nothing is stopped; with the searches of a round used up, free capacity is held for urgent work without one. The bound on searches counts hosts.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -50,6 +50,7 @@
 
 # Expired leases and due times are checked this often without any report.
 ROUND_INTERVAL_SECONDS = 0.25
+GATHERING_INTERVAL_SECONDS = 0.05  # while agents report to a new placer
 BATCH_DELAY_SECONDS = 0.005  # collects reports that arrive together in one round
 APPEND_TIMEOUT_SECONDS = 0.8  # an unanswered append is sent again after it
 APPEND_RETRY_SECONDS = 0.1
@@ -149,7 +150,11 @@
             logger.bind(term=self._term, reason=str(error)).warning("deposed")
 
     def _wait_for_wake(self) -> None:
-        with eventlet.Timeout(ROUND_INTERVAL_SECONDS, False):
+        is_gathering = self._agents.is_gathering
+        interval = (
+            GATHERING_INTERVAL_SECONDS if is_gathering else ROUND_INTERVAL_SECONDS
+        )
+        with eventlet.Timeout(interval, False):
             self._wake.wait()
             clock.sleep(BATCH_DELAY_SECONDS)
         self._wake = Event()
--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -38,6 +38,7 @@
     def __init__(self, now: float, percent: int) -> None:
         self.first = ProgressReading(now, percent)
         self._readings = [self.first]
+        self._progressed_at = now
 
     @property
     def window_start_percent(self) -> int:
@@ -51,25 +52,27 @@
 
     def add(self, now: float, percent: int) -> None:
         """Add a reading, which may show no progress; drop those before the window."""
+        if percent > self.percent:
+            self._progressed_at = now
         self._readings.append(ProgressReading(now, percent))
         while len(self._readings) > 2 and (
             self._readings[1].at <= now - RATE_WINDOW_SECONDS
         ):
             del self._readings[0]
 
-    def is_stalled(self, estimate: float) -> bool:
-        """Return whether the run makes no progress.
+    def stalled_seconds(self, estimate: float) -> float:
+        """Return for how long the run has made no progress, zero unless it should have.
 
         Parameters
         ----------
         estimate : float
             Declared time of the run in seconds.
         """
-        begin, end = self._readings[0], self._readings[-1]
-        seconds = end.at - begin.at
-        if seconds < RATE_WINDOW_SECONDS or end.percent > begin.percent:
-            return False
-        return 100 * seconds / estimate >= STALL_EXPECTED_PERCENT
+        seconds = self._readings[-1].at - self._progressed_at
+        expected_percent = 100 * seconds / estimate
+        if seconds < RATE_WINDOW_SECONDS or expected_percent < STALL_EXPECTED_PERCENT:
+            return 0.0
+        return seconds
 
     def rate(self) -> float | None:
         """Return percent per second in the window, ``None`` with too few readings.
--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -26,6 +26,9 @@
 MAX_CONFIRMATION_AGE_SECONDS = 10.0
 # Two report intervals; an agent silent for longer gets no new tasks.
 MAX_REPORT_AGE_SECONDS = 1.5
+# Agents find a new placer within some 0.3 s, and 1 s after a loss of power.
+GATHERING_PAUSE_SECONDS = 0.25
+MAX_GATHERING_SECONDS = 1.2
 
 
 class Session:
@@ -216,8 +219,17 @@
         self._confirmation_age = confirmation_age
         self.term = term
         self.began_at = clock.elapsed()
+        self._newest_agent_at = self.began_at
         self.sessions: dict[str, Session] = {}
 
+    @property
+    def is_gathering(self) -> bool:
+        """Whether agents still report to this placer for the first time."""
+        now = clock.elapsed()
+        if now > self.began_at + MAX_GATHERING_SECONDS:
+            return False
+        return now < self._newest_agent_at + GATHERING_PAUSE_SECONDS
+
     def handle_report(self, report: Report, reply: Orders) -> Orders:
         """Apply a report and return ``reply`` with the agent's orders.
 
@@ -228,6 +240,7 @@
         is_first = session is None
         if session is None:
             session = self.sessions[report.host] = Session(report.host)
+            self._newest_agent_at = clock.elapsed()
             logger.bind(host=report.host, term=self.term).info("first report of agent")
         lease_ms = self._lease_ms(report)
         if session.apply_report(report, self.term):
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -89,7 +89,10 @@
             continue
         _add_units(job, progress, context, wall_time, units)
     return SchedulingView(
-        wall_time, tuple(hosts), _with_tickets(units, hosts, operations, ticket_cache)
+        wall_time,
+        tuple(hosts),
+        _with_tickets(units, hosts, operations, ticket_cache),
+        agents.is_gathering,
     )
 
 
@@ -190,13 +193,14 @@
 ) -> ActiveRun:
     step = job.steps[task.step]
     estimate = step.estimate_seconds or DEFAULT_ESTIMATE_SECONDS
-    observed_seconds = unsaved_seconds = 0.0
+    observed_seconds = unsaved_seconds = stalled_seconds = 0.0
     remaining_seconds = estimate
     rate = None
     progress = context.statistics.progress_of(task, state.run)
     if progress is not None:
         observed_seconds = clock.elapsed() - progress.first.at
         rate = progress.rate()
+        stalled_seconds = progress.stalled_seconds(estimate)
         remaining_seconds = (100 - progress.percent) / (rate or 100 / estimate)
         unsaved_seconds = (
             min(observed_seconds, PREEMPTION_OVERHEAD_SECONDS)
@@ -219,7 +223,8 @@
         guaranteed=_is_guaranteed(job, context),
         measured=rate is not None,
         moved=task in context.statistics.moved_tasks,
-        stalled=progress is not None and progress.is_stalled(estimate),
+        stalled_seconds=stalled_seconds,
+        starts=state.run,
         percent=progress.percent if progress is not None else 0,
         step=step,
         service=session.worker.service,
--- a/src/sequoiachute/coordination/scheduling/migration.py
+++ b/src/sequoiachute/coordination/scheduling/migration.py
@@ -49,7 +49,18 @@
     Gang members that have completed wait for the others and don't count.
     """
     working = [run for _, run in group if run.percent < 100]
-    return bool(working) and all(run.stalled for run in working)
+    return bool(working) and all(run.stalled_seconds > 0 for run in working)
+
+
+def _has_waited_enough(group: RunGroup) -> bool:
+    """Return whether a stalled group has stood still for as long as it would lose.
+
+    The stall may end at any moment, so that an earlier restart could lose more work
+    than the stall, and a later one more time than the restart.
+    """
+    stalled_seconds = min(run.stalled_seconds for _, run in group if run.percent < 100)
+    lost_seconds = max(run.unsaved_seconds for _, run in group) - stalled_seconds
+    return stalled_seconds >= lost_seconds
 
 
 def _group_runs(capacity: FreeCapacity) -> list[RunGroup]:
@@ -81,7 +92,11 @@
     ends_at = now + restarted_seconds + first.downstream_seconds
     in_time = ends_at <= first.deadline + _objective_growth(group)
     worthwhile = in_time and restarted_seconds <= MAX_TIME_RATIO * remaining_seconds
-    if not worthwhile and not _is_stalled(group):
+    if _is_stalled(group):
+        is_urgent = first.priority == URGENT_PRIORITY
+        if not _has_waited_enough(group) and not (is_urgent and worthwhile):
+            return False
+    elif not worthwhile:
         return False
     for host, count in layout:
         for _ in range(count):
@@ -103,7 +118,7 @@
 def _remaining_work(host: Host, run: ActiveRun) -> float:
     """Return the seconds that a restarted run takes on the typical worker."""
     full_seconds = _full_work(host, run)
-    if run.stalled or not run.step.checkpoints:
+    if run.stalled_seconds or not run.step.checkpoints:
         return full_seconds
     return full_seconds * _remaining_share(run)
 
@@ -114,7 +129,7 @@
     The run's progress gives its time on this host. Dividing by the slowdown of
     the host, which is learned from other runs too, removes the host's share.
     """
-    if run.stalled:
+    if run.stalled_seconds:
         return run.step.estimate_seconds
     return run.remaining_seconds / _remaining_share(run) / slowdown(run.step, host)
 
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -27,8 +27,10 @@
     moved : bool
         Whether the task was migrated from a slow worker before; this is done
         once at most.
-    stalled : bool
-        Whether the run makes no progress.
+    stalled_seconds : float
+        Time for which the run has made no progress; zero unless it should have.
+    starts : int
+        Number of times that the task has been started, this run included.
     percent : int
         Reported progress.
     deadline : float
@@ -52,7 +54,8 @@
     guaranteed: bool = False
     measured: bool = False
     moved: bool = False
-    stalled: bool = False
+    stalled_seconds: float = 0.0
+    starts: int = 1
     percent: int = 0
     step: StepSpec = StepSpec(1, Resources())
     service: str = ""
@@ -134,11 +137,20 @@
 
 
 class SchedulingView(NamedTuple):
-    """The input of one decision; ``now`` is wall time in seconds."""
+    """The input of one decision.
+
+    Attributes
+    ----------
+    now : float
+        Wall time in seconds.
+    is_gathering : bool
+        Whether more agents are expected to report to a new placer at any moment.
+    """
 
     now: float
     hosts: tuple[Host, ...]
     units: tuple[SchedulingUnit, ...]
+    is_gathering: bool = False
 
 
 class TaskPlacement(NamedTuple):
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -4,7 +4,12 @@
 many small tasks.
 """
 
-from sequoiachute.coordination.scheduling.capacity import FreeCapacity, slowdown
+from sequoiachute.coordination.scheduling.capacity import (
+    FreeCapacity,
+    count_fitting,
+    is_eligible,
+    slowdown,
+)
 from sequoiachute.coordination.scheduling.layout import (
     Layout,
     best_layout,
@@ -21,17 +26,21 @@
     TaskPlacement,
 )
 from sequoiachute.coordination.scheduling.preemption import (
+    MAX_LOSS_RATIO,
     PreemptionPlan,
     plan_preemption,
 )
 from sequoiachute.protocol.workload import TaskId
 
 EXPIRY_FACTOR = 3.0  # a job later than this multiple of its objective earns nothing
-MAX_PREEMPTION_SEARCHES = 4  # per round; each takes up to 25 ms at 670 workers
+# Hosts that the searches of one round examine at most; a search examines all.
+MAX_SEARCHED_HOSTS = 2680
 UNBOUNDED_COUNT = 1_000_000  # more tasks than any unit has
 NO_LIMIT = float("inf")
 PREEMPTION_SECONDS = 0.5  # to stop the victims and record the start
 LEAVING_MARGIN_SECONDS = 0.5  # beyond the time that a leaving worker announces
+SAVING_SECONDS = 1.5  # to order a stop and let it save a checkpoint
+LATE_LOSS_RATIO = 0.25  # of work lost for work that is late anyway, which earns less
 
 
 def decide(view: SchedulingView) -> SchedulingDecision:
@@ -93,7 +102,7 @@
         # Fewest tasks that did not fit, by fit key. Free capacity only shrinks
         # in a round, so as many or more need not be tried again.
         self._smallest_misfit: dict[tuple, int] = {}
-        self._searches_left = MAX_PREEMPTION_SEARCHES
+        self._searches_left = MAX_SEARCHED_HOSTS // max(1, len(view.hosts))
         self._is_truncated = False
 
     def run(self) -> SchedulingDecision:
@@ -102,6 +111,8 @@
             self._drain_leaving(host)
         ordered = sorted(self._view.units, key=lambda u: urgency_key(u, self._view.now))
         for unit in ordered:
+            if self._view.is_gathering and unit.priority != URGENT_PRIORITY:
+                continue
             self._schedule(unit)
         stopped = {(stop.task, stop.run) for stop in self._stops}
         for stop in select_migrations(self._capacity, self._view.now):
@@ -111,12 +122,24 @@
         return SchedulingDecision(tuple(self._placements), stops, self._is_truncated)
 
     def _drain_leaving(self, host: Host) -> None:
-        """Stop runs that would outlast a leaving worker, while they can be saved."""
+        """Stop runs that would outlast a leaving worker where that helps.
+
+        A stop saves the work of a run with checkpoints; it comes as late as possible,
+        since the worker often stays longer than it announces. The work of other runs
+        is lost either way: only urgent ones are stopped, to run elsewhere sooner, and
+        gangs, whose other members would work on in vain.
+        """
         if host.leaving_seconds is None:
             return
         stay = host.leaving_seconds + LEAVING_MARGIN_SECONDS
         for run in host.running:
-            if not run.stopping and self._capacity.end_of(run)[0] > stay:
+            if run.stopping or self._capacity.end_of(run)[0] <= stay:
+                continue
+            if run.step.checkpoints:
+                helps = host.leaving_seconds <= SAVING_SECONDS
+            else:
+                helps = run.gang or run.priority == URGENT_PRIORITY
+            if helps:
                 stop = RunStop(run.task, run.run, host.name, "its worker leaves")
                 self._stops.append(stop)
 
@@ -144,9 +167,13 @@
         """
         max_slowdown = self._max_slowdown(unit)
         remaining = self._place_fitting(unit, max_slowdown)
+        if self._view.is_gathering:
+            # Agents that report in a moment may have free capacity.
+            return remaining
         remaining = self._preempt_for(remaining, max_slowdown)
         remaining = self._place_fitting(remaining)
-        remaining = self._preempt_for(remaining)
+        max_loss_ratio = MAX_LOSS_RATIO if unit.guaranteed else LATE_LOSS_RATIO
+        remaining = self._preempt_for(remaining, max_loss_ratio=max_loss_ratio)
         if remaining.tasks:
             self._hold_awaited(remaining)
         return remaining
@@ -170,12 +197,15 @@
         return unit._replace(tasks=unit.tasks[placed:])
 
     def _preempt_for(
-        self, unit: SchedulingUnit, max_slowdown: float = NO_LIMIT
+        self,
+        unit: SchedulingUnit,
+        max_slowdown: float = NO_LIMIT,
+        max_loss_ratio: float = MAX_LOSS_RATIO,
     ) -> SchedulingUnit:
         """Preempt for the unit; return the unit with the remaining tasks."""
         if not unit.tasks:
             return unit
-        plan = self._plan_preemption(unit, max_slowdown)
+        plan = self._plan_preemption(unit, max_slowdown, max_loss_ratio)
         if plan is None:
             return unit
         self._preempt(unit, plan)
@@ -188,6 +218,7 @@
         Anything placed there would be preempted again.
         """
         if not self._searches_left:
+            self._hold_free(unit)
             return
         self._searches_left -= 1
         plan = plan_preemption(
@@ -196,15 +227,31 @@
         if plan is not None:
             self._hold(unit, plan)
 
+    def _hold_free(self, unit: SchedulingUnit) -> None:
+        """Hold free capacity for as many tasks as fit, without a search."""
+        count = len(unit.tasks)
+        for host in self._capacity.hosts.values():
+            if not count:
+                return
+            if not is_eligible(unit, host):
+                continue
+            placed = unit.placed_per_host.get(host.name, 0)
+            fits = min(count, count_fitting(unit, host, self._capacity, placed))
+            for _ in range(fits):
+                self._capacity.allocate(host, unit.step.reserved)
+            count -= fits
+
     def _plan_preemption(
-        self, unit: SchedulingUnit, max_slowdown: float = NO_LIMIT
+        self, unit: SchedulingUnit, max_slowdown: float, max_loss_ratio: float
     ) -> PreemptionPlan | None:
         """Search for victims; beyond the bound leave it to the next round."""
         if not self._searches_left:
             self._is_truncated = True
             return None
         self._searches_left -= 1
-        return plan_preemption(unit, self._capacity, unit.step.gang, max_slowdown)
+        return plan_preemption(
+            unit, self._capacity, unit.step.gang, max_slowdown, max_loss_ratio
+        )
 
     def _max_slowdown(self, unit: SchedulingUnit) -> float:
         """Return the slowdown at which the unit just meets its deadline."""
--- a/src/sequoiachute/coordination/scheduling/preemption.py
+++ b/src/sequoiachute/coordination/scheduling/preemption.py
@@ -24,6 +24,9 @@
 
 STOP_SECONDS = 0.8  # duration of a stop; a run that ends sooner is left to end
 MAX_LOSS_RATIO = 1.0  # core-seconds lost per core-second of the preempting unit
+# A task that has been started so often is stopped for guaranteed work only, so that
+# every job gets on.
+MAX_PREEMPTED_STARTS = 3
 
 
 class PreemptionPlan(NamedTuple):
@@ -144,7 +147,7 @@
             return False
         if self._unit.guaranteed:
             return not run.guaranteed
-        return run.priority > self._unit.priority
+        return run.priority > self._unit.priority and run.starts < MAX_PREEMPTED_STARTS
 
     def _loss_of(self, run: ActiveRun) -> float:
         if run.stopping or self._ends_soon(run):
