--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -21,6 +21,7 @@
     Orders,
     Report,
 )
+from sequoiachute.protocol.workload import TYPICAL_TIMES, WorkerTimes
 from sequoiachute.state.ledger import JOB_TOPICS, RUNS, Ledger
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.state.operations import Operations
@@ -51,6 +52,8 @@
         Asked where steps of an advised queue may run.
     machines : MachineService, optional
         Carries out the upkeep of workers' machines.
+    times : WorkerTimes, optional
+        What workers promise.
     """
 
     def __init__(
@@ -64,7 +67,9 @@
         on_published: Callable[[dict[str, bytes]], None],
         advisor: Advisor | None = None,
         machines: MachineService | None = None,
+        times: WorkerTimes = TYPICAL_TIMES,
     ) -> None:
+        self._times = times
         self._member = member
         self._advisor = advisor
         self._machines = machines
@@ -222,7 +227,13 @@
             return
         if self._placer is not None:
             self._placer.end()
-        agents = AgentSessions(self.ledger, term, self._wake, self._runs_follower.age)
+        agents = AgentSessions(
+            self.ledger,
+            term,
+            self._wake,
+            self._runs_follower.age,
+            self._times.max_lease,
+        )
         placer = TaskPlacer(
             Term(term, RUNS, self._member),
             self._store,
@@ -232,6 +243,7 @@
             self.metrics,
             self._advisor,
             self._machines,
+            times=self._times,
         )
         self._agents, self._placer = agents, placer
         eventlet.spawn(self._run_placer, placer)
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -27,12 +27,15 @@
     decide,
 )
 from sequoiachute.coordination.scheduling.capacity import REMOTE_SLOWDOWN, GangKey
+from sequoiachute.coordination.scheduling.preemption import PREEMPTED
 from sequoiachute.coordination.store.election import WRITER
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.supervision import DONE, RUN_FAILED
 from sequoiachute.protocol.workload import (
+    TYPICAL_TIMES,
     StepSpec,
     TaskId,
+    WorkerTimes,
     encode,
     parse_task_id,
     task_key,
@@ -92,6 +95,8 @@
         Without machines no upkeep is ordered.
     policy : callable
         Returns the decision for the view of a round.
+    times : WorkerTimes
+        What workers promise.
     """
 
     def __init__(
@@ -105,7 +110,9 @@
         advisor: Advisor | None,
         machines: MachineService | None,
         policy: Callable[[SchedulingView], SchedulingDecision] = decide,
+        times: WorkerTimes = TYPICAL_TIMES,
     ) -> None:
+        self._times = times
         self._policy = policy
         self._metrics = metrics
         self._term = identity.number
@@ -176,6 +183,7 @@
             self._statistics,
             self._ticket_cache,
             wall_time,
+            self._times,
         )
         decision_began = clock.now()
         decision = self._policy(view)
@@ -238,9 +246,12 @@
             if session is None:
                 continue
             session.stops[stop.task] = stop.run
+            reason = stop.reason.partition(" for ")[0]
             if stop.is_migration:
                 self._statistics.moved_tasks.add(stop.task)
-            reason = stop.reason.partition(" for ")[0]
+            elif reason == PREEMPTED:
+                preemptions = self._statistics.preemptions
+                preemptions[stop.task] = preemptions.get(stop.task, 0) + 1
             self._metrics.count("runs_stopped_total", reason=reason)
             log = logger.bind(task=str(stop.task), run=stop.run, host=stop.host)
             log.bind(reason=stop.reason).info("stopping run")
@@ -317,6 +328,7 @@
         if now < self._retention_checked_at + RETENTION_INTERVAL_SECONDS:
             return
         self._retention_checked_at = now
+        self._statistics.forget_ended_jobs({job.job_id for job in self._ledger.live()})
         cutoff = clock.wall_time() - ENDED_JOB_RETENTION_SECONDS
         expired = self._ledger.ended_before(cutoff)[:MAX_RECORDS_PER_APPEND]
         if not expired:
--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -105,6 +105,7 @@
         self._failures: dict[Lifetime, list[float]] = {}
         self._failed_on: dict[str, set[str]] = {}
         self.moved_tasks: set[TaskId] = set()
+        self.preemptions: dict[TaskId, int] = {}
 
     def record_progress(
         self,
@@ -156,6 +157,16 @@
         """Drop the progress of a run that has ended."""
         self._progress.pop((str(task), run), None)
 
+    def forget_ended_jobs(self, live: set[str]) -> None:
+        """Drop what is kept by job or task, but for the jobs that are ``live``."""
+        self.moved_tasks = {task for task in self.moved_tasks if task.job_id in live}
+        for task in [task for task in self.preemptions if task.job_id not in live]:
+            del self.preemptions[task]
+        for job_id in self._failed_on.keys() - live:
+            del self._failed_on[job_id]
+        for key in [key for key in self._progress if key[0].split(".")[0] not in live]:
+            del self._progress[key]
+
     def speed(self, machine: Machine, now: float) -> float:
         """Return a machine's recent speed relative to the typical one."""
         self._update_estimate(now)
--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -19,7 +19,7 @@
 from sequoiachute.protocol.workload import Lifetime, Machine, TaskId, parse_task_id
 from sequoiachute.state.ledger import Ledger
 
-LEASE_SECONDS = 9.0  # the platform allows at most 10 s
+LEASE_SECONDS = 9.0  # if workers allow as much
 MAX_CLOCK_DRIFT = 0.02  # share by which a worker's clock may run slow
 LEASE_EXPIRY_MARGIN_SECONDS = 0.3  # for one call in flight
 # No leases are granted when the store last confirmed the placer longer ago.
@@ -205,6 +205,8 @@
         Called on a report that may change a scheduling decision.
     confirmation_age : callable
         Returns seconds since the store last confirmed this placer.
+    max_lease_seconds : float
+        Longest lease that workers grant.
     """
 
     def __init__(
@@ -213,10 +215,12 @@
         term: int,
         wake: Callable[[], None],
         confirmation_age: Callable[[], float],
+        max_lease_seconds: float = LEASE_SECONDS,
     ) -> None:
         self._ledger = ledger
         self._wake = wake
         self._confirmation_age = confirmation_age
+        self._lease_seconds = min(LEASE_SECONDS, max_lease_seconds)
         self.term = term
         self.began_at = clock.elapsed()
         self._newest_agent_at = self.began_at
@@ -268,12 +272,12 @@
             or self._confirmation_age() > MAX_CONFIRMATION_AGE_SECONDS
         ):
             return 0
-        return report.worker_clock_ms + int(LEASE_SECONDS * 1000)
+        return report.worker_clock_ms + int(self._lease_seconds * 1000)
 
     def is_lost(self, host: str) -> bool:
         """Return whether every lease of an agent's worker has certainly expired."""
         lease_lifetime = (
-            LEASE_SECONDS * (1 + MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_SECONDS
+            self._lease_seconds * (1 + MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_SECONDS
         )
         session = self.sessions.get(host)
         if session is not None and session.age() <= lease_lifetime:
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -20,19 +20,18 @@
 from sequoiachute.coordination.scheduling.capacity import is_eligible
 from sequoiachute.coordination.scheduling.model import URGENT_PRIORITY
 from sequoiachute.protocol.workload import (
+    TYPICAL_TIMES,
     JobGraph,
     JobProgress,
     Resources,
     StepSpec,
     TaskId,
     TaskState,
+    WorkerTimes,
 )
 from sequoiachute.state.ledger import Ledger
 from sequoiachute.state.operations import Operations
 
-# A run with checkpoints saves when stopped: only the stop itself and the restore
-# (the site's restore_ms) are lost.
-PREEMPTION_OVERHEAD_SECONDS = 0.4
 # A step that needs more of its service's capacity is expected to run in waves.
 WAVE_CAPACITY_SHARE = 0.25
 DEFAULT_ESTIMATE_SECONDS = 5.0  # for a task without a declared time
@@ -42,7 +41,8 @@
     """Inputs of a view.
 
     ``guaranteed`` holds the accounts within their guarantee, ``capacity`` the total
-    by service.
+    by service. ``restart_seconds`` are lost when a run with checkpoints is stopped,
+    which saves its work, and started again.
     """
 
     ledger: Ledger
@@ -50,6 +50,7 @@
     statistics: RunStatistics
     guaranteed: frozenset[str]
     capacity: dict[str, Resources]
+    restart_seconds: float
 
 
 def build_view(
@@ -59,6 +60,7 @@
     statistics: RunStatistics,
     ticket_cache: TicketCache,
     wall_time: float,
+    times: WorkerTimes = TYPICAL_TIMES,
 ) -> SchedulingView:
     """Return the scheduler's view.
 
@@ -72,11 +74,17 @@
     ticket_cache : TicketCache
     wall_time : float
         Time of the view in seconds since the epoch.
+    times : WorkerTimes
     """
     hosts = []
     guaranteed = guaranteed_accounts(ledger, operations)
     context = _ViewContext(
-        ledger, operations, statistics, guaranteed, _capacity_by_service(agents)
+        ledger,
+        operations,
+        statistics,
+        guaranteed,
+        _capacity_by_service(agents),
+        times.restore + times.stop / 2,
     )
     for session in agents.sessions.values():
         host = _build_host(session, context)
@@ -203,7 +211,7 @@
         stalled_seconds = progress.stalled_seconds(estimate)
         remaining_seconds = (100 - progress.percent) / (rate or 100 / estimate)
         unsaved_seconds = (
-            min(observed_seconds, PREEMPTION_OVERHEAD_SECONDS)
+            min(observed_seconds, context.restart_seconds)
             if step.checkpoints
             else observed_seconds
         )
@@ -224,7 +232,7 @@
         measured=rate is not None,
         moved=task in context.statistics.moved_tasks,
         stalled_seconds=stalled_seconds,
-        starts=state.run,
+        preemptions=context.statistics.preemptions.get(task, 0),
         percent=progress.percent if progress is not None else 0,
         step=step,
         service=session.worker.service,
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -29,8 +29,8 @@
         once at most.
     stalled_seconds : float
         Time for which the run has made no progress; zero unless it should have.
-    starts : int
-        Number of times that the task has been started, this run included.
+    preemptions : int
+        How often the task has been stopped for other work.
     percent : int
         Reported progress.
     deadline : float
@@ -55,7 +55,7 @@
     measured: bool = False
     moved: bool = False
     stalled_seconds: float = 0.0
-    starts: int = 1
+    preemptions: int = 0
     percent: int = 0
     step: StepSpec = StepSpec(1, Resources())
     service: str = ""
--- a/src/sequoiachute/coordination/scheduling/preemption.py
+++ b/src/sequoiachute/coordination/scheduling/preemption.py
@@ -24,9 +24,10 @@
 
 STOP_SECONDS = 0.8  # duration of a stop; a run that ends sooner is left to end
 MAX_LOSS_RATIO = 1.0  # core-seconds lost per core-second of the preempting unit
-# A task that has been started so often is stopped for guaranteed work only, so that
+PREEMPTED = "preempted"  # the reason of a stop, before " for "
+# A task that has been stopped so often is stopped for guaranteed work only, so that
 # every job gets on.
-MAX_PREEMPTED_STARTS = 3
+MAX_PREEMPTIONS = 2
 
 
 class PreemptionPlan(NamedTuple):
@@ -147,7 +148,7 @@
             return False
         if self._unit.guaranteed:
             return not run.guaranteed
-        return run.priority > self._unit.priority and run.starts < MAX_PREEMPTED_STARTS
+        return run.priority > self._unit.priority and run.preemptions < MAX_PREEMPTIONS
 
     def _loss_of(self, run: ActiveRun) -> float:
         if run.stopping or self._ends_soon(run):
@@ -211,7 +212,7 @@
             free = free.plus(run.need)
             if run.stopping or self._ends_soon(run):
                 continue
-            reason = f"preempted for {self._unit.tasks[0].job_id}"
+            reason = f"{PREEMPTED} for {self._unit.tasks[0].job_id}"
             self._stops.append(RunStop(run.task, run.run, host.name, reason))
             if run.gang:
                 # Stopping the gang's other members costs nothing more on any host.
--- a/src/sequoiachute/platform/processes.py
+++ b/src/sequoiachute/platform/processes.py
@@ -57,6 +57,7 @@
         lambda records: apply_operator_records(records, operations),
         AdviceService(settings.advice) if settings.advice else None,
         CloudMachines(settings.machines, store) if settings.machines else None,
+        settings.worker_times,
     )
     control.run()
     rpc = RpcServer(control.handlers())
--- a/src/sequoiachute/platform/settings.py
+++ b/src/sequoiachute/platform/settings.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 from sequoiachute.errors import SettingsError
+from sequoiachute.protocol.workload import WorkerTimes
 
 PATH_VARIABLE = "SEQUOIACHUTE_BOOT"
 
@@ -14,7 +15,7 @@
 
     ``store``, ``machines``, ``advice``, ``front``, ``ready``, ``control`` and
     ``worker`` are addresses, empty where the role has none; ``inner_port`` is
-    the port for RPC between processes.
+    the port for RPC between processes. ``worker_times`` are what workers promise.
     """
 
     name: str
@@ -30,7 +31,7 @@
     control: str
     worker: str
     service: str
-    bounds: dict[str, Any]
+    worker_times: WorkerTimes
 
     @property
     def inner_address(self) -> str:
@@ -84,5 +85,14 @@
         control=listen.get("control", ""),
         worker=fields.get("app", ""),
         service=fields.get("service", ""),
-        bounds=fields.get("bounds", {}),
+        worker_times=_decode_times(fields.get("bounds", {})),
+    )
+
+
+def _decode_times(bounds: dict[str, Any]) -> WorkerTimes:
+    defaults = WorkerTimes()
+    return WorkerTimes(
+        max_lease=bounds.get("hold_max_ms", 1000 * defaults.max_lease) / 1000,
+        stop=bounds.get("stop_ms", 1000 * defaults.stop) / 1000,
+        restore=bounds.get("restore_ms", 1000 * defaults.restore) / 1000,
     )
--- a/src/sequoiachute/protocol/workload.py
+++ b/src/sequoiachute/protocol/workload.py
@@ -162,6 +162,21 @@
     labels: tuple[str, ...] = ()
 
 
+class WorkerTimes(NamedTuple):
+    """What workers promise of leases and checkpoints, in seconds.
+
+    A lease lasts ``max_lease`` at most, whatever is asked for. A stop takes up to
+    ``stop``, a start from a checkpoint ``restore``.
+    """
+
+    max_lease: float = 10.0
+    stop: float = 0.4
+    restore: float = 0.1
+
+
+TYPICAL_TIMES = WorkerTimes()
+
+
 class TaskState(NamedTuple):
     """Recorded state of a task.
 
--- a/standins/control_site.py
+++ b/standins/control_site.py
@@ -6,7 +6,13 @@
 from sequoiachute.coordination.control import ControlPlane
 from sequoiachute.coordination.hosting.supervisor import Heartbeat, Supervisor
 from sequoiachute.coordination.intake import IntakeOutcome
-from sequoiachute.protocol.workload import JobGraph, Resources, StepSpec
+from sequoiachute.protocol.workload import (
+    TYPICAL_TIMES,
+    JobGraph,
+    Resources,
+    StepSpec,
+    WorkerTimes,
+)
 from sequoiachute.state.operations import (
     Operations,
     PlatformAccount,
@@ -42,6 +48,7 @@
             site.seeds,
             operations,
             lambda records: site.apply_published(records, operations),
+            times=site.times,
         )
         site.network.serve(self.address, self.control.handlers())
         self.control.run()
@@ -82,7 +89,14 @@
     The constructor lets time pass until a placer is elected.
     """
 
-    def __init__(self, entries: int = 3, workers: int = 4, gpus: int = 4) -> None:
+    def __init__(
+        self,
+        entries: int = 3,
+        workers: int = 4,
+        gpus: int = 4,
+        times: WorkerTimes = TYPICAL_TIMES,
+    ) -> None:
+        self.times = times
         self.store = MemoryKeyedStore()
         self.network = MemoryNetwork()
         self.history = History()
@@ -93,7 +107,9 @@
         self.workers = []
         for index in range(workers):
             name = f"worker-{index}"
-            self.workers.append(MemoryTaskWorker(name, capacity, self.history))
+            worker = MemoryTaskWorker(name, capacity, self.history)
+            worker.max_lease_seconds = times.max_lease
+            self.workers.append(worker)
         self.agents = [Agent(self, i, w) for i, w in enumerate(self.workers)]
         self.run_for(4)
 
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -90,6 +90,7 @@
         self.lose_replies = False
         self.late_seconds = 0.0
         self.fails_runs = False
+        self.max_lease_seconds = 10.0
         self.leaving_seconds: float | None = None
         self.zone = "muc-1"
         self.poll_count = 0
@@ -150,6 +151,10 @@
                     self._end(run, "done")
             clock.sleep(0.05)
 
+    def _extend_leases(self, lease_ms: int) -> None:
+        latest_ms = self.clock_ms + int(self.max_lease_seconds * 1000)
+        self._lease_ms = max(self._lease_ms, min(lease_ms, latest_ms))
+
     def _end(self, run: _Run, outcome: str) -> None:
         self._runs.pop(run.task, None)
         self._end_count += 1
@@ -183,7 +188,7 @@
         if term < self._highest_term:
             return Err(WorkerError("fence", False, fenced=True))
         self._highest_term = term
-        self._lease_ms = max(self._lease_ms, min(lease_ms, self.clock_ms + 10_000))
+        self._extend_leases(lease_ms)
         for end in self._ends:
             if end.number <= ack:
                 key = (end.task, end.run, self.lifetime.worker_id)
@@ -212,7 +217,7 @@
             return Err(WorkerError(ALREADY_RAN, False))
         if lease_ms <= self.clock_ms:
             return Err(WorkerError("late", False))
-        self._lease_ms = max(self._lease_ms, lease_ms)
+        self._extend_leases(lease_ms)
         self._highest_run[task] = run
         self._runs[task] = _Run(task, run, self.seconds_of(order.payload))
         start = StartRecord(clock.now(), task, run, self.lifetime.worker_id)
--- a/tests/test_control_site.py
+++ b/tests/test_control_site.py
@@ -2,7 +2,7 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.intake import ACCEPTED, REFUSED, UNKNOWN
-from sequoiachute.protocol.workload import COMPLETE, FAILED
+from sequoiachute.protocol.workload import COMPLETE, FAILED, WorkerTimes
 from standins.control_site import URGENT, ControlSite
 from tests.control_checks import TAKEOVER_SECONDS, accepted, complete
 
@@ -112,6 +112,18 @@
     complete(site, [job], 40)
 
 
+def test_runs_of_a_silent_agent_restart_sooner_where_leases_are_shorter():
+    site = ControlSite(workers=2, times=WorkerTimes(max_lease=6.0))
+    job = accepted(site, 20.0, count=4)
+    site.run_for(0.5)
+    site.kill_agent(0)
+    site.run_for(5.5)
+    assert len(site.history.starts) == 4
+    site.run_for(1.8)
+    assert len(site.history.starts) > 4
+    complete(site, [job], 40)
+
+
 def test_runs_survive_an_outage_of_the_store():
     site = ControlSite()
     job = accepted(site, 9.0, count=6)
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -2,6 +2,7 @@
 
 from sequoiachute.errors import SettingsError
 from sequoiachute.platform.settings import PATH_VARIABLE, read_settings
+from sequoiachute.protocol.workload import WorkerTimes
 
 SETTINGS_TOML = """
 node = "edge-1"
@@ -27,6 +28,17 @@
     assert settings.inner_address == "10.1.0.19:7000"
     assert settings.inner_seeds == ("10.1.0.19:7000", "10.2.0.35:7000")
     assert (settings.store, settings.worker) == ("10.200.1.7:8524", "")
+    assert settings.worker_times == WorkerTimes()
+
+
+def test_promises_of_workers_are_read_and_checked(tmp_path):
+    path = tmp_path / "local.toml"
+    bounds = "[bounds]\nhold_max_ms = 6000\nstop_ms = 200\nrestore_ms = 600\n"
+    path.write_text(SETTINGS_TOML + bounds)
+    assert read_settings(str(path)).worker_times == WorkerTimes(6.0, 0.2, 0.6)
+    path.write_text(SETTINGS_TOML + bounds.replace("200", '"soon"'))
+    with pytest.raises(SettingsError, match="is missing or invalid"):
+        read_settings(str(path))
 
 
 @pytest.mark.parametrize("key", ["node", "bind_ip", "port_range", "address"])
--- a/tests/test_scheduling_policy.py
+++ b/tests/test_scheduling_policy.py
@@ -357,8 +357,8 @@
     assert not held
 
 
-def test_task_that_was_often_started_is_stopped_for_guaranteed_work_only():
-    often = running(gpus=8, unsaved_seconds=0.0, starts=3)
+def test_task_that_was_often_stopped_is_stopped_for_guaranteed_work_only():
+    often = running(gpus=8, unsaved_seconds=0.0, preemptions=2)
     urgent = unit(gpus=8, priority=0, deadline_in=7.0)
     view = SchedulingView(NOW, (host("a", running=[often]),), (urgent,))
     assert not decide(view).stops
