Wait longer for the placer's append when a slow store does not answer in time

Cause: the placer gave each append 0.8 s and repeated it. A store that answers in 0.9 s was never heard, so that nothing after the first record was decided (hidden by the read back of the record itself and by the backup of ends; found by disabling the latter). Change: an unanswered append's timeout doubles, up to 3.2 s, until it is answered. A submission is refused for lack of time only if less is left than 1.25 times what appends lately took. Result: the new test fails before at 0.9 and 1.5 s, passes after.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -56,6 +56,7 @@
 GATHERING_INTERVAL_SECONDS = 0.05  # while agents report to a new placer
 BATCH_DELAY_SECONDS = 0.005  # collects reports that arrive together in one round
 APPEND_TIMEOUT_SECONDS = 0.8  # an unanswered append is sent again after it
+MAX_APPEND_TIMEOUT_SECONDS = 3.2
 APPEND_RETRY_SECONDS = 0.1
 SPEEDS_INTERVAL_SECONDS = 3.0  # between two records of learned speeds
 MIN_SPEED_CHANGE = 0.15  # relative; smaller changes are noise of the estimates
@@ -400,9 +401,10 @@
         has ended.
         """
         writer = Writer(WRITER, self._term, self._sequence + 1)
+        timeout = APPEND_TIMEOUT_SECONDS
         while True:
             outcome = self._store.append(
-                self._topic, records, writer=writer, timeout=APPEND_TIMEOUT_SECONDS
+                self._topic, records, writer=writer, timeout=timeout
             )
             if outcome.is_ok():
                 break
@@ -412,6 +414,9 @@
                 raise DeposedError(error.reason)
             log = logger.bind(term=self._term, reason=error.reason)
             log.bind(records=len(records)).info("append failed, retrying")
+            if error.applied is None:
+                # A store slower than the timeout would never be heard.
+                timeout = min(2 * timeout, MAX_APPEND_TIMEOUT_SECONDS)
             eventlet.spawn(self._end_backup.record)
             clock.sleep(APPEND_RETRY_SECONDS)
         self._sequence += 1
--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -18,7 +18,7 @@
 from sequoiachute.transport.store import AppendError
 
 REPLY_MARGIN_SECONDS = 0.03  # for the reply to reach the caller in time
-APPEND_SECONDS_MARGIN = 2.0  # of the time that an append lately took
+APPEND_SECONDS_MARGIN = 1.25  # of the time that an append lately took
 ATTEMPT_SECONDS = 0.7  # without an answer, further appends follow
 APPEND_RETRY_SECONDS = 0.05
 RETRY_AFTER_SECONDS = 1.0
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -93,6 +93,19 @@
     complete(site, [job], 12)
 
 
+@pytest.mark.parametrize("delay", [0.5, 0.9, 1.5])
+def test_placer_records_its_decisions_in_a_slow_store(delay):
+    site = ControlSite()
+    site.store.delay = delay
+    jobs = []
+    for count in (1, 2):
+        jobs.append(accepted(site, 1.0))
+        site.run_for(8 * delay)
+        assert len(site.history.starts) == count
+    site.store.delay = 0.004
+    complete(site, jobs, 6)
+
+
 def test_submission_is_stored_in_another_topic_while_one_is_down():
     site = ControlSite()
     site.store.down_topics = {"jobs"}
