--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -172,6 +172,11 @@
         self._update_estimate(now)
         return self._estimator.speed(machine)
 
+    def speed_error(self, machine: Machine, now: float) -> float:
+        """Return the standard error of the logarithm of a machine's speed."""
+        self._update_estimate(now)
+        return self._estimator.speed_error(machine)
+
     def _update_estimate(self, now: float) -> None:
         if now >= self._estimated_at + ESTIMATE_INTERVAL_SECONDS:
             self._estimated_at = now
--- a/src/sequoiachute/coordination/dispatch/speeds.py
+++ b/src/sequoiachute/coordination/dispatch/speeds.py
@@ -7,7 +7,7 @@
 are fitted together by regularised least squares with a prior mean of zero.
 """
 
-from math import exp, log
+from math import exp, log, sqrt
 from typing import NamedTuple
 
 from sequoiachute.protocol.workload import Machine
@@ -36,6 +36,7 @@
 
     def __init__(self) -> None:
         self._speeds: dict[Machine, float] = {}
+        self._weights: dict[Machine, float] = {}
         self._errors: dict[str, float] = {}
         self._error_variance = PRIOR_ERROR_VARIANCE
 
@@ -43,6 +44,11 @@
         """Return a worker's speed; 1.0 for a worker without samples."""
         return exp(self._speeds.get(machine, 0.0))
 
+    def speed_error(self, machine: Machine) -> float:
+        """Return the standard error of the logarithm of a machine's speed."""
+        weight = self._weights.get(machine, TASK_VARIANCE / SPEED_VARIANCE)
+        return sqrt(TASK_VARIANCE / weight)
+
     def fit(self, samples: list[SpeedSample], inherited: dict[Machine, float]) -> None:
         """Fit speeds and errors to ``samples``.
 
@@ -54,6 +60,7 @@
         """
         inherited_logs = {machine: log(speed) for machine, speed in inherited.items()}
         speeds = dict(inherited_logs)
+        weights = dict.fromkeys(inherited_logs, INHERITED_WEIGHT)
         by_machine: dict[Machine, list[SpeedSample]] = {}
         by_step: dict[str, list[SpeedSample]] = {}
         for sample in samples:
@@ -80,7 +87,9 @@
                     total += sample.weight * residual
                     weight += sample.weight
                 speeds[machine] = total / weight
+                weights[machine] = weight
         self._speeds = speeds
+        self._weights = weights
         self._errors = errors
         self._update_error_variance()
 
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -42,7 +42,8 @@
 
     ``guaranteed`` holds the accounts within their guarantee, ``capacity`` the total
     by service. ``restart_seconds`` are lost when a run with checkpoints is stopped,
-    which saves its work, and started again.
+    which saves its work, and started again. ``stopping`` holds the tasks whose runs
+    have been asked to stop.
     """
 
     ledger: Ledger
@@ -51,6 +52,7 @@
     guaranteed: frozenset[str]
     capacity: dict[str, Resources]
     restart_seconds: float
+    stopping: frozenset[TaskId]
 
 
 def build_view(
@@ -85,6 +87,7 @@
         guaranteed,
         _capacity_by_service(agents),
         times.restore + times.stop / 2,
+        _stopping_tasks(ledger, agents),
     )
     for session in agents.sessions.values():
         host = _build_host(session, context)
@@ -104,6 +107,15 @@
     )
 
 
+def _stopping_tasks(ledger: Ledger, agents: AgentSessions) -> frozenset[TaskId]:
+    found = set()
+    for session in agents.sessions.values():
+        for task, state in ledger.tasks_on_host(session.host).items():
+            if session.stops.get(task, 0) == state.run:
+                found.add(task)
+    return frozenset(found)
+
+
 def _capacity_by_service(agents: AgentSessions) -> dict[str, Resources]:
     """Return the total capacity of the live workers by service."""
     capacity: dict[str, Resources] = {}
@@ -186,6 +198,7 @@
         capacity=worker.capacity,
         is_open=is_open,
         speed=context.statistics.speed(session.machine, now),
+        speed_error=context.statistics.speed_error(session.machine, now),
         recent_failures=context.statistics.recent_failures(worker.lifetime, now),
         running=tuple(running),
         leaving_seconds=worker.leaving_seconds if worker.leaving else None,
@@ -260,6 +273,10 @@
             tasks = _waiting_tasks(job, progress, occurrence, index)
             if tasks:
                 units.append(_build_unit(job, progress, index, tasks, context))
+            tasks = _returning_tasks(job, progress, occurrence, index, context)
+            if tasks:
+                unit = _build_unit(job, progress, index, tasks, context)
+                units.append(unit._replace(returning=True))
 
 
 def _is_guaranteed(job: JobGraph, context: _ViewContext) -> bool:
@@ -295,6 +312,38 @@
     return tuple(waiting)
 
 
+def _returning_tasks(
+    job: JobGraph,
+    progress: JobProgress,
+    occurrence: int,
+    index: int,
+    context: _ViewContext,
+) -> tuple[TaskId, ...]:
+    """Return the tasks of an urgent job that will wait once their runs have ended.
+
+    A gang waits as a whole: until its last member has ended, none can be placed.
+    """
+    step = job.steps[index]
+    if job.priority != URGENT_PRIORITY:
+        return ()
+    placed, stopping, others = [], [], []
+    for number in range(step.count):
+        task = TaskId(job.job_id, occurrence, index, number)
+        state = progress.tasks.get(f"{occurrence}.{index}.{number}")
+        if state is not None and state.done:
+            continue
+        if state is None or not state.placed:
+            others.append(task)
+        elif task in context.stopping:
+            stopping.append(task)
+        else:
+            placed.append(task)
+    if not step.gang:
+        return tuple(stopping)
+    is_ending = stopping or (placed and others)
+    return (*placed, *stopping, *others) if is_ending else ()
+
+
 def _build_unit(
     job: JobGraph,
     progress: JobProgress,
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -74,6 +74,8 @@
         Whether the worker accepts new tasks.
     speed : float
         Observed speed relative to the typical worker.
+    speed_error : float
+        Standard error of the logarithm of ``speed``.
     recent_failures : int
         Recent failures that no success has followed.
     leaving_seconds : float or None
@@ -93,6 +95,7 @@
     recent_failures: int
     running: tuple[ActiveRun, ...]
     leaving_seconds: float | None = None
+    speed_error: float = 0.0
 
 
 class SchedulingUnit(NamedTuple):
@@ -115,6 +118,8 @@
         Whether the next failure fails the job.
     guaranteed : bool
         Whether the catalogue's guarantee to the client account covers the work.
+    returning : bool
+        Whether runs of the tasks still have to end, so that nothing can be placed yet.
     tickets : dict of str to str, or None
         Permits by worker ID; only these workers may run the tasks. ``None``
         means that no permit is needed.
@@ -132,6 +137,7 @@
     placed_per_host: dict[str, int]
     last_attempt: bool = False
     guaranteed: bool = False
+    returning: bool = False
     queue: str = ""
     tickets: dict[str, str] | None = None
 
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -144,6 +144,9 @@
                 self._stops.append(stop)
 
     def _schedule(self, unit: SchedulingUnit) -> None:
+        if unit.returning:
+            self._hold_return(unit)
+            return
         fit_key = _fit_key(unit)
         if self._smallest_misfit.get(fit_key, UNBOUNDED_COUNT) <= _min_tasks(unit):
             return
@@ -227,6 +230,18 @@
         if plan is not None:
             self._hold(unit, plan)
 
+    def _hold_return(self, unit: SchedulingUnit) -> None:
+        """Hold free capacity for tasks whose runs are about to end.
+
+        Lesser work placed there would be preempted as soon as they have ended.
+        """
+        is_gang = unit.step.gang
+        now = self._view.now
+        layout = best_layout(unit, self._capacity, len(unit.tasks), now, is_gang)
+        for host, count in layout or ():
+            for _ in range(count):
+                self._capacity.allocate(host, unit.step.reserved)
+
     def _hold_free(self, unit: SchedulingUnit) -> None:
         """Hold free capacity for as many tasks as fit, without a search."""
         count = len(unit.tasks)
--- a/src/sequoiachute/replay/engine.py
+++ b/src/sequoiachute/replay/engine.py
@@ -21,7 +21,13 @@
 )
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.supervision import DONE, RUN_FAILED, STOPPED, Orders
-from sequoiachute.protocol.workload import COMPLETE, FAILED, TaskId, encode
+from sequoiachute.protocol.workload import (
+    COMPLETE,
+    FAILED,
+    TaskId,
+    WorkerTimes,
+    encode,
+)
 from sequoiachute.replay.day import SERVICE, Fault, JobArrival, SimulatedDay
 from sequoiachute.replay.fleet import (
     GANG_BROKEN,
@@ -223,6 +229,9 @@
             None,
             None,
             self._decide,
+            WorkerTimes(
+                stop=self._site.stop_seconds, restore=self._site.restore_seconds
+            ),
         )
 
     def _request_round(self) -> None:
--- a/tests/test_scheduling_policy.py
+++ b/tests/test_scheduling_policy.py
@@ -420,3 +420,20 @@
     urgent = unit(1, gpus=8, priority=0, deadline_in=7.0)
     decision = decide(SchedulingView(NOW, (host("a", running=[ending]),), (urgent,)))
     assert not decision.stops
+
+
+def test_capacity_is_held_for_urgent_tasks_whose_runs_are_about_to_end():
+    """Else lesser work is placed there and preempted as soon as they have ended."""
+    gang = unit(2, gpus=8, job="gang", priority=0, step={"gang": True}, returning=True)
+    lesser = unit(16, job="lesser", priority=2)
+    view = SchedulingView(NOW, (host("a"), host("b")), (gang, lesser))
+    assert not decide(view).placements
+    assert decide(view._replace(units=(lesser,))).placements
+
+
+def test_late_urgent_run_does_not_move_to_a_worker_that_may_be_as_slow():
+    slow = host("slow", 0.7, running=[urgent_run(4.0, 4.2, remaining_seconds=5.0)])
+    known = host("known", 1.6, speed_error=0.1)
+    assert decide(SchedulingView(NOW, (slow, known), ())).stops
+    unknown = host("unknown", 1.0, speed_error=0.4)
+    assert not decide(SchedulingView(NOW, (slow, unknown), ())).stops
