Load no web framework in the platform's processes

Of the 29 MB that an agent loads beyond Python, 3.5 MB were falcon, which only the own interface uses; the web server imported it for the body of its problem documents. These get a module without it; behaviour is unchanged.

--- a/src/sequoiachute/transport/web.py
+++ b/src/sequoiachute/transport/web.py
@@ -10,9 +10,9 @@
 
 from sequoiachute.errors import describe_failure
 from sequoiachute.settings import HttpSettings
+from sequoiachute.transport.problems import PROBLEM_JSON, problem_body
 
 READ_CHUNK_BYTES = 64 * 1024
-PROBLEM_JSON = "application/problem+json"
 
 # Remedies for the errors that falcon itself raises.
 _REMEDIES = {
@@ -69,25 +69,6 @@
         )
 
 
-def problem_body(
-    status: int,
-    title: str,
-    remedy: str,
-    ran: bool | None = False,
-    retry_after: float = 0.0,
-) -> dict[str, Any]:
-    """Return the fields of a problem document."""
-    body: dict[str, Any] = {
-        "title": title,
-        "status": status,
-        "remedy": remedy,
-        "ran": ran,
-    }
-    if retry_after:
-        body["retry_after"] = retry_after
-    return body
-
-
 def write_problem(
     request: falcon.Request, response: falcon.Response, error: falcon.HTTPError
 ) -> None:
--- a/src/sequoiachute/transport/webserver.py
+++ b/src/sequoiachute/transport/webserver.py
@@ -16,7 +16,7 @@
 from sequoiachute import clock
 from sequoiachute.settings import HttpSettings
 from sequoiachute.transport.listener import open_listener
-from sequoiachute.transport.web import PROBLEM_JSON, problem_body
+from sequoiachute.transport.problems import PROBLEM_JSON, problem_body
 
 RESERVED_FILE_DESCRIPTORS = 256  # for files, agents and the log service
 SOCKET_TIMEOUT_SECONDS = 30.0  # for one read or write
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -33,3 +33,16 @@
     }
     ended = subprocess.run([sys.executable, START, role], env=environment, timeout=20)
     assert ended.returncode == 0
+
+
+def test_platform_processes_load_no_libraries_of_the_own_interface():
+    """Memory is dear there: the web framework alone takes 3 MB of each process."""
+    script = (
+        "import sys; from sequoiachute.platform import processes;"
+        "print(*sorted({name.partition('.')[0] for name in sys.modules}))"
+    )
+    command = [sys.executable, "-W", "ignore", "-c", script]
+    ended = subprocess.run(command, capture_output=True, text=True, timeout=20)
+    loaded = set(ended.stdout.split())
+    assert "eventlet" in loaded
+    assert not loaded & {"falcon", "typer", "rich", "pygments"}
