Objectives of jobs in a module of their own; skip topics that are down for a query

A query for an unknown job no longer waits for a topic that is known to be down; its answer is the same refusal, since that topic may hold the job. Reasons of merged errors name each cause once. No other behaviour changes.

--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -106,8 +106,9 @@
         return IntakeOutcome(ACCEPTED, "already accepted")
 
     def _is_known(self, job_id: str, account: str) -> bool:
-        for follower in self._followers:
-            if self._ledger.job(job_id) is None:
+        for topic, follower in zip(JOB_TOPICS, self._followers, strict=True):
+            is_down = self._store.availability.is_unreachable([topic])
+            if self._ledger.job(job_id) is None and not is_down:
                 follower.read_once()
         job = self._ledger.job(job_id)
         return job is not None and account in ("", job.account)
--- a/src/sequoiachute/coordination/store/race.py
+++ b/src/sequoiachute/coordination/store/race.py
@@ -131,7 +131,7 @@
 
     It is unknown if the earlier append may take effect.
     """
-    reasons = dict.fromkeys((earlier.reason, later.reason))
+    reasons = dict.fromkeys((*earlier.reason.split("; "), later.reason))
     applied = later.applied if earlier.applied is False else None
     return later._replace(reason="; ".join(filter(None, reasons)), applied=applied)
 
--- a/src/sequoiachute/replay/payoff.py
+++ b/src/sequoiachute/replay/payoff.py
@@ -5,7 +5,7 @@
 from math import ceil
 from typing import NamedTuple
 
-from sequoiachute.coordination.dispatch.views import count_waves
+from sequoiachute.coordination.dispatch.objectives import count_waves
 from sequoiachute.coordination.scheduling.capacity import core_seconds
 from sequoiachute.protocol.workload import Resources
 from sequoiachute.replay.day import JobArrival, SimulatedDay
--- a/tests/test_objective.py
+++ b/tests/test_objective.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sequoiachute.coordination.dispatch.views import (
+from sequoiachute.coordination.dispatch.objectives import (
     chain_seconds,
     count_waves,
     objective,
