--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -311,10 +311,11 @@
         run = self._ledger.progress(task.job_id).tasks[task_key(task)].run
         machine = self._agents.sessions[placement.host].machine
         speed = self._statistics.speed(machine, clock.elapsed())
+        speed_error = self._statistics.speed_error(machine, clock.elapsed())
         log = logger.bind(task=str(task), run=run, host=placement.host)
         log = log.bind(life=placement.lifetime.worker_id, term=self._term)
         log = log.bind(expected=round(placement.expected_seconds, 2))
-        log = log.bind(speed=round(speed, 2))
+        log = log.bind(speed=round(speed, 2), speed_error=round(speed_error, 2))
         log.bind(slack=round(placement.slack_seconds, 2)).info("placed")
 
     def _step_of(self, task: TaskId) -> StepSpec:
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -212,7 +212,9 @@
             state = self._final_state(job, progress)
             if state:
                 draft.set_state(job.job_id, state)
-                logger.bind(job=job.job_id, state=state).info("job ended")
+                took_seconds = clock.wall_time() - job.accepted_at
+                log = logger.bind(job=job.job_id, state=state)
+                log.bind(took=round(took_seconds, 3)).info("job ended")
         if draft.progress(job.job_id).state:
             self._order_stops(job, draft)
 
