--- a/src/sequoiachute/replay/day.py
+++ b/src/sequoiachute/replay/day.py
@@ -115,15 +115,15 @@
 def _draw_arrival_times(
     site: ReplaySite, kind: JobKind, rng: random.Random
 ) -> list[float]:
-    times = []
-    at = 0.0
+    times = [0.0] * kind.standing
+    at = site.lead_seconds
     while True:
         at += rng.expovariate(kind.per_second * site.load)
-        if at > site.seconds:
+        if at > site.lead_seconds + site.seconds:
             break
         times.append(at)
     if rng.random() < site.troubles.bursts / len(site.kinds):
-        burst_at = rng.uniform(0, site.seconds)
+        burst_at = site.lead_seconds + rng.uniform(0, site.seconds)
         extra = kind.per_second * site.load * BURST_SECONDS * (BURST_RATE_FACTOR - 1)
         for _ in range(round(extra + rng.random())):
             times.append(burst_at + rng.uniform(0, BURST_SECONDS))
@@ -231,7 +231,7 @@
     }
     for kind, (seconds, targets) in fault_ranges.items():
         for _ in range(_draw_poisson(getattr(site.troubles, kind), rng)):
-            at = rng.uniform(1.0, site.seconds)
+            at = site.lead_seconds + rng.uniform(1.0, site.seconds)
             until = at + rng.uniform(*seconds)
             factor = rng.uniform(*SLOW_SPEED_FACTORS)
             drawn.append(Fault(kind, at, until, rng.choice(targets), factor))
--- a/src/sequoiachute/replay/engine.py
+++ b/src/sequoiachute/replay/engine.py
@@ -246,7 +246,7 @@
         return decision
 
     def _simulate(self) -> None:
-        end = self._site.seconds + self._site.tail_seconds
+        end = self._site.lead_seconds + self._site.seconds + self._site.tail_seconds
         tick = 0
         while self._now < end and (self._pending_arrivals or self._unfinished_jobs):
             tick += 1
--- a/src/sequoiachute/replay/site.py
+++ b/src/sequoiachute/replay/site.py
@@ -27,7 +27,8 @@
 class JobKind(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A class of jobs drawn from the same distributions.
 
-    ``per_second`` is the mean arrival rate. A job of mean size earns ``worth``
+    ``per_second`` is the mean arrival rate, ``standing`` the jobs that wait when
+    the day begins. A job of mean size earns ``worth``
     if it ends within its objective and ``late_worth`` up to three times the
     objective, which is ``stretch`` times the job's critical path plus
     ``slo_seconds``. Shares are of jobs, ``error_share`` is of tasks.
@@ -61,6 +62,7 @@
     error_share: Share = 0.0
     hopeless: Share = 0.0
     cancel: Share = 0.0
+    standing: Annotated[int, Meta(ge=0)] = 0
 
 
 class WorkerPool(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -113,7 +115,8 @@
 class ReplaySite(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A simulated site and its load; times in seconds.
 
-    ``load`` multiplies all arrival rates. ``price`` is the cost of a
+    ``load`` multiplies all arrival rates. Jobs arrive for ``seconds``, but for the
+    standing ones after ``lead_seconds``. ``price`` is the cost of a
     core-second of lost work, on the scale of ``worth``; an accelerator counts
     as eight cores. A run outside the rack of its data, or a same-rack gang
     that is split over racks, takes ``far_factor`` times as long. ``weights``
@@ -128,6 +131,7 @@
     troubles: FaultRates = FaultRates()
     load: Positive = 1.0
     seconds: Positive = 34.0
+    lead_seconds: Annotated[float, Meta(ge=0)] = 0.0
     tail_seconds: Positive = 20.0
     price: float = 0.0
     far_factor: Positive = 3.0
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -71,6 +71,21 @@
     return replay.run(policy or POLICIES["ours"](replay))
 
 
+def first_site(path):
+    """Return the site as it was when the seeds of known faults were found."""
+    site = load_site(path)
+    kinds = [
+        msgspec.structs.replace(kind, uneven=0.3, standing=0) for kind in site.kinds
+    ]
+    return msgspec.structs.replace(
+        site,
+        workers=msgspec.structs.replace(site.workers, speeds=(0.6, 1.0, 1.6)),
+        kinds=tuple(kinds),
+        lead_seconds=0.0,
+        stop_seconds=0.7 if path == ENGRAVE else 0.3,
+    )
+
+
 def completion_times(result):
     return {
         outcome.job_value.arrival.job.job_id: outcome.completion_seconds
@@ -94,6 +109,14 @@
     assert times["gang"] == pytest.approx(8.0, abs=0.6)
 
 
+def test_standing_jobs_arrive_before_the_others():
+    kind = msgspec.structs.replace(JOB_KIND, standing=3)
+    site = msgspec.structs.replace(SITE, kinds=(kind,), lead_seconds=5.0)
+    times = [arrival.at for arrival in draw_day(site, 1).arrivals]
+    assert times[:3] == [0.0, 0.0, 0.0]
+    assert times[3] > 5.0
+
+
 def test_work_of_a_lost_worker_is_lost_and_repeated():
     fault = Fault("lost", 3.0, 5.0, 0)
     result = simulate(arrival(), faults=[fault])
@@ -175,7 +198,7 @@
     [(REPAIR, 269), (ENGRAVE, 361)],
 )
 def test_worthless_urgent_gangs_do_not_stop_others_repeatedly(path, seed):
-    result = play_day(load_site(path), seed, ["ours"]).results["ours"]
+    result = play_day(first_site(path), seed, ["ours"]).results["ours"]
     assert result.stopped < 150
 
 
