Failing test: an urgent job starts on a slow worker of which nothing is known

Six idle workers, two of them slow. A batch of six small tasks is packed on one worker, so that nothing is known of the other five when an urgent job comes five seconds later: it takes 6.8 s on a slow one, 2.8 s on the others.

--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -156,6 +156,18 @@
     assert completion_times(result)["urgent"] == pytest.approx(0.5 + 2.0, abs=0.6)
 
 
+def test_urgent_job_does_not_start_on_a_slow_worker_that_was_never_used():
+    speeds = [1.43, 0.59, 0.59, 1.43, 1.43, 1.43]
+    urgent = msgspec.structs.replace(JOB_KIND, name="u", priority=0, stretch=1.5)
+    result = simulate(
+        arrival("batch", at=0.0, count=6, seconds=20.0, step={"gpus": 1}),
+        arrival("urgent", at=5.0, seconds=4.0, kind=urgent, step={"gpus": 4}),
+        machines=[machine(f"w{n}", speed=speed) for n, speed in enumerate(speeds)],
+        site=msgspec.structs.replace(SITE, kinds=(JOB_KIND, urgent)),
+    )
+    assert completion_times(result)["urgent"] == pytest.approx(2.8, abs=0.6)
+
+
 def test_hopeless_job_earns_its_value_only_by_failing():
     hopeless_job = arrival(failures={(0, 0): (0.5, 0.5)}, hopeless=True)
     result = simulate(hopeless_job)
