Spread the tasks of a step over workers of unknown speed

What callers saw: an urgent job on an idle worker that turned out to be slow, late, while idle workers beside it were in time; where a zone owes one urgent job, that is a SHORT.

Cause: tasks were packed, so that a worker was used for the first time by the job that needs it whole. Nothing was known of it then: all 1.0, one in three 2.4 times slower. Class of fault: a decision on an assumption that earlier work could have checked.

Change: a step of several independent tasks puts one on each worker of unknown speed before any gets more. Only tasks of one step tell workers apart, since declared times are off by a factor of 2.7 (one standard deviation). Urgent work, gangs, lasting work and data elsewhere are placed as before.

--- a/src/sequoiachute/coordination/scheduling/layout.py
+++ b/src/sequoiachute/coordination/scheduling/layout.py
@@ -15,6 +15,7 @@
 
 FAILURE_PENALTY = 0.5  # of a task's time, added per recent failure of the host
 FAILED_HOST_PENALTY = 4.0  # ranks hosts where the job failed after remote ones
+UNKNOWN_SPEED_ERROR = 0.3  # standard error of a logarithm
 PLANNED_SHARE = 0.6  # of the remaining time; estimates are off by up to a half
 
 Layout = list[tuple[Host, int]]
@@ -89,21 +90,48 @@
     now: float,
     all_or_nothing: bool,
 ) -> Layout | None:
-    """Assign tasks to ``hosts`` in order of preference."""
-    layout: Layout = []
+    """Assign tasks to ``hosts`` in order of preference.
+
+    Hosts whose speed the tasks would show get one task each before any gets more.
+    """
+    preferred = sorted(hosts, key=lambda host: _preference(unit, capacity, host, now))
+    counts = dict.fromkeys((host.name for host in preferred), 0)
     remaining = count
-    for host in sorted(hosts, key=lambda host: _preference(unit, capacity, host, now)):
-        placed = unit.placed_per_host.get(host.name, 0)
-        fits = min(remaining, count_fitting(unit, host, capacity, placed))
-        if fits <= 0:
-            continue
-        layout.append((host, fits))
-        remaining -= fits
+    for host in preferred:
+        if remaining and _shows_speed(unit, host):
+            counts[host.name] = min(1, _count_fitting(unit, host, capacity))
+            remaining -= counts[host.name]
+    for host in preferred:
+        free = _count_fitting(unit, host, capacity) - counts[host.name]
+        added = max(0, min(remaining, free))
+        counts[host.name] += added
+        remaining -= added
         if not remaining:
-            return layout
-    if all_or_nothing or not layout:
+            break
+    if remaining and (all_or_nothing or remaining == count):
         return None
-    return layout
+    return [(host, counts[host.name]) for host in preferred if counts[host.name]]
+
+
+def _count_fitting(unit: SchedulingUnit, host: Host, capacity: FreeCapacity) -> int:
+    placed = unit.placed_per_host.get(host.name, 0)
+    return count_fitting(unit, host, capacity, placed)
+
+
+def _shows_speed(unit: SchedulingUnit, host: Host) -> bool:
+    """Return whether a task of ``unit`` would show the unknown speed of ``host``.
+
+    Only tasks of one step on several hosts do, since declared times are far off. A
+    run there that has not been measured yet may show it already.
+    """
+    step = unit.step
+    if unit.priority == URGENT_PRIORITY or step.gang or step.lasting:
+        return False
+    if len(unit.tasks) == 1 or step.data_rack not in ("", host.rack):
+        return False
+    if host.speed_error < UNKNOWN_SPEED_ERROR or host.recent_failures:
+        return False
+    return all(run.measured or run.step.count == 1 for run in host.running)
 
 
 def _preference(
