Take a declared time that is far off for a step's error, not for a worker's speed

So a step on one worker moved that worker's speed half of the way, and the standard error of a speed took no account of it: eight tasks of one step on one worker looked like certain knowledge (0.08).

Change: a prior variance of 0.5, which fits adapt to what is seen, and a standard error that takes from each step only what its tasks on other workers let it tell.

--- a/src/sequoiachute/coordination/dispatch/speeds.py
+++ b/src/sequoiachute/coordination/dispatch/speeds.py
@@ -13,13 +13,14 @@
 from sequoiachute.protocol.workload import Machine
 
 # Variances are of natural logarithms.
-FIT_ITERATIONS = 5  # further ones change the fit by less than 2 %
+FIT_ITERATIONS = 5  # further ones change the fit by less than 10 %
 TASK_VARIANCE = 0.06  # between the tasks of a step; the sites' "uneven"
 SPEED_VARIANCE = 0.16  # between workers: speeds 0.6, 1.0 and 1.6 equally frequent
-PRIOR_ERROR_VARIANCE = 0.16  # between steps, before any is known
+PRIOR_ERROR_VARIANCE = 0.5  # between steps, before any is known
 PRIOR_ERROR_WEIGHT = 3.0  # of the prior variance, in steps
 MIN_ERROR_VARIANCE = 0.02
 INHERITED_WEIGHT = 1.0  # of a speed recorded by an earlier placer, in tasks
+INHERITED_PRECISION = INHERITED_WEIGHT / TASK_VARIANCE
 
 
 class SpeedSample(NamedTuple):
@@ -36,7 +37,7 @@
 
     def __init__(self) -> None:
         self._speeds: dict[Machine, float] = {}
-        self._weights: dict[Machine, float] = {}
+        self._precisions: dict[Machine, float] = {}
         self._errors: dict[str, float] = {}
         self._error_variance = PRIOR_ERROR_VARIANCE
 
@@ -46,8 +47,7 @@
 
     def speed_error(self, machine: Machine) -> float:
         """Return the standard error of the logarithm of a machine's speed."""
-        weight = self._weights.get(machine, TASK_VARIANCE / SPEED_VARIANCE)
-        return sqrt(TASK_VARIANCE / weight)
+        return sqrt(1.0 / self._precisions.get(machine, 1.0 / SPEED_VARIANCE))
 
     def fit(self, samples: list[SpeedSample], inherited: dict[Machine, float]) -> None:
         """Fit speeds and errors to ``samples``.
@@ -60,7 +60,6 @@
         """
         inherited_logs = {machine: log(speed) for machine, speed in inherited.items()}
         speeds = dict(inherited_logs)
-        weights = dict.fromkeys(inherited_logs, INHERITED_WEIGHT)
         by_machine: dict[Machine, list[SpeedSample]] = {}
         by_step: dict[str, list[SpeedSample]] = {}
         for sample in samples:
@@ -87,12 +86,34 @@
                     total += sample.weight * residual
                     weight += sample.weight
                 speeds[machine] = total / weight
-                weights[machine] = weight
         self._speeds = speeds
-        self._weights = weights
         self._errors = errors
+        self._precisions = dict.fromkeys(inherited_logs, INHERITED_PRECISION)
+        self._add_precisions(by_step)
         self._update_error_variance()
 
+    def _add_precisions(self, by_step: dict[str, list[SpeedSample]]) -> None:
+        """Add what the samples of each step tell of the machines' speeds.
+
+        A step's own error is known from its tasks on other machines only: a step
+        that runs on one machine tells little of its speed.
+        """
+        for group in by_step.values():
+            weights: dict[Machine, float] = {}
+            for sample in group:
+                weight = weights.get(sample.machine, 0.0)
+                weights[sample.machine] = weight + sample.weight
+            shares = {
+                machine: 1.0 / (SPEED_VARIANCE + TASK_VARIANCE / weight)
+                for machine, weight in weights.items()
+            }
+            total = sum(shares.values()) + 1.0 / self._error_variance
+            for machine, weight in weights.items():
+                error_variance = 1.0 / (total - shares[machine])
+                precision = 1.0 / (TASK_VARIANCE / weight + error_variance)
+                known = self._precisions.get(machine, 1.0 / SPEED_VARIANCE)
+                self._precisions[machine] = known + precision
+
     def _update_error_variance(self) -> None:
         squares = sum(error * error for error in self._errors.values())
         total = PRIOR_ERROR_WEIGHT * PRIOR_ERROR_VARIANCE + squares
