Do not forget the speed of a worker that is idle

Cause: the weight of a reading fell to a fifth, less than half of the prior's, so that a slow worker explored by one task was at 0.8 of the usual speed again after 15 s of nothing to do, and urgent work was let onto it.

Change: readings keep half of their weight; newer ones still outweigh them.

test_speed_of_an_idle_worker_is_not_forgotten failed before (0.57 of the logarithm left, asked 0.7).

--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -18,7 +18,7 @@
 # run would show some.
 STALL_EXPECTED_PERCENT = 4
 SAMPLE_HALF_LIFE_SECONDS = 6.0  # workers' speeds change within seconds
-MIN_SAMPLE_WEIGHT = 0.2
+MIN_SAMPLE_WEIGHT = 0.5
 # Delay after a failure before the worker is tried again; it doubles from the third
 # failure on.
 PROBE_DELAY_SECONDS = 2.5
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -84,3 +84,9 @@
     waits_before = [0, 0, 0, 0, 0, 0]
     assert speed_after(RunStatistics({}), waits_before, FAST, "job.0.0.0") == 1.0
     assert working > 1.3
+
+
+def test_speed_of_an_idle_worker_is_not_forgotten():
+    run_statistics = RunStatistics({})
+    used = speed_after(run_statistics, range(10, 100, 10), FAST, "job.0.0.0")
+    assert log(run_statistics.speed(FAST, 60.0)) > 0.7 * log(used)
