Start urgent work where it is surely in time, not only on the average

What callers saw: urgent jobs late on workers that were estimated to be just quick enough, or about which nothing was known, while surely quick ones were idle or did little work.

Cause: a speed was taken at its mean, whatever was known of it. Class of fault: a decision on an estimate without its error.

Change: urgent work is ranked and judged by the slowdown at one standard error above the estimate. A host that may be slow is taken only if preemption on a sure one would lose over a quarter of the unit's own work, guaranteed units included; then as before. The exemption of guaranteed units from the bound on lost work is now stated by the caller.

Tests (failed before): test_urgent_work_prefers_a_known_host_to_one_that_may_be_slow, test_urgent_work_preempts_a_little_to_avoid_a_host_that_may_be_slow.

--- a/src/sequoiachute/coordination/scheduling/capacity.py
+++ b/src/sequoiachute/coordination/scheduling/capacity.py
@@ -1,6 +1,7 @@
 """Tracks the free capacity of hosts during a decision."""
 
 from collections.abc import Iterable
+from math import exp
 from typing import NamedTuple
 
 from sequoiachute.coordination.scheduling.model import ActiveRun, Host, SchedulingUnit
@@ -148,3 +149,8 @@
     """Return the run time of a task on ``host`` as a multiple of its estimate."""
     is_remote = step.data_rack and step.data_rack != host.rack
     return (REMOTE_SLOWDOWN if is_remote else 1.0) / max(host.speed, 0.05)
+
+
+def cautious_slowdown(step: StepSpec, host: Host) -> float:
+    """Return the slowdown on ``host`` if its speed is overrated by a standard error."""
+    return slowdown(step, host) * exp(host.speed_error)
--- a/src/sequoiachute/coordination/scheduling/layout.py
+++ b/src/sequoiachute/coordination/scheduling/layout.py
@@ -1,8 +1,11 @@
 """Chooses hosts for the tasks of a scheduling unit."""
 
+from collections.abc import Callable
+
 from sequoiachute.coordination.scheduling.capacity import (
     REMOTE_SLOWDOWN,
     FreeCapacity,
+    cautious_slowdown,
     count_fitting,
     is_eligible,
     slowdown,
@@ -12,6 +15,7 @@
     Host,
     SchedulingUnit,
 )
+from sequoiachute.protocol.workload import StepSpec
 
 FAILURE_PENALTY = 0.5  # of a task's time, added per recent failure of the host
 FAILED_HOST_PENALTY = 4.0  # ranks hosts where the job failed after remote ones
@@ -141,16 +145,17 @@
 
     Hosts that meet the deadline come first, the slowest of them leading, then
     those with the fewest free accelerators. This leaves fast workers to urgent
-    work. Urgent work takes the fastest host: its objective is tight, and
-    estimates are inexact.
+    work. Urgent work takes the host that is surely fast: its objective is tight.
     """
-    effective_slowdown = slowdown(unit.step, host) * (
+    is_urgent = unit.priority == URGENT_PRIORITY
+    estimate_slowdown = cautious_slowdown if is_urgent else slowdown
+    effective_slowdown = estimate_slowdown(unit.step, host) * (
         1 + FAILURE_PENALTY * host.recent_failures
     )
     if host.name in unit.avoided_hosts:
         effective_slowdown *= FAILED_HOST_PENALTY
     remaining = capacity.free(host).minus(unit.step.reserved)
-    if unit.priority == URGENT_PRIORITY:
+    if is_urgent:
         return (round(effective_slowdown, 1), 0.0, remaining.gpus, host.name)
     slack = unit.deadline - now - unit.chain_seconds
     estimate = max(unit.step.estimate_seconds, 0.1)
@@ -160,9 +165,13 @@
     return (round(effective_slowdown, 1), 0.0, remaining.gpus, host.name)
 
 
-def layout_slowdown(unit: SchedulingUnit, layout: Layout) -> float:
+def layout_slowdown(
+    unit: SchedulingUnit,
+    layout: Layout,
+    estimate_slowdown: Callable[[StepSpec, Host], float] = slowdown,
+) -> float:
     """Return the largest slowdown of any task in ``layout``."""
-    slowest = max(slowdown(unit.step, host) for host, _ in layout)
+    slowest = max(estimate_slowdown(unit.step, host) for host, _ in layout)
     racks = {host.rack for host, _ in layout}
     if unit.step.same_rack and len(racks) > 1:
         slowest *= REMOTE_SLOWDOWN
--- a/src/sequoiachute/coordination/scheduling/migration.py
+++ b/src/sequoiachute/coordination/scheduling/migration.py
@@ -5,9 +5,12 @@
 """
 
 from collections.abc import Iterator
-from math import exp
 
-from sequoiachute.coordination.scheduling.capacity import FreeCapacity, slowdown
+from sequoiachute.coordination.scheduling.capacity import (
+    FreeCapacity,
+    cautious_slowdown,
+    slowdown,
+)
 from sequoiachute.coordination.scheduling.layout import best_layout, layout_slowdown
 from sequoiachute.coordination.scheduling.model import (
     URGENT_PRIORITY,
@@ -90,8 +93,7 @@
         return False
     work_seconds = max(_remaining_work(host, run) for host, run in group)
     # A worker that is little known is as likely to be slow as this one.
-    doubt = exp(max(host.speed_error for host, _ in layout))
-    slowdown_there = doubt * layout_slowdown(unit, layout)
+    slowdown_there = layout_slowdown(unit, layout, cautious_slowdown)
     restarted_seconds = RESTART_SECONDS + work_seconds * slowdown_there
     ends_at = now + restarted_seconds + first.downstream_seconds
     in_time = ends_at <= first.deadline + _objective_growth(group)
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -4,8 +4,11 @@
 many small tasks.
 """
 
+from collections.abc import Callable
+
 from sequoiachute.coordination.scheduling.capacity import (
     FreeCapacity,
+    cautious_slowdown,
     count_fitting,
     is_eligible,
     slowdown,
@@ -30,7 +33,7 @@
     PreemptionPlan,
     plan_preemption,
 )
-from sequoiachute.protocol.workload import TaskId
+from sequoiachute.protocol.workload import StepSpec, TaskId
 
 EXPIRY_FACTOR = 3.0  # a job later than this multiple of its objective earns nothing
 # Hosts that the searches of one round examine at most; a search examines all.
@@ -41,6 +44,8 @@
 LEAVING_MARGIN_SECONDS = 0.5  # beyond the time that a leaving worker announces
 SAVING_SECONDS = 1.5  # to order a stop and let it save a checkpoint
 LATE_LOSS_RATIO = 0.25  # of work lost for work that is late anyway, which earns less
+# Of work lost for a host that is surely in time, where another may be.
+CERTAINTY_LOSS_RATIO = 0.25
 
 
 def decide(view: SchedulingView) -> SchedulingDecision:
@@ -169,20 +174,27 @@
         Return the unit with the remaining tasks.
         """
         max_slowdown = self._max_slowdown(unit)
-        remaining = self._place_fitting(unit, max_slowdown)
+        max_loss_ratio = NO_LIMIT if unit.guaranteed else MAX_LOSS_RATIO
+        remaining = self._place_fitting(unit, max_slowdown, cautious_slowdown)
         if self._view.is_gathering:
             # Agents that report in a moment may have free capacity.
-            return remaining
-        remaining = self._preempt_for(remaining, max_slowdown)
+            return self._place_fitting(remaining, max_slowdown)
+        remaining = self._preempt_for(remaining, CERTAINTY_LOSS_RATIO, max_slowdown)
+        remaining = self._place_fitting(remaining, max_slowdown)
+        remaining = self._preempt_for(remaining, max_loss_ratio, max_slowdown)
         remaining = self._place_fitting(remaining)
-        max_loss_ratio = MAX_LOSS_RATIO if unit.guaranteed else LATE_LOSS_RATIO
-        remaining = self._preempt_for(remaining, max_loss_ratio=max_loss_ratio)
+        if not unit.guaranteed:
+            max_loss_ratio = LATE_LOSS_RATIO
+        remaining = self._preempt_for(remaining, max_loss_ratio)
         if remaining.tasks:
             self._hold_awaited(remaining)
         return remaining
 
     def _place_fitting(
-        self, unit: SchedulingUnit, max_slowdown: float = NO_LIMIT
+        self,
+        unit: SchedulingUnit,
+        max_slowdown: float = NO_LIMIT,
+        estimate_slowdown: Callable[[StepSpec, Host], float] = slowdown,
     ) -> SchedulingUnit:
         """Place tasks in free capacity; return the unit with the remaining tasks."""
         count = len(unit.tasks)
@@ -193,17 +205,21 @@
         layout = best_layout(unit, self._capacity, count, now, is_gang)
         if layout is None:
             return unit
-        if is_gang and layout_slowdown(unit, layout) > max_slowdown:
+        if is_gang and layout_slowdown(unit, layout, estimate_slowdown) > max_slowdown:
             return unit
-        layout = [row for row in layout if slowdown(unit.step, row[0]) <= max_slowdown]
+        layout = [
+            (host, number)
+            for host, number in layout
+            if estimate_slowdown(unit.step, host) <= max_slowdown
+        ]
         placed = self._place(unit, layout)
         return unit._replace(tasks=unit.tasks[placed:])
 
     def _preempt_for(
         self,
         unit: SchedulingUnit,
+        max_loss_ratio: float,
         max_slowdown: float = NO_LIMIT,
-        max_loss_ratio: float = MAX_LOSS_RATIO,
     ) -> SchedulingUnit:
         """Preempt for the unit; return the unit with the remaining tasks."""
         if not unit.tasks:
--- a/src/sequoiachute/coordination/scheduling/preemption.py
+++ b/src/sequoiachute/coordination/scheduling/preemption.py
@@ -9,6 +9,7 @@
 from sequoiachute.coordination.scheduling.capacity import (
     FreeCapacity,
     GangKey,
+    cautious_slowdown,
     core_seconds,
     is_eligible,
     lost_work,
@@ -71,10 +72,9 @@
     all_or_nothing : bool
         Whether the plan must hold all tasks.
     max_slowdown : float
-        Slower hosts are not considered.
+        Hosts that may be slower are not considered.
     max_loss_ratio : float
-        Work that may be lost as a multiple of the unit's own work. Guaranteed
-        units are exempt.
+        Work that may be lost as a multiple of the unit's own work.
 
     Returns
     -------
@@ -83,7 +83,9 @@
     """
     hosts = []
     for host in capacity.hosts.values():
-        if is_eligible(unit, host) and slowdown(unit.step, host) <= max_slowdown:
+        if not is_eligible(unit, host):
+            continue
+        if cautious_slowdown(unit.step, host) <= max_slowdown:
             hosts.append(host)
     groups = [hosts]
     if unit.step.same_rack:
@@ -177,7 +179,7 @@
             return False
         count = len(self._unit.tasks) if self._unit.step.gang else number
         budget = self._max_loss_ratio * self._task_work * count
-        if not self._unit.guaranteed and self._lost_work + best.lost_work > budget:
+        if self._lost_work + best.lost_work > budget:
             return False
         self._accept(best_host, best)
         return True
--- a/tests/test_scheduling_policy.py
+++ b/tests/test_scheduling_policy.py
@@ -334,6 +334,37 @@
     }
 
 
+def test_urgent_work_prefers_a_known_host_to_one_that_may_be_slow():
+    hosts = (host("a", speed_error=0.4), host("b", speed_error=0.2))
+    decision = decide(SchedulingView(NOW, hosts, (unit(gpus=8, priority=0),)))
+    assert tasks_by_host(decision) == {"b": 1}
+
+
+def busy_fast_and_idle_unknown_host(unsaved_seconds):
+    run = running(unsaved_seconds=unsaved_seconds)
+    return (
+        host("fast", speed=1.4, speed_error=0.2, running=[run]),
+        host("unknown", speed_error=0.4),
+    )
+
+
+def test_urgent_work_preempts_a_little_to_avoid_a_host_that_may_be_slow():
+    urgent = unit(gpus=8, priority=0, deadline_in=7.5)
+    hosts = busy_fast_and_idle_unknown_host(unsaved_seconds=2.0)
+    decision = decide(SchedulingView(NOW, hosts, (urgent,)))
+    assert [stop.host for stop in decision.stops] == ["fast"]
+    assert not decision.placements
+
+
+@pytest.mark.parametrize("guaranteed", [False, True])
+def test_urgent_work_takes_a_host_that_may_be_slow_rather_than_lose_much(guaranteed):
+    urgent = unit(gpus=8, priority=0, deadline_in=7.5, guaranteed=guaranteed)
+    hosts = busy_fast_and_idle_unknown_host(unsaved_seconds=20.0)
+    decision = decide(SchedulingView(NOW, hosts, (urgent,)))
+    assert not decision.stops
+    assert tasks_by_host(decision) == {"unknown": 1}
+
+
 def test_preemption_searches_are_bounded_and_reported_as_truncated():
     hosts = [host(f"h-{n}", running=[running(f"o-{n}", gpus=8)]) for n in range(200)]
     units = [unit(gpus=8, job=f"j-{n}", priority=0) for n in range(200)]
