Hold the last try of a caller until a sound store would be too late

Cause: a submission whose caller can't come back within Retry-After (1 s) waited for half of the time only, to leave a try elsewhere. But the peers' routes to the store are tried by this entry already, and an entry that reaches no peer refuses at once: the other half served nobody.

Change: it waits until the store's usual time for an append is left, at most 1 s, and is then refused, truthfully, since nothing has been sent. A caller with more time is still refused at once.

--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -172,7 +172,7 @@
             may_exist = may_exist or error.applied is not False
             if may_exist and not race.is_pending:
                 self._store.availability.wait_recovered(APPEND_RETRY_SECONDS)
-            elif not may_exist and not self._wait_for_store(key, deadline, wait_until):
+            elif not may_exist and not self._wait_for_store(key, deadline):
                 return self._refusal(reason, race)
 
     def _refusal(self, reason: str, race: Race[RecordPosition]) -> IntakeOutcome:
@@ -199,7 +199,7 @@
         """Return the time that the store has lately needed for an append, at most."""
         return APPEND_SECONDS_MARGIN * self._store.availability.append_seconds
 
-    def _wait_for_store(self, key: str, deadline: float, wait_until: float) -> bool:
+    def _wait_for_store(self, key: str, deadline: float) -> bool:
         """Wait if that serves a caller better than a refusal; return whether it did.
 
         A caller that has time to come back may reach an entry that reaches the
@@ -209,6 +209,9 @@
         remaining = deadline - REPLY_MARGIN_SECONDS - now
         if remaining > RETRY_AFTER_SECONDS or self._store.is_isolated:
             return False
+        # Peers don't reach the store either: another try would serve the caller
+        # no better, so the wait ends when the store would be too late.
+        wait_until = now + remaining - self._needed_seconds()
         if now >= wait_until or self._waiting >= MAX_WAITING_SUBMISSIONS:
             return False
         logger.bind(key=key, left=round(deadline - now, 3)).info(
