--- a/tests/test_scheduling_policy.py
+++ b/tests/test_scheduling_policy.py
@@ -340,6 +340,15 @@
     assert tasks_by_host(decision) == {"b": 1}
 
 
+def test_urgent_job_declared_too_short_does_not_wait_for_long_runs():
+    victim = running(gpus=8, unsaved_seconds=3.0, remaining_seconds=20.0)
+    hosts = (host("a", running=[victim]),)
+    step = {"estimate_seconds": 0.5}
+    urgent = unit(gpus=8, priority=0, chain_seconds=0.5, deadline_in=3.0, step=step)
+    decision = decide(SchedulingView(NOW, hosts, (urgent,)))
+    assert [stop.host for stop in decision.stops] == ["a"]
+
+
 def busy_fast_and_idle_unknown_host(unsaved_seconds):
     run = running(unsaved_seconds=unsaved_seconds)
     return (
