Let an agent that has lost its placer ask every entry that it knows

At 7.8 s all agents lose the placer at the second; seven follow the next one within 1.6 s, four (10.1.0.11 to 13, 10.2.0.14) log nothing more until the end: their runs lapse, a third of the site is idle.

Cause: the entry to ask was chosen by the number of the report, which rises twice for each question. With an even number of known addresses every second one was never asked; here the two that were asked are gone.

Change: the search has a count of its own.

--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -57,6 +57,7 @@
         self._placer_address = ""
         self._incarnation = uuid4().hex
         self._sequence = 0
+        self._search_count = 0
         self._heartbeat: Heartbeat | None = None
         self._announced_at = 0.0
         self._ended_lifetime: Lifetime | None = None
@@ -283,5 +284,5 @@
         addresses = tuple(dict.fromkeys((*self._entries, *self._seeds)))
         if not addresses:
             return ""
-        self._sequence += 1
-        return addresses[self._sequence % len(addresses)]
+        self._search_count += 1
+        return addresses[self._search_count % len(addresses)]
