Grant the least bound on preempted work once for a job, not for each of its tasks

Cause: the floor of 5 s a task that added was multiplied by the tasks: 15 times a worker's work may be lost for a job of 4 s of work.

Change: the floor is one task's, for the whole job.

test_wide_urgent_job_declared_too_short_does_not_stop_every_worker failed before (8 stops in place of 1).

--- a/src/sequoiachute/coordination/scheduling/preemption.py
+++ b/src/sequoiachute/coordination/scheduling/preemption.py
@@ -25,7 +25,8 @@
 
 STOP_SECONDS = 0.8  # duration of a stop; a run that ends sooner is left to end
 MAX_LOSS_RATIO = 1.0  # core-seconds lost per core-second of the preempting unit
-# Least time of a preempting task in that ratio; declared times are often far too short.
+# Least time of one task of the preempting unit in that ratio; declared times are often
+# far too short.
 MIN_TASK_SECONDS = 5.0
 PREEMPTED = "preempted"  # the reason of a stop, before " for "
 # A task that has been stopped so often is stopped for guaranteed work only, so that
@@ -180,9 +181,8 @@
         if best_host is None or best is None:
             return False
         count = len(self._unit.tasks) if self._unit.step.gang else number
-        seconds = max(MIN_TASK_SECONDS, self._unit.step.estimate_seconds)
-        task_work = core_seconds(self._unit.step.need, seconds)
-        budget = self._max_loss_ratio * task_work * count
+        least_work = core_seconds(self._unit.step.need, MIN_TASK_SECONDS)
+        budget = self._max_loss_ratio * max(least_work, self._task_work * count)
         if self._lost_work + best.lost_work > budget:
             return False
         self._accept(best_host, best)
--- a/tests/test_scheduling_policy.py
+++ b/tests/test_scheduling_policy.py
@@ -349,6 +349,17 @@
     assert [stop.host for stop in decision.stops] == ["a"]
 
 
+def test_wide_urgent_job_declared_too_short_does_not_stop_every_worker():
+    hosts = []
+    for number in range(8):
+        victim = running(f"v{number}", gpus=8, unsaved_seconds=4.5)
+        hosts.append(host(f"h{number}", running=[victim]))
+    step = {"estimate_seconds": 0.3}
+    urgent = unit(8, gpus=8, priority=0, chain_seconds=0.3, deadline_in=3.0, step=step)
+    decision = decide(SchedulingView(NOW, tuple(hosts), (urgent,)))
+    assert len(decision.stops) == 1
+
+
 def busy_fast_and_idle_unknown_host(unsaved_seconds):
     run = running(unsaved_seconds=unsaved_seconds)
     return (
