Take an entry out of rotation once no way to the store is left

Cause: readiness rested on the topics of jobs alone, and nothing calls these but jobs and long polls of 2 s. Joins failed 0.8 s, the runs' topic 0.7 s before the first of them.

Change: any direct call that fails, the join every 0.3 s among them, has the peers asked at once. If none answers, the entry is cut off: unready, and submissions are refused without a call. Any direct answer ends it.

test_entry_that_is_cut_off_leaves_the_rotation_before_any_job_needs_the_store failed before in five of six phases. Ruled out: a shorter wait until a topic counts as failing; it would also refuse callers in short outages.

--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -116,7 +116,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers to this entry."""
-        if self._ended or self._is_store_unreachable():
+        if self._ended or self._store.is_cut_off or self._is_store_unreachable():
             return False
         return self.can_serve
 
@@ -163,6 +163,7 @@
         metrics.gauge("leading", lambda: self.is_leading)
         metrics.gauge("ready", lambda: self.is_ready)
         metrics.gauge("store_reachable", lambda: not self._is_store_unreachable())
+        metrics.gauge("cut_off", lambda: self._store.is_cut_off)
         metrics.gauge("jobs_live", lambda: sum(1 for _ in self.ledger.live()))
         metrics.gauge(
             "agents", lambda: len(self._agents.sessions) if self._agents else 0
--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -193,7 +193,8 @@
             race.confirm(RecordPosition(topic, record.offset))
 
     def _is_unreachable(self) -> bool:
-        return self._store.availability.is_unreachable(JOB_TOPICS)
+        availability = self._store.availability
+        return self._store.is_cut_off or availability.is_unreachable(JOB_TOPICS)
 
     def _needed_seconds(self) -> float:
         """Return the time that the store has lately needed for an append, at most."""
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -4,6 +4,7 @@
 from functools import partial
 from typing import Any, NamedTuple
 
+import eventlet
 from loguru import logger
 from result import Err, Ok, Result
 
@@ -102,6 +103,9 @@
         self._failed_at: dict[str, float] = {}
         self._silent_until: dict[str, float] = {}
         self._is_isolated = False
+        self._isolated_at = float("-inf")
+        self._direct_failing_since: float | None = None
+        self._latest_read: ReadQuery | None = None
         self.availability = Availability()
 
     @property
@@ -109,6 +113,16 @@
         """Whether no peer answered the last call to peers."""
         return self._is_isolated
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether no way to the store has answered since the direct one failed.
+
+        It needs calls to peers that began to fail after the direct calls did: what
+        peers did before tells nothing of now.
+        """
+        since = self._direct_failing_since
+        return since is not None and self._is_isolated and self._isolated_at >= since
+
     def handlers(self) -> dict[Method, Callable]:
         """Return the handlers of peers' calls, which are never relayed further."""
         return {READ: self._serve_read, APPEND: self._serve_append}
@@ -169,13 +183,21 @@
         outcome = self._store.append(
             query.topic, records, query.at, query.writer, query.timeout
         )
-        if outcome.is_err() and not is_conclusive(outcome.unwrap_err()):
+        answered = outcome.is_ok() or is_conclusive(outcome.unwrap_err())
+        self._record_direct(answered)
+        if not answered:
             self._prefer_peers()
         return outcome
 
     def join(self, group: str, member: str, generation: int, ttl: float) -> Membership:
         """Join a group, always directly: a member must reach the store itself."""
-        return self._store.join(group, member, generation, ttl)
+        try:
+            membership = self._store.join(group, member, generation, ttl)
+        except StoreUnavailableError:
+            self._record_direct(False)
+            raise
+        self._record_direct(True)
+        return membership
 
     def leave(self, group: str, member: str) -> None:
         """Leave a group."""
@@ -185,12 +207,42 @@
         """Return the members of a group."""
         return self._store.members(group)
 
+    def _record_direct(self, answered: bool) -> None:
+        """Record whether a direct call was answered.
+
+        The first that is not has the peers asked at once: the next call that needs
+        them may be a caller's.
+        """
+        since = self._direct_failing_since
+        if answered:
+            if self.is_cut_off:
+                seconds = round(clock.now() - self._isolated_at, 3)
+                logger.bind(seconds=seconds).info("reaching the store again")
+            self._direct_failing_since = None
+        elif since is None:
+            self._direct_failing_since = clock.now()
+            eventlet.spawn(self._check_peers)
+
+    def _check_peers(self) -> None:
+        if self._latest_read is not None:
+            self._relay_read(self._latest_read)
+
+    def _record_isolation(self, is_isolated: bool) -> None:
+        """Record whether the last call to peers reached none of them."""
+        was_cut_off = self.is_cut_off
+        self._is_isolated = is_isolated
+        if is_isolated and not was_cut_off:
+            self._isolated_at = clock.now()
+        if self.is_cut_off and not was_cut_off:
+            logger.bind(peers=len(self._peers())).warning("cut off from the store")
+
     def _prefer_peers(self) -> None:
         if clock.now() >= self._prefer_peers_until + PREFER_PEERS_SECONDS:
             logger.bind(peers=len(self._peers())).info("asking peers for the store")
         self._prefer_peers_until = clock.now() + PREFER_PEERS_SECONDS
 
     def _read(self, topic: str, offset: int, wait: float) -> RecordPage:
+        self._latest_read = ReadQuery(topic, offset, 0.0)
         asks_peers_first = clock.now() < self._prefer_peers_until
         if asks_peers_first:
             relayed = self._relay_read(ReadQuery(topic, offset, wait))
@@ -200,6 +252,7 @@
         try:
             page = _read_directly(self._store, topic, offset, wait)
         except StoreUnavailableError:
+            self._record_direct(False)
             self._prefer_peers()
             relayed = None
             if not asks_peers_first:
@@ -208,6 +261,7 @@
             if relayed is None:
                 raise
             return relayed
+        self._record_direct(True)
         self.availability.record(topic, True)
         return page
 
@@ -259,7 +313,8 @@
                 break
             outcome = self._caller.call(peer, method, make_query(remaining), remaining)
             if outcome.is_ok():
-                replied, self._is_isolated = True, False
+                replied = True
+                self._record_isolation(False)
             else:
                 self._silent_until[peer] = clock.now() + SILENT_PEER_SECONDS
             reached += outcome.is_ok() or outcome.unwrap_err().delivered
@@ -267,7 +322,7 @@
             # The outcome did not help.
             self._failed_at[peer] = clock.now()
         known = {*self._peers(), *self._seeds}
-        self._is_isolated = not replied and bool(known)
+        self._record_isolation(not replied and bool(known))
         for gone in self._failed_at.keys() - known:
             del self._failed_at[gone]
             self._silent_until.pop(gone, None)
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -333,3 +333,45 @@
     site.entries.append(Entry(site, 8))
     site.run_for(4)
     complete(site, [accepted(site, 0.5, entry=lone)], 6)
+
+
+def cut_off(site, index):
+    """Cut an entry off from the store and from its peers."""
+    site.entries[index].store.unresponsive = True
+    address = site.entries[index].address
+    for entry in site.entries:
+        site.network.cut.update({(address, entry.address), (entry.address, address)})
+
+
+@pytest.mark.parametrize("phase", [0.0, 0.1, 0.2, 0.3, 0.9, 1.7])
+def test_entry_that_is_cut_off_leaves_the_rotation_before_any_job_needs_the_store(
+    phase,
+):
+    site = ControlSite()
+    lone = (site.placer() + 1) % 3
+    site.run_for(phase)
+    cut_off(site, lone)
+    site.run_for(1.0)
+    ready = [entry.control.is_ready for entry in site.entries]
+    assert ready == [index != lone for index in range(3)]
+
+
+def test_entry_that_the_store_rejects_stays_in_rotation_while_a_peer_answers():
+    site = ControlSite()
+    lone = (site.placer() + 1) % 3
+    site.entries[lone].store.rejecting = True
+    for _ in range(20):
+        site.run_for(0.1)
+        assert site.entries[lone].control.is_ready
+    complete(site, [accepted(site, 0.5, entry=lone)], 4)
+
+
+def test_entry_that_was_cut_off_is_ready_soon_after_it_reaches_the_store():
+    site = ControlSite()
+    lone = (site.placer() + 1) % 3
+    cut_off(site, lone)
+    site.run_for(5.0)
+    site.entries[lone].store.unresponsive = False
+    site.run_for(NOTICE_SECONDS)
+    assert site.entries[lone].control.is_ready
+    complete(site, [accepted(site, 0.5, entry=lone)], 4)
