Charge what is stopped for an urgent job once, at least five seconds of its work

What callers saw: an urgent job declared at 0.44 s waited for 4.2 s, since a declared time bounds what may be stopped for it, and declared times are off by 2.5.

Change: the bound counts at least 5 s of a task; what has been stopped for a job counts against it in later rounds; a run's work is reckoned from its percent. What is being stopped already costs nothing, whatever was charged.

Known red test_urgent_job_declared_too_short_does_not_wait_for_long_runs passes, as does test_wide_urgent_job_declared_too_short_does_not_stop_every_worker. A charge is forgotten with the placer's term.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -253,6 +253,10 @@
             elif reason == PREEMPTED:
                 preemptions = self._statistics.preemptions
                 preemptions[stop.task] = preemptions.get(stop.task, 0) + 1
+                charged_work = self._statistics.charged_work
+                charged_work[stop.beneficiary] = (
+                    charged_work.get(stop.beneficiary, 0.0) + stop.lost_work
+                )
             self._metrics.count("runs_stopped_total", reason=reason)
             log = logger.bind(task=str(stop.task), run=stop.run, host=stop.host)
             log.bind(reason=stop.reason).info("stopping run")
--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -60,6 +60,18 @@
         ):
             del self._readings[0]
 
+    def worked_seconds(self, estimate: float) -> float:
+        """Return the time that the run has worked, also before its first reading here.
+
+        Parameters
+        ----------
+        estimate : float
+            Declared time of the run in seconds.
+        """
+        observed = self._readings[-1].at - self.first.at
+        before = self.first.percent / (self.rate() or 100 / estimate)
+        return before + observed
+
     def stalled_seconds(self, estimate: float) -> float:
         """Return for how long the run has made no progress, zero unless it should have.
 
@@ -106,6 +118,7 @@
         self._failed_on: dict[str, set[str]] = {}
         self.moved_tasks: set[TaskId] = set()
         self.preemptions: dict[TaskId, int] = {}
+        self.charged_work: dict[str, float] = {}
 
     def record_progress(
         self,
@@ -164,6 +177,8 @@
             del self.preemptions[task]
         for job_id in self._failed_on.keys() - live:
             del self._failed_on[job_id]
+        for job_id in self.charged_work.keys() - live:
+            del self.charged_work[job_id]
         for key in [key for key in self._progress if key[0].split(".")[0] not in live]:
             del self._progress[key]
 
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -214,19 +214,19 @@
 ) -> ActiveRun:
     step = job.steps[task.step]
     estimate = step.estimate_seconds or DEFAULT_ESTIMATE_SECONDS
-    observed_seconds = unsaved_seconds = stalled_seconds = 0.0
+    unsaved_seconds = stalled_seconds = 0.0
     remaining_seconds = estimate
     rate = None
     progress = context.statistics.progress_of(task, state.run)
     if progress is not None:
-        observed_seconds = clock.elapsed() - progress.first.at
+        worked_seconds = progress.worked_seconds(estimate)
         rate = progress.rate()
         stalled_seconds = progress.stalled_seconds(estimate)
         remaining_seconds = (100 - progress.percent) / (rate or 100 / estimate)
         unsaved_seconds = (
-            min(observed_seconds, context.restart_seconds)
+            min(worked_seconds, context.restart_seconds)
             if step.checkpoints
-            else observed_seconds
+            else worked_seconds
         )
     capacity = context.capacity.get(session.worker.service, Resources())
     starts_at, deadline = objective(job, task.occurrence, capacity)
@@ -377,4 +377,5 @@
         queue=job.queue,
         last_attempt=failures >= job.attempts - 1,
         guaranteed=_is_guaranteed(job, context),
+        charged_work=context.statistics.charged_work.get(job.job_id, 0.0),
     )
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -120,6 +120,8 @@
         Whether the catalogue's guarantee to the client account covers the work.
     returning : bool
         Whether runs of the tasks still have to end, so that nothing can be placed yet.
+    charged_work : float
+        Work of others that has been stopped for the job so far, in core-seconds.
     tickets : dict of str to str, or None
         Permits by worker ID; only these workers may run the tasks. ``None``
         means that no permit is needed.
@@ -138,6 +140,7 @@
     last_attempt: bool = False
     guaranteed: bool = False
     returning: bool = False
+    charged_work: float = 0.0
     queue: str = ""
     tickets: dict[str, str] | None = None
 
@@ -178,7 +181,8 @@
     """A run to stop; ``is_migration`` if it should run again on a faster worker.
 
     The part of ``reason`` before " for " is a label of the metric
-    ``runs_stopped_total``.
+    ``runs_stopped_total``. ``beneficiary`` is the ID of the job that it makes room
+    for, ``lost_work`` the core-seconds that it throws away.
     """
 
     task: TaskId
@@ -186,6 +190,8 @@
     host: str
     reason: str
     is_migration: bool = False
+    beneficiary: str = ""
+    lost_work: float = 0.0
 
 
 class SchedulingDecision(NamedTuple):
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -104,6 +104,7 @@
         self._capacity = FreeCapacity(view.hosts)
         self._placements: list[TaskPlacement] = []
         self._stops: list[RunStop] = []
+        self._charged_work: dict[str, float] = {}  # in this round, by job ID
         # Fewest tasks that did not fit, by fit key. Free capacity only shrinks
         # in a round, so as many or more need not be tried again.
         self._smallest_misfit: dict[tuple, int] = {}
@@ -280,8 +281,13 @@
             self._is_truncated = True
             return None
         self._searches_left -= 1
+        charged_work = self._charged_work.get(unit.tasks[0].job_id, 0.0)
         return plan_preemption(
-            unit, self._capacity, unit.step.gang, max_slowdown, max_loss_ratio
+            unit._replace(charged_work=unit.charged_work + charged_work),
+            self._capacity,
+            unit.step.gang,
+            max_slowdown,
+            max_loss_ratio,
         )
 
     def _max_slowdown(self, unit: SchedulingUnit) -> float:
@@ -315,6 +321,9 @@
         for stop in plan.stops:
             if (stop.task, stop.run) not in stopped:
                 self._stops.append(stop)
+        job_id = unit.tasks[0].job_id
+        charged_work = self._charged_work.get(job_id, 0.0)
+        self._charged_work[job_id] = charged_work + plan.lost_work
         self._hold(unit, plan)
 
     def _hold(self, unit: SchedulingUnit, plan: PreemptionPlan) -> None:
--- a/src/sequoiachute/coordination/scheduling/preemption.py
+++ b/src/sequoiachute/coordination/scheduling/preemption.py
@@ -25,6 +25,9 @@
 
 STOP_SECONDS = 0.8  # duration of a stop; a run that ends sooner is left to end
 MAX_LOSS_RATIO = 1.0  # core-seconds lost per core-second of the preempting unit
+# Least time of one task of the preempting unit in that ratio; declared times are often
+# far too short.
+MIN_TASK_SECONDS = 5.0
 PREEMPTED = "preempted"  # the reason of a stop, before " for "
 # A task that has been stopped so often is stopped for guaranteed work only, so that
 # every job gets on.
@@ -177,13 +180,23 @@
                 best_host, best = host, option
         if best_host is None or best is None:
             return False
-        count = len(self._unit.tasks) if self._unit.step.gang else number
-        budget = self._max_loss_ratio * self._task_work * count
-        if self._lost_work + best.lost_work > budget:
+        # What has been stopped already is waited for whatever it has cost.
+        if best.lost_work and self._lost_work + best.lost_work > self._budget(number):
             return False
         self._accept(best_host, best)
         return True
 
+    def _budget(self, number: int) -> float:
+        """Return the core-seconds that may be lost for the first ``number`` tasks.
+
+        What the job has cost others in earlier rounds counts against it.
+        """
+        unit = self._unit
+        count = len(unit.tasks) if unit.step.gang else number
+        least_work = core_seconds(unit.step.need, MIN_TASK_SECONDS)
+        work = max(least_work, self._task_work * count)
+        return self._max_loss_ratio * work - unit.charged_work
+
     def _option(self, host: Host) -> _Option | None:
         step = self._unit.step
         placed = self._counts.get(host.name, 0)
@@ -214,8 +227,7 @@
             free = free.plus(run.need)
             if run.stopping or self._ends_soon(run):
                 continue
-            reason = f"{PREEMPTED} for {self._unit.tasks[0].job_id}"
-            self._stops.append(RunStop(run.task, run.run, host.name, reason))
+            self._stops.append(self._stop(run, host))
             if run.gang:
                 # Stopping the gang's other members costs nothing more on any host.
                 self._stopped_gangs.add(run.task[:3])
@@ -224,6 +236,17 @@
         self._counts[host.name] = self._counts.get(host.name, 0) + 1
         self._lost_work += option.lost_work
 
+    def _stop(self, run: ActiveRun, host: Host) -> RunStop:
+        job_id = self._unit.tasks[0].job_id
+        return RunStop(
+            run.task,
+            run.run,
+            host.name,
+            f"{PREEMPTED} for {job_id}",
+            beneficiary=job_id,
+            lost_work=self._loss_of(run),
+        )
+
 
 def _relieves_shortage(free: Resources, need: Resources, gain: Resources) -> bool:
     """Return whether ``gain`` adds to a resource of which ``free`` has too little."""
