Run wide urgent steps in the waves that their objective allows

Cause: one decision for all tasks, on priority alone. The objective of a step that is wider than a quarter of the room counts several waves, so that it needs neither all workers at once nor quick ones; nothing looked at that.

Change: while half of its time is left, such a step starts in half of the waves that its objective counts, on the slowest workers that are in time, as other work does. Gangs and guaranteed work start whole.

--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -7,6 +7,7 @@
 from sequoiachute.coordination.dispatch.objectives import (
     DEFAULT_ESTIMATE_SECONDS,
     chain_seconds,
+    count_waves,
     objective,
 )
 from sequoiachute.coordination.dispatch.run_statistics import RunStatistics
@@ -357,10 +358,11 @@
     capacity = context.capacity.get(service, Resources())
     starts_at, deadline = objective(job, occurrence, capacity)
     placed: dict[str, int] = {}
-    failures = 0
+    failures = running = 0
     for key, state in progress.tasks.items():
         if key.startswith(f"{occurrence}.{index}."):
             failures = max(failures, state.failures)
+            running += state.placed
             if state.host:
                 placed[state.host] = placed.get(state.host, 0) + 1
     return SchedulingUnit(
@@ -377,5 +379,7 @@
         queue=job.queue,
         last_attempt=failures >= job.attempts - 1,
         guaranteed=_is_guaranteed(job, context),
+        waves=count_waves(job.steps[index], capacity),
+        running=running,
         charged_work=context.statistics.charged_work.get(job.job_id, 0.0),
     )
--- a/src/sequoiachute/coordination/scheduling/layout.py
+++ b/src/sequoiachute/coordination/scheduling/layout.py
@@ -145,17 +145,16 @@
 
     Hosts that meet the deadline come first, the slowest of them leading, then
     those with the fewest free accelerators. This leaves fast workers to urgent
-    work. Urgent work takes the host that is surely fast: its objective is tight.
+    work. Work with a tight objective takes the host that is surely fast.
     """
-    is_urgent = unit.priority == URGENT_PRIORITY
-    estimate_slowdown = cautious_slowdown if is_urgent else slowdown
+    estimate_slowdown = cautious_slowdown if unit.is_tight else slowdown
     effective_slowdown = estimate_slowdown(unit.step, host) * (
         1 + FAILURE_PENALTY * host.recent_failures
     )
     if host.name in unit.avoided_hosts:
         effective_slowdown *= FAILED_HOST_PENALTY
     remaining = capacity.free(host).minus(unit.step.reserved)
-    if is_urgent:
+    if unit.is_tight:
         return (round(effective_slowdown, 1), 0.0, remaining.gpus, host.name)
     slack = unit.deadline - now - unit.chain_seconds
     estimate = max(unit.step.estimate_seconds, 0.1)
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -120,6 +120,10 @@
         Whether the catalogue's guarantee to the client account covers the work.
     returning : bool
         Whether runs of the tasks still have to end, so that nothing can be placed yet.
+    waves : int
+        In how many waves the objective lets the step run.
+    running : int
+        Tasks of the step that run, or may still do so.
     charged_work : float
         Work of others that has been stopped for the job so far, in core-seconds.
     tickets : dict of str to str, or None
@@ -140,10 +144,17 @@
     last_attempt: bool = False
     guaranteed: bool = False
     returning: bool = False
+    waves: int = 1
+    running: int = 0
     charged_work: float = 0.0
     queue: str = ""
     tickets: dict[str, str] | None = None
 
+    @property
+    def is_tight(self) -> bool:
+        """Whether the objective leaves urgent work no time for a slow host."""
+        return self.priority == URGENT_PRIORITY and self.waves == 1
+
 
 class SchedulingView(NamedTuple):
     """The input of one decision.
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from math import ceil
 
 from sequoiachute.coordination.scheduling.capacity import (
     FreeCapacity,
@@ -46,6 +47,8 @@
 LATE_LOSS_RATIO = 0.25  # of work lost for work that is late anyway, which earns less
 # Of work lost for a host that is surely in time, where another may be.
 CERTAINTY_LOSS_RATIO = 0.25
+# Of the waves that an objective allows: slow workers and faults take the rest.
+PLANNED_WAVE_SHARE = 0.5
 
 
 def decide(view: SchedulingView) -> SchedulingDecision:
@@ -82,6 +85,22 @@
     return now > latest_start and not unit.guaranteed
 
 
+def _due_tasks(unit: SchedulingUnit, now: float) -> SchedulingUnit:
+    """Return ``unit`` with the tasks that should run by now.
+
+    A wide urgent step starts in waves while half of its time is left, so that it does
+    not keep urgent work of other jobs from every host. Guaranteed work starts whole.
+    """
+    planned_waves = int(PLANNED_WAVE_SHARE * unit.waves)
+    is_wide = unit.priority == URGENT_PRIORITY and planned_waves > 1
+    if not is_wide or unit.step.gang or unit.guaranteed:
+        return unit
+    if unit.deadline - now < (unit.deadline - unit.accepted_at) / 2:
+        return unit
+    width = ceil(unit.step.count / planned_waves)
+    return unit._replace(tasks=unit.tasks[: max(0, width - unit.running)])
+
+
 def _fit_key(unit: SchedulingUnit) -> tuple:
     """Return all that decides where ``unit`` fits except its number of tasks."""
     step = unit.step
@@ -119,7 +138,9 @@
         for unit in ordered:
             if self._view.is_gathering and unit.priority != URGENT_PRIORITY:
                 continue
-            self._schedule(unit)
+            unit = _due_tasks(unit, self._view.now)
+            if unit.tasks:
+                self._schedule(unit)
         stopped = {(stop.task, stop.run) for stop in self._stops}
         for stop in select_migrations(self._capacity, self._view.now):
             if (stop.task, stop.run) not in stopped:
