Keep the last attempt of a task for a worker that has shown itself sound

Cause: «no failure seen» stood for soundness, of a worker on which nothing had begun for 23 s and of one on which nothing had ended.

Change: a task's last attempt goes to workers whose newest run that ended by itself has succeeded, not to one where the job has failed, while half of the job's time is left and such a worker exists. The tasks of a step that have failed are a unit of their own.

--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -115,6 +115,7 @@
         self._estimator = SpeedEstimator()
         self._estimated_at = float("-inf")
         self._failures: dict[Lifetime, list[float]] = {}
+        self._proven: set[Lifetime] = set()
         self._failed_on: dict[str, set[str]] = {}
         self.moved_tasks: set[TaskId] = set()
         self.preemptions: dict[TaskId, int] = {}
@@ -224,13 +225,19 @@
         self, job_id: str, host: str, lifetime: Lifetime, now: float
     ) -> None:
         """Record a run that failed without being stopped."""
+        self._proven.discard(lifetime)
         self._failures.setdefault(lifetime, []).append(now)
         self._failed_on.setdefault(job_id, set()).add(host)
 
     def record_success(self, lifetime: Lifetime) -> None:
         """Record a successful run; it clears the worker's failures."""
+        self._proven.add(lifetime)
         self._failures.pop(lifetime, None)
 
+    def is_proven(self, lifetime: Lifetime) -> bool:
+        """Return whether the worker's newest run that ended by itself succeeded."""
+        return lifetime in self._proven
+
     def recent_failures(self, lifetime: Lifetime, now: float) -> int:
         """Return the worker's failures since its last success.
 
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -33,6 +33,7 @@
     TaskId,
     TaskState,
     WorkerTimes,
+    task_key,
 )
 from sequoiachute.state.ledger import Ledger
 from sequoiachute.state.operations import Operations
@@ -203,6 +204,7 @@
         recent_failures=context.statistics.recent_failures(worker.lifetime, now),
         running=tuple(running),
         leaving_seconds=worker.leaving_seconds if worker.leaving else None,
+        is_proven=context.statistics.is_proven(worker.lifetime),
     )
 
 
@@ -271,8 +273,8 @@
         for index, step in enumerate(job.steps):
             if not _is_ready(job, progress, occurrence, step):
                 continue
-            tasks = _waiting_tasks(job, progress, occurrence, index)
-            if tasks:
+            waiting = _waiting_tasks(job, progress, occurrence, index)
+            for tasks in _by_failures(job, progress, waiting):
                 units.append(_build_unit(job, progress, index, tasks, context))
             tasks = _returning_tasks(job, progress, occurrence, index, context)
             if tasks:
@@ -313,6 +315,25 @@
     return tuple(waiting)
 
 
+def _by_failures(
+    job: JobGraph, progress: JobProgress, tasks: tuple[TaskId, ...]
+) -> list[tuple[TaskId, ...]]:
+    """Return the tasks in groups: those that have failed, and the others.
+
+    A gang stays together.
+    """
+    if not tasks or job.steps[tasks[0].step].gang:
+        return [tasks] if tasks else []
+    failed = [task for task in tasks if _failures(progress, task)]
+    others = [task for task in tasks if not _failures(progress, task)]
+    return [tuple(group) for group in (failed, others) if group]
+
+
+def _failures(progress: JobProgress, task: TaskId) -> int:
+    state = progress.tasks.get(task_key(task))
+    return state.failures if state is not None else 0
+
+
 def _returning_tasks(
     job: JobGraph,
     progress: JobProgress,
@@ -358,13 +379,13 @@
     capacity = context.capacity.get(service, Resources())
     starts_at, deadline = objective(job, occurrence, capacity)
     placed: dict[str, int] = {}
-    failures = running = 0
+    running = 0
     for key, state in progress.tasks.items():
         if key.startswith(f"{occurrence}.{index}."):
-            failures = max(failures, state.failures)
             running += state.placed
             if state.host:
                 placed[state.host] = placed.get(state.host, 0) + 1
+    failures = max(_failures(progress, task) for task in tasks)
     return SchedulingUnit(
         account=job.account,
         priority=queue.priority if queue is not None else job.priority,
@@ -378,6 +399,7 @@
         placed_per_host=placed,
         queue=job.queue,
         last_attempt=failures >= job.attempts - 1,
+        failed_before=failures > 0,
         guaranteed=_is_guaranteed(job, context),
         waves=count_waves(job.steps[index], capacity),
         running=running,
--- a/src/sequoiachute/coordination/scheduling/capacity.py
+++ b/src/sequoiachute/coordination/scheduling/capacity.py
@@ -120,6 +120,8 @@
         return False
     if unit.tickets is not None and host.lifetime.worker_id not in unit.tickets:
         return False
+    if unit.needs_proof and (not host.is_proven or host.name in unit.avoided_hosts):
+        return False
     max_failures = 1 if unit.last_attempt else MAX_RECENT_FAILURES
     if host.recent_failures >= max_failures:
         return False
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -78,6 +78,8 @@
         Standard error of the logarithm of ``speed``.
     recent_failures : int
         Recent failures that no success has followed.
+    is_proven : bool
+        Whether the newest run that ended by itself has succeeded.
     leaving_seconds : float or None
         Time for which a leaving worker stays at least; ``None`` if it does not
         leave.
@@ -96,6 +98,7 @@
     running: tuple[ActiveRun, ...]
     leaving_seconds: float | None = None
     speed_error: float = 0.0
+    is_proven: bool = False
 
 
 class SchedulingUnit(NamedTuple):
@@ -116,6 +119,10 @@
         Tasks of the step already placed on each host.
     last_attempt : bool
         Whether the next failure fails the job.
+    failed_before : bool
+        Whether a run of one of the tasks has failed.
+    needs_proof : bool
+        Whether only proven hosts may get the tasks.
     guaranteed : bool
         Whether the catalogue's guarantee to the client account covers the work.
     returning : bool
@@ -142,6 +149,8 @@
     avoided_hosts: frozenset[str]
     placed_per_host: dict[str, int]
     last_attempt: bool = False
+    failed_before: bool = False
+    needs_proof: bool = False
     guaranteed: bool = False
     returning: bool = False
     waves: int = 1
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -95,19 +95,31 @@
     is_wide = unit.priority == URGENT_PRIORITY and planned_waves > 1
     if not is_wide or unit.step.gang or unit.guaranteed:
         return unit
-    if unit.deadline - now < (unit.deadline - unit.accepted_at) / 2:
+    if not _has_half_its_time(unit, now):
         return unit
     width = ceil(unit.step.count / planned_waves)
     return unit._replace(tasks=unit.tasks[: max(0, width - unit.running)])
 
 
+def _has_half_its_time(unit: SchedulingUnit, now: float) -> bool:
+    return unit.deadline - now >= (unit.deadline - unit.accepted_at) / 2
+
+
 def _fit_key(unit: SchedulingUnit) -> tuple:
     """Return all that decides where ``unit`` fits except its number of tasks."""
     step = unit.step
     requirements = (unit.service, step.reserved, step.label, step.per_worker)
     constraints = (step.gang, step.same_rack, unit.last_attempt, unit.guaranteed)
+    avoided = unit.avoided_hosts if unit.needs_proof else None
     tickets = frozenset(unit.tickets) if unit.tickets is not None else None
-    return (unit.priority, requirements, constraints, tickets)
+    return (
+        unit.priority,
+        requirements,
+        constraints,
+        unit.needs_proof,
+        avoided,
+        tickets,
+    )
 
 
 def _min_tasks(unit: SchedulingUnit) -> int:
@@ -138,7 +150,7 @@
         for unit in ordered:
             if self._view.is_gathering and unit.priority != URGENT_PRIORITY:
                 continue
-            unit = _due_tasks(unit, self._view.now)
+            unit = self._with_proof(_due_tasks(unit, self._view.now))
             if unit.tasks:
                 self._schedule(unit)
         stopped = {(stop.task, stop.run) for stop in self._stops}
@@ -148,6 +160,20 @@
         stops = tuple(self._stops)
         return SchedulingDecision(tuple(self._placements), stops, self._is_truncated)
 
+    def _with_proof(self, unit: SchedulingUnit) -> SchedulingUnit:
+        """Keep the last attempt of a failed task for a host that is proven.
+
+        It waits for one while half of its time is left.
+        """
+        if not (unit.last_attempt and unit.failed_before):
+            return unit
+        if not _has_half_its_time(unit, self._view.now):
+            return unit
+        proof = unit._replace(needs_proof=True)
+        if any(is_eligible(proof, host) for host in self._view.hosts):
+            return proof
+        return unit
+
     def _drain_leaving(self, host: Host) -> None:
         """Stop runs that would outlast a leaving worker where that helps.
 
--- a/tests/test_scheduling_policy.py
+++ b/tests/test_scheduling_policy.py
@@ -488,3 +488,73 @@
     assert decide(SchedulingView(NOW, (slow, known), ())).stops
     unknown = host("unknown", 1.0, speed_error=0.4)
     assert not decide(SchedulingView(NOW, (slow, unknown), ())).stops
+
+
+def last_attempt(deadline_in=90.0, **fields):
+    fields = {"last_attempt": True, "failed_before": True, **fields}
+    return unit(deadline_in=deadline_in, chain_seconds=5.0, **fields)
+
+
+def test_last_attempt_is_not_spent_on_a_worker_that_has_done_nothing_yet():
+    busy = host("proven", is_proven=True, running=[running(gpus=8)])
+    hosts = (host("new", speed=1.2), busy)
+    assert not decide(SchedulingView(NOW, hosts, (last_attempt(),))).placements
+    first = unit(deadline_in=90.0)
+    decision = decide(SchedulingView(NOW, hosts, (first, last_attempt(job="late"))))
+    assert tasks_by_host(decision) == {"new": 1}
+    hosts = (host("new", speed=1.2), host("proven", is_proven=True))
+    decision = decide(SchedulingView(NOW, hosts, (last_attempt(),)))
+    assert tasks_by_host(decision) == {"proven": 1}
+
+
+def test_last_attempt_is_not_spent_where_the_job_has_failed():
+    hosts = (host("failed", is_proven=True), host("other", is_proven=True, speed=0.5))
+    attempt = last_attempt(avoided_hosts=frozenset(("failed",)))
+    decision = decide(SchedulingView(NOW, hosts, (attempt,)))
+    assert tasks_by_host(decision) == {"other": 1}
+
+
+@pytest.mark.parametrize("case", ["little time is left", "no worker is proven"])
+def test_last_attempt_does_not_wait_in_vain(case):
+    is_proven = case == "little time is left"
+    busy = host("busy", is_proven=is_proven, running=[running(gpus=8)])
+    attempt = last_attempt(20.0 if is_proven else 90.0, accepted_at=NOW - 25)
+    decision = decide(SchedulingView(NOW, (host("new"), busy), (attempt,)))
+    assert tasks_by_host(decision) == {"new": 1}
+
+
+def wide_unit(count=9, running_tasks=0, **fields):
+    fields = {"waves": 4, "deadline_in": 30.0, **fields}
+    wide = unit(count, gpus=8, job="wide", priority=0, running=running_tasks, **fields)
+    return wide._replace(tasks=wide.tasks[running_tasks:])
+
+
+def test_wide_urgent_step_leaves_hosts_to_urgent_jobs_that_come_next():
+    hosts = tuple(host(f"h{n}", speed=(1.4, 1.4, 0.6)[n % 3]) for n in range(11))
+    decision = decide(SchedulingView(NOW, hosts, (wide_unit(),)))
+    speeds = sorted(hosts[int(name[1:])].speed for name in tasks_by_host(decision))
+    assert speeds == [0.6, 0.6, 0.6, 1.4, 1.4]
+    decision = decide(SchedulingView(NOW, hosts, (wide_unit(running_tasks=3),)))
+    assert len(decision.placements) == 2
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{"accepted_at": NOW - 60}, {"guaranteed": True}, {"step": {"gang": True}}],
+)
+def test_wide_urgent_step_starts_whole_if_it_must(fields):
+    hosts = tuple(host(f"h{n}") for n in range(11))
+    decision = decide(SchedulingView(NOW, hosts, (wide_unit(**fields),)))
+    assert len(decision.placements) == 9
+
+
+def test_job_pays_once_for_what_is_stopped_for_it():
+    victim = running(gpus=8, unsaved_seconds=3.0, remaining_seconds=20.0)
+    hosts = (host("a", running=[victim]),)
+    step = {"estimate_seconds": 0.5}
+    urgent = unit(gpus=8, priority=0, chain_seconds=0.5, deadline_in=3.0, step=step)
+    (stop,) = decide(SchedulingView(NOW, hosts, (urgent,))).stops
+    assert stop.beneficiary == urgent.tasks[0].job_id
+    assert stop.lost_work == pytest.approx(3.0 * 65)
+    urgent = urgent._replace(charged_work=stop.lost_work)
+    assert not decide(SchedulingView(NOW, hosts, (urgent,))).stops
