Tell a silent store from silent peers; let the time that appends needed fade

What callers would see: (1) in an outage in which the store is silent, every entry took itself for cut off, since a peer's reply to a read comes later than the entry waits; last tries that should wait were refused. (2) After one append of 2 s an entry refused every submission with 2 s left for 60 s of a sound store: the belief is renewed by appends, and it forbids them.

Change: peers are pinged, all at once, and reply whatever the store does. What a write needed fades with a half-life of 1 s and is renewed by the joins that entries make all the time.

test_entries_are_in_touch_while_only_the_store_is_silent and test_store_that_was_slow_is_not_refused_for_its_past failed before.

--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -113,6 +113,11 @@
         self._ended = False
         self._add_gauges()
 
+    @property
+    def store(self) -> RelayedStore:
+        """The store as this entry reaches it."""
+        return self._store
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers to this entry."""
--- a/src/sequoiachute/coordination/store/availability.py
+++ b/src/sequoiachute/coordination/store/availability.py
@@ -15,6 +15,8 @@
 TYPICAL_APPEND_SECONDS = 0.02  # assumed before the first append
 # Share of a longer append that is still expected at the next one.
 APPEND_SECONDS_DECAY = 0.8
+# What an append needed is no reason to refuse one seconds later.
+APPEND_HALF_LIFE_SECONDS = 1.0
 
 
 class Availability:
@@ -25,11 +27,18 @@
         self._recovered = Event()
         self._next_probe_at = float("-inf")
         self._append_seconds = TYPICAL_APPEND_SECONDS
+        self._appended_at = float("-inf")
 
     @property
     def append_seconds(self) -> float:
-        """Seconds that the slowest of the latest successful appends took."""
-        return self._append_seconds
+        """Seconds that an append is expected to take at most.
+
+        They fade with the time since the last answer: a caller that is refused for
+        them brings none.
+        """
+        age = clock.now() - self._appended_at
+        faded = self._append_seconds * 0.5 ** (age / APPEND_HALF_LIFE_SECONDS)
+        return max(TYPICAL_APPEND_SECONDS, faded)
 
     @property
     def stagger_seconds(self) -> float:
@@ -37,11 +46,16 @@
 
         A slow store is not loaded with copies.
         """
-        return max(STAGGER_SECONDS, SLOW_STAGGER_FACTOR * self._append_seconds)
+        return max(STAGGER_SECONDS, SLOW_STAGGER_FACTOR * self.append_seconds)
 
-    def record_append(self, seconds: float) -> None:
-        """Take the duration of a successful append into account."""
-        self._append_seconds = max(seconds, APPEND_SECONDS_DECAY * self._append_seconds)
+    def record_write(self, seconds: float) -> None:
+        """Take the duration of an append, or of another answered write, into account.
+
+        Entries join their group all the time, so that a slow store is known to be
+        slow, or to be sound again, without any job.
+        """
+        self._append_seconds = max(seconds, APPEND_SECONDS_DECAY * self.append_seconds)
+        self._appended_at = clock.now()
 
     def record(self, topic: str, answered: bool) -> None:
         """Record whether a call on a topic was answered."""
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 import eventlet
+from eventlet.queue import LightQueue
 from loguru import logger
 from result import Err, Ok, Result
 
@@ -32,6 +33,9 @@
 PEER_TIMEOUT_SHARE = 0.8  # of the time of a relayed append, for the store
 MAX_PEERS_PER_CALL = 2  # that were reached, so that one of them may be slow
 SILENT_PEER_SECONDS = 3.0  # a peer that did not reply is asked last this long
+PING_TIMEOUT_SECONDS = 0.5
+PING_INTERVAL_SECONDS = 0.25  # while direct calls fail
+MAX_PINGED_PEERS = 8
 NO_OFFSET = -1
 HISTORY_LOST_OFFSET = -2  # the reply's offset where the history is lost
 
@@ -68,8 +72,17 @@
     error: AppendError | None = None
 
 
+class PingQuery(NamedTuple):
+    """Request to a peer for a sign of life."""
+
+
+class PingReply(NamedTuple):
+    """Sign of life of a peer."""
+
+
 READ = Method("/sequoiachute.Store/Read", ReadQuery, ReadReply)
 APPEND = Method("/sequoiachute.Store/Append", AppendQuery, AppendReply)
+PING = Method("/sequoiachute.Store/Ping", PingQuery, PingReply)
 
 
 class RelayedStore:
@@ -103,29 +116,28 @@
         self._failed_at: dict[str, float] = {}
         self._silent_until: dict[str, float] = {}
         self._is_isolated = False
-        self._isolated_at = float("-inf")
-        self._direct_failing_since: float | None = None
-        self._latest_read: ReadQuery | None = None
+        self._is_direct_failing = False
+        self._is_pinging = False
+        self._next_ping_at = float("-inf")
         self.availability = Availability()
 
     @property
     def is_isolated(self) -> bool:
-        """Whether no peer answered the last call to peers."""
+        """Whether no peer answers since direct calls began to fail."""
         return self._is_isolated
 
     @property
     def is_cut_off(self) -> bool:
-        """Whether no way to the store has answered since the direct one failed.
-
-        It needs calls to peers that began to fail after the direct calls did: what
-        peers did before tells nothing of now.
-        """
-        since = self._direct_failing_since
-        return since is not None and self._is_isolated and self._isolated_at >= since
+        """Whether no way to the store is left: direct calls fail, no peer answers."""
+        return self._is_direct_failing and self._is_isolated
 
     def handlers(self) -> dict[Method, Callable]:
         """Return the handlers of peers' calls, which are never relayed further."""
-        return {READ: self._serve_read, APPEND: self._serve_append}
+        return {
+            READ: self._serve_read,
+            APPEND: self._serve_append,
+            PING: lambda _: PingReply(),
+        }
 
     def snapshot(self, topic: str) -> TopicSnapshot:
         """Return the newest record of every key."""
@@ -158,7 +170,7 @@
         answered = outcome.is_ok() or is_conclusive(outcome.unwrap_err())
         self.availability.record(topic, answered)
         if answered:
-            self.availability.record_append(now - began)
+            self.availability.record_write(now - began)
         return outcome
 
     def _append(
@@ -191,12 +203,14 @@
 
     def join(self, group: str, member: str, generation: int, ttl: float) -> Membership:
         """Join a group, always directly: a member must reach the store itself."""
+        began = clock.now()
         try:
             membership = self._store.join(group, member, generation, ttl)
         except StoreUnavailableError:
             self._record_direct(False)
             raise
         self._record_direct(True)
+        self.availability.record_write(clock.now() - began)
         return membership
 
     def leave(self, group: str, member: str) -> None:
@@ -208,33 +222,42 @@
         return self._store.members(group)
 
     def _record_direct(self, answered: bool) -> None:
-        """Record whether a direct call was answered.
+        """Record whether a direct call was answered; if not, have the peers pinged.
 
-        The first that is not has the peers asked at once: the next call that needs
-        them may be a caller's.
+        The next call that needs them may be a caller's.
         """
-        since = self._direct_failing_since
+        was_cut_off = self.is_cut_off
+        self._is_direct_failing = not answered
         if answered:
-            if self.is_cut_off:
-                seconds = round(clock.now() - self._isolated_at, 3)
-                logger.bind(seconds=seconds).info("reaching the store again")
-            self._direct_failing_since = None
-        elif since is None:
-            self._direct_failing_since = clock.now()
-            eventlet.spawn(self._check_peers)
-
-    def _check_peers(self) -> None:
-        if self._latest_read is not None:
-            self._relay_read(self._latest_read)
-
-    def _record_isolation(self, is_isolated: bool) -> None:
-        """Record whether the last call to peers reached none of them."""
+            self._is_isolated = False
+            if was_cut_off:
+                logger.info("reaching the store again")
+        elif not self._is_pinging and clock.now() >= self._next_ping_at:
+            self._is_pinging = True
+            eventlet.spawn(self._ping_peers)
+
+    def _ping_peers(self) -> None:
+        """Ask peers for a sign of life, all at once.
+
+        A peer's reply to a read is none: it comes late while the store is silent.
+        """
+        peers = self._candidates()[:MAX_PINGED_PEERS]
+        replies: LightQueue = LightQueue()
+        for peer in peers:
+            eventlet.spawn(self._ping, peer, replies)
+        answered = not peers
+        for _ in peers:
+            answered = answered or replies.get()
+        self._is_pinging = False
+        self._next_ping_at = clock.now() + PING_INTERVAL_SECONDS
         was_cut_off = self.is_cut_off
-        self._is_isolated = is_isolated
-        if is_isolated and not was_cut_off:
-            self._isolated_at = clock.now()
+        self._is_isolated = self._is_direct_failing and not answered
         if self.is_cut_off and not was_cut_off:
-            logger.bind(peers=len(self._peers())).warning("cut off from the store")
+            logger.bind(peers=len(peers)).warning("cut off from the store and peers")
+
+    def _ping(self, peer: str, replies: LightQueue) -> None:
+        outcome = self._caller.call(peer, PING, PingQuery(), PING_TIMEOUT_SECONDS)
+        replies.put(outcome.is_ok())
 
     def _prefer_peers(self) -> None:
         if clock.now() >= self._prefer_peers_until + PREFER_PEERS_SECONDS:
@@ -242,7 +265,6 @@
         self._prefer_peers_until = clock.now() + PREFER_PEERS_SECONDS
 
     def _read(self, topic: str, offset: int, wait: float) -> RecordPage:
-        self._latest_read = ReadQuery(topic, offset, 0.0)
         asks_peers_first = clock.now() < self._prefer_peers_until
         if asks_peers_first:
             relayed = self._relay_read(ReadQuery(topic, offset, wait))
@@ -304,7 +326,6 @@
         ``make_query`` is given the seconds that a call may take. A call takes at most
         ``timeout`` seconds, all of them end by ``deadline``.
         """
-        replied = False
         reached = 0
         deadline = min(deadline, clock.now() + MAX_PEERS_PER_CALL * timeout)
         for peer in self._candidates():
@@ -313,8 +334,7 @@
                 break
             outcome = self._caller.call(peer, method, make_query(remaining), remaining)
             if outcome.is_ok():
-                replied = True
-                self._record_isolation(False)
+                self._is_isolated = False
             else:
                 self._silent_until[peer] = clock.now() + SILENT_PEER_SECONDS
             reached += outcome.is_ok() or outcome.unwrap_err().delivered
@@ -322,7 +342,6 @@
             # The outcome did not help.
             self._failed_at[peer] = clock.now()
         known = {*self._peers(), *self._seeds}
-        self._record_isolation(not replied and bool(known))
         for gone in self._failed_at.keys() - known:
             del self._failed_at[gone]
             self._silent_until.pop(gone, None)
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -212,7 +212,7 @@
     """Client of the store for one process.
 
     ``rejecting`` makes the store reject its calls, ``unresponsive`` lets them time
-    out.
+    out, reads and joins after ``silent_seconds``.
     """
 
     def __init__(self, store: MemoryKeyedStore, process: MemoryProcess) -> None:
@@ -220,6 +220,7 @@
         self._process = process
         self.rejecting = False
         self.unresponsive = False
+        self.silent_seconds = 0.0
 
     def snapshot(self, topic: str) -> TopicSnapshot:
         """Return the newest record of every key."""
@@ -277,6 +278,7 @@
         self._store.reads += bool(topic)
         clock.sleep(self._store.delay)
         if self._is_failing(topic):
+            clock.sleep(self.silent_seconds)
             raise StoreUnavailableError("the store doesn't answer")
         result = operation()
         self._process.apply_faults()
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -375,3 +375,26 @@
     site.run_for(NOTICE_SECONDS)
     assert site.entries[lone].control.is_ready
     complete(site, [accepted(site, 0.5, entry=lone)], 4)
+
+
+@pytest.mark.parametrize("entry", range(3))
+def test_store_that_was_slow_is_not_refused_for_its_past(entry):
+    site = ControlSite()
+    site.store.delay = 2.0
+    site.submit(1.0, entry=entry, wait=6.0)
+    site.store.delay = 0.004
+    site.run_for(2.5)
+    for wait in (2.0, 0.3):
+        began = clock.now()
+        accepted(site, 0.5, entry=entry, wait=wait)
+        assert clock.now() < began + 0.1
+
+
+def test_entries_are_in_touch_while_only_the_store_is_silent():
+    site = ControlSite()
+    for entry in site.entries:
+        entry.store.unresponsive = True
+        entry.store.silent_seconds = 1.0
+    for _ in range(30):
+        site.run_for(0.1)
+        assert not any(entry.control.store.is_isolated for entry in site.entries)
