Put hosts that have failed behind sound ones; judge each urgent unit by itself

Cause: a failure is counted as slowness, and work with time to spare takes the slowest host that is in time, so that doubt attracted it.

Also: a unit of the same shape as one that did not fit was skipped, though what urgent work may stop and which hosts are in time differ by estimate, deadline and charge (found by the review).

--- a/src/sequoiachute/coordination/scheduling/layout.py
+++ b/src/sequoiachute/coordination/scheduling/layout.py
@@ -140,12 +140,13 @@
 
 def _preference(
     unit: SchedulingUnit, capacity: FreeCapacity, host: Host, now: float
-) -> tuple[float, float, int, str]:
+) -> tuple[float, int, float, int, str]:
     """Return the sort key of ``host``; the smallest is preferred.
 
-    Hosts that meet the deadline come first, the slowest of them leading, then
-    those with the fewest free accelerators. This leaves fast workers to urgent
-    work. Work with a tight objective takes the host that is surely fast.
+    Hosts that meet the deadline come first, among them those that runs have not
+    failed on, the slowest of these leading, then those with the fewest free
+    accelerators. This leaves fast workers to urgent work. Work with a tight
+    objective takes the host that is surely fast.
     """
     estimate_slowdown = cautious_slowdown if unit.is_tight else slowdown
     effective_slowdown = estimate_slowdown(unit.step, host) * (
@@ -155,13 +156,17 @@
         effective_slowdown *= FAILED_HOST_PENALTY
     remaining = capacity.free(host).minus(unit.step.reserved)
     if unit.is_tight:
-        return (round(effective_slowdown, 1), 0.0, remaining.gpus, host.name)
+        return (round(effective_slowdown, 1), 0, 0.0, remaining.gpus, host.name)
     slack = unit.deadline - now - unit.chain_seconds
     estimate = max(unit.step.estimate_seconds, 0.1)
     max_slowdown = PLANNED_SHARE * (1 + slack / estimate)
     if effective_slowdown <= max_slowdown:
-        return (0.0, -round(effective_slowdown, 1), remaining.gpus, host.name)
-    return (round(effective_slowdown, 1), 0.0, remaining.gpus, host.name)
+        doubts = host.recent_failures + (host.name in unit.avoided_hosts)
+        if unit.failed_before:
+            doubts += not host.is_proven
+        slowest_first = -round(estimate_slowdown(unit.step, host), 1)
+        return (0.0, doubts, slowest_first, remaining.gpus, host.name)
+    return (round(effective_slowdown, 1), 0, 0.0, remaining.gpus, host.name)
 
 
 def layout_slowdown(
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -110,16 +110,13 @@
     step = unit.step
     requirements = (unit.service, step.reserved, step.label, step.per_worker)
     constraints = (step.gang, step.same_rack, unit.last_attempt, unit.guaranteed)
-    avoided = unit.avoided_hosts if unit.needs_proof else None
+    proof = unit.avoided_hosts if unit.needs_proof else None
     tickets = frozenset(unit.tickets) if unit.tickets is not None else None
-    return (
-        unit.priority,
-        requirements,
-        constraints,
-        unit.needs_proof,
-        avoided,
-        tickets,
-    )
+    key = (unit.priority, requirements, constraints, proof, tickets)
+    if unit.priority != URGENT_PRIORITY:
+        return key
+    # What urgent work may stop, and which hosts are in time, is its own.
+    return (*key, step.estimate_seconds, unit.deadline, unit.charged_work)
 
 
 def _min_tasks(unit: SchedulingUnit) -> int:
@@ -165,7 +162,7 @@
 
         It waits for one while half of its time is left.
         """
-        if not (unit.last_attempt and unit.failed_before):
+        if not (unit.last_attempt and unit.failed_before) or unit.guaranteed:
             return unit
         if not _has_half_its_time(unit, self._view.now):
             return unit
