--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -50,6 +50,7 @@
 from sequoiachute.state.operations import Operations
 from sequoiachute.transport.machines import Advisor, MachineService
 from sequoiachute.transport.store import KeyedStore, Writer
+from sequoiachute.transport.worker import UNHEALTHY
 
 # Expired leases and due times are checked this often without any report.
 ROUND_INTERVAL_SECONDS = 0.25
@@ -207,6 +208,7 @@
                 session.sampled_clock_ms = session.worker_clock_ms
                 self._record_progress(session)
             self._record_ends(session)
+            self._record_refused_starts(session)
 
     def _record_progress(self, session: Session) -> None:
         placed = self._ledger.tasks_on_host(session.host)
@@ -241,6 +243,15 @@
                     task.job_id, session.host, session.lifetime, clock.elapsed()
                 )
 
+    def _record_refused_starts(self, session: Session) -> None:
+        placed = self._ledger.tasks_on_host(session.host)
+        for start in session.settled:
+            task = parse_task_id(start.task)
+            if task is None or task not in placed or placed[task].run != start.run:
+                continue
+            if start.reason == UNHEALTHY:
+                self._statistics.record_doubt(session.lifetime, clock.elapsed())
+
     def _order_stops(self, stops: tuple[RunStop, ...]) -> None:
         for stop in stops:
             session = self._agents.sessions.get(stop.host)
--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -225,9 +225,13 @@
         self, job_id: str, host: str, lifetime: Lifetime, now: float
     ) -> None:
         """Record a run that failed without being stopped."""
+        self.record_doubt(lifetime, now)
+        self._failed_on.setdefault(job_id, set()).add(host)
+
+    def record_doubt(self, lifetime: Lifetime, now: float) -> None:
+        """Record that a worker failed a run or refused to start one."""
         self._proven.discard(lifetime)
         self._failures.setdefault(lifetime, []).append(now)
-        self._failed_on.setdefault(job_id, set()).add(host)
 
     def record_success(self, lifetime: Lifetime) -> None:
         """Record a successful run; it clears the worker's failures."""
--- a/src/sequoiachute/platform/worker.py
+++ b/src/sequoiachute/platform/worker.py
@@ -14,7 +14,12 @@
 )
 from sequoiachute.protocol.supervision import EndReport, RunOrder, RunReport
 from sequoiachute.protocol.workload import Lifetime
-from sequoiachute.transport.worker import ALREADY_RAN, WorkerError, WorkerStatus
+from sequoiachute.transport.worker import (
+    ALREADY_RAN,
+    UNHEALTHY,
+    WorkerError,
+    WorkerStatus,
+)
 
 POLL_TIMEOUT_SECONDS = 0.5  # beyond the requested wait
 ORDER_TIMEOUT_SECONDS = 0.4  # the worker is local and answers in a few ms
@@ -120,7 +125,9 @@
         if reason == "old":
             return WorkerError(ALREADY_RAN, False)
         return WorkerError(reason, False, fenced=reason == "fence")
-    if response.status in (400, 429, 503):
+    if response.status in (429, 503):
+        return WorkerError(UNHEALTHY, False)
+    if response.status == 400:
         return WorkerError(f"worker answered {response.status}", False)
     return WorkerError(f"worker answered {response.status}", None)
 
--- a/src/sequoiachute/transport/worker.py
+++ b/src/sequoiachute/transport/worker.py
@@ -10,6 +10,9 @@
 ALREADY_RAN = "already ran"
 
 
+UNHEALTHY = "the worker takes no work"  # reason of a start that it refused
+
+
 class WorkerError(NamedTuple):
     """Why a call to the worker failed.
 
