Place nothing on a worker that has not answered its agent for two seconds

Found by the review: the age of a session is that of the agent's reports, which go on while the worker is silent, so that urgent work kept being placed there.

--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -26,6 +26,8 @@
 MAX_CONFIRMATION_AGE_SECONDS = 10.0
 # Two report intervals; an agent silent for longer gets no new tasks.
 MAX_REPORT_AGE_SECONDS = 1.5
+# An agent polls its worker every 0.4 s and may report while the worker is silent.
+MAX_WORKER_AGE_SECONDS = 2.0
 # Agents find a new placer within some 0.3 s, and 1 s after a loss of power.
 GATHERING_PAUSE_SECONDS = 0.25
 MAX_GATHERING_SECONDS = 1.2
@@ -49,6 +51,7 @@
         self.reported_at = float("-inf")
         self.is_fenced = False
         self.worker_clock_ms = 0
+        self.worker_answered_at = float("-inf")
         self.sampled_clock_ms = 0
         self.runs: dict[tuple[str, int], RunReport] = {}
         self.checkpoint_tokens: dict[tuple[str, int], str] = {}
@@ -77,6 +80,10 @@
         """Return seconds since the agent's last report."""
         return clock.elapsed() - self.reported_at
 
+    def worker_age(self) -> float:
+        """Return seconds since a report showed a new answer of the worker."""
+        return clock.elapsed() - self.worker_answered_at
+
     def apply_report(self, report: Report, term: int) -> bool:
         """Apply a report; return whether it may change a scheduling decision.
 
@@ -92,6 +99,8 @@
             self.ended_lifetimes.add(report.ended_lifetime)
         self._apply_worker(report.worker)
         self.is_fenced = report.term == term and report.worker is not None
+        if report.worker_clock_ms != self.worker_clock_ms:
+            self.worker_answered_at = self.reported_at
         self.worker_clock_ms = report.worker_clock_ms
         self.runs = {(run.task, run.run): run for run in report.runs}
         for key, run in self.runs.items():
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -13,6 +13,7 @@
 from sequoiachute.coordination.dispatch.run_statistics import RunStatistics
 from sequoiachute.coordination.dispatch.sessions import (
     MAX_REPORT_AGE_SECONDS,
+    MAX_WORKER_AGE_SECONDS,
     AgentSessions,
     Session,
 )
@@ -185,6 +186,7 @@
     is_open = (
         session.is_fenced
         and session.age() < MAX_REPORT_AGE_SECONDS
+        and session.worker_age() < MAX_WORKER_AGE_SECONDS
         and not worker.leaving
         and not session.zone_closed
         and knows_runs
