--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -34,7 +34,7 @@
     PreemptionPlan,
     plan_preemption,
 )
-from sequoiachute.protocol.workload import StepSpec, TaskId
+from sequoiachute.protocol.workload import Resources, StepSpec, TaskId
 
 EXPIRY_FACTOR = 3.0  # a job later than this multiple of its objective earns nothing
 # Hosts that the searches of one round examine at most; a search examines all.
@@ -85,7 +85,7 @@
     return now > latest_start and not unit.guaranteed
 
 
-def _due_tasks(unit: SchedulingUnit, now: float) -> SchedulingUnit:
+def _due_tasks(unit: SchedulingUnit, view: SchedulingView) -> SchedulingUnit:
     """Return ``unit`` with the tasks that should run by now.
 
     A wide urgent step starts in waves while half of its time is left, so that it does
@@ -93,9 +93,9 @@
     """
     planned_waves = int(PLANNED_WAVE_SHARE * unit.waves)
     is_wide = unit.priority == URGENT_PRIORITY and planned_waves > 1
-    if not is_wide or unit.step.gang or unit.guaranteed:
+    if not is_wide or unit.step.gang or unit.guaranteed or view.is_gathering:
         return unit
-    if not _has_half_its_time(unit, now):
+    if not _has_half_its_time(unit, view.now):
         return unit
     width = ceil(unit.step.count / planned_waves)
     return unit._replace(tasks=unit.tasks[: max(0, width - unit.running)])
@@ -147,7 +147,7 @@
         for unit in ordered:
             if self._view.is_gathering and unit.priority != URGENT_PRIORITY:
                 continue
-            unit = self._with_proof(_due_tasks(unit, self._view.now))
+            unit = self._with_proof(_due_tasks(unit, self._view))
             if unit.tasks:
                 self._schedule(unit)
         stopped = {(stop.task, stop.run) for stop in self._stops}
@@ -160,16 +160,27 @@
     def _with_proof(self, unit: SchedulingUnit) -> SchedulingUnit:
         """Keep the last attempt of a failed task for a host that is proven.
 
-        It waits for one while half of its time is left.
+        It waits for one while half of its time is left and the service is busy.
         """
         if not (unit.last_attempt and unit.failed_before) or unit.guaranteed:
             return unit
         if not _has_half_its_time(unit, self._view.now):
             return unit
         proof = unit._replace(needs_proof=True)
-        if any(is_eligible(proof, host) for host in self._view.hosts):
-            return proof
-        return unit
+        proven = [host for host in self._view.hosts if is_eligible(proof, host)]
+        if not proven:
+            return unit
+        fits = any(count_fitting(proof, host, self._capacity, 0) for host in proven)
+        return proof if fits or not self._is_half_idle(unit.service) else unit
+
+    def _is_half_idle(self, service: str) -> bool:
+        """Return whether less than half of each resource of a service is in use."""
+        total, free = Resources(), Resources()
+        for host in self._view.hosts:
+            if host.service == service and host.is_open:
+                total = total.plus(host.capacity)
+                free = free.plus(self._capacity.free(host))
+        return all(f > t / 2 for f, t in zip(free, total, strict=True) if t)
 
     def _drain_leaving(self, host: Host) -> None:
         """Stop runs that would outlast a leaving worker where that helps.
