Count a caller's time from when its request arrived

Change: the time comes from the system's own record of the connection (TCP_INFO), and the wait for an entry's state ends with the caller's time.

--- a/src/sequoiachute/platform/jobs.py
+++ b/src/sequoiachute/platform/jobs.py
@@ -11,6 +11,7 @@
 from sequoiachute.coordination.intake import ABSENT, ACCEPTED, UNKNOWN, IntakeOutcome
 from sequoiachute.protocol.workload import JobGraph, Resources, StepSpec
 from sequoiachute.state.operations import Queue
+from sequoiachute.transport.webserver import ARRIVED_AT
 
 JOB_ID_DIGITS = frozenset("0123456789abcdef")
 JOB_ID_LENGTH = 16
@@ -72,9 +73,11 @@
         return write_reply(reply, start_response)
 
     def _serve(self, environ: dict[str, Any]) -> HttpReply:
+        environ.setdefault(ARRIVED_AT, clock.now())
         operations = self._control.operations
         path = environ.get("PATH_INFO", "")
-        if not self._control.wait_can_serve(START_WAIT_SECONDS):
+        remaining = max(0.0, _read_deadline(environ) - clock.now())
+        if not self._control.wait_can_serve(min(START_WAIT_SECONDS, remaining)):
             _log_rejected(path, 503, "starting", operations.version)
             return HttpReply(503, {"error": "starting"}, RETRY_AFTER_SECONDS)
         host = environ.get("HTTP_HOST", "").partition(":")[0]
@@ -225,7 +228,7 @@
 def _read_deadline(environ: dict[str, Any]) -> float:
     text = environ.get("HTTP_X_DEADLINE_MS", "")
     seconds = int(text) / 1000 if text.isdigit() else DEFAULT_DEADLINE_SECONDS
-    return clock.now() + seconds
+    return environ[ARRIVED_AT] + seconds
 
 
 def _reply_to(outcome: IntakeOutcome, body: dict[str, Any]) -> HttpReply:
--- a/src/sequoiachute/transport/listener.py
+++ b/src/sequoiachute/transport/listener.py
@@ -1,8 +1,11 @@
 """Opens the socket of a server before the libraries that serve it are loaded."""
 
 import socket
+from struct import Struct, error
 
 LISTEN_BACKLOG = 1024
+# Linux's struct tcp_info up to the field tcpi_last_data_recv, in milliseconds.
+_LAST_DATA_RECEIVED = Struct("=52xI")
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -11,6 +14,20 @@
     return host, int(port)
 
 
+def seconds_since_received(connection: socket.socket) -> float:
+    """Return how long ago the newest data of a connection arrived at this machine.
+
+    Zero where the system does not tell.
+    """
+    size = _LAST_DATA_RECEIVED.size
+    try:
+        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+        (milliseconds,) = _LAST_DATA_RECEIVED.unpack(info)
+    except (OSError, error):
+        return 0.0
+    return milliseconds / 1000
+
+
 def open_listener(host: str, port: int) -> socket.socket:
     """Return a socket that listens on ``host`` and ``port``.
 
--- a/src/sequoiachute/transport/webserver.py
+++ b/src/sequoiachute/transport/webserver.py
@@ -15,7 +15,7 @@
 
 from sequoiachute import clock
 from sequoiachute.settings import HttpSettings
-from sequoiachute.transport.listener import open_listener
+from sequoiachute.transport.listener import open_listener, seconds_since_received
 from sequoiachute.transport.problems import PROBLEM_JSON, problem_body
 
 RESERVED_FILE_DESCRIPTORS = 256  # for files, agents and the log service
@@ -25,6 +25,7 @@
 DISCARD_CHUNK_BYTES = 64 * 1024
 DISCARD_TIMEOUT_SECONDS = 2.0
 ACCEPT_PAUSE_SECONDS = 0.1
+ARRIVED_AT = "sequoiachute.arrived_at"  # of a request in its environ, in clock time
 
 _REASON_PHRASES = {400: "Bad Request", 408: "Request Timeout", 414: "URI Too Long"}
 _REASON_PHRASES[431] = "Request Header Fields Too Large"
@@ -73,6 +74,8 @@
         """Return the WSGI environment and stop the header timer."""
         self._header_timer.cancel()
         environ = super().get_environ()
+        waited_seconds = seconds_since_received(self.connection)
+        environ[ARRIVED_AT] = clock.now() - waited_seconds
         body = environ["eventlet.input"]
         body.discard = lambda: _discard_body(body)
         return environ
