--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -234,10 +234,13 @@
             task = parse_task_id(end.task)
             if task is None or task not in placed or placed[task].run != end.run:
                 continue
+            progress = self._statistics.progress_of(task, end.run)
             self._statistics.forget_run(task, end.run)
             self._metrics.count("runs_ended_total", how=end.outcome)
             if end.outcome == DONE:
-                self._statistics.record_success(session.lifetime)
+                now = clock.elapsed()
+                began = progress.first.at if progress is not None else now
+                self._statistics.record_success(session.lifetime, began)
             elif end.outcome == RUN_FAILED:
                 self._statistics.record_failure(
                     task.job_id, session.host, session.lifetime, clock.elapsed()
--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -23,6 +23,7 @@
 # failure on.
 PROBE_DELAY_SECONDS = 2.5
 MAX_PROBE_DELAY_SECONDS = 10.0
+PROOF_SECONDS = 20.0  # for which a successful start shows that a worker is sound
 
 
 class ProgressReading(NamedTuple):
@@ -115,7 +116,7 @@
         self._estimator = SpeedEstimator()
         self._estimated_at = float("-inf")
         self._failures: dict[Lifetime, list[float]] = {}
-        self._proven: set[Lifetime] = set()
+        self._proven_at: dict[Lifetime, float] = {}
         self._failed_on: dict[str, set[str]] = {}
         self.moved_tasks: set[TaskId] = set()
         self.preemptions: dict[TaskId, int] = {}
@@ -230,17 +231,27 @@
 
     def record_doubt(self, lifetime: Lifetime, now: float) -> None:
         """Record that a worker failed a run or refused to start one."""
-        self._proven.discard(lifetime)
+        self._proven_at.pop(lifetime, None)
         self._failures.setdefault(lifetime, []).append(now)
 
-    def record_success(self, lifetime: Lifetime) -> None:
-        """Record a successful run; it clears the worker's failures."""
-        self._proven.add(lifetime)
+    def record_success(self, lifetime: Lifetime, began: float) -> None:
+        """Record a successful run that began at ``began`` seconds.
+
+        It clears the failures before its start: a worker that fails what it starts
+        now may still complete what it has begun.
+        """
+        failures = self._failures.get(lifetime, [])
+        later = [at for at in failures if at > began]
+        if later:
+            self._failures[lifetime] = later
+            return
         self._failures.pop(lifetime, None)
+        self._proven_at[lifetime] = max(began, self._proven_at.get(lifetime, began))
 
-    def is_proven(self, lifetime: Lifetime) -> bool:
-        """Return whether the worker's newest run that ended by itself succeeded."""
-        return lifetime in self._proven
+    def is_proven(self, lifetime: Lifetime, now: float) -> bool:
+        """Return whether a run that began lately on the worker has succeeded."""
+        proven_at = self._proven_at.get(lifetime, float("-inf"))
+        return now - proven_at < PROOF_SECONDS
 
     def recent_failures(self, lifetime: Lifetime, now: float) -> int:
         """Return the worker's failures since its last success.
--- a/src/sequoiachute/platform/jobs.py
+++ b/src/sequoiachute/platform/jobs.py
@@ -8,7 +8,13 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.control import ControlPlane
-from sequoiachute.coordination.intake import ABSENT, ACCEPTED, UNKNOWN, IntakeOutcome
+from sequoiachute.coordination.intake import (
+    ABSENT,
+    ACCEPTED,
+    REPLY_MARGIN_SECONDS,
+    UNKNOWN,
+    IntakeOutcome,
+)
 from sequoiachute.protocol.workload import JobGraph, Resources, StepSpec
 from sequoiachute.state.operations import Queue
 from sequoiachute.transport.webserver import ARRIVED_AT
@@ -76,8 +82,9 @@
         environ.setdefault(ARRIVED_AT, clock.now())
         operations = self._control.operations
         path = environ.get("PATH_INFO", "")
-        remaining = max(0.0, _read_deadline(environ) - clock.now())
-        if not self._control.wait_can_serve(min(START_WAIT_SECONDS, remaining)):
+        remaining = _read_deadline(environ) - REPLY_MARGIN_SECONDS - clock.now()
+        wait = min(START_WAIT_SECONDS, max(0.0, remaining))
+        if not self._control.wait_can_serve(wait):
             _log_rejected(path, 503, "starting", operations.version)
             return HttpReply(503, {"error": "starting"}, RETRY_AFTER_SECONDS)
         host = environ.get("HTTP_HOST", "").partition(":")[0]
