Decide on urgent work again: late by a declared time is not late

Cause: a job declared at a third of its work is late from the start by its deadline, and with that every protection ended: plans, gathering, rank. And one round's decision was not the next one's.

Change: the slowdown that may be in time never falls below 0.8 of the stretch; urgent runs move before lesser work is placed; tight urgent work may stop urgent runs that could be done twice again in their time; urgent victims count for a minute of work; a gang's least bound is that of all its members; an objective is taken for 5 s at least before it counts as expired.

--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -206,7 +206,7 @@
         recent_failures=context.statistics.recent_failures(worker.lifetime, now),
         running=tuple(running),
         leaving_seconds=worker.leaving_seconds if worker.leaving else None,
-        is_proven=context.statistics.is_proven(worker.lifetime),
+        is_proven=context.statistics.is_proven(worker.lifetime, now),
     )
 
 
@@ -403,6 +403,7 @@
         last_attempt=failures >= job.attempts - 1,
         failed_before=failures > 0,
         guaranteed=_is_guaranteed(job, context),
+        stretch=job.stretch,
         waves=count_waves(job.steps[index], capacity),
         running=running,
         charged_work=context.statistics.charged_work.get(job.job_id, 0.0),
--- a/src/sequoiachute/coordination/scheduling/migration.py
+++ b/src/sequoiachute/coordination/scheduling/migration.py
@@ -26,12 +26,16 @@
 RunGroup = list[tuple[Host, ActiveRun]]
 
 
-def select_migrations(capacity: FreeCapacity, now: float) -> Iterator[RunStop]:
+def select_migrations(
+    capacity: FreeCapacity, now: float, urgent_only: bool = False
+) -> Iterator[RunStop]:
     """Yield the runs to stop; allocate the capacity for their restart.
 
     ``now`` is in seconds, on the scale of ``ActiveRun.deadline``.
     """
     for group in _group_runs(capacity):
+        if urgent_only and group[0][1].priority != URGENT_PRIORITY:
+            continue
         if any(run.stopping or run.lasting or run.moved for _, run in group):
             continue
         if not _is_candidate(group):
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -79,7 +79,7 @@
     recent_failures : int
         Recent failures that no success has followed.
     is_proven : bool
-        Whether the newest run that ended by itself has succeeded.
+        Whether a run that began there lately has succeeded, and none failed since.
     leaving_seconds : float or None
         Time for which a leaving worker stays at least; ``None`` if it does not
         leave.
@@ -127,6 +127,8 @@
         Whether the catalogue's guarantee to the client account covers the work.
     returning : bool
         Whether runs of the tasks still have to end, so that nothing can be placed yet.
+    stretch : float
+        Seconds of the objective for each second of the job's work.
     waves : int
         In how many waves the objective lets the step run.
     running : int
@@ -153,6 +155,7 @@
     needs_proof: bool = False
     guaranteed: bool = False
     returning: bool = False
+    stretch: float = 1.0
     waves: int = 1
     running: int = 0
     charged_work: float = 0.0
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -39,9 +39,14 @@
 EXPIRY_FACTOR = 3.0  # a job later than this multiple of its objective earns nothing
 # Hosts that the searches of one round examine at most; a search examines all.
 MAX_SEARCHED_HOSTS = 2680
+# Least time that an objective is taken for; a job declared at a fraction of a second
+# may need some seconds.
+MIN_WINDOW_SECONDS = 5.0
 UNBOUNDED_COUNT = 1_000_000  # more tasks than any unit has
 NO_LIMIT = float("inf")
 PREEMPTION_SECONDS = 0.5  # to stop the victims and record the start
+# Of the stretch of an objective, for the slowdown of a job that may be in time.
+PLAUSIBLE_STRETCH_SHARE = 0.8
 LEAVING_MARGIN_SECONDS = 0.5  # beyond the time that a leaving worker announces
 SAVING_SECONDS = 1.5  # to order a stop and let it save a checkpoint
 LATE_LOSS_RATIO = 0.25  # of work lost for work that is late anyway, which earns less
@@ -80,7 +85,7 @@
 
     Guaranteed work never expires.
     """
-    window = max(unit.deadline - unit.accepted_at, 1.0)
+    window = max(unit.deadline - unit.accepted_at, MIN_WINDOW_SECONDS)
     latest_start = unit.accepted_at + EXPIRY_FACTOR * window - unit.chain_seconds
     return now > latest_start and not unit.guaranteed
 
@@ -144,18 +149,32 @@
         for host in self._view.hosts:
             self._drain_leaving(host)
         ordered = sorted(self._view.units, key=lambda u: urgency_key(u, self._view.now))
+        urgent = [unit for unit in ordered if self._is_urgent(unit)]
+        for unit in urgent:
+            self._schedule_due(unit)
+        # Late urgent runs get a better host before lesser work takes it.
+        self._migrate(urgent_only=True)
         for unit in ordered:
-            if self._view.is_gathering and unit.priority != URGENT_PRIORITY:
-                continue
-            unit = self._with_proof(_due_tasks(unit, self._view))
-            if unit.tasks:
-                self._schedule(unit)
+            if not self._view.is_gathering and not self._is_urgent(unit):
+                self._schedule_due(unit)
+        self._migrate(urgent_only=False)
+        stops = tuple(self._stops)
+        return SchedulingDecision(tuple(self._placements), stops, self._is_truncated)
+
+    def _is_urgent(self, unit: SchedulingUnit) -> bool:
+        is_late = is_expired(unit, self._view.now)
+        return unit.priority == URGENT_PRIORITY and not is_late
+
+    def _schedule_due(self, unit: SchedulingUnit) -> None:
+        unit = self._with_proof(_due_tasks(unit, self._view))
+        if unit.tasks:
+            self._schedule(unit)
+
+    def _migrate(self, urgent_only: bool) -> None:
         stopped = {(stop.task, stop.run) for stop in self._stops}
-        for stop in select_migrations(self._capacity, self._view.now):
+        for stop in select_migrations(self._capacity, self._view.now, urgent_only):
             if (stop.task, stop.run) not in stopped:
                 self._stops.append(stop)
-        stops = tuple(self._stops)
-        return SchedulingDecision(tuple(self._placements), stops, self._is_truncated)
 
     def _with_proof(self, unit: SchedulingUnit) -> SchedulingUnit:
         """Keep the last attempt of a failed task for a host that is proven.
@@ -297,7 +316,11 @@
             return
         self._searches_left -= 1
         plan = plan_preemption(
-            unit, self._capacity, unit.step.gang, max_loss_ratio=NO_LIMIT
+            unit,
+            self._capacity,
+            unit.step.gang,
+            max_loss_ratio=NO_LIMIT,
+            now=self._view.now,
         )
         if plan is not None:
             self._hold(unit, plan)
@@ -343,13 +366,19 @@
             unit.step.gang,
             max_slowdown,
             max_loss_ratio,
+            self._view.now,
         )
 
     def _max_slowdown(self, unit: SchedulingUnit) -> float:
-        """Return the slowdown at which the unit just meets its deadline."""
+        """Return the slowdown at which the unit just meets its deadline.
+
+        A job that seems to be late may have been declared too short: it may be in time
+        on a host that is not slow.
+        """
         downstream = unit.chain_seconds - unit.step.estimate_seconds
         available = unit.deadline - self._view.now - downstream - PREEMPTION_SECONDS
-        return available / max(unit.step.estimate_seconds, 0.1)
+        max_slowdown = available / max(unit.step.estimate_seconds, 0.1)
+        return max(max_slowdown, PLAUSIBLE_STRETCH_SHARE * unit.stretch)
 
     def _place(self, unit: SchedulingUnit, layout: Layout) -> int:
         tasks = iter(unit.tasks)
--- a/src/sequoiachute/coordination/scheduling/preemption.py
+++ b/src/sequoiachute/coordination/scheduling/preemption.py
@@ -16,6 +16,7 @@
     slowdown,
 )
 from sequoiachute.coordination.scheduling.model import (
+    URGENT_PRIORITY,
     ActiveRun,
     Host,
     RunStop,
@@ -25,9 +26,13 @@
 
 STOP_SECONDS = 0.8  # duration of a stop; a run that ends sooner is left to end
 MAX_LOSS_RATIO = 1.0  # core-seconds lost per core-second of the preempting unit
-# Least time of one task of the preempting unit in that ratio; declared times are often
-# far too short.
+# Least time of one task or gang of the preempting unit in that ratio; declared times
+# are often far too short.
 MIN_TASK_SECONDS = 5.0
+# Times that an urgent run could be done again before its deadline, for it to be stopped
+# for tighter work.
+SPARE_RUNS = 2.0
+LATE_RUN_SECONDS = 60.0  # of an urgent victim that a stop makes late, in its cost
 PREEMPTED = "preempted"  # the reason of a stop, before " for "
 # A task that has been stopped so often is stopped for guaranteed work only, so that
 # every job gets on.
@@ -49,7 +54,8 @@
     """The cost of one more task on a host.
 
     ``cost`` is ``lost_work``, the core-seconds thrown away by stopping ``victims``,
-    plus the core-seconds that the task wastes if the host is slow.
+    plus the core-seconds that the task wastes if the host is slow, and those that
+    urgent victims are counted for.
     """
 
     cost: float
@@ -63,6 +69,7 @@
     all_or_nothing: bool,
     max_slowdown: float = float("inf"),
     max_loss_ratio: float = MAX_LOSS_RATIO,
+    now: float = 0.0,
 ) -> PreemptionPlan | None:
     """Return the plan for the unit's tasks that loses least, found greedily.
 
@@ -78,6 +85,8 @@
         Hosts that may be slower are not considered.
     max_loss_ratio : float
         Work that may be lost as a multiple of the unit's own work.
+    now : float
+        Time in seconds, on the scale of ``SchedulingUnit.deadline``.
 
     Returns
     -------
@@ -98,9 +107,8 @@
         groups = list(racks.values())
     best = None
     for group in groups:
-        plan = _PreemptionSearch(unit, capacity, group, max_loss_ratio).run(
-            all_or_nothing
-        )
+        search = _PreemptionSearch(unit, capacity, group, max_loss_ratio, now)
+        plan = search.run(all_or_nothing)
         if plan is not None and (best is None or plan.lost_work < best.lost_work):
             best = plan
     return best
@@ -115,8 +123,10 @@
         capacity: FreeCapacity,
         hosts: list[Host],
         max_loss_ratio: float,
+        now: float,
     ) -> None:
         self._unit = unit
+        self._now = now
         self._max_loss_ratio = max_loss_ratio
         self._hosts = hosts
         self._capacity = capacity
@@ -143,7 +153,7 @@
 
     def _stoppable_runs(self, host: Host) -> list[ActiveRun]:
         found = [run for run in host.running if self._may_stop(run)]
-        found.sort(key=self._loss_of)
+        found.sort(key=lambda run: (self._urgent_work(run), self._loss_of(run)))
         return found
 
     def _may_stop(self, run: ActiveRun) -> bool:
@@ -153,7 +163,40 @@
             return False
         if self._unit.guaranteed:
             return not run.guaranteed
-        return run.priority > self._unit.priority and run.preemptions < MAX_PREEMPTIONS
+        if run.preemptions >= MAX_PREEMPTIONS:
+            return False
+        if run.priority > self._unit.priority:
+            return True
+        return self._is_pressed and not run.guaranteed and self._has_spare_time(run)
+
+    @property
+    def _is_pressed(self) -> bool:
+        unit = self._unit
+        time_left = unit.deadline - self._now
+        return unit.is_tight and time_left < SPARE_RUNS * unit.chain_seconds
+
+    def _has_spare_time(self, run: ActiveRun) -> bool:
+        """Return whether an urgent run would be in time if it began anew later.
+
+        A wide step has the time of all the waves in which it may run. Where progress
+        shows less work than declared, the deadline is as much nearer.
+        """
+        if run.gang:
+            return False
+        declared = max(run.step.estimate_seconds, 0.1)
+        seconds = declared
+        if run.measured:
+            seconds = run.remaining_seconds / max(0.01, 1 - run.percent / 100)
+        window = (run.deadline - run.accepted_at) * min(1.0, seconds / declared)
+        time_left = run.accepted_at + window - self._now - run.downstream_seconds
+        return time_left >= SPARE_RUNS * seconds
+
+    def _urgent_work(self, run: ActiveRun) -> float:
+        """Return the core-seconds of an urgent run that a stop would make late."""
+        is_urgent = run.priority == URGENT_PRIORITY and not run.stopping
+        if not is_urgent or self._ends_soon(run) or self._has_spare_time(run):
+            return 0.0
+        return core_seconds(run.need, LATE_RUN_SECONDS)
 
     def _loss_of(self, run: ActiveRun) -> float:
         if run.stopping or self._ends_soon(run):
@@ -194,6 +237,8 @@
         unit = self._unit
         count = len(unit.tasks) if unit.step.gang else number
         least_work = core_seconds(unit.step.need, MIN_TASK_SECONDS)
+        if unit.step.gang:
+            least_work *= count
         work = max(least_work, self._task_work * count)
         return self._max_loss_ratio * work - unit.charged_work
 
@@ -205,7 +250,7 @@
             return None
         free = self._free[host.name]
         victims = []
-        lost_work = 0.0
+        lost_work = late_work = 0.0
         for run in self._victims[host.name]:
             if free.covers(step.reserved):
                 break
@@ -213,11 +258,13 @@
                 continue
             victims.append(run)
             lost_work += self._loss_of(run)
+            late_work += self._urgent_work(run)
             free = free.plus(run.need)
         if not free.covers(step.reserved):
             return None
         slowness_cost = max(0.0, slowdown(step, host) - 1.0) * self._task_work
-        return _Option(lost_work + slowness_cost, lost_work, tuple(victims))
+        cost = lost_work + late_work + slowness_cost
+        return _Option(cost, lost_work, tuple(victims))
 
     def _accept(self, host: Host, option: _Option) -> None:
         self._options.pop(host.name, None)
