--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -23,7 +23,6 @@
 # failure on.
 PROBE_DELAY_SECONDS = 2.5
 MAX_PROBE_DELAY_SECONDS = 10.0
-PROOF_SECONDS = 20.0  # for which a successful start shows that a worker is sound
 
 
 class ProgressReading(NamedTuple):
@@ -118,6 +117,7 @@
         self._failures: dict[Lifetime, list[float]] = {}
         self._proven_at: dict[Lifetime, float] = {}
         self._failed_on: dict[str, set[str]] = {}
+        self._failed_at: dict[str, float] = {}
         self.moved_tasks: set[TaskId] = set()
         self.preemptions: dict[TaskId, int] = {}
         self.charged_work: dict[str, float] = {}
@@ -179,6 +179,7 @@
             del self.preemptions[task]
         for job_id in self._failed_on.keys() - live:
             del self._failed_on[job_id]
+            self._failed_at.pop(job_id, None)
         for job_id in self.charged_work.keys() - live:
             del self.charged_work[job_id]
         for key in [key for key in self._progress if key[0].split(".")[0] not in live]:
@@ -228,6 +229,7 @@
         """Record a run that failed without being stopped."""
         self.record_doubt(lifetime, now)
         self._failed_on.setdefault(job_id, set()).add(host)
+        self._failed_at[job_id] = now
 
     def record_doubt(self, lifetime: Lifetime, now: float) -> None:
         """Record that a worker failed a run or refused to start one."""
@@ -248,10 +250,9 @@
         self._failures.pop(lifetime, None)
         self._proven_at[lifetime] = max(began, self._proven_at.get(lifetime, began))
 
-    def is_proven(self, lifetime: Lifetime, now: float) -> bool:
-        """Return whether a run that began lately on the worker has succeeded."""
-        proven_at = self._proven_at.get(lifetime, float("-inf"))
-        return now - proven_at < PROOF_SECONDS
+    def proof_age(self, lifetime: Lifetime, now: float) -> float:
+        """Return seconds since a run began that succeeded, if none has failed since."""
+        return now - self._proven_at.get(lifetime, float("-inf"))
 
     def recent_failures(self, lifetime: Lifetime, now: float) -> int:
         """Return the worker's failures since its last success.
@@ -269,6 +270,10 @@
             return 0
         return len(failures)
 
+    def failed_seconds(self, job_id: str, now: float) -> float:
+        """Return the time since a run of a job has failed."""
+        return now - self._failed_at.get(job_id, float("-inf"))
+
     def failed_on(self, job_id: str) -> frozenset[str]:
         """Return the hosts on which runs of a job have failed."""
         return frozenset(self._failed_on.get(job_id, ()))
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -206,7 +206,7 @@
         recent_failures=context.statistics.recent_failures(worker.lifetime, now),
         running=tuple(running),
         leaving_seconds=worker.leaving_seconds if worker.leaving else None,
-        is_proven=context.statistics.is_proven(worker.lifetime, now),
+        proof_age=context.statistics.proof_age(worker.lifetime, now),
     )
 
 
@@ -402,6 +402,7 @@
         queue=job.queue,
         last_attempt=failures >= job.attempts - 1,
         failed_before=failures > 0,
+        failed_seconds=context.statistics.failed_seconds(job.job_id, clock.elapsed()),
         guaranteed=_is_guaranteed(job, context),
         stretch=job.stretch,
         waves=count_waves(job.steps[index], capacity),
--- a/src/sequoiachute/coordination/scheduling/layout.py
+++ b/src/sequoiachute/coordination/scheduling/layout.py
@@ -11,6 +11,7 @@
     slowdown,
 )
 from sequoiachute.coordination.scheduling.model import (
+    PROOF_SECONDS,
     URGENT_PRIORITY,
     Host,
     SchedulingUnit,
@@ -162,10 +163,11 @@
     max_slowdown = PLANNED_SHARE * (1 + slack / estimate)
     if effective_slowdown <= max_slowdown:
         doubts = host.recent_failures + (host.name in unit.avoided_hosts)
+        rank = -round(estimate_slowdown(unit.step, host), 1)  # the slowest first
         if unit.failed_before:
-            doubts += not host.is_proven
-        slowest_first = -round(estimate_slowdown(unit.step, host), 1)
-        return (0.0, doubts, slowest_first, remaining.gpus, host.name)
+            # Another failure may be the last: soundness goes before speed.
+            rank = round(min(host.proof_age, PROOF_SECONDS))
+        return (0.0, doubts, rank, remaining.gpus, host.name)
     return (round(effective_slowdown, 1), 0, 0.0, remaining.gpus, host.name)
 
 
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -4,6 +4,7 @@
 
 from sequoiachute.protocol.workload import Lifetime, Resources, StepSpec, TaskId
 
+PROOF_SECONDS = 20.0  # for which a successful start shows that a worker is sound
 URGENT_PRIORITY = 0  # work that guarantees cover and that preempts other work
 
 
@@ -78,8 +79,8 @@
         Standard error of the logarithm of ``speed``.
     recent_failures : int
         Recent failures that no success has followed.
-    is_proven : bool
-        Whether a run that began there lately has succeeded, and none failed since.
+    proof_age : float
+        Seconds since a run began there that has succeeded, if none has failed since.
     leaving_seconds : float or None
         Time for which a leaving worker stays at least; ``None`` if it does not
         leave.
@@ -98,7 +99,12 @@
     running: tuple[ActiveRun, ...]
     leaving_seconds: float | None = None
     speed_error: float = 0.0
-    is_proven: bool = False
+    proof_age: float = float("inf")
+
+    @property
+    def is_proven(self) -> bool:
+        """Whether a run that began lately has succeeded."""
+        return self.proof_age < PROOF_SECONDS
 
 
 class SchedulingUnit(NamedTuple):
@@ -121,6 +127,8 @@
         Whether the next failure fails the job.
     failed_before : bool
         Whether a run of one of the tasks has failed.
+    failed_seconds : float
+        Time since the job's newest failure.
     needs_proof : bool
         Whether only proven hosts may get the tasks.
     guaranteed : bool
@@ -152,6 +160,7 @@
     placed_per_host: dict[str, int]
     last_attempt: bool = False
     failed_before: bool = False
+    failed_seconds: float = float("inf")
     needs_proof: bool = False
     guaranteed: bool = False
     returning: bool = False
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -52,6 +52,7 @@
 LATE_LOSS_RATIO = 0.25  # of work lost for work that is late anyway, which earns less
 # Of work lost for a host that is surely in time, where another may be.
 CERTAINTY_LOSS_RATIO = 0.25
+MAX_IDLE_WAIT_SECONDS = 2.0  # for a proven host while others are idle
 # Of the waves that an objective allows: slow workers and faults take the rest.
 PLANNED_WAVE_SHARE = 0.5
 
@@ -179,7 +180,8 @@
     def _with_proof(self, unit: SchedulingUnit) -> SchedulingUnit:
         """Keep the last attempt of a failed task for a host that is proven.
 
-        It waits for one while half of its time is left and the service is busy.
+        It waits for one while half of its time is left, in a service with idle capacity
+        for a short while only.
         """
         if not (unit.last_attempt and unit.failed_before) or unit.guaranteed:
             return unit
@@ -190,7 +192,10 @@
         if not proven:
             return unit
         fits = any(count_fitting(proof, host, self._capacity, 0) for host in proven)
-        return proof if fits or not self._is_half_idle(unit.service) else unit
+        may_wait = unit.failed_seconds < MAX_IDLE_WAIT_SECONDS
+        if fits or may_wait or not self._is_half_idle(unit.service):
+            return proof
+        return unit
 
     def _is_half_idle(self, service: str) -> bool:
         """Return whether less than half of each resource of a service is in use."""
--- a/tests/test_scheduling_policy.py
+++ b/tests/test_scheduling_policy.py
@@ -491,24 +491,25 @@
 
 
 def last_attempt(deadline_in=90.0, **fields):
+    fields = {"failed_seconds": 0.1, **fields}
     fields = {"last_attempt": True, "failed_before": True, **fields}
     return unit(deadline_in=deadline_in, chain_seconds=5.0, **fields)
 
 
 def test_last_attempt_is_not_spent_on_a_worker_that_has_done_nothing_yet():
-    busy = host("proven", is_proven=True, running=[running(gpus=8)])
+    busy = host("proven", proof_age=1.0, running=[running(gpus=8)])
     hosts = (host("new", speed=1.2), busy)
     assert not decide(SchedulingView(NOW, hosts, (last_attempt(),))).placements
     first = unit(deadline_in=90.0)
     decision = decide(SchedulingView(NOW, hosts, (first, last_attempt(job="late"))))
     assert tasks_by_host(decision) == {"new": 1}
-    hosts = (host("new", speed=1.2), host("proven", is_proven=True))
+    hosts = (host("new", speed=1.2), host("proven", proof_age=1.0))
     decision = decide(SchedulingView(NOW, hosts, (last_attempt(),)))
     assert tasks_by_host(decision) == {"proven": 1}
 
 
 def test_last_attempt_is_not_spent_where_the_job_has_failed():
-    hosts = (host("failed", is_proven=True), host("other", is_proven=True, speed=0.5))
+    hosts = (host("failed", proof_age=1.0), host("other", proof_age=1.0, speed=0.5))
     attempt = last_attempt(avoided_hosts=frozenset(("failed",)))
     decision = decide(SchedulingView(NOW, hosts, (attempt,)))
     assert tasks_by_host(decision) == {"other": 1}
@@ -516,9 +517,10 @@
 
 @pytest.mark.parametrize("case", ["little time is left", "no worker is proven"])
 def test_last_attempt_does_not_wait_in_vain(case):
-    is_proven = case == "little time is left"
-    busy = host("busy", is_proven=is_proven, running=[running(gpus=8)])
-    attempt = last_attempt(20.0 if is_proven else 90.0, accepted_at=NOW - 25)
+    is_late = case == "little time is left"
+    age = 1.0 if is_late else 60.0
+    busy = host("busy", proof_age=age, running=[running(gpus=8)])
+    attempt = last_attempt(20.0 if is_late else 90.0, accepted_at=NOW - 25)
     decision = decide(SchedulingView(NOW, (host("new"), busy), (attempt,)))
     assert tasks_by_host(decision) == {"new": 1}
 
