--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -14,7 +14,12 @@
     WorkerInfo,
 )
 from sequoiachute.protocol.workload import Lifetime, Resources
-from sequoiachute.transport.worker import ALREADY_RAN, WorkerError, WorkerStatus
+from sequoiachute.transport.worker import (
+    ALREADY_RAN,
+    UNHEALTHY,
+    WorkerError,
+    WorkerStatus,
+)
 from standins.memory import MemoryProcess
 
 STOP_DELAY_SECONDS = 0.1
@@ -79,7 +84,9 @@
 
     ``seconds_of`` maps a payload to the run time in seconds. With ``lose_replies``
     orders are carried out but time out; with ``late_seconds`` they time out and
-    are carried out that much later. ``fails_runs`` fails every run at once.
+    are carried out that much later. ``fails_runs`` fails every run at once,
+    ``refuses_starts`` refuses every start and counts them in ``refused_starts``,
+    ``silent`` answers no call.
     """
 
     def __init__(self, name: str, capacity: Resources, history: History) -> None:
@@ -90,6 +97,9 @@
         self.lose_replies = False
         self.late_seconds = 0.0
         self.fails_runs = False
+        self.refuses_starts = False
+        self.refused_starts = 0
+        self.silent = False
         self.max_lease_seconds = 10.0
         self.leaving_seconds: float | None = None
         self.zone = "muc-1"
@@ -207,6 +217,9 @@
         task, run = order.task, order.run
         if worker_id != self.lifetime.worker_id:
             return Err(WorkerError("other lifetime", False))
+        if self.refuses_starts:
+            self.refused_starts += 1
+            return Err(WorkerError(UNHEALTHY, False))
         if term < self._highest_term:
             return Err(WorkerError("fence", False, fenced=True))
         self._highest_term = term
@@ -259,6 +272,9 @@
     ) -> Result[WorkerStatus, WorkerError]:
         """Renew the leases, acknowledge ends and return the status."""
         self._process.apply_faults()
+        if self._worker.silent:
+            clock.sleep(wait + CALL_TIMEOUT_SECONDS)
+            return Err(WorkerError("no answer", None))
         outcome = self._worker.poll(lifetime, term, lease_ms, ack, wait)
         self._process.apply_faults()
         return outcome
@@ -279,6 +295,9 @@
     def _order(self, operation: object) -> Result[None, WorkerError]:
         self._process.apply_faults()
         clock.sleep(0.001)
+        if self._worker.silent:
+            clock.sleep(CALL_TIMEOUT_SECONDS)
+            return Err(WorkerError("no answer", None))
         if self._worker.late_seconds:
             eventlet.spawn_after(self._worker.late_seconds, operation)
             clock.sleep(CALL_TIMEOUT_SECONDS)
