--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -121,7 +121,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers to this entry."""
-        if self._ended or self._store.is_cut_off or self._is_store_unreachable():
+        if self._ended or not self._has_way_to_store():
             return False
         return self.can_serve
 
@@ -160,6 +160,11 @@
     def _followers(self) -> tuple[Follower, ...]:
         return (self._published_follower, self._runs_follower, *self._jobs_followers)
 
+    def _has_way_to_store(self) -> bool:
+        if self._store.is_cut_off or self._store.has_no_way:
+            return False
+        return not self._is_store_unreachable()
+
     def _is_store_unreachable(self) -> bool:
         return self._store.availability.is_unreachable(JOB_TOPICS)
 
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -34,6 +34,7 @@
 MAX_PEERS_PER_CALL = 2  # that were reached, so that one of them may be slow
 SILENT_PEER_SECONDS = 3.0  # a peer that did not reply is asked last this long
 PING_TIMEOUT_SECONDS = 0.5
+REACHED_SECONDS = 0.7  # since a direct answer; entries join every 0.3 s
 PING_INTERVAL_SECONDS = 0.25  # while direct calls fail
 MAX_PINGED_PEERS = 8
 NO_OFFSET = -1
@@ -77,7 +78,9 @@
 
 
 class PingReply(NamedTuple):
-    """Sign of life of a peer."""
+    """Sign of life of a peer, and whether its direct calls are answered."""
+
+    reaches_store: bool
 
 
 READ = Method("/sequoiachute.Store/Read", ReadQuery, ReadReply)
@@ -117,6 +120,8 @@
         self._silent_until: dict[str, float] = {}
         self._is_isolated = False
         self._is_direct_failing = False
+        self._has_no_way = False
+        self._answered_at = float("-inf")
         self._is_pinging = False
         self._next_ping_at = float("-inf")
         self.availability = Availability()
@@ -131,12 +136,25 @@
         """Whether no way to the store is left: direct calls fail, no peer answers."""
         return self._is_direct_failing and self._is_isolated
 
+    @property
+    def has_no_way(self) -> bool:
+        """Whether neither direct calls are answered nor those of any peer's.
+
+        It may be the store that is down, or this entry's side of a cut.
+        """
+        return self._has_no_way and not self._reaches_store
+
+    @property
+    def _reaches_store(self) -> bool:
+        """Whether direct calls are answered; in a partial outage some of them are."""
+        return clock.now() < self._answered_at + REACHED_SECONDS
+
     def handlers(self) -> dict[Method, Callable]:
         """Return the handlers of peers' calls, which are never relayed further."""
         return {
             READ: self._serve_read,
             APPEND: self._serve_append,
-            PING: lambda _: PingReply(),
+            PING: lambda _: PingReply(self._reaches_store),
         }
 
     def snapshot(self, topic: str) -> TopicSnapshot:
@@ -229,7 +247,8 @@
         was_cut_off = self.is_cut_off
         self._is_direct_failing = not answered
         if answered:
-            self._is_isolated = False
+            self._answered_at = clock.now()
+            self._is_isolated = self._has_no_way = False
             if was_cut_off:
                 logger.info("reaching the store again")
         elif not self._is_pinging and clock.now() >= self._next_ping_at:
@@ -242,22 +261,28 @@
         A peer's reply to a read is none: it comes late while the store is silent.
         """
         peers = self._candidates()[:MAX_PINGED_PEERS]
-        replies: LightQueue = LightQueue()
+        queue: LightQueue = LightQueue()
         for peer in peers:
-            eventlet.spawn(self._ping, peer, replies)
-        answered = not peers
-        for _ in peers:
-            answered = answered or replies.get()
+            eventlet.spawn(self._ping, peer, queue)
+        replies = [queue.get() for _ in peers]
         self._is_pinging = False
         self._next_ping_at = clock.now() + PING_INTERVAL_SECONDS
         was_cut_off = self.is_cut_off
-        self._is_isolated = self._is_direct_failing and not answered
+        answered = [reply for reply in replies if reply is not None]
+        reached = [reply for reply in answered if reply.reaches_store]
+        self._is_isolated = self._is_direct_failing and bool(peers) and not answered
+        self._has_no_way = self._is_direct_failing and bool(peers) and not reached
         if self.is_cut_off and not was_cut_off:
             logger.bind(peers=len(peers)).warning("cut off from the store and peers")
 
     def _ping(self, peer: str, replies: LightQueue) -> None:
-        outcome = self._caller.call(peer, PING, PingQuery(), PING_TIMEOUT_SECONDS)
-        replies.put(outcome.is_ok())
+        """Put the peer's reply, ``None`` if there is none."""
+        reply = None
+        try:
+            outcome = self._caller.call(peer, PING, PingQuery(), PING_TIMEOUT_SECONDS)
+            reply = outcome.unwrap() if outcome.is_ok() else None
+        finally:
+            replies.put(reply)
 
     def _prefer_peers(self) -> None:
         if clock.now() >= self._prefer_peers_until + PREFER_PEERS_SECONDS:
--- a/tests/test_cut_entry.py
+++ b/tests/test_cut_entry.py
@@ -77,3 +77,23 @@
         outcomes.append((entry == lone, outcome.kind))
     assert outcomes[-1] == (False, ACCEPTED), outcomes
     complete(site, [job], 5)
+
+
+@pytest.mark.parametrize("phase", [0.0, 0.4, 0.8, 1.2, 1.6])
+def test_entries_that_are_cut_off_together_turn_unready(phase):
+    site = ControlSite(entries=4)
+    first = (site.placer() + 1) % 4
+    pair = (first, (first + 1) % 4)
+    site.run_for(phase)
+    addresses = {site.entries[index].address for index in pair}
+    for inside in addresses:
+        for entry in site.entries:
+            if entry.address not in addresses:
+                links = {(inside, entry.address), (entry.address, inside)}
+                site.network.cut.update(links)
+    for index in pair:
+        site.entries[index].store.rejecting = True
+    for index in pair:
+        assert seconds_until_unready(site, index) <= NOTICE_SECONDS
+    others = [site.entries[index] for index in range(4) if index not in pair]
+    assert all(entry.control.is_ready for entry in others)
