Bound what doubt, charges and retries do to other work

test_ineligible_host_gets_no_task states the age of the two failures, since older ones no longer exclude an only host.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -10,7 +10,11 @@
 from sequoiachute import clock
 from sequoiachute.coordination.dispatch.advice import TicketCache
 from sequoiachute.coordination.dispatch.end_backup import EndBackup
-from sequoiachute.coordination.dispatch.run_statistics import RunStatistics
+from sequoiachute.coordination.dispatch.objectives import DEFAULT_ESTIMATE_SECONDS
+from sequoiachute.coordination.dispatch.run_statistics import (
+    RunProgress,
+    RunStatistics,
+)
 from sequoiachute.coordination.dispatch.sessions import AgentSessions, Session
 from sequoiachute.coordination.dispatch.settlement import (
     ProgressDraft,
@@ -238,14 +242,21 @@
             self._statistics.forget_run(task, end.run)
             self._metrics.count("runs_ended_total", how=end.outcome)
             if end.outcome == DONE:
-                now = clock.elapsed()
-                began = progress.first.at if progress is not None else now
+                began = self._began(task, progress)
                 self._statistics.record_success(session.lifetime, began)
             elif end.outcome == RUN_FAILED:
                 self._statistics.record_failure(
                     task.job_id, session.host, session.lifetime, clock.elapsed()
                 )
 
+    def _began(self, task: TaskId, progress: RunProgress | None) -> float | None:
+        """Return when a run began; ``None`` if it was never seen at work."""
+        job = self._ledger.job(task.job_id)
+        if progress is None or job is None:
+            return None
+        estimate = job.steps[task.step].estimate_seconds or DEFAULT_ESTIMATE_SECONDS
+        return clock.elapsed() - progress.worked_seconds(estimate)
+
     def _record_refused_starts(self, session: Session) -> None:
         placed = self._ledger.tasks_on_host(session.host)
         for start in session.settled:
@@ -253,7 +264,9 @@
             if task is None or task not in placed or placed[task].run != start.run:
                 continue
             if start.reason == UNHEALTHY:
+                # However many starts it refuses at a time, it is one doubt.
                 self._statistics.record_doubt(session.lifetime, clock.elapsed())
+                return
 
     def _order_stops(self, stops: tuple[RunStop, ...]) -> None:
         for stop in stops:
--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -120,7 +120,7 @@
         self._failed_at: dict[str, float] = {}
         self.moved_tasks: set[TaskId] = set()
         self.preemptions: dict[TaskId, int] = {}
-        self.charged_work: dict[str, float] = {}
+        self.charged_work: dict[tuple[str, int, int], float] = {}
 
     def record_progress(
         self,
@@ -180,8 +180,8 @@
         for job_id in self._failed_on.keys() - live:
             del self._failed_on[job_id]
             self._failed_at.pop(job_id, None)
-        for job_id in self.charged_work.keys() - live:
-            del self.charged_work[job_id]
+        for step in [step for step in self.charged_work if step[0] not in live]:
+            del self.charged_work[step]
         for key in [key for key in self._progress if key[0].split(".")[0] not in live]:
             del self._progress[key]
 
@@ -236,24 +236,27 @@
         self._proven_at.pop(lifetime, None)
         self._failures.setdefault(lifetime, []).append(now)
 
-    def record_success(self, lifetime: Lifetime, began: float) -> None:
-        """Record a successful run that began at ``began`` seconds.
+    def record_success(self, lifetime: Lifetime, began: float | None) -> None:
+        """Record a successful run; it clears the worker's failures.
 
-        It clears the failures before its start: a worker that fails what it starts
-        now may still complete what it has begun.
+        ``began`` is when it began, in seconds, ``None`` if that is not known. Only a
+        late start is proof: a worker may complete what it has begun and fail what it
+        starts.
         """
-        failures = self._failures.get(lifetime, [])
-        later = [at for at in failures if at > began]
-        if later:
-            self._failures[lifetime] = later
-            return
         self._failures.pop(lifetime, None)
-        self._proven_at[lifetime] = max(began, self._proven_at.get(lifetime, began))
+        if began is not None:
+            newest = self._proven_at.get(lifetime, began)
+            self._proven_at[lifetime] = max(began, newest)
 
     def proof_age(self, lifetime: Lifetime, now: float) -> float:
         """Return seconds since a run began that succeeded, if none has failed since."""
         return now - self._proven_at.get(lifetime, float("-inf"))
 
+    def doubt_age(self, lifetime: Lifetime, now: float) -> float:
+        """Return seconds since the newest failure that no success has followed."""
+        failures = self._failures.get(lifetime)
+        return now - failures[-1] if failures else float("inf")
+
     def recent_failures(self, lifetime: Lifetime, now: float) -> int:
         """Return the worker's failures since its last success.
 
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -206,6 +206,7 @@
         recent_failures=context.statistics.recent_failures(worker.lifetime, now),
         running=tuple(running),
         leaving_seconds=worker.leaving_seconds if worker.leaving else None,
+        doubt_age=context.statistics.doubt_age(worker.lifetime, now),
         proof_age=context.statistics.proof_age(worker.lifetime, now),
     )
 
@@ -400,12 +401,12 @@
         avoided_hosts=context.statistics.failed_on(job.job_id),
         placed_per_host=placed,
         queue=job.queue,
-        last_attempt=failures >= job.attempts - 1,
+        last_attempt=failures >= job.attempts - 1 and not job.steps[index].lasting,
         failed_before=failures > 0,
         failed_seconds=context.statistics.failed_seconds(job.job_id, clock.elapsed()),
         guaranteed=_is_guaranteed(job, context),
         stretch=job.stretch,
         waves=count_waves(job.steps[index], capacity),
         running=running,
-        charged_work=context.statistics.charged_work.get(job.job_id, 0.0),
+        charged_work=context.statistics.charged_work.get(tasks[0][:3], 0.0),
     )
--- a/src/sequoiachute/coordination/scheduling/capacity.py
+++ b/src/sequoiachute/coordination/scheduling/capacity.py
@@ -10,6 +10,7 @@
 REMOTE_SLOWDOWN = 3.0  # for data in another rack or a split gang; the site's far_x
 GPU_CORES = 8  # cores that one accelerator counts as
 MAX_RECENT_FAILURES = 2  # without a success since; such a host gets no tasks
+MIN_PROBE_DELAY_SECONDS = 1.5  # after a failure, where there is no other host
 
 GangKey = tuple[str, int, int]  # job ID, occurrence and step
 
@@ -124,7 +125,9 @@
         return False
     max_failures = 1 if unit.last_attempt else MAX_RECENT_FAILURES
     if host.recent_failures >= max_failures:
-        return False
+        is_due = unit.only_doubtful and host.doubt_age >= MIN_PROBE_DELAY_SECONDS
+        if not is_due:
+            return False
     return host.capacity.covers(step.reserved)
 
 
--- a/src/sequoiachute/coordination/scheduling/migration.py
+++ b/src/sequoiachute/coordination/scheduling/migration.py
@@ -27,14 +27,14 @@
 
 
 def select_migrations(
-    capacity: FreeCapacity, now: float, urgent_only: bool = False
+    capacity: FreeCapacity, now: float, urgent: bool
 ) -> Iterator[RunStop]:
-    """Yield the runs to stop; allocate the capacity for their restart.
+    """Yield the urgent or other runs to stop; allocate the capacity for their restart.
 
     ``now`` is in seconds, on the scale of ``ActiveRun.deadline``.
     """
     for group in _group_runs(capacity):
-        if urgent_only and group[0][1].priority != URGENT_PRIORITY:
+        if (group[0][1].priority == URGENT_PRIORITY) != urgent:
             continue
         if any(run.stopping or run.lasting or run.moved for _, run in group):
             continue
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -79,6 +79,8 @@
         Standard error of the logarithm of ``speed``.
     recent_failures : int
         Recent failures that no success has followed.
+    doubt_age : float
+        Seconds since the newest failure that no success has followed.
     proof_age : float
         Seconds since a run began there that has succeeded, if none has failed since.
     leaving_seconds : float or None
@@ -99,6 +101,7 @@
     running: tuple[ActiveRun, ...]
     leaving_seconds: float | None = None
     speed_error: float = 0.0
+    doubt_age: float = float("inf")
     proof_age: float = float("inf")
 
     @property
@@ -131,6 +134,8 @@
         Time since the job's newest failure.
     needs_proof : bool
         Whether only proven hosts may get the tasks.
+    only_doubtful : bool
+        Whether hosts in doubt are all there are for the tasks.
     guaranteed : bool
         Whether the catalogue's guarantee to the client account covers the work.
     returning : bool
@@ -142,7 +147,7 @@
     running : int
         Tasks of the step that run, or may still do so.
     charged_work : float
-        Work of others that has been stopped for the job so far, in core-seconds.
+        Work of others that has been stopped for the step so far, in core-seconds.
     tickets : dict of str to str, or None
         Permits by worker ID; only these workers may run the tasks. ``None``
         means that no permit is needed.
@@ -162,6 +167,7 @@
     failed_before: bool = False
     failed_seconds: float = float("inf")
     needs_proof: bool = False
+    only_doubtful: bool = False
     guaranteed: bool = False
     returning: bool = False
     stretch: float = 1.0
@@ -213,8 +219,8 @@
     """A run to stop; ``is_migration`` if it should run again on a faster worker.
 
     The part of ``reason`` before " for " is a label of the metric
-    ``runs_stopped_total``. ``beneficiary`` is the ID of the job that it makes room
-    for, ``lost_work`` the core-seconds that it throws away.
+    ``runs_stopped_total``. ``beneficiary`` is the job ID, occurrence and step that it
+    makes room for, ``lost_work`` the core-seconds that it throws away.
     """
 
     task: TaskId
@@ -222,7 +228,7 @@
     host: str
     reason: str
     is_migration: bool = False
-    beneficiary: str = ""
+    beneficiary: tuple[str, int, int] | None = None
     lost_work: float = 0.0
 
 
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -4,11 +4,13 @@
 many small tasks.
 """
 
+from collections import Counter
 from collections.abc import Callable
-from math import ceil
+from math import ceil, log2
 
 from sequoiachute.coordination.scheduling.capacity import (
     FreeCapacity,
+    GangKey,
     cautious_slowdown,
     count_fitting,
     is_eligible,
@@ -62,13 +64,14 @@
     return _Round(view).run()
 
 
-def urgency_key(unit: SchedulingUnit, now: float) -> tuple[int, int, float]:
+def urgency_key(unit: SchedulingUnit, now: float) -> tuple[int, int, bool, float]:
     """Return the sort key of ``unit``; the smallest is served first.
 
     Guaranteed work goes first, then urgent work, then the rest; expired urgent
     work ranks below the rest, and other expired work last. Ties are broken by
     priority, then by the latest time at which the unit can start and still
-    meet its deadline.
+    meet its deadline. Urgent work that is late by its declared time comes behind
+    other urgent work.
     """
     if unit.guaranteed:
         rank = 0
@@ -78,7 +81,9 @@
         rank = 2
     if is_expired(unit, now):
         rank += 2
-    return (rank, unit.priority, unit.deadline - unit.chain_seconds)
+    window = unit.deadline - unit.accepted_at
+    is_late = now > unit.accepted_at + EXPIRY_FACTOR * window - unit.chain_seconds
+    return (rank, unit.priority, is_late, unit.deadline - unit.chain_seconds)
 
 
 def is_expired(unit: SchedulingUnit, now: float) -> bool:
@@ -99,7 +104,9 @@
     """
     planned_waves = int(PLANNED_WAVE_SHARE * unit.waves)
     is_wide = unit.priority == URGENT_PRIORITY and planned_waves > 1
-    if not is_wide or unit.step.gang or unit.guaranteed or view.is_gathering:
+    if not is_wide or unit.step.gang or unit.guaranteed or unit.returning:
+        return unit
+    if view.is_gathering:
         return unit
     if not _has_half_its_time(unit, view.now):
         return unit
@@ -118,11 +125,13 @@
     constraints = (step.gang, step.same_rack, unit.last_attempt, unit.guaranteed)
     proof = unit.avoided_hosts if unit.needs_proof else None
     tickets = frozenset(unit.tickets) if unit.tickets is not None else None
-    key = (unit.priority, requirements, constraints, proof, tickets)
+    placed = frozenset(unit.placed_per_host.items()) if step.per_worker else None
+    key = (unit.priority, requirements, constraints, proof, placed, tickets)
     if unit.priority != URGENT_PRIORITY:
         return key
-    # What urgent work may stop, and which hosts are in time, is its own.
-    return (*key, step.estimate_seconds, unit.deadline, unit.charged_work)
+    # What urgent work may stop depends on its declared work and on what it has cost.
+    work_class = round(log2(max(step.estimate_seconds, 0.1)))
+    return (*key, work_class, unit.waves, bool(unit.charged_work))
 
 
 def _min_tasks(unit: SchedulingUnit) -> int:
@@ -138,7 +147,9 @@
         self._capacity = FreeCapacity(view.hosts)
         self._placements: list[TaskPlacement] = []
         self._stops: list[RunStop] = []
-        self._charged_work: dict[str, float] = {}  # in this round, by job ID
+        # In this round, by step.
+        self._charged_work: dict[GangKey, float] = {}
+        self._placed: dict[GangKey, Counter[str]] = {}
         # Fewest tasks that did not fit, by fit key. Free capacity only shrinks
         # in a round, so as many or more need not be tried again.
         self._smallest_misfit: dict[tuple, int] = {}
@@ -154,11 +165,11 @@
         for unit in urgent:
             self._schedule_due(unit)
         # Late urgent runs get a better host before lesser work takes it.
-        self._migrate(urgent_only=True)
+        self._migrate(urgent=True)
         for unit in ordered:
             if not self._view.is_gathering and not self._is_urgent(unit):
                 self._schedule_due(unit)
-        self._migrate(urgent_only=False)
+        self._migrate(urgent=False)
         stops = tuple(self._stops)
         return SchedulingDecision(tuple(self._placements), stops, self._is_truncated)
 
@@ -167,13 +178,29 @@
         return unit.priority == URGENT_PRIORITY and not is_late
 
     def _schedule_due(self, unit: SchedulingUnit) -> None:
-        unit = self._with_proof(_due_tasks(unit, self._view))
+        unit = _due_tasks(self._with_round(unit), self._view)
         if unit.tasks:
-            self._schedule(unit)
+            self._schedule(self._with_doubt(self._with_proof(unit)))
+
+    def _with_round(self, unit: SchedulingUnit) -> SchedulingUnit:
+        """Return the unit with the tasks of its step that were placed in this round."""
+        placed = self._placed.get(unit.tasks[0][:3])
+        if not placed:
+            return unit
+        return unit._replace(
+            placed_per_host=dict(Counter(unit.placed_per_host) + placed),
+            running=unit.running + placed.total(),
+        )
 
-    def _migrate(self, urgent_only: bool) -> None:
+    def _with_doubt(self, unit: SchedulingUnit) -> SchedulingUnit:
+        """Let the unit try hosts in doubt again if there are no others for it."""
+        if any(is_eligible(unit, host) for host in self._view.hosts):
+            return unit
+        return unit._replace(only_doubtful=True)
+
+    def _migrate(self, urgent: bool) -> None:
         stopped = {(stop.task, stop.run) for stop in self._stops}
-        for stop in select_migrations(self._capacity, self._view.now, urgent_only):
+        for stop in select_migrations(self._capacity, self._view.now, urgent):
             if (stop.task, stop.run) not in stopped:
                 self._stops.append(stop)
 
@@ -364,14 +391,14 @@
             self._is_truncated = True
             return None
         self._searches_left -= 1
-        charged_work = self._charged_work.get(unit.tasks[0].job_id, 0.0)
+        charged_work = self._charged_work.get(unit.tasks[0][:3], 0.0)
         return plan_preemption(
             unit._replace(charged_work=unit.charged_work + charged_work),
             self._capacity,
             unit.step.gang,
             max_slowdown,
             max_loss_ratio,
-            self._view.now,
+            now=self._view.now,
         )
 
     def _max_slowdown(self, unit: SchedulingUnit) -> float:
@@ -391,7 +418,9 @@
         for host, count in layout:
             for _ in range(count):
                 self._capacity.allocate(host, unit.step.reserved)
-                self._placements.append(self._placement(unit, next(tasks), host))
+                task = next(tasks)
+                self._placements.append(self._placement(unit, task, host))
+                self._placed.setdefault(task[:3], Counter())[host.name] += 1
                 placed += 1
         return placed
 
@@ -410,9 +439,9 @@
         for stop in plan.stops:
             if (stop.task, stop.run) not in stopped:
                 self._stops.append(stop)
-        job_id = unit.tasks[0].job_id
-        charged_work = self._charged_work.get(job_id, 0.0)
-        self._charged_work[job_id] = charged_work + plan.lost_work
+        step = unit.tasks[0][:3]
+        charged_work = self._charged_work.get(step, 0.0)
+        self._charged_work[step] = charged_work + plan.lost_work
         self._hold(unit, plan)
 
     def _hold(self, unit: SchedulingUnit, plan: PreemptionPlan) -> None:
--- a/src/sequoiachute/coordination/scheduling/preemption.py
+++ b/src/sequoiachute/coordination/scheduling/preemption.py
@@ -42,12 +42,14 @@
 class PreemptionPlan(NamedTuple):
     """Hosts with the number of tasks that fit once ``stops`` are done.
 
-    ``lost_work`` is the work thrown away, in core-seconds.
+    ``lost_work`` is the work thrown away, in core-seconds, ``cost`` that of all tasks'
+    options.
     """
 
     hosts: tuple[tuple[Host, int], ...]
     stops: tuple[RunStop, ...]
     lost_work: float
+    cost: float
 
 
 class _Option(NamedTuple):
@@ -69,7 +71,8 @@
     all_or_nothing: bool,
     max_slowdown: float = float("inf"),
     max_loss_ratio: float = MAX_LOSS_RATIO,
-    now: float = 0.0,
+    *,
+    now: float,
 ) -> PreemptionPlan | None:
     """Return the plan for the unit's tasks that loses least, found greedily.
 
@@ -109,7 +112,7 @@
     for group in groups:
         search = _PreemptionSearch(unit, capacity, group, max_loss_ratio, now)
         plan = search.run(all_or_nothing)
-        if plan is not None and (best is None or plan.lost_work < best.lost_work):
+        if plan is not None and (best is None or plan.cost < best.cost):
             best = plan
     return best
 
@@ -136,7 +139,7 @@
         self._counts: dict[str, int] = {}
         self._options: dict[str, _Option | None] = {}
         self._stops: list[RunStop] = []
-        self._lost_work = 0.0
+        self._lost_work = self._cost = 0.0
         seconds = unit.step.estimate_seconds
         self._task_work = core_seconds(unit.step.need, seconds)
 
@@ -149,14 +152,14 @@
                 break
         by_name = {host.name: host for host in self._hosts}
         hosts = tuple((by_name[name], count) for name, count in self._counts.items())
-        return PreemptionPlan(hosts, tuple(self._stops), self._lost_work)
+        return PreemptionPlan(hosts, tuple(self._stops), self._lost_work, self._cost)
 
     def _stoppable_runs(self, host: Host) -> list[ActiveRun]:
-        found = [run for run in host.running if self._may_stop(run)]
-        found.sort(key=lambda run: (self._urgent_work(run), self._loss_of(run)))
+        found = [run for run in host.running if self._may_stop(run, host)]
+        found.sort(key=lambda run: (self._urgent_work(run, host), self._loss_of(run)))
         return found
 
-    def _may_stop(self, run: ActiveRun) -> bool:
+    def _may_stop(self, run: ActiveRun, host: Host) -> bool:
         if run.stopping:
             return True
         if run.lasting:
@@ -165,9 +168,13 @@
             return not run.guaranteed
         if run.preemptions >= MAX_PREEMPTIONS:
             return False
+        if run.task.job_id == self._unit.tasks[0].job_id:
+            return False
         if run.priority > self._unit.priority:
             return True
-        return self._is_pressed and not run.guaranteed and self._has_spare_time(run)
+        if not self._is_pressed or run.guaranteed:
+            return False
+        return self._has_spare_time(run, host)
 
     @property
     def _is_pressed(self) -> bool:
@@ -175,7 +182,7 @@
         time_left = unit.deadline - self._now
         return unit.is_tight and time_left < SPARE_RUNS * unit.chain_seconds
 
-    def _has_spare_time(self, run: ActiveRun) -> bool:
+    def _has_spare_time(self, run: ActiveRun, host: Host) -> bool:
         """Return whether an urgent run would be in time if it began anew later.
 
         A wide step has the time of all the waves in which it may run. Where progress
@@ -183,20 +190,23 @@
         """
         if run.gang:
             return False
-        declared = max(run.step.estimate_seconds, 0.1)
-        seconds = declared
+        declared = work = max(run.step.estimate_seconds, 0.1)
+        seconds = declared * slowdown(run.step, host)
         if run.measured:
             seconds = run.remaining_seconds / max(0.01, 1 - run.percent / 100)
-        window = (run.deadline - run.accepted_at) * min(1.0, seconds / declared)
+            work = seconds / slowdown(run.step, host)
+        window = (run.deadline - run.accepted_at) * min(1.0, work / declared)
         time_left = run.accepted_at + window - self._now - run.downstream_seconds
         return time_left >= SPARE_RUNS * seconds
 
-    def _urgent_work(self, run: ActiveRun) -> float:
-        """Return the core-seconds of an urgent run that a stop would make late."""
+    def _urgent_work(self, run: ActiveRun, host: Host) -> float:
+        """Return the core-seconds that an urgent run counts for beside its loss."""
         is_urgent = run.priority == URGENT_PRIORITY and not run.stopping
-        if not is_urgent or self._ends_soon(run) or self._has_spare_time(run):
+        if not is_urgent or self._ends_soon(run):
             return 0.0
-        return core_seconds(run.need, LATE_RUN_SECONDS)
+        is_safe = self._has_spare_time(run, host)
+        seconds = MIN_TASK_SECONDS if is_safe else LATE_RUN_SECONDS
+        return core_seconds(run.need, seconds)
 
     def _loss_of(self, run: ActiveRun) -> float:
         if run.stopping or self._ends_soon(run):
@@ -232,10 +242,10 @@
     def _budget(self, number: int) -> float:
         """Return the core-seconds that may be lost for the first ``number`` tasks.
 
-        What the job has cost others in earlier rounds counts against it.
+        What the step has cost others in earlier rounds counts against it.
         """
         unit = self._unit
-        count = len(unit.tasks) if unit.step.gang else number
+        count = len(unit.tasks) if unit.step.gang else unit.running + number
         least_work = core_seconds(unit.step.need, MIN_TASK_SECONDS)
         if unit.step.gang:
             least_work *= count
@@ -258,7 +268,7 @@
                 continue
             victims.append(run)
             lost_work += self._loss_of(run)
-            late_work += self._urgent_work(run)
+            late_work += self._urgent_work(run, host)
             free = free.plus(run.need)
         if not free.covers(step.reserved):
             return None
@@ -282,15 +292,16 @@
         self._free[host.name] = free.minus(self._unit.step.reserved)
         self._counts[host.name] = self._counts.get(host.name, 0) + 1
         self._lost_work += option.lost_work
+        self._cost += option.cost
 
     def _stop(self, run: ActiveRun, host: Host) -> RunStop:
-        job_id = self._unit.tasks[0].job_id
+        beneficiary = self._unit.tasks[0]
         return RunStop(
             run.task,
             run.run,
             host.name,
-            f"{PREEMPTED} for {job_id}",
-            beneficiary=job_id,
+            f"{PREEMPTED} for {beneficiary.job_id}",
+            beneficiary=beneficiary[:3],
             lost_work=self._loss_of(run),
         )
 
--- a/tests/test_scheduling_policy.py
+++ b/tests/test_scheduling_policy.py
@@ -115,7 +115,7 @@
     [
         {"is_open": False},
         {"service": "other"},
-        {"recent_failures": 2},
+        {"recent_failures": 2, "doubt_age": 1.0},
         {"capacity": Resources(32_000, 128_000, 0)},
     ],
 )
@@ -556,7 +556,40 @@
     step = {"estimate_seconds": 0.5}
     urgent = unit(gpus=8, priority=0, chain_seconds=0.5, deadline_in=3.0, step=step)
     (stop,) = decide(SchedulingView(NOW, hosts, (urgent,))).stops
-    assert stop.beneficiary == urgent.tasks[0].job_id
+    assert stop.beneficiary == urgent.tasks[0][:3]
     assert stop.lost_work == pytest.approx(3.0 * 65)
     urgent = urgent._replace(charged_work=stop.lost_work)
     assert not decide(SchedulingView(NOW, hosts, (urgent,))).stops
+
+
+def test_failed_task_and_its_siblings_share_the_limit_per_worker():
+    step = {"per_worker": 1}
+    rest = unit(3, deadline_in=90.0, step=step)
+    retry = rest._replace(tasks=rest.tasks[:1], failed_before=True)
+    rest = rest._replace(tasks=rest.tasks[1:])
+    hosts = (host("a"), host("b"), host("c"))
+    decision = decide(SchedulingView(NOW, hosts, (retry, rest)))
+    assert tasks_by_host(decision) == {"a": 1, "b": 1, "c": 1}
+
+
+def test_hosts_in_doubt_are_tried_again_where_there_are_no_others():
+    doubtful = {"recent_failures": 8, "doubt_age": 2.0}
+    hosts = (host("a", **doubtful), host("b", **doubtful))
+    assert decide(SchedulingView(NOW, hosts, (unit(),))).placements
+    hosts = (host("a", **doubtful), host("b", running=[running(gpus=8)]))
+    assert not decide(SchedulingView(NOW, hosts, (unit(),))).placements
+
+
+def test_unit_that_fits_nowhere_does_not_hide_one_that_fits():
+    step = {"per_worker": 1}
+    full = unit(1, job="full", step=step, placed_per_host={"a": 1, "b": 1})
+    other = unit(1, job="other", step=step)
+    decision = decide(SchedulingView(NOW, (host("a"), host("b")), (full, other)))
+    assert len(decision.placements) == 1
+
+
+def test_urgent_work_that_seems_late_comes_behind_other_urgent_work():
+    late = unit(gpus=8, job="late", priority=0, accepted_at=NOW - 10, deadline_in=-8.5)
+    fresh = unit(gpus=8, job="fresh", priority=0, deadline_in=7.5)
+    decision = decide(SchedulingView(NOW, (host("a"),), (late, fresh)))
+    assert [placement.task.job_id for placement in decision.placements] == ["fresh"]
--- a/tests/test_urgent_work_in_time.py
+++ b/tests/test_urgent_work_in_time.py
@@ -158,3 +158,21 @@
     guaranteed = guaranteed._replace(step=step, guaranteed=True)
     decision = decide(SchedulingView(NOW, hosts, (guaranteed,)))
     assert [stop.host for stop in decision.stops] == ["b"]
+
+
+def test_urgent_run_on_a_slow_worker_is_not_stopped_as_if_it_had_time():
+    """As 59301a84 of trouble-2, seed 91002: 3.5 s of work, 5.9 s on its worker."""
+    step = StepSpec(4, Resources(1000, 1000, 8), 5.97)
+    run = running("wide", gpus=8, priority=0, unsaved_seconds=1.0, measured=True)
+    run = run._replace(
+        step=step,
+        remaining_seconds=4.9,
+        percent=17,
+        stretch=1.5,
+        accepted_at=NOW - 1.0,
+        deadline=NOW + 17.2,
+    )
+    hosts = (host("slow", 0.6, speed_error=0.24, running=[run]),)
+    tight = unit(gpus=8, priority=0, chain_seconds=3.8, deadline_in=5.9, stretch=1.5)
+    tight = tight._replace(step=tight.step._replace(estimate_seconds=3.8))
+    assert not decide(SchedulingView(NOW, hosts, (tight,))).stops
