--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -399,3 +399,18 @@
     for _ in range(30):
         site.run_for(0.1)
         assert not any(entry.control.store.is_isolated for entry in site.entries)
+
+
+@pytest.mark.parametrize("phase", [0.0, 0.05, 0.1, 0.15, 0.2])
+def test_last_try_asks_a_store_that_has_just_returned(phase):
+    """As 27d94e3a of trouble-3, seed 91006: refused 0.11 s after the store's return."""
+    site = ControlSite()
+    for entry in site.entries:
+        entry.store.rejecting = True
+    site.run_for(5 + phase)
+    submission = eventlet.spawn(site.submit, 1.0, entry=1, wait=0.645)
+    site.run_for(0.525)
+    for entry in site.entries:
+        entry.store.rejecting = False
+    site.run_for(0.12)
+    assert submission.wait()[1].kind == ACCEPTED
