--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -80,9 +80,11 @@
     recent_failures : int
         Recent failures that no success has followed.
     doubt_age : float
-        Seconds since the newest failure that no success has followed.
+        Seconds since the newest failure that no success has followed; infinite
+        without one.
     proof_age : float
-        Seconds since a run began there that has succeeded, if none has failed since.
+        Seconds since a run began there that has succeeded, if none has failed since;
+        infinite without one.
     leaving_seconds : float or None
         Time for which a leaving worker stays at least; ``None`` if it does not
         leave.
--- a/src/sequoiachute/transport/worker.py
+++ b/src/sequoiachute/transport/worker.py
@@ -8,8 +8,6 @@
 from sequoiachute.protocol.workload import Lifetime
 
 ALREADY_RAN = "already ran"
-
-
 UNHEALTHY = "the worker takes no work"  # reason of a start that it refused
 
 
