One loop over reports of placed runs; one environment and one cut for tests of entries

Found by reading the whole change once more: the loop that skips reports of runs not placed stood twice in the placer, urgent units were told apart twice a round, and a submission's WSGI environment and an entry's cut links stood twice in tests. Behaviour and assertions are unchanged; the cut no longer names the link of an entry to itself, which nothing uses.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -1,7 +1,7 @@
 """The placer's rounds: settle reports, decide, record the decision, order runs."""
 
-from collections.abc import Callable
-from typing import NamedTuple
+from collections.abc import Callable, Iterable, Iterator
+from typing import NamedTuple, TypeVar
 
 import eventlet
 from eventlet.event import Event
@@ -34,7 +34,12 @@
 from sequoiachute.coordination.scheduling.preemption import PREEMPTED
 from sequoiachute.coordination.store.election import WRITER
 from sequoiachute.protocol.stored import StoredRecord
-from sequoiachute.protocol.supervision import DONE, RUN_FAILED
+from sequoiachute.protocol.supervision import (
+    DONE,
+    RUN_FAILED,
+    EndReport,
+    SettledStart,
+)
 from sequoiachute.protocol.workload import (
     TYPICAL_TIMES,
     StepSpec,
@@ -71,6 +76,8 @@
 RETENTION_INTERVAL_SECONDS = 30.0  # between two checks for jobs to drop
 MAX_RECORDS_PER_APPEND = 200
 
+RunOutcome = TypeVar("RunOutcome", EndReport, SettledStart)
+
 
 class Term(NamedTuple):
     """A placer's term: its number, the topic that only it writes, and its member."""
@@ -233,11 +240,7 @@
             )
 
     def _record_ends(self, session: Session) -> None:
-        placed = self._ledger.tasks_on_host(session.host)
-        for end in session.ends:
-            task = parse_task_id(end.task)
-            if task is None or task not in placed or placed[task].run != end.run:
-                continue
+        for task, end in self._reports_of_placed(session, session.ends):
             progress = self._statistics.progress_of(task, end.run)
             self._statistics.forget_run(task, end.run)
             self._metrics.count("runs_ended_total", how=end.outcome)
@@ -249,6 +252,17 @@
                     task.job_id, session.host, session.lifetime, clock.elapsed()
                 )
 
+    def _reports_of_placed(
+        self, session: Session, reports: Iterable[RunOutcome]
+    ) -> Iterator[tuple[TaskId, RunOutcome]]:
+        """Yield the reports of runs that are recorded on the session's host."""
+        placed = self._ledger.tasks_on_host(session.host)
+        for report in reports:
+            task = parse_task_id(report.task)
+            if task is None or task not in placed or placed[task].run != report.run:
+                continue
+            yield task, report
+
     def _began(self, task: TaskId, progress: RunProgress | None) -> float | None:
         """Return when a run began; ``None`` if it was never seen at work."""
         job = self._ledger.job(task.job_id)
@@ -258,11 +272,7 @@
         return clock.elapsed() - progress.worked_seconds(estimate)
 
     def _record_refused_starts(self, session: Session) -> None:
-        placed = self._ledger.tasks_on_host(session.host)
-        for start in session.settled:
-            task = parse_task_id(start.task)
-            if task is None or task not in placed or placed[task].run != start.run:
-                continue
+        for _, start in self._reports_of_placed(session, session.settled):
             if start.reason == UNHEALTHY:
                 # However many starts it refuses at a time, it is one doubt.
                 self._statistics.record_doubt(session.lifetime, clock.elapsed())
@@ -280,10 +290,7 @@
             elif reason == PREEMPTED:
                 preemptions = self._statistics.preemptions
                 preemptions[stop.task] = preemptions.get(stop.task, 0) + 1
-                charged_work = self._statistics.charged_work
-                charged_work[stop.beneficiary] = (
-                    charged_work.get(stop.beneficiary, 0.0) + stop.lost_work
-                )
+                self._statistics.charged_work[stop.beneficiary] += stop.lost_work
             self._metrics.count("runs_stopped_total", reason=reason)
             log = logger.bind(task=str(stop.task), run=stop.run, host=stop.host)
             log.bind(reason=stop.reason).info("stopping run")
--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -1,5 +1,6 @@
 """Statistics of observed runs: workers' speeds, runs' progress and failures."""
 
+from collections import defaultdict
 from math import log
 from typing import NamedTuple
 
@@ -120,7 +121,7 @@
         self._failed_at: dict[str, float] = {}
         self.moved_tasks: set[TaskId] = set()
         self.preemptions: dict[TaskId, int] = {}
-        self.charged_work: dict[tuple[str, int, int], float] = {}
+        self.charged_work: dict[tuple[str, int, int], float] = defaultdict(float)
 
     def record_progress(
         self,
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -161,13 +161,16 @@
         for host in self._view.hosts:
             self._drain_leaving(host)
         ordered = sorted(self._view.units, key=lambda u: urgency_key(u, self._view.now))
-        urgent = [unit for unit in ordered if self._is_urgent(unit)]
-        for unit in urgent:
-            self._schedule_due(unit)
+        others = []
+        for unit in ordered:
+            if self._is_urgent(unit):
+                self._schedule_due(unit)
+            else:
+                others.append(unit)
         # Late urgent runs get a better host before lesser work takes it.
         self._migrate(urgent=True)
-        for unit in ordered:
-            if not self._view.is_gathering and not self._is_urgent(unit):
+        for unit in others:
+            if not self._view.is_gathering:
                 self._schedule_due(unit)
         self._migrate(urgent=False)
         stops = tuple(self._stops)
--- a/tests/test_caller_time.py
+++ b/tests/test_caller_time.py
@@ -2,14 +2,14 @@
 
 import subprocess
 import sys
-from io import BytesIO
 
 import eventlet
 import pytest
 
 from sequoiachute import clock
 from sequoiachute.platform.jobs import JobsApp
-from standins.control_site import QUEUE, ControlSite
+from standins.control_site import ControlSite
+from tests.control_checks import submission_environ
 
 # Stands for an entry whose libraries load for LOAD seconds after it listens.
 BACKLOG = """
@@ -70,16 +70,7 @@
     site.kill_entry(0)
     site.store.delay = 0.3  # so that it reads its state after 0.3 s
     site.restart_entry(0)
-    body = b'{"spec": "0.5", "steps": [{"count": 1, "cpu": 100, "est_ms": 500}]}'
-    environ = {
-        "REQUEST_METHOD": "POST",
-        "HTTP_HOST": QUEUE.host,
-        "PATH_INFO": f"{QUEUE.prefix}{'0' * 15}a",
-        "HTTP_AUTHORIZATION": "Token key-1",
-        "HTTP_X_DEADLINE_MS": "200",
-        "CONTENT_LENGTH": str(len(body)),
-        "wsgi.input": BytesIO(body),
-    }
+    environ = submission_environ("0.5", deadline_ms=200)
     statuses = []
     began = clock.now()
 
--- a/tests/test_cut_entry.py
+++ b/tests/test_cut_entry.py
@@ -3,7 +3,7 @@
 from sequoiachute import clock
 from sequoiachute.coordination.intake import ACCEPTED
 from standins.control_site import ControlSite
-from tests.control_checks import accepted, complete
+from tests.control_checks import accepted, complete, cut_links
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
@@ -14,9 +14,7 @@
 
 def cut_off(site, index):
     """Cut an entry off from the store and from its peers, both ways."""
-    address = site.entries[index].address
-    for peer in {entry.address for entry in site.entries} - {address}:
-        site.network.cut.update({(address, peer), (peer, address)})
+    cut_links(site, index)
     site.entries[index].store.rejecting = True
 
 
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -1,5 +1,3 @@
-from io import BytesIO
-
 import eventlet
 import pytest
 
@@ -13,8 +11,14 @@
 )
 from sequoiachute.platform.jobs import JobsApp
 from sequoiachute.protocol.workload import COMPLETE
-from standins.control_site import QUEUE, ControlSite, Entry
-from tests.control_checks import TAKEOVER_SECONDS, accepted, complete
+from standins.control_site import ControlSite, Entry
+from tests.control_checks import (
+    TAKEOVER_SECONDS,
+    accepted,
+    complete,
+    cut_links,
+    submission_environ,
+)
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
@@ -234,18 +238,9 @@
 
 def post_job(site, entry):
     """Post a job over HTTP; return the status and whether Retry-After was sent."""
-    body = b'{"spec": "", "steps": [{"count": 1, "cpu": 100, "est_ms": 500}]}'
-    environ = {
-        "REQUEST_METHOD": "POST",
-        "HTTP_HOST": QUEUE.host,
-        "PATH_INFO": f"{QUEUE.prefix}{'0' * 15}a",
-        "HTTP_AUTHORIZATION": "Token key-1",
-        "HTTP_X_DEADLINE_MS": "3000",
-        "CONTENT_LENGTH": str(len(body)),
-        "wsgi.input": BytesIO(body),
-    }
     started = []
     app = JobsApp(site.entries[entry].control)
+    environ = submission_environ()
     app(environ, lambda status, headers: started.append((status, dict(headers))))
     status, headers = started[0]
     return int(status[:3]), "Retry-After" in headers
@@ -338,9 +333,7 @@
 def cut_off(site, index):
     """Cut an entry off from the store and from its peers."""
     site.entries[index].store.unresponsive = True
-    address = site.entries[index].address
-    for entry in site.entries:
-        site.network.cut.update({(address, entry.address), (entry.address, address)})
+    cut_links(site, index)
 
 
 @pytest.mark.parametrize("phase", [0.0, 0.1, 0.2, 0.3, 0.9, 1.7])
