Join the group again soon after it has changed

Cause: a partition moves to another member only when its owner joins again, and the new owner sees it at its next join; each step waited for the regular 0.3 s. The stand-in moved partitions at once, so that no test could show it. Ruled out: the claim itself (three calls, some 30 ms) and the removal of ended members.

Members join every 0.05 s for 0.3 s after a change of the group that they see. The stand-in keeps a partition with its owner until that joins, as the platform's page says. An append's time counts in full for 0.5 s, so that a slow store does not seem faster just before each join.

--- a/src/sequoiachute/coordination/store/availability.py
+++ b/src/sequoiachute/coordination/store/availability.py
@@ -17,6 +17,7 @@
 APPEND_SECONDS_DECAY = 0.5
 # What an append needed is no reason to refuse one seconds later.
 APPEND_HALF_LIFE_SECONDS = 1.0
+APPEND_FRESH_SECONDS = 0.5  # an entry of a slow store joins its group that often
 
 
 class Availability:
@@ -36,7 +37,7 @@
         They fade with the time since the last answer: a caller that is refused for
         them brings none.
         """
-        age = clock.now() - self._appended_at
+        age = max(0.0, clock.now() - self._appended_at - APPEND_FRESH_SECONDS)
         faded = self._append_seconds * 0.5 ** (age / APPEND_HALF_LIFE_SECONDS)
         return max(TYPICAL_APPEND_SECONDS, faded)
 
--- a/src/sequoiachute/coordination/store/election.py
+++ b/src/sequoiachute/coordination/store/election.py
@@ -23,6 +23,8 @@
 WRITER = "placer"
 MEMBERSHIP_TTL_SECONDS = 1.2  # delay until a failed placer is replaced
 JOIN_INTERVAL_SECONDS = 0.3  # four joins per time to live
+# After a change of the group, which moves partitions only as the members join again.
+SETTLING_JOIN_SECONDS = 0.05
 # The list goes to agents and names the peers that relay calls to the store.
 MEMBER_LIST_INTERVAL_SECONDS = 2.0
 CLAIM_TIMEOUT_SECONDS = 1.0
@@ -69,6 +71,7 @@
         self._leaving = False
         self._last_term = 0
         self._members_read_at = float("-inf")
+        self._changed_at = float("-inf")
         self.term = 0
         self.group_members: tuple[str, ...] = ()
 
@@ -90,7 +93,11 @@
                 self._renew_candidacy()
             except StoreUnavailableError as error:
                 logger.bind(reason=str(error)).debug("joining the group failed")
-            clock.sleep(JOIN_INTERVAL_SECONDS)
+            clock.sleep(self._join_interval())
+
+    def _join_interval(self) -> float:
+        is_settled = clock.now() >= self._changed_at + JOIN_INTERVAL_SECONDS
+        return JOIN_INTERVAL_SECONDS if is_settled else SETTLING_JOIN_SECONDS
 
     def resign(self) -> None:
         """Stop leading until a new claim succeeds."""
@@ -124,6 +131,8 @@
             GROUP, self._member, generation, MEMBERSHIP_TTL_SECONDS
         )
         self._adopt_own_claim()
+        if self._membership.generation != generation:
+            self._changed_at = clock.now()
         if clock.now() >= self._members_read_at + MEMBER_LIST_INTERVAL_SECONDS:
             self._read_group_members()
         if not self._membership.candidate or self.is_leading:
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -34,6 +34,76 @@
         self.results: dict[int, int] = {}
 
 
+class _Group:
+    """Members of a group and the owners of its partitions.
+
+    An owner that is alive keeps a partition that is due to another member until it
+    joins with the generation that says so.
+    """
+
+    def __init__(self) -> None:
+        self._expiry: dict[str, float] = {}
+        self._generation = 0
+        self._shift = 0
+        self.owners: list[str] = []
+
+    def join(self, member: str, generation: int, ttl: float) -> Membership:
+        """Join or renew."""
+        is_new = member not in self._expiry
+        self._expiry[member] = clock.now() + ttl
+        if is_new:
+            self._change()
+        elif generation >= self._generation:
+            self._hand_over(member)
+        owns_first = bool(self.owners) and self.owners[0] == member
+        return Membership(self._generation, owns_first)
+
+    def leave(self, member: str) -> None:
+        """Leave the group."""
+        if self._expiry.pop(member, None) is not None:
+            self._change()
+
+    def expire(self) -> None:
+        """Drop the members that have not renewed in time."""
+        expired = [m for m, at in self._expiry.items() if at < clock.now()]
+        for member in expired:
+            self.leave(member)
+
+    def extend_memberships(self, seconds: float) -> None:
+        """Let memberships expire that much later."""
+        for member in self._expiry:
+            self._expiry[member] += seconds
+
+    def reassign(self) -> None:
+        """Move every partition to the next member at once."""
+        self._shift += 1
+        self._generation += 1
+        self.owners = self._due_owners()
+
+    def _change(self) -> None:
+        self._generation += 1
+        due = self._due_owners()
+        if not self.owners:
+            self.owners = due
+            return
+        for part, owner in enumerate(self.owners):
+            if owner not in self._expiry and due:
+                self.owners[part] = due[part]
+        if not due:
+            self.owners = []
+
+    def _hand_over(self, member: str) -> None:
+        for part, due in enumerate(self._due_owners()):
+            if self.owners[part] == member != due:
+                self.owners[part] = due
+
+    def _due_owners(self) -> list[str]:
+        members = sorted(self._expiry)
+        if not members:
+            return []
+        return [members[(p + self._shift) % len(members)] for p in range(PARTITIONS)]
+
+
 class MemoryKeyedStore:
     """Keyed topics, conditional appends, writers' epochs and groups.
 
@@ -58,10 +128,8 @@
         self._first_offsets: dict[str, int] = {}
         self._writers: dict[tuple[str, str], _WriterState] = {}
         self._waiters: dict[str, Event] = {}
-        self._groups: dict[str, dict[str, float]] = {}
-        self._generations: dict[str, int] = {}
+        self._groups: dict[str, _Group] = {}
         self._discarded_newest: dict[str, dict[str, StoredRecord]] = {}
-        self._partition_shift = 0
 
     @property
     def down(self) -> bool:
@@ -72,7 +140,8 @@
     def down(self, down: bool) -> None:
         since = self._down_since
         if since is not None and not down and self.pauses_memberships:
-            self._extend_memberships(clock.now() - since)
+            for group in self._groups.values():
+                group.extend_memberships(clock.now() - since)
         if down and since is None:
             self._down_since = clock.now()
         if not down:
@@ -165,47 +234,28 @@
             waiter.send(None)
         return first
 
-    def join(self, group: str, member: str, ttl: float) -> Membership:
+    def join(self, group: str, member: str, generation: int, ttl: float) -> Membership:
         """Join or renew; a change of members may reassign partition 0."""
-        members = self._live_members(group)
-        if member not in members:
-            self._generations[group] = self._generations.get(group, 0) + 1
-        members[member] = clock.now() + ttl
-        owners = self._owners(group)
-        return Membership(self._generations[group], owners[0] == member)
+        return self._group(group).join(member, generation, ttl)
 
     def leave(self, group: str, member: str) -> None:
         """Leave a group."""
-        self._groups.get(group, {}).pop(member, None)
+        self._group(group).leave(member)
 
     def members(self, group: str) -> tuple[str, ...]:
         """Return the owners of partitions."""
-        return tuple(dict.fromkeys(self._owners(group)))
+        return tuple(dict.fromkeys(self._group(group).owners))
 
     def reassign_partitions(self) -> None:
-        """Move every partition to the next member."""
-        self._partition_shift += 1
-
-    def _live_members(self, group: str) -> dict[str, float]:
-        members = self._groups.setdefault(group, {})
-        for member, expires_at in list(members.items()):
-            if expires_at < clock.now() and not self.down:
-                del members[member]
-        return members
-
-    def _extend_memberships(self, seconds: float) -> None:
-        for members in self._groups.values():
-            for member in members:
-                members[member] += seconds
-
-    def _owners(self, group: str) -> list[str]:
-        members = sorted(self._live_members(group))
-        if not members:
-            return []
-        owners = []
-        for part in range(PARTITIONS):
-            owners.append(members[(part + self._partition_shift) % len(members)])
-        return owners
+        """Move every partition to the next member at once."""
+        for group in self._groups.values():
+            group.reassign()
+
+    def _group(self, name: str) -> _Group:
+        group = self._groups.setdefault(name, _Group())
+        if not self.down:
+            group.expire()
+        return group
 
 
 class StoreLink:
@@ -263,7 +313,7 @@
 
     def join(self, group: str, member: str, generation: int, ttl: float) -> Membership:
         """Join a group or renew the membership."""
-        return self._call(lambda: self._store.join(group, member, ttl))
+        return self._call(lambda: self._store.join(group, member, generation, ttl))
 
     def leave(self, group: str, member: str) -> None:
         """Leave a group."""
--- a/tests/test_control_site.py
+++ b/tests/test_control_site.py
@@ -1,6 +1,7 @@
 import pytest
 
 from sequoiachute import clock
+from sequoiachute.coordination.hosting.supervisor import SEARCH_INTERVAL_SECONDS
 from sequoiachute.coordination.intake import ACCEPTED, REFUSED, UNKNOWN
 from sequoiachute.protocol.workload import COMPLETE, FAILED, WorkerTimes
 from standins.control_site import URGENT, ControlSite
@@ -81,6 +82,21 @@
     complete(site, [urgent, job], 4)
 
 
+@pytest.mark.parametrize("order", [(0, 1, 2), (0, 2, 1), (1, 0, 2), (2, 1, 0)])
+@pytest.mark.parametrize("gap", [0.003, 0.01, 0.02])
+def test_placer_is_elected_soon_after_entries_have_started_one_by_one(order, gap):
+    site = ControlSite()
+    for entry in range(3):
+        site.kill_entry(entry)
+    site.run_for(0.5)
+    for entry in order:
+        site.restart_entry(entry)
+        site.run_for(gap)
+    urgent = accepted(site, 1.0, queue=URGENT, entry=order[-1])
+    site.run_for(URGENT_RESTART_SECONDS + SEARCH_INTERVAL_SECONDS)
+    assert [start.task.partition(".")[0] for start in site.history.starts] == [urgent]
+
+
 def test_runs_survive_the_death_of_their_agent():
     site = ControlSite(workers=2)
     job = accepted(site, 5.0, count=4)
