Record a machine's speed with its error

Cause: the record of speeds had no errors, so that every new placer took a speed that rested on one reading (error 0.36) for a well-known one (0.24). Ruled out: the estimate itself, which says 0.36 until the placer changes.

The record holds the error too and is written again when that changes by a quarter.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -42,6 +42,7 @@
 )
 from sequoiachute.protocol.workload import (
     TYPICAL_TIMES,
+    MachineSpeed,
     StepSpec,
     TaskId,
     WorkerTimes,
@@ -51,6 +52,7 @@
 )
 from sequoiachute.state.ledger import (
     SPEEDS_KEY,
+    UNKNOWN_SPEED_ERROR,
     WAVE_PREFIX,
     Ledger,
     encode_speeds,
@@ -70,11 +72,13 @@
 APPEND_RETRY_SECONDS = 0.1
 SPEEDS_INTERVAL_SECONDS = 3.0  # between two records of learned speeds
 MIN_SPEED_CHANGE = 0.15  # relative; smaller changes are noise of the estimates
+MIN_ERROR_CHANGE = 0.25  # relative
 # Callers may ask for an ended job for 120 s, and a delayed append may take effect
 # some seconds late.
 ENDED_JOB_RETENTION_SECONDS = 900.0
 RETENTION_INTERVAL_SECONDS = 30.0  # between two checks for jobs to drop
 MAX_RECORDS_PER_APPEND = 200
+TYPICAL_SPEED = MachineSpeed(1.0, UNKNOWN_SPEED_ERROR)
 
 RunOutcome = TypeVar("RunOutcome", EndReport, SettledStart)
 
@@ -87,6 +91,13 @@
     member: str
 
 
+def _has_changed(known: MachineSpeed, recorded: MachineSpeed) -> bool:
+    """Return whether a speed or its error differs from what is recorded."""
+    if abs(known.speed / recorded.speed - 1) > MIN_SPEED_CHANGE:
+        return True
+    return abs(known.error / recorded.error - 1) > MIN_ERROR_CHANGE
+
+
 class DeposedError(Exception):
     """Raised when another entry has become the placer."""
 
@@ -406,13 +417,10 @@
         machines = [session.machine for session in self._agents.sessions.values()]
         speeds = self._statistics.speeds(machines, clock.elapsed())
         recorded = self._ledger.speeds
-        changed = [
-            machine
-            for machine, speed in speeds.items()
-            if abs(speed / recorded.get(machine, 1.0) - 1) > MIN_SPEED_CHANGE
-        ]
-        if changed:
-            self._append([(SPEEDS_KEY, encode_speeds(speeds))])
+        for machine, known in speeds.items():
+            if _has_changed(known, recorded.get(machine, TYPICAL_SPEED)):
+                self._append([(SPEEDS_KEY, encode_speeds(speeds))])
+                return
 
     def _newest_gang_token(self, task: TaskId, count: int) -> str:
         tasks = self._ledger.progress(task.job_id).tasks
--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -6,7 +6,7 @@
 
 from sequoiachute.coordination.dispatch.speeds import SpeedEstimator, SpeedSample
 from sequoiachute.protocol.supervision import RunReport
-from sequoiachute.protocol.workload import Lifetime, Machine, TaskId
+from sequoiachute.protocol.workload import Lifetime, Machine, MachineSpeed, TaskId
 
 # Workers report progress every 0.5 s.
 ESTIMATE_INTERVAL_SECONDS = 0.25
@@ -109,7 +109,7 @@
         Speeds recorded by earlier placers, by machine.
     """
 
-    def __init__(self, speeds: dict[Machine, float]) -> None:
+    def __init__(self, speeds: dict[Machine, MachineSpeed]) -> None:
         self._inherited_speeds = dict(speeds)
         self._progress: dict[tuple[str, int], RunProgress] = {}
         self._samples: dict[Machine, dict[str, tuple[float, float]]] = {}
@@ -216,12 +216,15 @@
                 )
         return found
 
-    def speeds(self, machines: list[Machine], now: float) -> dict[Machine, float]:
+    def speeds(
+        self, machines: list[Machine], now: float
+    ) -> dict[Machine, MachineSpeed]:
         """Return the speeds of ``machines`` that have samples or a recorded speed."""
         found = {}
         for machine in machines:
             if machine in self._samples or machine in self._inherited_speeds:
-                found[machine] = self.speed(machine, now)
+                speed = self.speed(machine, now)
+                found[machine] = MachineSpeed(speed, self.speed_error(machine, now))
         return found
 
     def record_failure(
--- a/src/sequoiachute/coordination/dispatch/speeds.py
+++ b/src/sequoiachute/coordination/dispatch/speeds.py
@@ -10,17 +10,16 @@
 from math import exp, log, sqrt
 from typing import NamedTuple
 
-from sequoiachute.protocol.workload import Machine
+from sequoiachute.protocol.workload import Machine, MachineSpeed
+from sequoiachute.state.ledger import UNKNOWN_SPEED_ERROR
 
 # Variances are of natural logarithms.
 FIT_ITERATIONS = 5  # further ones change the fit by less than 10 %
 TASK_VARIANCE = 0.06  # between the tasks of a step; the sites' "uneven"
-SPEED_VARIANCE = 0.16  # between workers: speeds 0.6, 1.0 and 1.6 equally frequent
+SPEED_VARIANCE = UNKNOWN_SPEED_ERROR**2  # between workers
 PRIOR_ERROR_VARIANCE = 0.5  # between steps, before any is known
 PRIOR_ERROR_WEIGHT = 3.0  # of the prior variance, in steps
 MIN_ERROR_VARIANCE = 0.02
-INHERITED_WEIGHT = 1.0  # of a speed recorded by an earlier placer, in tasks
-INHERITED_PRECISION = INHERITED_WEIGHT / TASK_VARIANCE
 
 
 class SpeedSample(NamedTuple):
@@ -32,6 +31,20 @@
     weight: float
 
 
+class _Prior(NamedTuple):
+    """What is known of the logarithm of a machine's speed before any sample."""
+
+    mean: float
+    precision: float
+
+
+_UNKNOWN = _Prior(0.0, 1.0 / SPEED_VARIANCE)
+
+
+def _prior(known: MachineSpeed) -> _Prior:
+    return _Prior(log(known.speed), 1.0 / known.error**2)
+
+
 class SpeedEstimator:
     """Fits workers' speeds and steps' errors to samples."""
 
@@ -47,9 +60,11 @@
 
     def speed_error(self, machine: Machine) -> float:
         """Return the standard error of the logarithm of a machine's speed."""
-        return sqrt(1.0 / self._precisions.get(machine, 1.0 / SPEED_VARIANCE))
+        return sqrt(1.0 / self._precisions.get(machine, _UNKNOWN.precision))
 
-    def fit(self, samples: list[SpeedSample], inherited: dict[Machine, float]) -> None:
+    def fit(
+        self, samples: list[SpeedSample], inherited: dict[Machine, MachineSpeed]
+    ) -> None:
         """Fit speeds and errors to ``samples``.
 
         Parameters
@@ -58,8 +73,8 @@
         inherited : dict
             Speeds recorded by earlier placers, by machine.
         """
-        inherited_logs = {machine: log(speed) for machine, speed in inherited.items()}
-        speeds = dict(inherited_logs)
+        priors = {machine: _prior(known) for machine, known in inherited.items()}
+        speeds = {machine: prior.mean for machine, prior in priors.items()}
         by_machine: dict[Machine, list[SpeedSample]] = {}
         by_step: dict[str, list[SpeedSample]] = {}
         for sample in samples:
@@ -76,11 +91,9 @@
                     weight += sample.weight
                 errors[step] = total / (weight + prior_weight)
             for machine, group in by_machine.items():
-                weight = TASK_VARIANCE / SPEED_VARIANCE
-                total = 0.0
-                if machine in inherited_logs:
-                    weight = INHERITED_WEIGHT
-                    total = INHERITED_WEIGHT * inherited_logs[machine]
+                prior = priors.get(machine, _UNKNOWN)
+                weight = TASK_VARIANCE * prior.precision
+                total = weight * prior.mean
                 for sample in group:
                     residual = sample.log_ratio + errors[sample.step]
                     total += sample.weight * residual
@@ -88,7 +101,9 @@
                 speeds[machine] = total / weight
         self._speeds = speeds
         self._errors = errors
-        self._precisions = dict.fromkeys(inherited_logs, INHERITED_PRECISION)
+        self._precisions = {
+            machine: prior.precision for machine, prior in priors.items()
+        }
         self._add_precisions(by_step)
         self._update_error_variance()
 
@@ -111,7 +126,7 @@
             for machine, weight in weights.items():
                 error_variance = 1.0 / (total - shares[machine])
                 precision = 1.0 / (TASK_VARIANCE / weight + error_variance)
-                known = self._precisions.get(machine, 1.0 / SPEED_VARIANCE)
+                known = self._precisions.get(machine, _UNKNOWN.precision)
                 self._precisions[machine] = known + precision
 
     def _update_error_variance(self) -> None:
--- a/src/sequoiachute/protocol/workload.py
+++ b/src/sequoiachute/protocol/workload.py
@@ -162,6 +162,16 @@
     labels: tuple[str, ...] = ()
 
 
+class MachineSpeed(NamedTuple):
+    """What is known of a machine's speed relative to the typical one.
+
+    ``error`` is the standard error of the speed's logarithm.
+    """
+
+    speed: float
+    error: float
+
+
 class WorkerTimes(NamedTuple):
     """What workers promise of leases and checkpoints, in seconds.
 
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -1,6 +1,7 @@
 """In-memory view of the store: jobs, their progress, waves and the placer."""
 
 from collections.abc import Iterator
+from math import ceil
 from typing import NamedTuple
 
 import msgspec
@@ -15,6 +16,7 @@
     JobGraph,
     JobProgress,
     Machine,
+    MachineSpeed,
     TaskId,
     TaskState,
     decode_job,
@@ -33,6 +35,8 @@
 JOB_PREFIX = "job/"
 END_PREFIX = "end/"
 NO_PROGRESS = JobProgress()
+# Of a speed of which nothing is known: 0.6, 1.0 and 1.6 are equally frequent.
+UNKNOWN_SPEED_ERROR = 0.4
 
 
 class Leader(NamedTuple):
@@ -43,14 +47,24 @@
     member: str
 
 
+class _SpeedRow(NamedTuple):
+    host: str
+    labels: tuple[str, ...]
+    speed: float
+    error: float = UNKNOWN_SPEED_ERROR
+
+
 def encode_leader(leader: Leader) -> bytes:
     """Return the value of the record that claims the placer's role."""
     return msgspec.msgpack.encode(leader)
 
 
-def encode_speeds(speeds: dict[Machine, float]) -> bytes:
+def encode_speeds(speeds: dict[Machine, MachineSpeed]) -> bytes:
     """Return the value of the record of learned speeds of machines."""
-    rows = [(*machine, round(speed, 2)) for machine, speed in speeds.items()]
+    rows = [
+        (*machine, round(known.speed, 2), ceil(100 * known.error) / 100)
+        for machine, known in speeds.items()
+    ]
     return msgspec.msgpack.encode(rows)
 
 
@@ -59,10 +73,13 @@
     return END_PREFIX + str(task), msgspec.msgpack.encode(run)
 
 
-def decode_speeds(data: bytes) -> dict[Machine, float]:
+def decode_speeds(data: bytes) -> dict[Machine, MachineSpeed]:
     """Return learned speeds by machine; raise ``msgspec.DecodeError``."""
-    rows = msgspec.msgpack.decode(data, type=list[tuple[str, tuple[str, ...], float]])
-    return {Machine(host, labels): speed for host, labels, speed in rows}
+    rows = msgspec.msgpack.decode(data, type=list[_SpeedRow])
+    return {
+        Machine(row.host, row.labels): MachineSpeed(row.speed, row.error)
+        for row in rows
+    }
 
 
 class Ledger:
@@ -82,7 +99,7 @@
         self._tasks_by_host: dict[str, dict[TaskId, TaskState]] = {}
         self._live: dict[str, None] = {}
         self.leader: Leader | None = None
-        self.speeds: dict[Machine, float] = {}
+        self.speeds: dict[Machine, MachineSpeed] = {}
         self._waves: dict[str, bytes] = {}
 
     def wave(self, number: int) -> bytes:
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -7,7 +7,7 @@
 from sequoiachute.coordination.dispatch.run_statistics import RunStatistics
 from sequoiachute.coordination.dispatch.speeds import SpeedEstimator, SpeedSample
 from sequoiachute.protocol.supervision import RunReport
-from sequoiachute.protocol.workload import Machine
+from sequoiachute.protocol.workload import Machine, MachineSpeed
 
 FAST, SLOW, NEW = Machine("quick"), Machine("slow"), Machine("new")
 
@@ -44,7 +44,7 @@
 
 
 def test_worker_without_samples_keeps_its_inherited_speed():
-    found = estimate(earlier={SLOW: 0.6})
+    found = estimate(earlier={SLOW: MachineSpeed(0.6, 0.24)})
     assert found.speed(SLOW) == pytest.approx(0.6)
     assert found.speed(NEW) == 1.0
 
