Let failures of a job on several hosts count against none of them

Cause: each failure took a worker's proof away and made the job avoid it, though a job that fails on two hosts is most likely at fault itself. So two sound workers were out for the last attempt. Ruled out: weighing the proof by its age alone, since the unsound worker's was the only one left.

Failures remember their job. Those of a job that has failed on a second host no longer count against any worker, and the job avoids none; refused starts count as before.

--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -33,6 +33,13 @@
     percent: int
 
 
+class _Failure(NamedTuple):
+    """A failed run of a job, or a refused start, at a time in seconds."""
+
+    at: float
+    job_id: str = ""
+
+
 class RunProgress:
     """Progress readings of a run over the last ``RATE_WINDOW_SECONDS``."""
 
@@ -115,7 +122,7 @@
         self._samples: dict[Machine, dict[str, tuple[float, float]]] = {}
         self._estimator = SpeedEstimator()
         self._estimated_at = float("-inf")
-        self._failures: dict[Lifetime, list[float]] = {}
+        self._failures: dict[Lifetime, list[_Failure]] = {}
         self._proven_at: dict[Lifetime, float] = {}
         self._failed_on: dict[str, set[str]] = {}
         self._failed_at: dict[str, float] = {}
@@ -230,15 +237,22 @@
     def record_failure(
         self, job_id: str, host: str, lifetime: Lifetime, now: float
     ) -> None:
-        """Record a run that failed without being stopped."""
-        self.record_doubt(lifetime, now)
-        self._failed_on.setdefault(job_id, set()).add(host)
+        """Record a run that failed without being stopped.
+
+        If the job fails on several hosts, its failures count against none of them.
+        """
+        hosts = self._failed_on.setdefault(job_id, set())
+        hosts.add(host)
         self._failed_at[job_id] = now
+        if len(hosts) == 1:
+            self._failures.setdefault(lifetime, []).append(_Failure(now, job_id))
+            return
+        for failures in self._failures.values():
+            failures[:] = [failure for failure in failures if failure.job_id != job_id]
 
     def record_doubt(self, lifetime: Lifetime, now: float) -> None:
-        """Record that a worker failed a run or refused to start one."""
-        self._proven_at.pop(lifetime, None)
-        self._failures.setdefault(lifetime, []).append(now)
+        """Record that a worker refused to start a run."""
+        self._failures.setdefault(lifetime, []).append(_Failure(now))
 
     def record_success(self, lifetime: Lifetime, began: float | None) -> None:
         """Record a successful run; it clears the worker's failures.
@@ -254,12 +268,14 @@
 
     def proof_age(self, lifetime: Lifetime, now: float) -> float:
         """Return seconds since a run began that succeeded, if none has failed since."""
+        if self._failures.get(lifetime):
+            return float("inf")
         return now - self._proven_at.get(lifetime, float("-inf"))
 
     def doubt_age(self, lifetime: Lifetime, now: float) -> float:
         """Return seconds since the newest failure that no success has followed."""
         failures = self._failures.get(lifetime)
-        return now - failures[-1] if failures else float("inf")
+        return now - failures[-1].at if failures else float("inf")
 
     def recent_failures(self, lifetime: Lifetime, now: float) -> int:
         """Return the worker's failures since its last success.
@@ -273,7 +289,7 @@
             MAX_PROBE_DELAY_SECONDS,
             PROBE_DELAY_SECONDS * 2 ** max(0, len(failures) - 2),
         )
-        if now - failures[-1] > probe_delay:
+        if now - failures[-1].at > probe_delay:
             return 0
         return len(failures)
 
@@ -282,5 +298,9 @@
         return now - self._failed_at.get(job_id, float("-inf"))
 
     def failed_on(self, job_id: str) -> frozenset[str]:
-        """Return the hosts on which runs of a job have failed."""
-        return frozenset(self._failed_on.get(job_id, ()))
+        """Return the host on which runs of a job have failed, if there is only one.
+
+        A job that fails on several hosts would fail on any.
+        """
+        hosts = self._failed_on.get(job_id, ())
+        return frozenset(hosts) if len(hosts) == 1 else frozenset()
