Let any answer of the store end its outage for all that wait

Cause: the return was noticed by each topic, in turns of the followers' reads 0.25 s apart, whose calls to a silent store take a second to end. An answer on one topic did not count for another, and a submission under way went on waiting for its calls on connections that were silent. Ruled out: a shorter turn for all readers, which would multiply the calls of an outage in which nobody waits.

After a silence of 0.6 s in which a call has failed, the first answer to any call (a read, an append, a join) gives every topic another chance, wakes all readers and lets submissions under way append again at once. While a caller waits, the entry probes the store every 0.05 s, however many wait. A line says which call ended the silence.

--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -65,6 +65,7 @@
         self._followers = followers
         self._races: dict[str, Race[RecordPosition]] = {}
         self._waiting = 0
+        store.availability.call_on_return(self._interrupt_races)
         metrics.gauge("submissions_waiting", lambda: self._waiting)
 
     def submit(self, job: JobGraph, deadline: float) -> IntakeOutcome:
@@ -170,6 +171,8 @@
             error = outcome.unwrap_err()
             reason = error.reason or reason
             may_exist = may_exist or error.applied is not False
+            if may_exist:
+                self._store.expect_return(last_moment)
             if may_exist and not race.is_pending:
                 self._store.availability.wait_recovered(APPEND_RETRY_SECONDS)
             elif not may_exist and not self._wait_for_store(key, deadline):
@@ -192,6 +195,11 @@
         if race is not None and record.value is not None:
             race.confirm(RecordPosition(topic, record.offset))
 
+    def _interrupt_races(self) -> None:
+        """Let submissions append again: the connections of their calls may be dead."""
+        for race in self._races.values():
+            race.interrupt()
+
     def _is_unreachable(self) -> bool:
         availability = self._store.availability
         return self._store.is_cut_off or availability.is_unreachable(JOB_TOPICS)
@@ -219,6 +227,7 @@
             "waiting for the store"
         )
         self._waiting += 1
+        self._store.expect_return(wait_until)
         try:
             if self._is_unreachable():
                 self._store.availability.wait_recovered(wait_until - now)
--- a/src/sequoiachute/coordination/store/availability.py
+++ b/src/sequoiachute/coordination/store/availability.py
@@ -1,6 +1,6 @@
 """What an entry's own calls show of the store: which topics answer, and how soon."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import eventlet
 from eventlet.event import Event
@@ -10,6 +10,8 @@
 
 UNREACHABLE_AFTER_SECONDS = 0.8  # time for one direct and one relayed read to fail
 PROBE_INTERVAL_SECONDS = 0.25  # between two reads of topics that fail, all together
+# Without any answer; entries join their group more often.
+SILENT_SECONDS = 0.6
 STAGGER_SECONDS = 0.3  # far above what a sound store needs, soon for urgent work
 SLOW_STAGGER_FACTOR = 2.0  # of what the latest appends needed
 TYPICAL_APPEND_SECONDS = 0.02  # assumed before the first append
@@ -21,9 +23,17 @@
 
 
 class Availability:
-    """Topics that fail, each by itself: an outage may hit a part of the store only."""
+    """Topics that fail, each by itself: an outage may hit a part of the store only.
+
+    After a silence of the whole store its first answer, to whatever call, gives every
+    topic another chance.
+    """
 
     def __init__(self) -> None:
+        self._answered_at = float("-inf")
+        self._returned_at = float("-inf")
+        self._has_failed = False
+        self._return_listeners: list[Callable[[], None]] = []
         self._failing_since: dict[str, float] = {}
         self._recovered = Event()
         self._next_probe_at = float("-inf")
@@ -49,33 +59,69 @@
         """
         return max(STAGGER_SECONDS, SLOW_STAGGER_FACTOR * self.append_seconds)
 
+    def call_on_return(self, listener: Callable[[], None]) -> None:
+        """Have ``listener`` called when the store answers after a silence."""
+        self._return_listeners.append(listener)
+
+    def record_answer(self, call: str) -> None:
+        """Record that the store has answered a call, also one without a topic."""
+        now = clock.now()
+        silent_seconds = now - self._answered_at
+        self._answered_at = now
+        has_failed, self._has_failed = self._has_failed, False
+        if silent_seconds < SILENT_SECONDS or not has_failed:
+            return
+        self._returned_at = now
+        log = logger.bind(call=call, seconds=round(silent_seconds, 3))
+        log.info("the store answers again")
+        self._wake_waiting()
+        for listener in self._return_listeners:
+            listener()
+
+    def record_failure(self) -> None:
+        """Record that a call was not answered; a slow store answers all of them."""
+        self._has_failed = True
+
     def record_write(self, seconds: float) -> None:
         """Take the duration of an append, or of another answered write, into account.
 
         Entries join their group all the time, so that a slow store is known to be
         slow, or to be sound again, without any job.
         """
+        self.record_answer("write")
         self._append_seconds = max(seconds, APPEND_SECONDS_DECAY * self.append_seconds)
         self._appended_at = clock.now()
 
     def record(self, topic: str, answered: bool) -> None:
         """Record whether a call on a topic was answered."""
+        if answered:
+            self.record_answer(topic)
+        else:
+            self.record_failure()
         since = self._failing_since.get(topic)
         log = logger.bind(topic=topic)
         if answered and since is not None:
             failed_for = round(clock.now() - since, 3)
             log.bind(seconds=failed_for).info("calls to the store succeed")
             del self._failing_since[topic]
-            self._next_probe_at = float("-inf")
-            recovered, self._recovered = self._recovered, Event()
-            recovered.send(None)
+            self._wake_waiting()
         elif not answered and since is None:
             log.info("calls to the store fail")
             self._failing_since[topic] = clock.now()
 
+    def _wake_waiting(self) -> None:
+        self._next_probe_at = float("-inf")
+        recovered, self._recovered = self._recovered, Event()
+        recovered.send(None)
+
     def is_unreachable(self, topics: Iterable[str]) -> bool:
-        """Return whether all calls on all topics have failed for a while."""
+        """Return whether all calls on all topics have failed for a while.
+
+        The return of the store begins another while.
+        """
         latest = clock.now() - UNREACHABLE_AFTER_SECONDS
+        if self._returned_at > latest:
+            return False
         return all(self._failing_since.get(topic, latest) < latest for topic in topics)
 
     def wait_recovered(self, timeout: float) -> None:
--- a/src/sequoiachute/coordination/store/race.py
+++ b/src/sequoiachute/coordination/store/race.py
@@ -39,6 +39,7 @@
         self._pending = 0
         self._next_start = float("-inf")
         self._error = AppendError("", False)
+        self._interrupted = False
         self.started = 0
 
     @property
@@ -57,6 +58,11 @@
         """End the race as won: the record has been read back at ``position``."""
         self._results.put(Ok(position))
 
+    def interrupt(self) -> None:
+        """End the current run with what is known by now; ways go on."""
+        self._interrupted = True
+        self._results.put(None)
+
     def run(self, timeout: float) -> Result[Position, AppendError]:
         """Return where the record is stored, or the merged error of all ways.
 
@@ -64,6 +70,7 @@
         race may be run again.
         """
         deadline = clock.now() + timeout
+        self._interrupted = False
         while True:
             now = clock.now()
             if self._waiting and (now >= self._next_start or not self._pending):
@@ -71,7 +78,7 @@
                 continue
             if not self._pending:
                 return Err(self._error)
-            if now >= deadline:
+            if now >= deadline or (self._interrupted and self._results.empty()):
                 return Err(merge_errors(self._error, AppendError("no answer", None)))
             until = min(deadline, self._next_start) if self._waiting else deadline
             outcome = self._next_result(until - now)
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -37,6 +37,8 @@
 REACHED_SECONDS = 0.7  # since a direct answer; entries join every 0.3 s
 PING_INTERVAL_SECONDS = 0.25  # while direct calls fail
 MAX_PINGED_PEERS = 8
+AWAITED_PROBE_SECONDS = 0.05  # between probes while callers wait for the store
+PROBED_GROUP = "placer"  # any group; its owners are few
 NO_OFFSET = -1
 HISTORY_LOST_OFFSET = -2  # the reply's offset where the history is lost
 
@@ -124,6 +126,8 @@
         self._answered_at = float("-inf")
         self._is_pinging = False
         self._next_ping_at = float("-inf")
+        self._probing_until = float("-inf")
+        self._is_probing = False
         self.availability = Availability()
 
     @property
@@ -239,6 +243,32 @@
         """Return the members of a group."""
         return self._store.members(group)
 
+    def expect_return(self, until: float) -> None:
+        """Probe the store until it answers or ``until``, in clock time.
+
+        A caller waits for it: the turns of the followers' reads are too far apart,
+        and their calls to a silent store take long to end.
+        """
+        self._probing_until = max(self._probing_until, until)
+        if not self._is_probing:
+            self._is_probing = True
+            eventlet.spawn(self._probe_repeatedly)
+
+    def _probe_repeatedly(self) -> None:
+        began = clock.now()
+        while clock.now() < self._probing_until and self._answered_at < began:
+            eventlet.spawn(self._probe)
+            clock.sleep(AWAITED_PROBE_SECONDS)
+        self._is_probing = False
+
+    def _probe(self) -> None:
+        try:
+            self._store.members(PROBED_GROUP)
+        except StoreUnavailableError:
+            return
+        self._record_direct(True)
+        self.availability.record_answer("probe")
+
     def _record_direct(self, answered: bool) -> None:
         """Record whether a direct call was answered; if not, have the peers pinged.
 
@@ -251,7 +281,9 @@
             self._is_isolated = self._has_no_way = False
             if was_cut_off:
                 logger.info("reaching the store again")
-        elif not self._is_pinging and clock.now() >= self._next_ping_at:
+            return
+        self.availability.record_failure()
+        if not self._is_pinging and clock.now() >= self._next_ping_at:
             self._is_pinging = True
             eventlet.spawn(self._ping_peers)
 
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -112,7 +112,7 @@
     if their condition still holds. ``delay`` is the duration of a call in seconds.
     While the store is down, memberships of groups expire unless
     ``pauses_memberships`` is set. Calls on ``down_topics`` fail, others do not;
-    ``reads`` counts the reads of all processes.
+    ``reads`` counts the reads of all processes, ``group_reads`` those of members.
     """
 
     def __init__(self, delay: float = 0.004) -> None:
@@ -123,6 +123,7 @@
         self.late_seconds = 0.0
         self.appends = 0
         self.reads = 0
+        self.group_reads = 0
         self.down_topics: set[str] = set()
         self._records: dict[str, list[StoredRecord]] = {}
         self._first_offsets: dict[str, int] = {}
@@ -321,6 +322,7 @@
 
     def members(self, group: str) -> tuple[str, ...]:
         """Return the members of a group."""
+        self._store.group_reads += 1
         return self._call(lambda: self._store.members(group))
 
     def _call(self, operation: Callable[[], Any], topic: str = "") -> Any:
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -74,6 +74,40 @@
     assert submission.wait()[1].kind == ACCEPTED
 
 
+@pytest.mark.parametrize("phase", [0.05 * n for n in range(20)])
+def test_unanswered_submission_is_stored_within_a_tenth_of_a_second_of_the_return(
+    phase,
+):
+    """As 957166186fb81a58 of adwoa-pads: 504 given 26 ms after the store's return."""
+    site = ControlSite()
+    for entry in site.entries:
+        entry.store.silent_seconds = 1.0
+    site.run_for(phase)
+    site.store.down = True
+    submission = eventlet.spawn(site.submit, 1.0, entry=1, wait=3.0)
+    site.run_for(2.87)
+    site.store.down = False
+    site.run_for(0.1)
+    assert submission.dead
+    assert submission.wait()[1].kind == ACCEPTED
+
+
+@pytest.mark.parametrize("rejecting", [False, True])
+def test_callers_that_wait_for_the_store_cause_few_calls(rejecting):
+    site = ControlSite()
+    for entry in site.entries:
+        entry.store.silent_seconds = 1.0
+        entry.store.rejecting = rejecting
+    site.store.down = not rejecting
+    site.run_for(5)
+    before = site.store.group_reads
+    for _ in range(MAX_WAITING_SUBMISSIONS):
+        eventlet.spawn(site.submit, 1.0, wait=1.0)
+    site.run_for(1.0)
+    # A tenth of the 2,000 reads a second that are allowed, for ten entries.
+    assert site.store.group_reads - before <= 20
+
+
 def test_caller_learns_while_it_can_ask_another_entry_that_the_effect_is_unknown():
     site = ControlSite()
     entry = (site.placer() + 1) % 3
