Find entries through the store and the settings as they are now

Cause: an agent knew entries only from its settings at the start and from the last placer's list. Two of three entries had been replaced at other addresses, and the third was cut off from the agents' zones 1.1 s after the new placer was elected. The agents got SIGHUP with new seeds at 24.7 s, read the file, logged that it had changed, and kept the old ones. Each try at an entry that was gone held the search for a second. Ruled out: the election (leading at 24.10 s) and the placer's rounds.

An agent without a placer asks the next entry every 0.1 s without waiting for those that do not answer. After 0.4 s, and then every second, it reads the members of the entries' group from the store, and its settings. Entries take their seeds from the file as it is now, too. Named leaders are asked at once, as before, but an agent follows one only when that says so itself.

--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -10,8 +10,9 @@
 from sequoiachute.coordination.dispatch.placer import TaskPlacer, Term
 from sequoiachute.coordination.dispatch.sessions import AgentSessions
 from sequoiachute.coordination.intake import Intake
-from sequoiachute.coordination.store.election import Election, address_of
+from sequoiachute.coordination.store.election import Election
 from sequoiachute.coordination.store.follower import Follower
+from sequoiachute.coordination.store.group import address_of
 from sequoiachute.coordination.store.relay import RelayedStore
 from sequoiachute.errors import describe_failure
 from sequoiachute.protocol.messages import Method
@@ -43,8 +44,8 @@
         Address at which agents and peers reach this entry.
     store : KeyedStore
     caller : RpcCaller
-    seeds : tuple of str
-        Addresses of other entries; they may be stale.
+    seeds : callable
+        Returns addresses of entries, which may be stale.
     operations : Operations
     on_published : callable
         Called with the published records by key, to put them in force.
@@ -62,7 +63,7 @@
         address: str,
         store: KeyedStore,
         caller: RpcCaller,
-        seeds: tuple[str, ...],
+        seeds: Callable[[], tuple[str, ...]],
         operations: Operations,
         on_published: Callable[[dict[str, bytes]], None],
         advisor: Advisor | None = None,
@@ -75,9 +76,9 @@
         self._machines = machines
         self._address = address
         self.metrics = Metrics()
-        other_seeds = tuple(seed for seed in seeds if seed != address)
+        self._seeds = seeds
         self._store = RelayedStore(
-            store, caller, self._other_members, other_seeds, self.metrics
+            store, caller, self._other_members, self._other_seeds, self.metrics
         )
         store = self._store
         self._on_published = on_published
@@ -297,5 +298,8 @@
         listed = [address_of(member) for member in self._election.group_members]
         return tuple(dict.fromkeys((*listed, self._address)))
 
+    def _other_seeds(self) -> tuple[str, ...]:
+        return tuple(seed for seed in self._seeds() if seed != self._address)
+
     def _other_members(self) -> tuple[str, ...]:
         return tuple(a for a in self._entry_addresses() if a != self._address)
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.hosting.entries import EntryDirectory
 from sequoiachute.coordination.hosting.pacing import Pacer
 from sequoiachute.coordination.hosting.runs import RunReconciler
 from sequoiachute.protocol.supervision import REPORT, Orders, Report, WorkerInfo
@@ -21,7 +22,10 @@
 # Two reports fit into the time after which the placer holds a session for stale.
 REPORT_WAIT_SECONDS = 0.7
 CALL_MARGIN_SECONDS = 1.0  # of a call's timeout over the placer's longest wait
-SEARCH_INTERVAL_SECONDS = 0.1  # between asking two entries for the placer
+# Between asking two entries for the placer; one that is gone does not answer.
+SEARCH_INTERVAL_SECONDS = 0.1
+REFRESH_DELAY_SECONDS = 0.4  # of a search, before the entries are read anew
+REFRESH_INTERVAL_SECONDS = 1.0
 
 
 class Heartbeat(NamedTuple):
@@ -41,23 +45,23 @@
         Name of this agent in reports and placements.
     worker : TaskWorker
     caller : RpcCaller
-    seeds : tuple of str
-        Addresses of entries to ask first; they may be stale.
+    entries : EntryDirectory
+        Entries that may know the placer.
     """
 
     def __init__(
-        self, host: str, worker: TaskWorker, caller: RpcCaller, seeds: tuple[str, ...]
+        self, host: str, worker: TaskWorker, caller: RpcCaller, entries: EntryDirectory
     ) -> None:
         self.metrics = Metrics()
         self._host = host
         self._worker = worker
         self._caller = caller
-        self._seeds = seeds
-        self._entries: tuple[str, ...] = ()
+        self._entries = entries
         self._placer_address = ""
+        self._hinted_address = ""
+        self._search_wake = Event()
         self._incarnation = uuid4().hex
         self._sequence = 0
-        self._search_count = 0
         self._heartbeat: Heartbeat | None = None
         self._announced_at = 0.0
         self._ended_lifetime: Lifetime | None = None
@@ -193,8 +197,10 @@
     def _report_changes(self) -> None:
         """Report each change at once; ``_wait_for_orders`` reports periodically."""
         while True:
+            if not self._placer_address:
+                self._search()
             changed = self._changed
-            if not self._report(wait=0.0):
+            if not self._report(self._placer_address, wait=0.0):
                 clock.sleep(SEARCH_INTERVAL_SECONDS)
                 continue
             changed.wait()
@@ -202,11 +208,33 @@
     def _wait_for_orders(self) -> None:
         """Keep a long poll open at the placer, so that orders arrive at once."""
         while True:
-            if not self._placer_address or not self._report(wait=REPORT_WAIT_SECONDS):
+            if not self._report(self._placer_address, wait=REPORT_WAIT_SECONDS):
                 clock.sleep(SEARCH_INTERVAL_SECONDS)
 
-    def _report(self, wait: float) -> bool:
-        address = self._placer_address or self._next_entry()
+    def _search(self) -> None:
+        """Ask entries for the placer until one says that it is the placer.
+
+        Does not wait for an answer before it asks the next one.
+        """
+        refresh_at = clock.now() + REFRESH_DELAY_SECONDS
+        while not self._placer_address:
+            if clock.now() >= refresh_at:
+                refresh_at = clock.now() + REFRESH_INTERVAL_SECONDS
+                eventlet.spawn(self._entries.refresh)
+            self._search_wake = Event()
+            address = self._hinted_address or self._entries.next_address()
+            self._hinted_address = ""
+            if address:
+                self._entries.record_asked(address)
+                eventlet.spawn(self._report, address, 0.0)
+            with eventlet.Timeout(SEARCH_INTERVAL_SECONDS, False):
+                self._search_wake.wait()
+
+    def _end_pause(self) -> None:
+        if not self._search_wake.ready():
+            self._search_wake.send(None)
+
+    def _report(self, address: str, wait: float) -> bool:
         if not address:
             return False
         self._sequence += 1
@@ -250,15 +278,13 @@
         )
 
     def _apply_orders(self, address: str, orders: Orders) -> bool:
-        if orders.entries:
-            self._entries = orders.entries
+        self._entries.set_named(orders.entries)
         if orders.term < self._term or not orders.leading:
-            placer_address = orders.leader if orders.term >= self._term else ""
-            if self._placer_address in ("", address):
-                self._placer_address = (
-                    placer_address if placer_address != address else ""
-                )
+            if self._placer_address == address:
+                self._placer_address = ""
                 self._request_report()
+            if not self._placer_address and orders.term >= self._term:
+                self._take_hint(orders.leader)
             return False
         if orders.term > self._term:
             logger.bind(term=orders.term, entry=address).info("placer followed")
@@ -266,6 +292,7 @@
             self._version = 0
             eventlet.spawn(self._poll_once)
         self._placer_address = address
+        self._end_pause()
         status = self._status
         if status is None or orders.lifetime != status.lifetime:
             return False
@@ -279,10 +306,8 @@
             self._reconciler.set_orders(orders.runs)
         return True
 
-    def _next_entry(self) -> str:
-        """Return the address of the next entry to ask for the placer."""
-        addresses = tuple(dict.fromkeys((*self._entries, *self._seeds)))
-        if not addresses:
-            return ""
-        self._search_count += 1
-        return addresses[self._search_count % len(addresses)]
+    def _take_hint(self, address: str) -> None:
+        """Ask an entry next that another one has named as the placer."""
+        if address and self._entries.may_ask(address, SEARCH_INTERVAL_SECONDS):
+            self._hinted_address = address
+            self._end_pause()
--- a/src/sequoiachute/coordination/store/election.py
+++ b/src/sequoiachute/coordination/store/election.py
@@ -11,6 +11,7 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.store.follower import Follower
+from sequoiachute.coordination.store.group import GROUP, address_of
 from sequoiachute.state.ledger import LEADER_KEY, Leader, Ledger, encode_leader
 from sequoiachute.transport.store import (
     KeyedStore,
@@ -19,7 +20,6 @@
     Writer,
 )
 
-GROUP = "placer"
 WRITER = "placer"
 MEMBERSHIP_TTL_SECONDS = 1.2  # delay until a failed placer is replaced
 JOIN_INTERVAL_SECONDS = 0.3  # four joins per time to live
@@ -30,11 +30,6 @@
 CLAIM_TIMEOUT_SECONDS = 1.0
 
 
-def address_of(member: str) -> str:
-    """Return the address of a member of the group."""
-    return member.partition("/")[0]
-
-
 class Election:
     """Keeps this entry a candidate and claims the term when there is no placer.
 
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -11,6 +11,7 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.store.availability import Availability
+from sequoiachute.coordination.store.group import GROUP
 from sequoiachute.coordination.store.race import Race, is_conclusive, merge_errors
 from sequoiachute.errors import RpcError
 from sequoiachute.protocol.messages import Method
@@ -38,7 +39,6 @@
 PING_INTERVAL_SECONDS = 0.25  # while direct calls fail
 MAX_PINGED_PEERS = 8
 AWAITED_PROBE_SECONDS = 0.05  # between probes while callers wait for the store
-PROBED_GROUP = "placer"  # any group; its owners are few
 NO_OFFSET = -1
 HISTORY_LOST_OFFSET = -2  # the reply's offset where the history is lost
 
@@ -100,8 +100,8 @@
     caller : RpcCaller
     peers : callable
         Returns the addresses of the group's other members.
-    seeds : tuple of str
-        Addresses of other entries that may be gone.
+    seeds : callable
+        Returns the addresses of other entries, which may be gone.
     """
 
     def __init__(
@@ -109,7 +109,7 @@
         store: KeyedStore,
         caller: RpcCaller,
         peers: Callable[[], tuple[str, ...]],
-        seeds: tuple[str, ...],
+        seeds: Callable[[], tuple[str, ...]],
         metrics: Metrics,
     ) -> None:
         self._metrics = metrics
@@ -263,7 +263,7 @@
 
     def _probe(self) -> None:
         try:
-            self._store.members(PROBED_GROUP)
+            self._store.members(GROUP)
         except StoreUnavailableError:
             return
         self._record_direct(True)
@@ -398,7 +398,7 @@
             yield outcome
             # The outcome did not help.
             self._failed_at[peer] = clock.now()
-        known = {*self._peers(), *self._seeds}
+        known = {*self._peers(), *self._seeds()}
         for gone in self._failed_at.keys() - known:
             del self._failed_at[gone]
             self._silent_until.pop(gone, None)
@@ -409,11 +409,11 @@
         Seeds may be gone, and the outcome of a call to an entry that is gone is often
         unknown: they are asked only while all members of the group are silent.
         """
-        members = self._peers()
-        for peers in (members, self._seeds):
+        members, seeds = self._peers(), self._seeds()
+        for peers in (members, seeds):
             if not all(self._is_silent(peer) for peer in peers):
                 return sorted(peers, key=self._rank)
-        return sorted(dict.fromkeys((*members, *self._seeds)), key=self._rank)
+        return sorted(dict.fromkeys((*members, *seeds)), key=self._rank)
 
     def _rank(self, peer: str) -> tuple[bool, float]:
         return self._is_silent(peer), self._failed_at.get(peer, float("-inf"))
--- a/src/sequoiachute/platform/agent.py
+++ b/src/sequoiachute/platform/agent.py
@@ -4,10 +4,12 @@
 
 from loguru import logger
 
+from sequoiachute.coordination.hosting.entries import EntryDirectory
 from sequoiachute.coordination.hosting.supervisor import Supervisor
 from sequoiachute.platform.heartbeats import HeartbeatsApp
-from sequoiachute.platform.processes import serve_metrics, start_process
+from sequoiachute.platform.processes import LiveSettings, serve_metrics, start_process
 from sequoiachute.platform.settings import ProcessSettings
+from sequoiachute.platform.store import MetadataStore
 from sequoiachute.platform.worker import RpcWorker
 from sequoiachute.status import ExitStatus
 from sequoiachute.transport.listener import split_address
@@ -20,10 +22,10 @@
 
     ``listener`` listens on the control address since ``listening_at``, in clock time.
     """
-    signals = start_process("agent", settings, listening_at)
-    supervisor = Supervisor(
-        settings.ip, RpcWorker(settings.worker), RpcPool(), settings.inner_seeds
-    )
+    live = LiveSettings(settings)
+    signals = start_process("agent", settings, live, listening_at)
+    entries = EntryDirectory(live.seeds, MetadataStore(settings.store))
+    supervisor = Supervisor(settings.ip, RpcWorker(settings.worker), RpcPool(), entries)
     control = split_address(settings.control)
     web = WebServer(HeartbeatsApp(supervisor), *control, listener=listener)
     web.start()
--- a/src/sequoiachute/platform/entry.py
+++ b/src/sequoiachute/platform/entry.py
@@ -9,10 +9,11 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.control import ControlPlane
+from sequoiachute.coordination.store.group import member_name
 from sequoiachute.platform.jobs import JobsApp
 from sequoiachute.platform.machines import AdviceService, CloudMachines
 from sequoiachute.platform.operator import apply_operator_records
-from sequoiachute.platform.processes import serve_metrics, start_process
+from sequoiachute.platform.processes import LiveSettings, serve_metrics, start_process
 from sequoiachute.platform.replies import HttpReply, StartResponse, write_reply
 from sequoiachute.platform.settings import ProcessSettings
 from sequoiachute.platform.store import MetadataStore
@@ -33,16 +34,17 @@
 
     ``listener`` listens on the front address since ``listening_at``, in clock time.
     """
-    signals = start_process("entry", settings, listening_at)
+    live = LiveSettings(settings)
+    signals = start_process("entry", settings, live, listening_at)
     operations = Operations()
-    member = f"{settings.inner_address}/{uuid4().hex[:8]}"
+    member = member_name(settings.inner_address, uuid4().hex[:8])
     store = MetadataStore(settings.store)
     control = ControlPlane(
         member,
         settings.inner_address,
         store,
         RpcPool(),
-        settings.inner_seeds,
+        live.seeds,
         operations,
         lambda records: apply_operator_records(records, operations),
         AdviceService(settings.advice) if settings.advice else None,
--- a/src/sequoiachute/platform/processes.py
+++ b/src/sequoiachute/platform/processes.py
@@ -19,17 +19,53 @@
 from sequoiachute.transport.webserver import WebServer
 
 METRICS_PORT = 9464  # keep in step with deploy/system.toml
+SEEDS_AGE_SECONDS = 1.0  # after which the settings are read again for them
+
+
+class LiveSettings:
+    """The settings file as it changes; only its seeds apply without a restart."""
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        self._started_with = settings
+        self._newest = settings
+        self._read_at = clock.now()
+
+    def seeds(self) -> tuple[str, ...]:
+        """Return the RPC addresses of the seed machines.
+
+        The file may change without a signal, so an old reading is renewed.
+        """
+        if clock.now() >= self._read_at + SEEDS_AGE_SECONDS:
+            self.read()
+        return self._newest.inner_seeds
+
+    def read(self) -> None:
+        """Read the file and log what has changed; keep the last reading on errors."""
+        self._read_at = clock.now()
+        log = logger.bind(node=self._started_with.name)
+        try:
+            newest = read_settings()
+        except SettingsError as error:
+            log.error("settings not read again: {}", error)
+            return
+        previous, self._newest = self._newest, newest
+        if newest != previous:
+            needs_restart = newest._replace(seeds=()) != self._started_with._replace(
+                seeds=()
+            )
+            log = log.bind(seeds=newest.seeds, needs_restart=needs_restart)
+            log.info("settings changed")
 
 
 def start_process(
-    role: str, settings: ProcessSettings, listening_at: float
+    role: str, settings: ProcessSettings, live: LiveSettings, listening_at: float
 ) -> StopSignals:
     """Configure logging and signals, and log the start.
 
     ``listening_at`` is when the process began to listen, in clock time.
     """
     signals = StopSignals()
-    signals.install(reload=lambda: _log_settings_change(settings))
+    signals.install(reload=live.read)
     configure_logging(LogSettings(format="json"), stream=BoundedStream(1))
     log = logger.bind(node=settings.name, zone=settings.zone, pid=os.getpid())
     loading_seconds = clock.now() - listening_at
@@ -37,16 +73,6 @@
     return signals
 
 
-def _log_settings_change(settings: ProcessSettings) -> None:
-    """Log whether the settings file has changed; only a restart applies it."""
-    try:
-        changed = read_settings() != settings
-    except SettingsError as error:
-        logger.bind(node=settings.name).error("settings not reloaded: {}", error)
-        return
-    logger.bind(node=settings.name, changed=changed).info("settings read again")
-
-
 def serve_metrics(metrics: Metrics, settings: ProcessSettings) -> None:
     """Serve the process's own metrics as text."""
 
--- a/standins/control_site.py
+++ b/standins/control_site.py
@@ -4,6 +4,7 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.control import ControlPlane
+from sequoiachute.coordination.hosting.entries import EntryDirectory
 from sequoiachute.coordination.hosting.supervisor import Heartbeat, Supervisor
 from sequoiachute.coordination.intake import IntakeOutcome
 from sequoiachute.protocol.workload import (
@@ -45,7 +46,7 @@
             self.address,
             self.store,
             site.network.caller(self.address, self.process),
-            site.seeds,
+            lambda: site.seeds,
             operations,
             lambda records: site.apply_published(records, operations),
             times=site.times,
@@ -63,11 +64,12 @@
         self.process = MemoryProcess()
         self.worker = worker
         self.address = f"10.0.1.{index}"
+        self.store = site.store.link(self.process)
         self.supervisor = Supervisor(
             self.address,
             worker.link(self.process),
             site.network.caller(self.address, self.process),
-            site.seeds,
+            EntryDirectory(lambda: site.seeds, self.store),
         )
         self.supervisor.run()
         self._sequence = 0
