Blame a task, not its job, for failures on several hosts

Two unsound workers that failed different tasks of one job thus cleared each other and got the next attempts. Ruled out: the delay before a worker is tried again, which holds for failures that count.

Failures remember their task. One that has failed on several hosts counts against none of them on which nothing else has failed; all others count, and the job avoids their hosts.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -260,7 +260,7 @@
                 self._statistics.record_success(session.lifetime, began)
             elif end.outcome == RUN_FAILED:
                 self._statistics.record_failure(
-                    task.job_id, session.host, session.lifetime, clock.elapsed()
+                    task, session.host, session.lifetime, clock.elapsed()
                 )
 
     def _reports_of_placed(
--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -34,10 +34,11 @@
 
 
 class _Failure(NamedTuple):
-    """A failed run of a job, or a refused start, at a time in seconds."""
+    """A failed run of a task on a host, or a refused start, at a time in seconds."""
 
     at: float
-    job_id: str = ""
+    host: str = ""
+    task: TaskId | None = None
 
 
 class RunProgress:
@@ -124,7 +125,7 @@
         self._estimated_at = float("-inf")
         self._failures: dict[Lifetime, list[_Failure]] = {}
         self._proven_at: dict[Lifetime, float] = {}
-        self._failed_on: dict[str, set[str]] = {}
+        self._failed_on: dict[str, dict[TaskId, set[str]]] = {}
         self._failed_at: dict[str, float] = {}
         self.moved_tasks: set[TaskId] = set()
         self.preemptions: dict[TaskId, int] = {}
@@ -235,20 +236,22 @@
         return found
 
     def record_failure(
-        self, job_id: str, host: str, lifetime: Lifetime, now: float
+        self, task: TaskId, host: str, lifetime: Lifetime, now: float
     ) -> None:
         """Record a run that failed without being stopped.
 
-        If the job fails on several hosts, its failures count against none of them.
+        A task that fails on several hosts fails by its own fault, unless something
+        else has failed there too.
         """
-        hosts = self._failed_on.setdefault(job_id, set())
+        hosts = self._failed_on.setdefault(task.job_id, {}).setdefault(task, set())
         hosts.add(host)
-        self._failed_at[job_id] = now
+        self._failed_at[task.job_id] = now
+        self._failures.setdefault(lifetime, []).append(_Failure(now, host, task))
         if len(hosts) == 1:
-            self._failures.setdefault(lifetime, []).append(_Failure(now, job_id))
             return
         for failures in self._failures.values():
-            failures[:] = [failure for failure in failures if failure.job_id != job_id]
+            if all(failure.task == task for failure in failures):
+                failures.clear()
 
     def record_doubt(self, lifetime: Lifetime, now: float) -> None:
         """Record that a worker refused to start a run."""
@@ -298,9 +301,12 @@
         return now - self._failed_at.get(job_id, float("-inf"))
 
     def failed_on(self, job_id: str) -> frozenset[str]:
-        """Return the host on which runs of a job have failed, if there is only one.
+        """Return the hosts on which runs of a job have failed.
 
-        A job that fails on several hosts would fail on any.
+        Those that a task's own fault explains are left out.
         """
-        hosts = self._failed_on.get(job_id, ())
-        return frozenset(hosts) if len(hosts) == 1 else frozenset()
+        found: set[str] = set()
+        suspected = {f.host for failures in self._failures.values() for f in failures}
+        for hosts in self._failed_on.get(job_id, {}).values():
+            found |= hosts if len(hosts) == 1 else hosts & suspected
+        return frozenset(found)
--- a/tests/test_last_attempts.py
+++ b/tests/test_last_attempts.py
@@ -82,6 +82,17 @@
     assert ends(site, job)[-1][1] == "done", ends(site, job)
 
 
+@pytest.mark.parametrize("count", [4, 8])
+def test_workers_that_fail_many_tasks_get_no_more_of_them(count):
+    """As 2fd635ff06978537 of adwoa-pads: all attempts were spent in 0.4 s on two."""
+    site = ControlSite(workers=4, gpus=4)
+    for worker in site.workers[:2]:
+        worker.fails_runs = True
+    complete(site, [accepted(site, 2.0, count=8)], 6)
+    job = accepted(site, 2.0, count=count)
+    complete(site, [job], 12)
+
+
 @pytest.mark.parametrize("last_attempt", [False, True])
 @pytest.mark.parametrize("deadline_in", [12.0, 60.0])
 def test_host_where_the_job_has_failed_is_the_last_choice(deadline_in, last_attempt):
