--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -306,7 +306,9 @@
         Those that a task's own fault explains are left out.
         """
         found: set[str] = set()
+        if job_id not in self._failed_on:
+            return frozenset(found)
         suspected = {f.host for failures in self._failures.values() for f in failures}
-        for hosts in self._failed_on.get(job_id, {}).values():
+        for hosts in self._failed_on[job_id].values():
             found |= hosts if len(hosts) == 1 else hosts & suspected
         return frozenset(found)
