Ping peers while a join is unanswered, not only after its end

Cause: the entry learned that it was cut off at 26.92 s, 1.7 s after the cut: a join has 1 s for its answer, and peers were pinged only after that, for 0.5 s. Ruled out: the load balancer's two misses, which come on top.

An entry pings its peers when a join has had no answer for 0.3 s. If none replies and the join is still unanswered, it is cut off: unready, and refusing at once. A slow store whose entries answer each other changes nothing.

--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -37,6 +37,7 @@
 PING_TIMEOUT_SECONDS = 0.5
 REACHED_SECONDS = 0.7  # since a direct answer; entries join every 0.3 s
 PING_INTERVAL_SECONDS = 0.25  # while direct calls fail
+SUSPICION_SECONDS = 0.3  # without an answer to a join; a sound store needs 0.01
 MAX_PINGED_PEERS = 8
 AWAITED_PROBE_SECONDS = 0.05  # between probes while callers wait for the store
 NO_OFFSET = -1
@@ -125,6 +126,7 @@
         self._has_no_way = False
         self._answered_at = float("-inf")
         self._is_pinging = False
+        self._is_join_answered = True
         self._next_ping_at = float("-inf")
         self._probing_until = float("-inf")
         self._is_probing = False
@@ -226,11 +228,16 @@
     def join(self, group: str, member: str, generation: int, ttl: float) -> Membership:
         """Join a group, always directly: a member must reach the store itself."""
         began = clock.now()
+        self._is_join_answered = False
+        suspicion = eventlet.spawn_after(SUSPICION_SECONDS, self._ping_if_due)
         try:
             membership = self._store.join(group, member, generation, ttl)
         except StoreUnavailableError:
             self._record_direct(False)
             raise
+        finally:
+            suspicion.cancel()
+        self._is_join_answered = True
         self._record_direct(True)
         self.availability.record_write(clock.now() - began)
         return membership
@@ -283,6 +290,9 @@
                 logger.info("reaching the store again")
             return
         self.availability.record_failure()
+        self._ping_if_due()
+
+    def _ping_if_due(self) -> None:
         if not self._is_pinging and clock.now() >= self._next_ping_at:
             self._is_pinging = True
             eventlet.spawn(self._ping_peers)
@@ -302,6 +312,9 @@
         was_cut_off = self.is_cut_off
         answered = [reply for reply in replies if reply is not None]
         reached = [reply for reply in answered if reply.reaches_store]
+        if peers and not answered and not self._is_join_answered:
+            # The end of the call would show no more.
+            self._is_direct_failing = True
         self._is_isolated = self._is_direct_failing and bool(peers) and not answered
         self._has_no_way = self._is_direct_failing and bool(peers) and not reached
         if self.is_cut_off and not was_cut_off:
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -383,6 +383,28 @@
     assert ready == [index != lone for index in range(3)]
 
 
+@pytest.mark.parametrize("phase", [0.0, 0.1, 0.2, 0.3])
+def test_entry_whose_calls_get_no_answer_leaves_the_rotation_before_they_end(phase):
+    """As 32fbe54c423d2ee6: cut off at 25.2 s, known to its entry 1.7 s later."""
+    site = ControlSite()
+    lone = (site.placer() + 1) % 3
+    site.entries[lone].store.silent_seconds = 1.0
+    site.run_for(phase)
+    cut_off(site, lone)
+    site.run_for(1.2)
+    ready = [entry.control.is_ready for entry in site.entries]
+    assert ready == [index != lone for index in range(3)]
+
+
+@pytest.mark.parametrize("delay", [0.4, 0.6, 0.9])
+def test_entries_of_a_slow_store_are_not_taken_for_cut_off(delay):
+    site = ControlSite()
+    site.store.delay = delay
+    for _ in range(40):
+        site.run_for(0.1)
+        assert not any(entry.control.store.is_cut_off for entry in site.entries)
+
+
 def test_entry_that_the_store_rejects_stays_in_rotation_while_a_peer_answers():
     site = ControlSite()
     lone = (site.placer() + 1) % 3
