--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -103,6 +103,7 @@
         self.max_lease_seconds = 10.0
         self.leaving_seconds: float | None = None
         self.zone = "muc-1"
+        self.rack = "rack-1"
         self.poll_count = 0
         self._lifetime_count = 0
         self.restart()
@@ -118,8 +119,8 @@
             self.lifetime,
             "render",
             self.zone,
-            "rack-1",
-            ("a", "rack-1"),
+            self.rack,
+            ("a", self.rack),
             self.capacity,
             self.leaving_seconds is not None,
             self.leaving_seconds or 0.0,
