Start what has waited 2 s beside idle workers, whatever it prefers

Cause: layouts were made within one rack only, as if same_rack were a condition; on the platform it is a matter of speed. Six workers had left, no rack held the gang. The class of fault is a preference without a bound: proof, doubt, one rack, waves of wide urgent steps and holds for other work each had a bound of its own or none.

Change: the placer keeps for how long each task has waited since its turn came or it was last at work; a placement that comes to nothing does not end a wait. After 2 s (a round and the start itself fit into the rest of the 3 s) a unit in a service that is less than half used takes any host that meets its requirements, at the end of the round, and what is held for other work is free for it; it is split over racks if it fits twice over, or where the ends of runs would make room in one rack later than a split run, three times as slow, would end. A split gang moves to a rack in which it is in time; its progress is not taken for its workers' speed (no test shows the latter: the estimator puts it down to the step by itself).

Ruled out: doubt and proof (the gang had never failed), workers taken for closed (five had reported).

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -242,19 +242,39 @@
             if job is None:
                 continue
             step = job.steps[task.step]
+            if run.percent or not step.gang:
+                # Members of a gang may be waiting for each other at 0 percent.
+                self._statistics.wait_times.end(task)
             rack = session.worker.rack if session.worker else ""
             is_remote = step.data_rack and step.data_rack != rack
+            if step.same_rack and len(self._racks_of(task, step.count)) > 1:
+                is_remote = True
             distance_factor = REMOTE_SLOWDOWN if is_remote else 1.0
             estimate = 0.0 if step.lasting else step.estimate_seconds
             self._statistics.record_progress(
                 run, session.machine, estimate, distance_factor, session.reported_at
             )
 
+    def _racks_of(self, task: TaskId, count: int) -> set[str]:
+        """Return the racks on which the tasks of the step of ``task`` are placed."""
+        tasks = self._ledger.progress(task.job_id).tasks
+        racks = set()
+        for index in range(count):
+            state = tasks.get(task_key(task._replace(index=index)))
+            if state is None or state.host not in self._agents.sessions:
+                continue
+            worker = self._agents.sessions[state.host].worker
+            if worker is not None:
+                racks.add(worker.rack)
+        return racks
+
     def _record_ends(self, session: Session) -> None:
         for task, end in self._reports_of_placed(session, session.ends):
             progress = self._statistics.progress_of(task, end.run)
             self._statistics.forget_run(task, end.run)
             self._metrics.count("runs_ended_total", how=end.outcome)
+            if end.outcome in (DONE, RUN_FAILED):
+                self._statistics.wait_times.end(task)
             if end.outcome == DONE:
                 began = self._began(task, progress)
                 self._statistics.record_success(session.lifetime, began)
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -24,7 +24,10 @@
     SchedulingView,
 )
 from sequoiachute.coordination.scheduling.capacity import is_eligible
-from sequoiachute.coordination.scheduling.model import URGENT_PRIORITY
+from sequoiachute.coordination.scheduling.model import (
+    MAX_IDLE_WAIT_SECONDS,
+    URGENT_PRIORITY,
+)
 from sequoiachute.protocol.workload import (
     TYPICAL_TIMES,
     JobGraph,
@@ -277,8 +280,9 @@
             if not _is_ready(job, progress, occurrence, step):
                 continue
             waiting = _waiting_tasks(job, progress, occurrence, index)
-            for tasks in _by_failures(job, progress, waiting):
-                units.append(_build_unit(job, progress, index, tasks, context))
+            for seconds, tasks in _group_waiting(job, progress, waiting, context):
+                unit = _build_unit(job, progress, index, tasks, context)
+                units.append(unit._replace(waiting_seconds=seconds))
             tasks = _returning_tasks(job, progress, occurrence, index, context)
             if tasks:
                 unit = _build_unit(job, progress, index, tasks, context)
@@ -318,18 +322,29 @@
     return tuple(waiting)
 
 
-def _by_failures(
-    job: JobGraph, progress: JobProgress, tasks: tuple[TaskId, ...]
-) -> list[tuple[TaskId, ...]]:
-    """Return the tasks in groups: those that have failed, and the others.
+def _group_waiting(
+    job: JobGraph,
+    progress: JobProgress,
+    tasks: tuple[TaskId, ...],
+    context: _ViewContext,
+) -> list[tuple[float, tuple[TaskId, ...]]]:
+    """Return the tasks in groups, each with the seconds for which it has waited.
 
-    A gang stays together.
+    Tasks that have failed are apart from the others, and so are those that have waited
+    as long as they may; these come first. A gang stays together.
     """
-    if not tasks or job.steps[tasks[0].step].gang:
-        return [tasks] if tasks else []
-    failed = [task for task in tasks if _failures(progress, task)]
-    others = [task for task in tasks if not _failures(progress, task)]
-    return [tuple(group) for group in (failed, others) if group]
+    now = clock.elapsed()
+    is_gang = bool(tasks) and job.steps[tasks[0].step].gang
+    groups: dict[tuple[bool, bool], list[TaskId]] = {}
+    waits: dict[tuple[bool, bool], float] = {}
+    for task in tasks:
+        seconds = context.statistics.wait_times.seconds(task, now)
+        key = (seconds < MAX_IDLE_WAIT_SECONDS, not _failures(progress, task))
+        if is_gang:
+            key = (False, False)
+        groups.setdefault(key, []).append(task)
+        waits[key] = min(seconds, waits.get(key, seconds))
+    return [(waits[key], tuple(groups[key])) for key in sorted(groups)]
 
 
 def _failures(progress: JobProgress, task: TaskId) -> int:
--- a/src/sequoiachute/coordination/scheduling/capacity.py
+++ b/src/sequoiachute/coordination/scheduling/capacity.py
@@ -65,6 +65,7 @@
     def __init__(self, hosts: tuple[Host, ...]) -> None:
         self._hosts = {host.name: host for host in hosts}
         self._free: dict[str, Resources] = {}
+        self._holds: list[tuple[Host, Resources]] = []
         self._gangs: dict[GangKey, Gang] | None = None
         for host in hosts:
             free = host.capacity
@@ -107,13 +108,25 @@
         """Subtract ``need`` from the free resources of ``host``."""
         self._free[host.name] = self._free[host.name].minus(need)
 
+    def hold(self, host: Host, need: Resources, count: int) -> None:
+        """Withhold ``count`` times ``need`` on ``host`` from later work."""
+        for _ in range(count):
+            self.allocate(host, need)
+            self._holds.append((host, need))
+
+    def end_holds(self) -> None:
+        """Make all capacity that is withheld free again."""
+        for host, need in self._holds:
+            self.release(host, need)
+        self._holds.clear()
+
     def release(self, host: Host, need: Resources) -> None:
         """Add ``need`` to the free resources of ``host``."""
         self._free[host.name] = self._free[host.name].plus(need)
 
 
-def is_eligible(unit: SchedulingUnit, host: Host) -> bool:
-    """Return whether tasks of ``unit`` may run on ``host`` when it is empty."""
+def meets_requirements(unit: SchedulingUnit, host: Host) -> bool:
+    """Return whether tasks of ``unit`` can run on ``host`` when it is empty."""
     step = unit.step
     if not host.is_open or host.service != unit.service:
         return False
@@ -121,35 +134,72 @@
         return False
     if unit.tickets is not None and host.lifetime.worker_id not in unit.tickets:
         return False
-    if unit.needs_proof and (not host.is_proven or host.name in unit.avoided_hosts):
-        return False
-    max_failures = 1 if unit.last_attempt else MAX_RECENT_FAILURES
-    if host.recent_failures >= max_failures:
-        is_due = unit.only_doubtful and host.doubt_age >= MIN_PROBE_DELAY_SECONDS
-        if not is_due:
-            return False
     return host.capacity.covers(step.reserved)
 
 
-def count_fitting(
-    unit: SchedulingUnit, host: Host, capacity: FreeCapacity, placed: int
-) -> int:
-    """Return how many more tasks of ``unit`` fit on ``host`` now.
+def is_eligible(unit: SchedulingUnit, host: Host) -> bool:
+    """Return whether tasks of ``unit`` may run on ``host`` when it is empty.
 
-    ``placed`` is the number of tasks of its step already there.
+    Beside what the tasks require, this takes into account how sound the host is.
     """
+    if not meets_requirements(unit, host):
+        return False
+    if unit.takes_any_host:
+        return True
+    if unit.needs_proof and (not host.is_proven or host.name in unit.avoided_hosts):
+        return False
+    max_failures = 1 if unit.last_attempt else MAX_RECENT_FAILURES
+    if host.recent_failures < max_failures:
+        return True
+    return unit.only_doubtful and host.doubt_age >= MIN_PROBE_DELAY_SECONDS
+
+
+def count_fitting(unit: SchedulingUnit, host: Host, free: Resources) -> int:
+    """Return how many more tasks of ``unit`` fit in the ``free`` part of ``host``."""
     step = unit.step
     fitting = len(unit.tasks)
     if step.per_worker:
+        placed = unit.placed_per_host.get(host.name, 0)
         fitting = min(fitting, step.per_worker - placed)
-    free = capacity.free(host)
-    need = step.reserved
-    for available, needed in zip(free, need, strict=True):
+    for available, needed in zip(free, step.reserved, strict=True):
         if needed > 0:
             fitting = min(fitting, available // needed)
     return max(0, fitting)
 
 
+def count_fitting_now(unit: SchedulingUnit, capacity: FreeCapacity) -> int:
+    """Return how many tasks of ``unit`` fit on all hosts that it may run on."""
+    count = 0
+    for host in capacity.hosts.values():
+        if is_eligible(unit, host):
+            count += count_fitting(unit, host, capacity.free(host))
+    return count
+
+
+def could_hold(unit: SchedulingUnit, hosts: Iterable[Host]) -> bool:
+    """Return whether the hosts that ``unit`` may run on would hold it if empty.
+
+    Of tasks that are placed independently they must hold one.
+    """
+    count = 0
+    for host in hosts:
+        if is_eligible(unit, host):
+            count += count_fitting(unit, host, host.capacity)
+        if count >= unit.min_tasks:
+            return True
+    return False
+
+
+def is_half_idle(capacity: FreeCapacity, service: str) -> bool:
+    """Return whether less than half of each resource of a service is in use."""
+    total, free = Resources(), Resources()
+    for host in capacity.hosts.values():
+        if host.service == service and host.leaving_seconds is None:
+            total = total.plus(host.capacity)
+            free = free.plus(capacity.free(host))
+    return all(f > t / 2 for f, t in zip(free, total, strict=True) if t)
+
+
 def slowdown(step: StepSpec, host: Host) -> float:
     """Return the run time of a task on ``host`` as a multiple of its estimate."""
     is_remote = step.data_rack and step.data_rack != host.rack
--- a/src/sequoiachute/coordination/scheduling/layout.py
+++ b/src/sequoiachute/coordination/scheduling/layout.py
@@ -1,6 +1,7 @@
 """Chooses hosts for the tasks of a scheduling unit."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from math import inf
 
 from sequoiachute.coordination.scheduling.capacity import (
     REMOTE_SLOWDOWN,
@@ -16,7 +17,7 @@
     Host,
     SchedulingUnit,
 )
-from sequoiachute.protocol.workload import StepSpec
+from sequoiachute.protocol.workload import Resources, StepSpec
 
 FAILURE_PENALTY = 0.5  # of a task's time, added per recent failure of the host
 FAILED_HOST_PENALTY = 4.0  # ranks hosts where the job failed after remote ones
@@ -65,9 +66,45 @@
     for layout in _rack_layouts(unit, capacity, hosts, count, now, all_or_nothing):
         if best is None or layout_slowdown(unit, layout) < layout_slowdown(unit, best):
             best = layout
+    if best is None and unit.may_split:
+        return _fill_hosts(unit, capacity, hosts, count, now, all_or_nothing)
     return best
 
 
+def group_by_rack(hosts: Iterable[Host]) -> list[list[Host]]:
+    """Return the hosts of each rack."""
+    racks: dict[str, list[Host]] = {}
+    for host in hosts:
+        racks.setdefault(host.rack, []).append(host)
+    return list(racks.values())
+
+
+def rack_wait_seconds(unit: SchedulingUnit, capacity: FreeCapacity) -> float:
+    """Return when the ends of runs make room for ``unit`` in one rack.
+
+    In seconds from now; infinite if no rack holds it even without its runs.
+    """
+    hosts = [host for host in capacity.hosts.values() if is_eligible(unit, host)]
+    waits = [_rack_wait(unit, rack, capacity) for rack in group_by_rack(hosts)]
+    return min(waits, default=inf)
+
+
+def _rack_wait(unit: SchedulingUnit, rack: list[Host], capacity: FreeCapacity) -> float:
+    free = {host.name: capacity.free(host) for host in rack}
+    fitting = {host.name: count_fitting(unit, host, free[host.name]) for host in rack}
+    ends = [(0.0, rack[0], Resources())]
+    for host in rack:
+        for run in host.running:
+            if not run.lasting:
+                ends.append((capacity.end_of(run)[0], host, run.need))
+    for seconds, host, need in sorted(ends, key=lambda end: end[0]):
+        free[host.name] = free[host.name].plus(need)
+        fitting[host.name] = count_fitting(unit, host, free[host.name])
+        if sum(fitting.values()) >= unit.min_tasks:
+            return seconds
+    return inf
+
+
 def _rack_layouts(
     unit: SchedulingUnit,
     capacity: FreeCapacity,
@@ -76,11 +113,8 @@
     now: float,
     all_or_nothing: bool,
 ) -> list[Layout]:
-    racks: dict[str, list[Host]] = {}
-    for host in hosts:
-        racks.setdefault(host.rack, []).append(host)
     layouts = []
-    for members in racks.values():
+    for members in group_by_rack(hosts):
         layout = _fill_hosts(unit, capacity, members, count, now, all_or_nothing)
         if layout is not None:
             layouts.append(layout)
@@ -104,11 +138,11 @@
     remaining = count
     for host in preferred:
         if remaining and _shows_speed(unit, host):
-            counts[host.name] = min(1, _count_fitting(unit, host, capacity))
+            counts[host.name] = min(1, count_fitting(unit, host, capacity.free(host)))
             remaining -= counts[host.name]
     for host in preferred:
-        free = _count_fitting(unit, host, capacity) - counts[host.name]
-        added = max(0, min(remaining, free))
+        fitting = count_fitting(unit, host, capacity.free(host))
+        added = max(0, min(remaining, fitting - counts[host.name]))
         counts[host.name] += added
         remaining -= added
         if not remaining:
@@ -118,11 +152,6 @@
     return [(host, counts[host.name]) for host in preferred if counts[host.name]]
 
 
-def _count_fitting(unit: SchedulingUnit, host: Host, capacity: FreeCapacity) -> int:
-    placed = unit.placed_per_host.get(host.name, 0)
-    return count_fitting(unit, host, capacity, placed)
-
-
 def _shows_speed(unit: SchedulingUnit, host: Host) -> bool:
     """Return whether a task of ``unit`` would show the unknown speed of ``host``.
 
--- a/src/sequoiachute/coordination/scheduling/migration.py
+++ b/src/sequoiachute/coordination/scheduling/migration.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 
 from sequoiachute.coordination.scheduling.capacity import (
+    REMOTE_SLOWDOWN,
     FreeCapacity,
     cautious_slowdown,
     slowdown,
@@ -46,9 +47,20 @@
 
 
 def _is_candidate(group: RunGroup) -> bool:
-    """Return whether ``group`` is stalled, or urgent with measured progress."""
-    urgent = all(run.priority == URGENT_PRIORITY and run.measured for _, run in group)
-    return urgent or _is_stalled(group)
+    """Return whether ``group`` is stalled, or urgent or split and measured."""
+    is_measured = all(run.measured for _, run in group)
+    urgent = all(run.priority == URGENT_PRIORITY for _, run in group)
+    return (is_measured and (urgent or _is_split(group))) or _is_stalled(group)
+
+
+def _is_split(group: RunGroup) -> bool:
+    """Return whether a gang that prefers one rack runs on several."""
+    racks = {host.rack for host, _ in group}
+    return group[0][1].step.same_rack and len(racks) > 1
+
+
+def _distance_factor(group: RunGroup) -> float:
+    return REMOTE_SLOWDOWN if _is_split(group) else 1.0
 
 
 def _is_stalled(group: RunGroup) -> bool:
@@ -95,7 +107,8 @@
         capacity.allocate(host, run.need)
     if layout is None:
         return False
-    work_seconds = max(_remaining_work(host, run) for host, run in group)
+    factor = _distance_factor(group)
+    work_seconds = max(_remaining_work(host, run, factor) for host, run in group)
     # A worker that is little known is as likely to be slow as this one.
     slowdown_there = layout_slowdown(unit, layout, cautious_slowdown)
     restarted_seconds = RESTART_SECONDS + work_seconds * slowdown_there
@@ -109,8 +122,7 @@
     elif not worthwhile:
         return False
     for host, count in layout:
-        for _ in range(count):
-            capacity.allocate(host, first.need)
+        capacity.hold(host, first.need, count)
     return True
 
 
@@ -121,27 +133,30 @@
     time.
     """
     first = group[0][1]
-    excess = max(_full_work(host, run) for host, run in group)
+    factor = _distance_factor(group)
+    excess = max(_full_work(host, run, factor) for host, run in group)
     return first.stretch * max(0.0, excess - first.step.estimate_seconds)
 
 
-def _remaining_work(host: Host, run: ActiveRun) -> float:
+def _remaining_work(host: Host, run: ActiveRun, distance_factor: float) -> float:
     """Return the seconds that a restarted run takes on the typical worker."""
-    full_seconds = _full_work(host, run)
+    full_seconds = _full_work(host, run, distance_factor)
     if run.stalled_seconds or not run.step.checkpoints:
         return full_seconds
     return full_seconds * _remaining_share(run)
 
 
-def _full_work(host: Host, run: ActiveRun) -> float:
+def _full_work(host: Host, run: ActiveRun, distance_factor: float) -> float:
     """Return the seconds that the whole run takes on the typical worker.
 
     The run's progress gives its time on this host. Dividing by the slowdown of
-    the host, which is learned from other runs too, removes the host's share.
+    the host, which is learned from other runs too, removes the host's share;
+    ``distance_factor`` is that of a gang that is split over racks.
     """
     if run.stalled_seconds:
         return run.step.estimate_seconds
-    return run.remaining_seconds / _remaining_share(run) / slowdown(run.step, host)
+    seconds = run.remaining_seconds / _remaining_share(run)
+    return seconds / slowdown(run.step, host) / distance_factor
 
 
 def _remaining_share(run: ActiveRun) -> float:
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -9,20 +9,25 @@
 from math import ceil, log2
 
 from sequoiachute.coordination.scheduling.capacity import (
+    REMOTE_SLOWDOWN,
     FreeCapacity,
     GangKey,
     cautious_slowdown,
     count_fitting,
+    count_fitting_now,
     is_eligible,
+    is_half_idle,
     slowdown,
 )
 from sequoiachute.coordination.scheduling.layout import (
     Layout,
     best_layout,
     layout_slowdown,
+    rack_wait_seconds,
 )
 from sequoiachute.coordination.scheduling.migration import select_migrations
 from sequoiachute.coordination.scheduling.model import (
+    MAX_IDLE_WAIT_SECONDS,
     URGENT_PRIORITY,
     Host,
     RunStop,
@@ -36,7 +41,7 @@
     PreemptionPlan,
     plan_preemption,
 )
-from sequoiachute.protocol.workload import Resources, StepSpec, TaskId
+from sequoiachute.protocol.workload import StepSpec, TaskId
 
 EXPIRY_FACTOR = 3.0  # a job later than this multiple of its objective earns nothing
 # Hosts that the searches of one round examine at most; a search examines all.
@@ -54,7 +59,6 @@
 LATE_LOSS_RATIO = 0.25  # of work lost for work that is late anyway, which earns less
 # Of work lost for a host that is surely in time, where another may be.
 CERTAINTY_LOSS_RATIO = 0.25
-MAX_IDLE_WAIT_SECONDS = 2.0  # for a proven host while others are idle
 # Of the waves that an objective allows: slow workers and faults take the rest.
 PLANNED_WAVE_SHARE = 0.5
 
@@ -123,10 +127,12 @@
     step = unit.step
     requirements = (unit.service, step.reserved, step.label, step.per_worker)
     constraints = (step.gang, step.same_rack, unit.last_attempt, unit.guaranteed)
+    preferences = (unit.only_doubtful, unit.takes_any_host, unit.may_split)
     proof = unit.avoided_hosts if unit.needs_proof else None
     tickets = frozenset(unit.tickets) if unit.tickets is not None else None
     placed = frozenset(unit.placed_per_host.items()) if step.per_worker else None
-    key = (unit.priority, requirements, constraints, proof, placed, tickets)
+    key = (unit.priority, requirements, constraints, preferences, proof, placed)
+    key = (*key, tickets)
     if unit.priority != URGENT_PRIORITY:
         return key
     # What urgent work may stop depends on its declared work and on what it has cost.
@@ -134,11 +140,6 @@
     return (*key, work_class, unit.waves, bool(unit.charged_work))
 
 
-def _min_tasks(unit: SchedulingUnit) -> int:
-    """Return the smallest number of tasks that can be placed."""
-    return len(unit.tasks) if unit.step.gang else 1
-
-
 class _Round:
     """Computes one decision; capacity only shrinks while it does."""
 
@@ -173,6 +174,7 @@
             if not self._view.is_gathering:
                 self._schedule_due(unit)
         self._migrate(urgent=False)
+        self._place_overdue(ordered)
         stops = tuple(self._stops)
         return SchedulingDecision(tuple(self._placements), stops, self._is_truncated)
 
@@ -183,7 +185,37 @@
     def _schedule_due(self, unit: SchedulingUnit) -> None:
         unit = _due_tasks(self._with_round(unit), self._view)
         if unit.tasks:
-            self._schedule(self._with_doubt(self._with_proof(unit)))
+            unit = self._with_rack(self._with_proof(unit))
+            self._schedule(self._with_doubt(unit))
+
+    def _place_overdue(self, ordered: list[SchedulingUnit]) -> None:
+        """Place what has waited long enough in a service that is half idle.
+
+        No preference for hosts excludes any now, nor does what is held for other work:
+        such a wait would last as long as its cause.
+        """
+        overdue = [unit for unit in ordered if unit.is_overdue and not unit.returning]
+        if not overdue:
+            return
+        self._capacity.end_holds()
+        placed = {placement.task for placement in self._placements}
+        for unit in overdue:
+            tasks = tuple(task for task in unit.tasks if task not in placed)
+            if tasks and is_half_idle(self._capacity, unit.service):
+                unit = self._with_round(unit._replace(tasks=tasks))
+                self._place_anywhere(unit._replace(takes_any_host=True))
+
+    def _place_anywhere(self, unit: SchedulingUnit) -> None:
+        """Place the unit on any hosts; split it over racks if it fits twice over."""
+        fit_key = _fit_key(unit)
+        if self._smallest_misfit.get(fit_key, UNBOUNDED_COUNT) <= unit.min_tasks:
+            return
+        fitting = count_fitting_now(unit, self._capacity)
+        if fitting >= 2 * unit.min_tasks:
+            unit = unit._replace(may_split=True)
+        remaining = self._place_fitting(unit)
+        if len(remaining.tasks) == len(unit.tasks):
+            self._smallest_misfit[fit_key] = unit.min_tasks
 
     def _with_round(self, unit: SchedulingUnit) -> SchedulingUnit:
         """Return the unit with the tasks of its step that were placed in this round."""
@@ -201,6 +233,16 @@
             return unit
         return unit._replace(only_doubtful=True)
 
+    def _with_rack(self, unit: SchedulingUnit) -> SchedulingUnit:
+        """Let a unit that has waited for one rack run on several if that is sooner."""
+        if not unit.step.same_rack or not unit.is_overdue or not self._searches_left:
+            return unit
+        self._searches_left -= 1
+        split_seconds = (REMOTE_SLOWDOWN - 1) * unit.step.estimate_seconds
+        if rack_wait_seconds(unit, self._capacity) <= split_seconds:
+            return unit
+        return unit._replace(may_split=True)
+
     def _migrate(self, urgent: bool) -> None:
         stopped = {(stop.task, stop.run) for stop in self._stops}
         for stop in select_migrations(self._capacity, self._view.now, urgent):
@@ -218,24 +260,14 @@
         if not _has_half_its_time(unit, self._view.now):
             return unit
         proof = unit._replace(needs_proof=True)
-        proven = [host for host in self._view.hosts if is_eligible(proof, host)]
-        if not proven:
+        if not any(is_eligible(proof, host) for host in self._view.hosts):
             return unit
-        fits = any(count_fitting(proof, host, self._capacity, 0) for host in proven)
+        fits = count_fitting_now(proof, self._capacity) > 0
         may_wait = unit.failed_seconds < MAX_IDLE_WAIT_SECONDS
-        if fits or may_wait or not self._is_half_idle(unit.service):
+        if fits or may_wait or not is_half_idle(self._capacity, unit.service):
             return proof
         return unit
 
-    def _is_half_idle(self, service: str) -> bool:
-        """Return whether less than half of each resource of a service is in use."""
-        total, free = Resources(), Resources()
-        for host in self._view.hosts:
-            if host.service == service and host.is_open:
-                total = total.plus(host.capacity)
-                free = free.plus(self._capacity.free(host))
-        return all(f > t / 2 for f, t in zip(free, total, strict=True) if t)
-
     def _drain_leaving(self, host: Host) -> None:
         """Stop runs that would outlast a leaving worker where that helps.
 
@@ -263,10 +295,10 @@
             self._hold_return(unit)
             return
         fit_key = _fit_key(unit)
-        if self._smallest_misfit.get(fit_key, UNBOUNDED_COUNT) <= _min_tasks(unit):
+        if self._smallest_misfit.get(fit_key, UNBOUNDED_COUNT) <= unit.min_tasks:
             return
         if not self._serve(unit):
-            self._smallest_misfit[fit_key] = _min_tasks(unit)
+            self._smallest_misfit[fit_key] = unit.min_tasks
 
     def _serve(self, unit: SchedulingUnit) -> bool:
         """Place what fits, preempt if urgent; return whether any task was served."""
@@ -369,8 +401,7 @@
         now = self._view.now
         layout = best_layout(unit, self._capacity, len(unit.tasks), now, is_gang)
         for host, count in layout or ():
-            for _ in range(count):
-                self._capacity.allocate(host, unit.step.reserved)
+            self._capacity.hold(host, unit.step.reserved, count)
 
     def _hold_free(self, unit: SchedulingUnit) -> None:
         """Hold free capacity for as many tasks as fit, without a search."""
@@ -380,10 +411,8 @@
                 return
             if not is_eligible(unit, host):
                 continue
-            placed = unit.placed_per_host.get(host.name, 0)
-            fits = min(count, count_fitting(unit, host, self._capacity, placed))
-            for _ in range(fits):
-                self._capacity.allocate(host, unit.step.reserved)
+            fits = min(count, count_fitting(unit, host, self._capacity.free(host)))
+            self._capacity.hold(host, unit.step.reserved, fits)
             count -= fits
 
     def _plan_preemption(
@@ -450,5 +479,4 @@
     def _hold(self, unit: SchedulingUnit, plan: PreemptionPlan) -> None:
         """Withhold the planned capacity from later units of this round."""
         for host, count in plan.hosts:
-            for _ in range(count):
-                self._capacity.allocate(host, unit.step.reserved)
+            self._capacity.hold(host, unit.step.reserved, count)
--- a/src/sequoiachute/coordination/scheduling/preemption.py
+++ b/src/sequoiachute/coordination/scheduling/preemption.py
@@ -15,6 +15,7 @@
     lost_work,
     slowdown,
 )
+from sequoiachute.coordination.scheduling.layout import group_by_rack
 from sequoiachute.coordination.scheduling.model import (
     URGENT_PRIORITY,
     ActiveRun,
@@ -102,14 +103,8 @@
             continue
         if cautious_slowdown(unit.step, host) <= max_slowdown:
             hosts.append(host)
-    groups = [hosts]
-    if unit.step.same_rack:
-        racks: dict[str, list[Host]] = {}
-        for host in hosts:
-            racks.setdefault(host.rack, []).append(host)
-        groups = list(racks.values())
     best = None
-    for group in groups:
+    for group in group_by_rack(hosts) if unit.step.same_rack else [hosts]:
         search = _PreemptionSearch(unit, capacity, group, max_loss_ratio, now)
         plan = search.run(all_or_nothing)
         if plan is not None and (best is None or plan.cost < best.cost):
--- a/src/sequoiachute/replay/policies.py
+++ b/src/sequoiachute/replay/policies.py
@@ -31,8 +31,7 @@
         for host in view.hosts:
             if not is_eligible(unit, host):
                 continue
-            already_placed = unit.placed_per_host.get(host.name, 0)
-            fits = count_fitting(unit, host, free_capacity, already_placed)
+            fits = count_fitting(unit, host, free_capacity.free(host))
             chosen_hosts += [host] * min(fits, len(unit.tasks) - len(chosen_hosts))
         if unit.step.gang and len(chosen_hosts) < len(unit.tasks):
             continue
--- a/tests/test_idle_capacity.py
+++ b/tests/test_idle_capacity.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from sequoiachute.coordination.scheduling import SchedulingView, decide
 from standins.control_site import ControlSite
 from tests.control_checks import accepted
+from tests.test_scheduling_policy import NOW, host, running, unit
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
@@ -19,3 +21,70 @@
     site.run_for(MAX_IDLE_START_SECONDS)
     started = {start.task for start in site.history.starts}
     assert len(started) == 12, f"{len(started)} tasks of {gang} started"
+
+
+def racks(*sizes, **fields):
+    """Return hosts in racks of the given sizes."""
+    hosts = []
+    for rack, size in enumerate(sizes):
+        for index in range(size):
+            hosts.append(host(f"{rack}-{index}", rack=f"r-{rack}", **fields))
+    return tuple(hosts)
+
+
+def same_rack_gang(count, **fields):
+    step = {"gang": True, "same_rack": True, "estimate_seconds": 20.0}
+    return unit(count, gpus=4, step=step, chain_seconds=20.0, **fields)
+
+
+def test_same_rack_gang_waits_for_a_rack_that_is_free_before_a_split_run_would_end():
+    first, second, other, third = racks(2, 1, 1)
+    busy = first._replace(running=(running(gpus=8, remaining_seconds=8.0),))
+    used = running("used", gpus=8, remaining_seconds=60.0)
+    hosts = (busy, second, other, third._replace(running=(used,)))
+    gang = same_rack_gang(3, waiting_seconds=5.0)
+    assert not decide(SchedulingView(NOW, hosts, (gang,))).placements
+    busy = first._replace(running=(running(gpus=8, remaining_seconds=45.0),))
+    decision = decide(SchedulingView(NOW, (busy, *hosts[1:]), (gang,)))
+    assert len(decision.placements) == 3
+
+
+def test_split_gang_moves_to_a_rack_in_which_it_is_in_time():
+    step = same_rack_gang(2).step
+    gang = {"job": "g", "gpus": 4, "gang": True, "step": step, "measured": True}
+    gang |= {"remaining_seconds": 50.0, "percent": 10, "priority": 1}
+    away, apart, *free = racks(1, 1, 2)
+    hosts = (
+        away._replace(running=(running(index=0, **gang),)),
+        apart._replace(running=(running(index=1, **gang),)),
+        *free,
+    )
+    deadline = {"deadline": NOW + 40, "accepted_at": NOW - 20}
+    late = []
+    for split in hosts:
+        runs = tuple(run._replace(**deadline) for run in split.running)
+        late.append(split._replace(running=runs))
+    stops = decide(SchedulingView(NOW, tuple(late), ())).stops
+    assert {stop.host for stop in stops} == {"0-0", "1-0"}
+    assert all(stop.is_migration for stop in stops)
+    assert not decide(SchedulingView(NOW, hosts, ())).stops
+
+
+def test_lesser_work_does_not_wait_for_what_is_held_beside_idle_capacity():
+    busy, *idle = racks(5)
+    worked = running("worked", gpus=8, unsaved_seconds=1000.0, remaining_seconds=900.0)
+    hosts = (busy._replace(running=(worked,)), *idle)
+    held = unit(5, gpus=8, job="held", priority=0, step={"gang": True})
+    small = unit(job="small", priority=2)
+    assert not decide(SchedulingView(NOW, hosts, (held, small))).placements
+    small = small._replace(waiting_seconds=2.0)
+    placements = decide(SchedulingView(NOW, hosts, (held, small))).placements
+    assert {placement.task.job_id for placement in placements} == {"small"}
+
+
+def test_wide_urgent_step_starts_whole_beside_idle_capacity():
+    wide = unit(8, priority=0, waves=4)
+    hosts = racks(4)
+    assert len(decide(SchedulingView(NOW, hosts, (wide,))).placements) == 4
+    wide = wide._replace(waiting_seconds=2.0)
+    assert len(decide(SchedulingView(NOW, hosts, (wide,))).placements) == 8
