Ask whether hosts hold the whole gang where proof or doubt closes the others

Cause: one proven or undoubted host with room for one task was reason enough to keep all others closed; the wait for proof then had no bound but half of the job's time, and that for doubt none. Now the hosts that the preference leaves must hold the whole gang, empty for a wait and as they are for proof.

--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -13,6 +13,7 @@
     FreeCapacity,
     GangKey,
     cautious_slowdown,
+    could_hold,
     count_fitting,
     count_fitting_now,
     is_eligible,
@@ -228,8 +229,8 @@
         )
 
     def _with_doubt(self, unit: SchedulingUnit) -> SchedulingUnit:
-        """Let the unit try hosts in doubt again if there are no others for it."""
-        if any(is_eligible(unit, host) for host in self._view.hosts):
+        """Let the unit try hosts in doubt again if the others can't hold it."""
+        if could_hold(unit, self._view.hosts):
             return unit
         return unit._replace(only_doubtful=True)
 
@@ -260,9 +261,9 @@
         if not _has_half_its_time(unit, self._view.now):
             return unit
         proof = unit._replace(needs_proof=True)
-        if not any(is_eligible(proof, host) for host in self._view.hosts):
+        if not could_hold(proof, self._view.hosts):
             return unit
-        fits = count_fitting_now(proof, self._capacity) > 0
+        fits = count_fitting_now(proof, self._capacity) >= unit.min_tasks
         may_wait = unit.failed_seconds < MAX_IDLE_WAIT_SECONDS
         if fits or may_wait or not is_half_idle(self._capacity, unit.service):
             return proof
--- a/tests/test_last_attempts.py
+++ b/tests/test_last_attempts.py
@@ -111,3 +111,33 @@
     hosts = (host("a"), host("b", recent_failures=1))
     decision = decide(SchedulingView(NOW, hosts, (unit(deadline_in=deadline_in),)))
     assert tasks_by_host(decision) == {"a": 1}
+
+
+@pytest.mark.parametrize("priority", [0, 1, 2])
+@pytest.mark.parametrize("others", [5, 10])
+def test_gang_does_not_wait_for_proven_hosts_that_can_not_hold_it(priority, others):
+    hosts = [host("proven", proof_age=1.0)]
+    hosts += [host(f"unused-{index}") for index in range(others)]
+    gang = unit(
+        3,
+        gpus=4,
+        priority=priority,
+        step={"gang": True},
+        last_attempt=True,
+        failed_before=True,
+        failed_seconds=10.0,
+    )
+    assert len(decide(SchedulingView(NOW, tuple(hosts), (gang,))).placements) == 3
+
+
+@pytest.mark.parametrize(
+    ("failures", "fields"),
+    [(2, {}), (1, {"last_attempt": True}), (1, {"last_attempt": True, "priority": 0})],
+)
+def test_one_host_without_doubt_does_not_close_the_others_to_a_gang(failures, fields):
+    hosts = [host("sound")]
+    for index in range(5):
+        doubtful = host(f"{index}", recent_failures=failures, doubt_age=2.0)
+        hosts.append(doubtful)
+    gang = unit(3, gpus=4, step={"gang": True}, **fields)
+    assert len(decide(SchedulingView(NOW, tuple(hosts), (gang,))).placements) == 3
