Let work that has waited too long take workers that are reserved for upkeep

Found by reading, in search of waits without a bound: all waiting machines of a wave are reserved at once, though only a few may go down at a time, so that a wave over a whole service lets nothing start until the first machine is back; a wave that operators take away leaves its workers reserved for good. A reservation now is a preference as the others: a unit that has waited 2 s in a service less than half used may use the worker. Only the order of the upkeep closes it.

--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -38,8 +38,9 @@
 
     ``reported_at`` is a time of ``clock.elapsed``, which also counts while the
     machine is suspended. The worker of ``reserved_lifetime`` waits for its upkeep
-    and gets no new tasks. ``checkpoint_tokens`` holds the newest token of each
-    run placed here and outlasts the lifetime that ran it.
+    and gets only tasks that have waited too long; for that of ``upkeep_lifetime`` it
+    has been ordered. ``checkpoint_tokens`` holds the newest token of each run placed
+    here and outlasts the lifetime that ran it.
     """
 
     def __init__(self, host: str) -> None:
@@ -61,6 +62,7 @@
         self.tickets: dict[tuple[TaskId, int], str] = {}
         self.zone_closed = False
         self.reserved_lifetime: Lifetime | None = None
+        self.upkeep_lifetime: Lifetime | None = None
         self.version = 1
         self._sent_orders: tuple[RunOrder, ...] = ()
         self._sent_ack = 0
--- a/src/sequoiachute/coordination/dispatch/upkeep.py
+++ b/src/sequoiachute/coordination/dispatch/upkeep.py
@@ -38,8 +38,9 @@
 class Upkeep:
     """Chooses the next machine of each wave and orders its upkeep.
 
-    Idle machines go first. A busy one gets no new tasks and waits for its runs to
-    end, until the time left is just enough for the machines still waiting.
+    Idle machines go first. A busy one gets no new tasks, unless these would wait too
+    long, and waits for its runs to end, until the time left is just enough for the
+    machines still waiting.
     """
 
     def __init__(
@@ -116,6 +117,7 @@
             if down >= wave.max_concurrent:
                 break
             down += 1
+            self._close(machine)
             outcome = machines.begin_upkeep(
                 machine.name, wave.number, self._holder, self._agents.term
             )
@@ -128,6 +130,12 @@
             progress = progress._replace(started=(*progress.started, machine.name))
         return progress
 
+    def _close(self, machine: PlatformMachine) -> None:
+        """Let the present worker of a machine whose upkeep is ordered get no task."""
+        for session in self._agents.sessions.values():
+            if session.lifetime.worker_id == machine.worker_id:
+                session.upkeep_lifetime = session.lifetime
+
     def _startable(
         self, wave: Wave, progress: WaveProgress, waiting: list[PlatformMachine]
     ) -> list[PlatformMachine]:
@@ -145,6 +153,7 @@
             runs = 0
             if session is not None:
                 session.reserved_lifetime = session.lifetime
+                session.upkeep_lifetime = None
                 runs = len(self._ledger.tasks_on_host(session.host))
             if not machine.is_up or (runs and not is_urgent):
                 continue
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -193,7 +193,7 @@
         and not worker.leaving
         and not session.zone_closed
         and knows_runs
-        and session.reserved_lifetime != worker.lifetime
+        and session.upkeep_lifetime != worker.lifetime
     )
     return Host(
         name=session.host,
@@ -204,6 +204,7 @@
         labels=frozenset(worker.labels),
         capacity=worker.capacity,
         is_open=is_open,
+        is_reserved=session.reserved_lifetime == worker.lifetime,
         speed=context.statistics.speed(session.machine, now),
         speed_error=context.statistics.speed_error(session.machine, now),
         recent_failures=context.statistics.recent_failures(worker.lifetime, now),
--- a/src/sequoiachute/coordination/scheduling/capacity.py
+++ b/src/sequoiachute/coordination/scheduling/capacity.py
@@ -140,12 +140,15 @@
 def is_eligible(unit: SchedulingUnit, host: Host) -> bool:
     """Return whether tasks of ``unit`` may run on ``host`` when it is empty.
 
-    Beside what the tasks require, this takes into account how sound the host is.
+    Beside what the tasks require, this takes into account how sound the host is and
+    what it is reserved for.
     """
     if not meets_requirements(unit, host):
         return False
     if unit.takes_any_host:
         return True
+    if host.is_reserved:
+        return False
     if unit.needs_proof and (not host.is_proven or host.name in unit.avoided_hosts):
         return False
     max_failures = 1 if unit.last_attempt else MAX_RECENT_FAILURES
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -88,6 +88,8 @@
     proof_age : float
         Seconds since a run began there that has succeeded, if none has failed since;
         infinite without one.
+    is_reserved : bool
+        Whether the worker should run empty for its upkeep.
     leaving_seconds : float or None
         Time for which a leaving worker stays at least; ``None`` if it does not
         leave.
@@ -108,6 +110,7 @@
     speed_error: float = 0.0
     doubt_age: float = float("inf")
     proof_age: float = float("inf")
+    is_reserved: bool = False
 
     @property
     def is_proven(self) -> bool:
--- a/tests/test_idle_capacity.py
+++ b/tests/test_idle_capacity.py
@@ -88,3 +88,10 @@
     assert len(decide(SchedulingView(NOW, hosts, (wide,))).placements) == 4
     wide = wide._replace(waiting_seconds=2.0)
     assert len(decide(SchedulingView(NOW, hosts, (wide,))).placements) == 8
+
+
+def test_workers_that_wait_for_upkeep_get_what_would_wait_too_long():
+    hosts = racks(4, is_reserved=True)
+    assert not decide(SchedulingView(NOW, hosts, (unit(),))).placements
+    overdue = unit(waiting_seconds=2.0)
+    assert len(decide(SchedulingView(NOW, hosts, (overdue,))).placements) == 1
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -98,6 +98,14 @@
     assert site.agents.sessions["h-2"].reserved_lifetime == Lifetime("w-2", 1)
 
 
+def test_worker_whose_upkeep_is_ordered_gets_no_task_until_its_successor_joins():
+    site = WaveSite(count=2)
+    site.run_for(4)
+    first = site.machines.begun[0][1].replace("m", "h")
+    session = site.agents.sessions[first]
+    assert session.upkeep_lifetime == session.lifetime
+
+
 def test_upkeep_waits_while_a_lasting_step_has_too_few_tasks():
     site = WaveSite(finish_by=10.0)
     site.add_run("h-2", lasting=True, max_unavailable=1)
