Ask for tickets of further workers while those at hand do not let a step start

Found by reading, in search of waits without a bound: advice was requested for workers without doubt only, so for none while all are in doubt, and never again before half of its validity was over, so that a step with tickets for workers that have left waited beside new ones. Now workers in doubt are asked about last, and a unit that has waited 2 s gets tickets for workers that were not asked about yet, thirty at a time. The two new tests failed before: the cache had no way to ask again.

--- a/src/sequoiachute/coordination/dispatch/advice.py
+++ b/src/sequoiachute/coordination/dispatch/advice.py
@@ -17,8 +17,11 @@
 
 
 class _CachedTickets(NamedTuple):
+    """Tickets by worker, and the workers that have been asked about."""
+
     tickets: dict[str, str]
     expires_at: float
+    asked: frozenset[str]
 
 
 class TicketCache:
@@ -39,16 +42,39 @@
         self._pending: dict[str, tuple[str, ...]] = {}
         self._is_requesting = False
 
-    def tickets(self, step: str, workers: tuple[str, ...]) -> dict[str, str]:
-        """Return valid tickets by worker; request them if there are none."""
+    def tickets(
+        self, step: str, workers: tuple[str, ...], do_not_suffice: bool = False
+    ) -> dict[str, str]:
+        """Return valid tickets by worker; request them if there are none.
+
+        Parameters
+        ----------
+        step : str
+        workers : tuple of str
+            Workers to ask about, the preferred ones first.
+        do_not_suffice : bool
+            Whether to ask about further workers although there are tickets.
+        """
+        cached = self._valid_tickets(step)
+        if cached is None:
+            self._request_later(step, workers)
+            return {}
+        if do_not_suffice:
+            others = tuple(name for name in workers if name not in cached.asked)
+            self._request_later(step, others)
+        return cached.tickets
+
+    def _valid_tickets(self, step: str) -> _CachedTickets | None:
         cached = self._cache.get(step)
-        if cached is not None and cached.expires_at > clock.now():
-            return cached.tickets
-        self._cache.pop(step, None)
+        if cached is not None and cached.expires_at <= clock.now():
+            del self._cache[step]
+            return None
+        return cached
+
+    def _request_later(self, step: str, workers: tuple[str, ...]) -> None:
         if workers:
             self._pending[step] = workers[:MAX_WORKERS_PER_REQUEST]
             self._start_requests()
-        return {}
 
     def _start_requests(self) -> None:
         if self._advisor is None or self._is_requesting:
@@ -73,6 +99,12 @@
             return
         advice = outcome.unwrap()
         expires_at = clock.now() + USABLE_VALIDITY_SHARE * advice.valid_seconds
-        self._cache[step] = _CachedTickets(advice.tickets, expires_at)
+        tickets, asked = advice.tickets, frozenset(workers)
+        cached = self._valid_tickets(step)
+        if cached is not None:
+            tickets = {**cached.tickets, **tickets}
+            expires_at = min(expires_at, cached.expires_at)
+            asked |= cached.asked
+        self._cache[step] = _CachedTickets(tickets, expires_at, asked)
         log.bind(allowed=len(advice.tickets)).info("advice received")
         self._wake()
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -23,7 +23,10 @@
     SchedulingUnit,
     SchedulingView,
 )
-from sequoiachute.coordination.scheduling.capacity import is_eligible
+from sequoiachute.coordination.scheduling.capacity import (
+    is_eligible,
+    meets_requirements,
+)
 from sequoiachute.coordination.scheduling.model import (
     MAX_IDLE_WAIT_SECONDS,
     URGENT_PRIORITY,
@@ -139,7 +142,10 @@
     operations: Operations,
     ticket_cache: TicketCache,
 ) -> tuple[SchedulingUnit, ...]:
-    """Return the units, with tickets added to those of advised queues."""
+    """Return the units, with tickets added to those of advised queues.
+
+    Hosts in doubt are asked about last: they may be all that there is in the end.
+    """
     fastest_first = sorted(hosts, key=lambda host: host.speed, reverse=True)
     found = []
     for unit in units:
@@ -147,11 +153,12 @@
         if queue is None or not queue.advised:
             found.append(unit)
             continue
-        workers = tuple(
-            host.lifetime.worker_id for host in fastest_first if is_eligible(unit, host)
-        )
+        usable = [host for host in fastest_first if meets_requirements(unit, host)]
+        usable.sort(key=lambda host: not is_eligible(unit, host))
+        workers = tuple(host.lifetime.worker_id for host in usable)
         step = str(unit.tasks[0]).rpartition(".")[0]
-        found.append(unit._replace(tickets=ticket_cache.tickets(step, workers)))
+        tickets = ticket_cache.tickets(step, workers, unit.is_overdue)
+        found.append(unit._replace(tickets=tickets))
     return tuple(found)
 
 
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -168,6 +168,30 @@
     assert ticket_cache.tickets("a.0.0", ("w-1",))
 
 
+def test_tickets_that_do_not_suffice_are_requested_for_further_workers():
+    advisor = MemoryAdvisor({"w-1", "w-40"}, valid_seconds=20.0)
+    ticket_cache = TicketCache(advisor, lambda: None)
+    workers = tuple(f"w-{n}" for n in range(1, 41))
+    ticket_cache.tickets("a.0.0", workers)
+    clock.sleep(1)
+    assert set(ticket_cache.tickets("a.0.0", workers)) == {"w-1"}
+    for _ in range(5):
+        ticket_cache.tickets("a.0.0", workers, do_not_suffice=True)
+        clock.sleep(1)
+    assert set(ticket_cache.tickets("a.0.0", workers)) == {"w-1", "w-40"}
+    assert [count for _, count in advisor.asked] == [MAX_WORKERS_PER_REQUEST, 10]
+
+
+def test_tickets_are_requested_for_a_worker_that_joins_later():
+    advisor = MemoryAdvisor({"w-1", "w-2"}, valid_seconds=20.0)
+    ticket_cache = TicketCache(advisor, lambda: None)
+    ticket_cache.tickets("a.0.0", ("w-1",))
+    clock.sleep(1)
+    ticket_cache.tickets("a.0.0", ("w-1", "w-2"), do_not_suffice=True)
+    clock.sleep(1)
+    assert set(ticket_cache.tickets("a.0.0", ("w-1", "w-2"))) == {"w-1", "w-2"}
+
+
 def test_refused_advice_is_requested_again_after_a_delay():
     advisor = MemoryAdvisor({"w-1"})
     advisor.refuses = True
