Try a failed task where it has not failed yet

Cause: two failures on two hosts were taken as proof against the task. Both hosts were cleared, were proven by older successes and preferred. Two unsound workers explain the same failures. Failures on hosts where a task has not failed yet tell which it is, the same host tells nothing.

Tasks wait in groups by the hosts on which they failed. A success clears the failures from before its run began only. A task is taken to be at fault itself once it has failed on two hosts at least and on more than half of those that meet its requirements: a bound on a number of hosts (three) would clear three unsound workers of seven, while more than half of the workers are hardly unsound at once. No retry is delayed.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -280,9 +280,29 @@
                 self._statistics.record_success(session.lifetime, began)
             elif end.outcome == RUN_FAILED:
                 self._statistics.record_failure(
-                    task, session.host, session.lifetime, clock.elapsed()
+                    task,
+                    session.host,
+                    session.lifetime,
+                    clock.elapsed(),
+                    self._count_suitable_hosts(task, session),
                 )
 
+    def _count_suitable_hosts(self, task: TaskId, failed: Session) -> int:
+        """Return how many hosts of the failed one's service could run ``task``."""
+        job = self._ledger.job(task.job_id)
+        if job is None or failed.worker is None:
+            return len(self._agents.sessions)
+        step = job.steps[task.step]
+        count = 0
+        for session in self._agents.sessions.values():
+            worker = session.worker
+            if worker is None or worker.service != failed.worker.service:
+                continue
+            if step.label and step.label not in worker.labels:
+                continue
+            count += worker.capacity.covers(step.reserved)
+        return count
+
     def _reports_of_placed(
         self, session: Session, reports: Iterable[RunOutcome]
     ) -> Iterator[tuple[TaskId, RunOutcome]]:
--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -25,6 +25,7 @@
 # failure on.
 PROBE_DELAY_SECONDS = 2.5
 MAX_PROBE_DELAY_SECONDS = 10.0
+MIN_BLAMED_HOSTS = 2  # hosts on which a task must have failed to be at fault itself
 
 
 class ProgressReading(NamedTuple):
@@ -128,6 +129,7 @@
         self._proven_at: dict[Lifetime, float] = {}
         self._failed_on: dict[str, dict[TaskId, set[str]]] = {}
         self._failed_at: dict[str, float] = {}
+        self._blamed_tasks: set[TaskId] = set()
         self.wait_times = WaitTimes()
         self.moved_tasks: set[TaskId] = set()
         self.preemptions: dict[TaskId, int] = {}
@@ -187,6 +189,7 @@
         """Drop what is kept by job or task, but for the jobs that are ``live``."""
         self.wait_times.forget_ended_jobs(live)
         self.moved_tasks = {task for task in self.moved_tasks if task.job_id in live}
+        self._blamed_tasks = {t for t in self._blamed_tasks if t.job_id in live}
         for task in [task for task in self.preemptions if task.job_id not in live]:
             del self.preemptions[task]
         for job_id in self._failed_on.keys() - live:
@@ -239,21 +242,39 @@
         return found
 
     def record_failure(
-        self, task: TaskId, host: str, lifetime: Lifetime, now: float
+        self,
+        task: TaskId,
+        host: str,
+        lifetime: Lifetime,
+        now: float,
+        suitable_hosts: int,
     ) -> None:
         """Record a run that failed without being stopped.
 
-        A task that fails on several hosts fails by its own fault, unless something
-        else has failed there too.
+        A task that has failed on more than half of the hosts that meet its requirements
+        is at fault itself: faults of hosts would have to be on most of them. Its
+        failures don't count against hosts on which nothing else has failed.
+
+        Parameters
+        ----------
+        task : TaskId
+        host : str
+        lifetime : Lifetime
+            Lifetime of the host's worker.
+        now : float
+            Time of the failure in seconds.
+        suitable_hosts : int
+            Number of hosts that meet the requirements of the task, busy or not.
         """
         hosts = self._failed_on.setdefault(task.job_id, {}).setdefault(task, set())
         hosts.add(host)
         self._failed_at[task.job_id] = now
         self._failures.setdefault(lifetime, []).append(_Failure(now, host, task))
-        if len(hosts) == 1:
+        if len(hosts) < MIN_BLAMED_HOSTS or len(hosts) <= suitable_hosts / 2:
             return
+        self._blamed_tasks.add(task)
         for failures in self._failures.values():
-            if all(failure.task == task for failure in failures):
+            if all(failure.task in self._blamed_tasks for failure in failures):
                 failures.clear()
 
     def record_doubt(self, lifetime: Lifetime, now: float) -> None:
@@ -261,16 +282,19 @@
         self._failures.setdefault(lifetime, []).append(_Failure(now))
 
     def record_success(self, lifetime: Lifetime, began: float | None) -> None:
-        """Record a successful run; it clears the worker's failures.
+        """Record a successful run; it clears the worker's failures from before it.
 
-        ``began`` is when it began, in seconds, ``None`` if that is not known. Only a
-        late start is proof: a worker may complete what it has begun and fail what it
-        starts.
+        ``began`` is when it began, in seconds, ``None`` if that is not known, as of a
+        run too short to be seen at work, which clears all. Only a late start is proof:
+        a worker may complete what it has begun and fail what it starts.
         """
-        self._failures.pop(lifetime, None)
-        if began is not None:
-            newest = self._proven_at.get(lifetime, began)
-            self._proven_at[lifetime] = max(began, newest)
+        if began is None:
+            self._failures.pop(lifetime, None)
+            return
+        failures = self._failures.get(lifetime, [])
+        failures[:] = [failure for failure in failures if failure.at > began]
+        newest = self._proven_at.get(lifetime, began)
+        self._proven_at[lifetime] = max(began, newest)
 
     def proof_age(self, lifetime: Lifetime, now: float) -> float:
         """Return seconds since a run began that succeeded, if none has failed since."""
@@ -303,15 +327,33 @@
         """Return the time since a run of a job has failed."""
         return now - self._failed_at.get(job_id, float("-inf"))
 
-    def failed_on(self, job_id: str) -> frozenset[str]:
-        """Return the hosts on which runs of a job have failed.
+    def tried_hosts(self, task: TaskId) -> frozenset[str]:
+        """Return the hosts on which a task has failed.
+
+        Of a task that is at fault itself, those on which something else has failed too.
+        """
+        failed_on = self._failed_on.get(task.job_id)
+        if not failed_on:
+            return frozenset()
+        hosts = failed_on.get(task, set())
+        if task in self._blamed_tasks:
+            return frozenset(hosts & self._suspected_hosts())
+        return frozenset(hosts)
+
+    def doubted_hosts(self, job_id: str) -> frozenset[str]:
+        """Return the hosts on which a job has failed and nothing has succeeded since.
 
         Those that a task's own fault explains are left out.
         """
-        found: set[str] = set()
         if job_id not in self._failed_on:
-            return frozenset(found)
-        suspected = {f.host for failures in self._failures.values() for f in failures}
+            return frozenset()
+        found: set[str] = set()
         for hosts in self._failed_on[job_id].values():
-            found |= hosts if len(hosts) == 1 else hosts & suspected
-        return frozenset(found)
+            found |= hosts
+        return frozenset(found & self._suspected_hosts())
+
+    def _suspected_hosts(self) -> set[str]:
+        found = set()
+        for failures in self._failures.values():
+            found.update(failure.host for failure in failures)
+        return found
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -45,6 +45,9 @@
 from sequoiachute.state.ledger import Ledger
 from sequoiachute.state.operations import Operations
 
+# Whether tasks may wait, whether none has failed, and the hosts on which they have.
+_WaitKey = tuple[bool, bool, tuple[str, ...]]
+
 
 class _ViewContext(NamedTuple):
     """Inputs of a view.
@@ -338,18 +341,20 @@
 ) -> list[tuple[float, tuple[TaskId, ...]]]:
     """Return the tasks in groups, each with the seconds for which it has waited.
 
-    Tasks that have failed are apart from the others, and so are those that have waited
-    as long as they may; these come first. A gang stays together.
+    Tasks that have failed are apart from the others, by the hosts on which they have,
+    and so are those that have waited as long as they may; these come first. A gang
+    stays together.
     """
     now = clock.elapsed()
     is_gang = bool(tasks) and job.steps[tasks[0].step].gang
-    groups: dict[tuple[bool, bool], list[TaskId]] = {}
-    waits: dict[tuple[bool, bool], float] = {}
+    groups: dict[_WaitKey, list[TaskId]] = {}
+    waits: dict[_WaitKey, float] = {}
     for task in tasks:
         seconds = context.statistics.wait_times.seconds(task, now)
-        key = (seconds < MAX_IDLE_WAIT_SECONDS, not _failures(progress, task))
+        tried = tuple(sorted(context.statistics.tried_hosts(task)))
+        key = (seconds < MAX_IDLE_WAIT_SECONDS, not _failures(progress, task), tried)
         if is_gang:
-            key = (False, False)
+            key = (False, False, ())
         groups.setdefault(key, []).append(task)
         waits[key] = min(seconds, waits.get(key, seconds))
     return [(waits[key], tuple(groups[key])) for key in sorted(groups)]
@@ -412,6 +417,8 @@
             if state.host:
                 placed[state.host] = placed.get(state.host, 0) + 1
     failures = max(_failures(progress, task) for task in tasks)
+    statistics = context.statistics
+    tried_hosts = frozenset[str]().union(*map(statistics.tried_hosts, tasks))
     return SchedulingUnit(
         account=job.account,
         priority=queue.priority if queue is not None else job.priority,
@@ -421,7 +428,7 @@
         service=service,
         step=job.steps[index],
         tasks=tasks,
-        avoided_hosts=context.statistics.failed_on(job.job_id),
+        avoided_hosts=tried_hosts | statistics.doubted_hosts(job.job_id),
         placed_per_host=placed,
         queue=job.queue,
         last_attempt=failures >= job.attempts - 1 and not job.steps[index].lasting,
@@ -432,4 +439,5 @@
         waves=count_waves(job.steps[index], capacity),
         running=running,
         charged_work=context.statistics.charged_work.get(tasks[0][:3], 0.0),
+        tried_hosts=tried_hosts,
     )
--- a/src/sequoiachute/coordination/scheduling/capacity.py
+++ b/src/sequoiachute/coordination/scheduling/capacity.py
@@ -145,6 +145,8 @@
     """
     if not meets_requirements(unit, host):
         return False
+    if unit.needs_untried and host.name in unit.tried_hosts:
+        return False
     if unit.takes_any_host:
         return True
     if host.is_reserved:
--- a/src/sequoiachute/coordination/scheduling/layout.py
+++ b/src/sequoiachute/coordination/scheduling/layout.py
@@ -195,11 +195,21 @@
         rank = -round(estimate_slowdown(unit.step, host), 1)  # the slowest first
         if unit.failed_before:
             # Another failure may be the last: soundness goes before speed.
-            rank = round(min(host.proof_age, PROOF_SECONDS))
+            rank = _soundness_rank(host)
         return (0.0, doubts, rank, remaining.gpus, host.name)
     return (round(effective_slowdown, 1), 0, 0.0, remaining.gpus, host.name)
 
 
+def _soundness_rank(host: Host) -> float:
+    """Return the rank of ``host`` for a task that has failed.
+
+    The best proven hosts come first, then those whose failure is the oldest.
+    """
+    if host.is_proven:
+        return round(host.proof_age)
+    return PROOF_SECONDS + max(0.0, PROOF_SECONDS - host.doubt_age)
+
+
 def layout_slowdown(
     unit: SchedulingUnit,
     layout: Layout,
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -131,7 +131,8 @@
     accepted_at : float
         Start of the job's objective, on the same scale.
     avoided_hosts : frozenset of str
-        Hosts on which the job has failed.
+        Hosts on which the tasks have failed, and those on which others of the job have
+        failed and nothing has succeeded since.
     placed_per_host : dict of str to int
         Tasks of the step already placed on each host.
     last_attempt : bool
@@ -165,6 +166,10 @@
     tickets : dict of str to str, or None
         Permits by worker ID; only these workers may run the tasks. ``None``
         means that no permit is needed.
+    tried_hosts : frozenset of str
+        Hosts on which the tasks have failed.
+    needs_untried : bool
+        Whether only hosts on which the tasks have not failed may get them.
     """
 
     account: str
@@ -193,6 +198,8 @@
     charged_work: float = 0.0
     queue: str = ""
     tickets: dict[str, str] | None = None
+    tried_hosts: frozenset[str] = frozenset()
+    needs_untried: bool = False
 
     @property
     def min_tasks(self) -> int:
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -130,10 +130,11 @@
     constraints = (step.gang, step.same_rack, unit.last_attempt, unit.guaranteed)
     preferences = (unit.only_doubtful, unit.takes_any_host, unit.may_split)
     proof = unit.avoided_hosts if unit.needs_proof else None
+    untried = unit.tried_hosts if unit.needs_untried else None
     tickets = frozenset(unit.tickets) if unit.tickets is not None else None
     placed = frozenset(unit.placed_per_host.items()) if step.per_worker else None
     key = (unit.priority, requirements, constraints, preferences, proof, placed)
-    key = (*key, tickets)
+    key = (*key, untried, tickets)
     if unit.priority != URGENT_PRIORITY:
         return key
     # What urgent work may stop depends on its declared work and on what it has cost.
@@ -187,7 +188,7 @@
         unit = _due_tasks(self._with_round(unit), self._view)
         if unit.tasks:
             unit = self._with_rack(self._with_proof(unit))
-            self._schedule(self._with_doubt(unit))
+            self._schedule(self._with_doubt(self._with_untried(unit)))
 
     def _place_overdue(self, ordered: list[SchedulingUnit]) -> None:
         """Place what has waited long enough in a service that is half idle.
@@ -214,7 +215,7 @@
         fitting = count_fitting_now(unit, self._capacity)
         if fitting >= 2 * unit.min_tasks:
             unit = unit._replace(may_split=True)
-        remaining = self._place_fitting(unit)
+        remaining = self._place_fitting(self._with_untried(unit))
         if len(remaining.tasks) == len(unit.tasks):
             self._smallest_misfit[fit_key] = unit.min_tasks
 
@@ -228,6 +229,19 @@
             running=unit.running + placed.total(),
         )
 
+    def _with_untried(self, unit: SchedulingUnit) -> SchedulingUnit:
+        """Keep failed tasks off the hosts where they failed while others have room.
+
+        Another failure there would not tell whether the host or the task is at fault.
+        """
+        if not unit.tried_hosts:
+            return unit
+        untried = unit._replace(needs_untried=True)
+        count = unit.min_tasks
+        if best_layout(untried, self._capacity, count, self._view.now) is None:
+            return unit
+        return untried
+
     def _with_doubt(self, unit: SchedulingUnit) -> SchedulingUnit:
         """Let the unit try hosts in doubt again if the others can't hold it."""
         if could_hold(unit, self._view.hosts):
