--- a/src/sequoiachute/coordination/scheduling/capacity.py
+++ b/src/sequoiachute/coordination/scheduling/capacity.py
@@ -67,11 +67,17 @@
         self._free: dict[str, Resources] = {}
         self._holds: list[tuple[Host, Resources]] = []
         self._gangs: dict[GangKey, Gang] | None = None
+        self._service_totals: dict[str, Resources] = {}
+        self._service_free: dict[str, Resources] = {}
         for host in hosts:
             free = host.capacity
             for run in host.running:
                 free = free.minus(run.need)
             self._free[host.name] = free
+            if host.leaving_seconds is None:
+                total = self._service_totals.get(host.service, Resources())
+                self._service_totals[host.service] = total.plus(host.capacity)
+                self._add_service_free(host, free)
 
     @property
     def hosts(self) -> dict[str, Host]:
@@ -107,6 +113,7 @@
     def allocate(self, host: Host, need: Resources) -> None:
         """Subtract ``need`` from the free resources of ``host``."""
         self._free[host.name] = self._free[host.name].minus(need)
+        self._add_service_free(host, Resources().minus(need))
 
     def hold(self, host: Host, need: Resources, count: int) -> None:
         """Withhold ``count`` times ``need`` on ``host`` from later work."""
@@ -123,6 +130,21 @@
     def release(self, host: Host, need: Resources) -> None:
         """Add ``need`` to the free resources of ``host``."""
         self._free[host.name] = self._free[host.name].plus(need)
+        self._add_service_free(host, need)
+
+    def is_half_idle(self, service: str) -> bool:
+        """Return whether less than half of each resource of a service is in use.
+
+        Leaving workers don't count.
+        """
+        total = self._service_totals.get(service, Resources())
+        free = self._service_free.get(service, Resources())
+        return all(f > t / 2 for f, t in zip(free, total, strict=True) if t)
+
+    def _add_service_free(self, host: Host, change: Resources) -> None:
+        if host.leaving_seconds is None:
+            free = self._service_free.get(host.service, Resources())
+            self._service_free[host.service] = free.plus(change)
 
 
 def meets_requirements(unit: SchedulingUnit, host: Host) -> bool:
@@ -195,16 +217,6 @@
     return False
 
 
-def is_half_idle(capacity: FreeCapacity, service: str) -> bool:
-    """Return whether less than half of each resource of a service is in use."""
-    total, free = Resources(), Resources()
-    for host in capacity.hosts.values():
-        if host.service == service and host.leaving_seconds is None:
-            total = total.plus(host.capacity)
-            free = free.plus(capacity.free(host))
-    return all(f > t / 2 for f, t in zip(free, total, strict=True) if t)
-
-
 def slowdown(step: StepSpec, host: Host) -> float:
     """Return the run time of a task on ``host`` as a multiple of its estimate."""
     is_remote = step.data_rack and step.data_rack != host.rack
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -17,7 +17,6 @@
     count_fitting,
     count_fitting_now,
     is_eligible,
-    is_half_idle,
     slowdown,
 )
 from sequoiachute.coordination.scheduling.layout import (
@@ -203,7 +202,7 @@
         placed = {placement.task for placement in self._placements}
         for unit in overdue:
             tasks = tuple(task for task in unit.tasks if task not in placed)
-            if tasks and is_half_idle(self._capacity, unit.service):
+            if tasks and self._capacity.is_half_idle(unit.service):
                 unit = self._with_round(unit._replace(tasks=tasks))
                 self._place_anywhere(unit._replace(takes_any_host=True))
 
@@ -279,7 +278,7 @@
             return unit
         fits = count_fitting_now(proof, self._capacity) >= unit.min_tasks
         may_wait = unit.failed_seconds < MAX_IDLE_WAIT_SECONDS
-        if fits or may_wait or not is_half_idle(self._capacity, unit.service):
+        if fits or may_wait or not self._capacity.is_half_idle(unit.service):
             return proof
         return unit
 
