--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from math import ceil, log2
 
 from sequoiachute.coordination.scheduling.capacity import (
@@ -141,6 +141,22 @@
     return (*key, work_class, unit.waves, bool(unit.charged_work))
 
 
+def _without_placed(
+    unit: SchedulingUnit, layout: Iterable[tuple[Host, int]]
+) -> SchedulingUnit:
+    """Return the unit without its first tasks, which go to the hosts of ``layout``."""
+    placed_per_host = dict(unit.placed_per_host)
+    placed = 0
+    for host, count in layout:
+        placed += count
+        placed_per_host[host.name] = placed_per_host.get(host.name, 0) + count
+    return unit._replace(
+        tasks=unit.tasks[placed:],
+        placed_per_host=placed_per_host,
+        running=unit.running + placed,
+    )
+
+
 class _Round:
     """Computes one decision; capacity only shrinks while it does."""
 
@@ -368,8 +384,8 @@
             for host, number in layout
             if estimate_slowdown(unit.step, host) <= max_slowdown
         ]
-        placed = self._place(unit, layout)
-        return unit._replace(tasks=unit.tasks[placed:])
+        self._place(unit, layout)
+        return _without_placed(unit, layout)
 
     def _preempt_for(
         self,
@@ -384,8 +400,7 @@
         if plan is None:
             return unit
         self._preempt(unit, plan)
-        count = sum(number for _, number in plan.hosts)
-        return unit._replace(tasks=unit.tasks[count:])
+        return _without_placed(unit, plan.hosts)
 
     def _hold_awaited(self, unit: SchedulingUnit) -> None:
         """Hold the capacity that urgent work waits for.
@@ -458,17 +473,14 @@
         max_slowdown = available / max(unit.step.estimate_seconds, 0.1)
         return max(max_slowdown, PLAUSIBLE_STRETCH_SHARE * unit.stretch)
 
-    def _place(self, unit: SchedulingUnit, layout: Layout) -> int:
+    def _place(self, unit: SchedulingUnit, layout: Layout) -> None:
         tasks = iter(unit.tasks)
-        placed = 0
         for host, count in layout:
             for _ in range(count):
                 self._capacity.allocate(host, unit.step.reserved)
                 task = next(tasks)
                 self._placements.append(self._placement(unit, task, host))
                 self._placed.setdefault(task[:3], Counter())[host.name] += 1
-                placed += 1
-        return placed
 
     def _placement(
         self, unit: SchedulingUnit, task: TaskId, host: Host
--- a/tests/test_scheduling_policy.py
+++ b/tests/test_scheduling_policy.py
@@ -572,6 +572,15 @@
     assert tasks_by_host(decision) == {"a": 1, "b": 1, "c": 1}
 
 
+@pytest.mark.parametrize("count", [2, 3])
+@pytest.mark.parametrize("speeds", [(1.0, 0.2, 1.0), (0.2, 0.2, 1.0)])
+def test_urgent_tasks_keep_the_limit_per_worker_over_all_searches(count, speeds):
+    hosts = tuple(host(f"h{i}", speed=speed) for i, speed in enumerate(speeds))
+    apart = unit(count, priority=0, deadline_in=15.0, step={"per_worker": 1})
+    placed = tasks_by_host(decide(SchedulingView(NOW, hosts, (apart,))))
+    assert set(placed.values()) == {1}
+
+
 def test_hosts_in_doubt_are_tried_again_where_there_are_no_others():
     doubtful = {"recent_failures": 8, "doubt_age": 2.0}
     hosts = (host("a", **doubtful), host("b", **doubtful))
