Decide on overdue work at its own turn, and keep what others were promised

Overdue work now takes any host at its own turn, before anything is stopped for it, up to half of the service; a last pass lets it use only what is held for work that waits. Use of a service is measured in cores, an accelerator as eight: every single resource under half is a case of that. The preferences have a module of their own.

--- a/src/sequoiachute/coordination/scheduling/capacity.py
+++ b/src/sequoiachute/coordination/scheduling/capacity.py
@@ -1,7 +1,7 @@
 """Tracks the free capacity of hosts during a decision."""
 
 from collections.abc import Iterable
-from math import exp
+from math import ceil, exp
 from typing import NamedTuple
 
 from sequoiachute.coordination.scheduling.model import ActiveRun, Host, SchedulingUnit
@@ -65,7 +65,7 @@
     def __init__(self, hosts: tuple[Host, ...]) -> None:
         self._hosts = {host.name: host for host in hosts}
         self._free: dict[str, Resources] = {}
-        self._holds: list[tuple[Host, Resources]] = []
+        self._soft_holds: list[tuple[Host, Resources]] = []
         self._gangs: dict[GangKey, Gang] | None = None
         self._service_totals: dict[str, Resources] = {}
         self._service_free: dict[str, Resources] = {}
@@ -115,17 +115,21 @@
         self._free[host.name] = self._free[host.name].minus(need)
         self._add_service_free(host, Resources().minus(need))
 
-    def hold(self, host: Host, need: Resources, count: int) -> None:
-        """Withhold ``count`` times ``need`` on ``host`` from later work."""
+    def hold(self, host: Host, need: Resources, count: int, is_firm: bool) -> None:
+        """Withhold ``count`` times ``need`` on ``host`` from later work.
+
+        ``end_soft_holds`` leaves what is ``is_firm`` withheld.
+        """
         for _ in range(count):
             self.allocate(host, need)
-            self._holds.append((host, need))
+            if not is_firm:
+                self._soft_holds.append((host, need))
 
-    def end_holds(self) -> None:
-        """Make all capacity that is withheld free again."""
-        for host, need in self._holds:
+    def end_soft_holds(self) -> None:
+        """Make the capacity that is withheld, but not firmly, free again."""
+        for host, need in self._soft_holds:
             self.release(host, need)
-        self._holds.clear()
+        self._soft_holds.clear()
 
     def release(self, host: Host, need: Resources) -> None:
         """Add ``need`` to the free resources of ``host``."""
@@ -133,13 +137,27 @@
         self._add_service_free(host, need)
 
     def is_half_idle(self, service: str) -> bool:
-        """Return whether less than half of each resource of a service is in use.
+        """Return whether less than half of a service is in use.
+
+        Use is measured in cores, an accelerator counts as ``GPU_CORES``; leaving
+        workers don't count.
+        """
+        return self._idle_beyond_half(service) > 0
+
+    def count_until_half_used(self, unit: SchedulingUnit) -> int:
+        """Return how many tasks of ``unit`` may start until its service is half used.
 
-        Leaving workers don't count.
+        The last one may go beyond the half.
         """
+        idle = self._idle_beyond_half(unit.service)
+        cores = core_seconds(unit.step.reserved, 1.0)
+        return len(unit.tasks) if not cores else max(0, ceil(idle / cores))
+
+    def _idle_beyond_half(self, service: str) -> float:
+        """Return the cores that are free beyond half of those of a service."""
         total = self._service_totals.get(service, Resources())
         free = self._service_free.get(service, Resources())
-        return all(f > t / 2 for f, t in zip(free, total, strict=True) if t)
+        return core_seconds(free, 1.0) - core_seconds(total, 1.0) / 2
 
     def _add_service_free(self, host: Host, change: Resources) -> None:
         if host.leaving_seconds is None:
--- a/src/sequoiachute/coordination/scheduling/layout.py
+++ b/src/sequoiachute/coordination/scheduling/layout.py
@@ -79,6 +79,24 @@
     return list(racks.values())
 
 
+def could_one_rack_hold(unit: SchedulingUnit, capacity: FreeCapacity) -> bool:
+    """Return whether an empty rack of the service would hold ``unit``.
+
+    Hosts that are closed for a moment count, leaving ones don't.
+    """
+    count: dict[str, int] = {}
+    for host in capacity.hosts.values():
+        if host.service != unit.service or host.leaving_seconds is not None:
+            continue
+        if unit.step.label and unit.step.label not in host.labels:
+            continue
+        fitting = count_fitting(unit, host, host.capacity)
+        count[host.rack] = count.get(host.rack, 0) + fitting
+        if count[host.rack] >= unit.min_tasks:
+            return True
+    return False
+
+
 def rack_wait_seconds(unit: SchedulingUnit, capacity: FreeCapacity) -> float:
     """Return when the ends of runs make room for ``unit`` in one rack.
 
--- a/src/sequoiachute/coordination/scheduling/migration.py
+++ b/src/sequoiachute/coordination/scheduling/migration.py
@@ -122,7 +122,7 @@
     elif not worthwhile:
         return False
     for host, count in layout:
-        capacity.hold(host, first.need, count)
+        capacity.hold(host, first.need, count, is_firm=True)
     return True
 
 
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -6,14 +6,13 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
-from math import ceil, log2
+from math import log2
 
 from sequoiachute.coordination.scheduling.capacity import (
     REMOTE_SLOWDOWN,
     FreeCapacity,
     GangKey,
     cautious_slowdown,
-    could_hold,
     count_fitting,
     count_fitting_now,
     is_eligible,
@@ -22,12 +21,12 @@
 from sequoiachute.coordination.scheduling.layout import (
     Layout,
     best_layout,
+    could_one_rack_hold,
     layout_slowdown,
     rack_wait_seconds,
 )
 from sequoiachute.coordination.scheduling.migration import select_migrations
 from sequoiachute.coordination.scheduling.model import (
-    MAX_IDLE_WAIT_SECONDS,
     URGENT_PRIORITY,
     Host,
     RunStop,
@@ -41,6 +40,11 @@
     PreemptionPlan,
     plan_preemption,
 )
+from sequoiachute.coordination.scheduling.preferences import (
+    due_tasks,
+    with_preferences,
+    with_untried_hosts,
+)
 from sequoiachute.protocol.workload import StepSpec, TaskId
 
 EXPIRY_FACTOR = 3.0  # a job later than this multiple of its objective earns nothing
@@ -59,8 +63,6 @@
 LATE_LOSS_RATIO = 0.25  # of work lost for work that is late anyway, which earns less
 # Of work lost for a host that is surely in time, where another may be.
 CERTAINTY_LOSS_RATIO = 0.25
-# Of the waves that an objective allows: slow workers and faults take the rest.
-PLANNED_WAVE_SHARE = 0.5
 
 
 def decide(view: SchedulingView) -> SchedulingDecision:
@@ -100,28 +102,6 @@
     return now > latest_start and not unit.guaranteed
 
 
-def _due_tasks(unit: SchedulingUnit, view: SchedulingView) -> SchedulingUnit:
-    """Return ``unit`` with the tasks that should run by now.
-
-    A wide urgent step starts in waves while half of its time is left, so that it does
-    not keep urgent work of other jobs from every host. Guaranteed work starts whole.
-    """
-    planned_waves = int(PLANNED_WAVE_SHARE * unit.waves)
-    is_wide = unit.priority == URGENT_PRIORITY and planned_waves > 1
-    if not is_wide or unit.step.gang or unit.guaranteed or unit.returning:
-        return unit
-    if view.is_gathering:
-        return unit
-    if not _has_half_its_time(unit, view.now):
-        return unit
-    width = ceil(unit.step.count / planned_waves)
-    return unit._replace(tasks=unit.tasks[: max(0, width - unit.running)])
-
-
-def _has_half_its_time(unit: SchedulingUnit, now: float) -> bool:
-    return unit.deadline - now >= (unit.deadline - unit.accepted_at) / 2
-
-
 def _fit_key(unit: SchedulingUnit) -> tuple:
     """Return all that decides where ``unit`` fits except its number of tasks."""
     step = unit.step
@@ -172,6 +152,7 @@
         # in a round, so as many or more need not be tried again.
         self._smallest_misfit: dict[tuple, int] = {}
         self._searches_left = MAX_SEARCHED_HOSTS // max(1, len(view.hosts))
+        self._rack_searches_left = self._searches_left
         self._is_truncated = False
 
     def run(self) -> SchedulingDecision:
@@ -191,7 +172,8 @@
             if not self._view.is_gathering:
                 self._schedule_due(unit)
         self._migrate(urgent=False)
-        self._place_overdue(ordered)
+        if any(unit.is_overdue for unit in ordered):
+            self._place_held(ordered)
         stops = tuple(self._stops)
         return SchedulingDecision(tuple(self._placements), stops, self._is_truncated)
 
@@ -200,39 +182,74 @@
         return unit.priority == URGENT_PRIORITY and not is_late
 
     def _schedule_due(self, unit: SchedulingUnit) -> None:
-        unit = _due_tasks(self._with_round(unit), self._view)
+        unit = self._with_split(self._with_round(unit))
+        if unit.is_overdue and not unit.returning:
+            unit = self._place_overdue(unit)
+        unit = due_tasks(unit, self._view)
         if unit.tasks:
-            unit = self._with_rack(self._with_proof(unit))
-            self._schedule(self._with_doubt(self._with_untried(unit)))
+            self._schedule(with_preferences(unit, self._view, self._capacity))
 
-    def _place_overdue(self, ordered: list[SchedulingUnit]) -> None:
-        """Place what has waited long enough in a service that is half idle.
+    def _place_overdue(self, unit: SchedulingUnit) -> SchedulingUnit:
+        """Place what has waited long enough beside idle capacity on any hosts.
 
-        No preference for hosts excludes any now, nor does what is held for other work:
-        such a wait would last as long as its cause.
+        Return the unit with the remaining tasks.
         """
-        overdue = [unit for unit in ordered if unit.is_overdue and not unit.returning]
-        if not overdue:
-            return
-        self._capacity.end_holds()
+        anywhere = unit._replace(takes_any_host=True)
+        fit_key = _fit_key(anywhere)
+        if self._smallest_misfit.get(fit_key, UNBOUNDED_COUNT) <= unit.min_tasks:
+            return unit
+        count = self._capacity.count_until_half_used(unit)
+        if not count and not unit.step.lasting:
+            return unit
+        fitting = count_fitting_now(anywhere, self._capacity)
+        fits_twice = fitting >= 2 * unit.min_tasks
+        if unit.step.lasting and not fits_twice:
+            return unit
+        if fits_twice:
+            anywhere = anywhere._replace(may_split=True)
+        count = len(unit.tasks) if unit.step.gang else max(1, count)
+        anywhere = with_untried_hosts(anywhere, self._view.now, self._capacity)
+        placed = self._place_fitting(anywhere._replace(tasks=unit.tasks[:count]))
+        placed_count = min(count, len(unit.tasks)) - len(placed.tasks)
+        if not placed_count:
+            self._smallest_misfit[fit_key] = unit.min_tasks
+        return placed._replace(
+            tasks=unit.tasks[placed_count:],
+            takes_any_host=False,
+            needs_untried=False,
+            may_split=unit.may_split,
+        )
+
+    def _place_held(self, ordered: list[SchedulingUnit]) -> None:
+        """Let overdue units use what is held for work that only waits.
+
+        What is held for guaranteed work, for the stops and for the moves of this round
+        stays held.
+        """
+        self._capacity.end_soft_holds()
+        self._smallest_misfit.clear()
         placed = {placement.task for placement in self._placements}
-        for unit in overdue:
+        for unit in ordered:
             tasks = tuple(task for task in unit.tasks if task not in placed)
-            if tasks and self._capacity.is_half_idle(unit.service):
-                unit = self._with_round(unit._replace(tasks=tasks))
-                self._place_anywhere(unit._replace(takes_any_host=True))
+            has_stops = unit.tasks[0][:3] in self._charged_work
+            if not tasks or has_stops or unit.returning or not unit.is_overdue:
+                continue
+            unit = self._with_round(unit._replace(tasks=tasks))
+            self._place_overdue(self._with_split(unit))
 
-    def _place_anywhere(self, unit: SchedulingUnit) -> None:
-        """Place the unit on any hosts; split it over racks if it fits twice over."""
-        fit_key = _fit_key(unit)
-        if self._smallest_misfit.get(fit_key, UNBOUNDED_COUNT) <= unit.min_tasks:
-            return
-        fitting = count_fitting_now(unit, self._capacity)
-        if fitting >= 2 * unit.min_tasks:
-            unit = unit._replace(may_split=True)
-        remaining = self._place_fitting(self._with_untried(unit))
-        if len(remaining.tasks) == len(unit.tasks):
-            self._smallest_misfit[fit_key] = unit.min_tasks
+    def _with_split(self, unit: SchedulingUnit) -> SchedulingUnit:
+        """Let a unit that prefers one rack run on several where that is better."""
+        if not unit.step.same_rack:
+            return unit
+        if not could_one_rack_hold(unit, self._capacity):
+            # While agents report, more racks may come.
+            return unit._replace(may_split=not self._view.is_gathering)
+        if not unit.is_overdue or not self._rack_searches_left:
+            return unit
+        self._rack_searches_left -= 1
+        split_seconds = (REMOTE_SLOWDOWN - 1) * unit.step.estimate_seconds
+        wait_seconds = rack_wait_seconds(unit, self._capacity)
+        return unit._replace(may_split=wait_seconds > split_seconds)
 
     def _with_round(self, unit: SchedulingUnit) -> SchedulingUnit:
         """Return the unit with the tasks of its step that were placed in this round."""
@@ -244,60 +261,12 @@
             running=unit.running + placed.total(),
         )
 
-    def _with_untried(self, unit: SchedulingUnit) -> SchedulingUnit:
-        """Keep failed tasks off the hosts where they failed while others have room.
-
-        Another failure there would not tell whether the host or the task is at fault.
-        """
-        if not unit.tried_hosts:
-            return unit
-        untried = unit._replace(needs_untried=True)
-        count = unit.min_tasks
-        if best_layout(untried, self._capacity, count, self._view.now) is None:
-            return unit
-        return untried
-
-    def _with_doubt(self, unit: SchedulingUnit) -> SchedulingUnit:
-        """Let the unit try hosts in doubt again if the others can't hold it."""
-        if could_hold(unit, self._view.hosts):
-            return unit
-        return unit._replace(only_doubtful=True)
-
-    def _with_rack(self, unit: SchedulingUnit) -> SchedulingUnit:
-        """Let a unit that has waited for one rack run on several if that is sooner."""
-        if not unit.step.same_rack or not unit.is_overdue or not self._searches_left:
-            return unit
-        self._searches_left -= 1
-        split_seconds = (REMOTE_SLOWDOWN - 1) * unit.step.estimate_seconds
-        if rack_wait_seconds(unit, self._capacity) <= split_seconds:
-            return unit
-        return unit._replace(may_split=True)
-
     def _migrate(self, urgent: bool) -> None:
         stopped = {(stop.task, stop.run) for stop in self._stops}
         for stop in select_migrations(self._capacity, self._view.now, urgent):
             if (stop.task, stop.run) not in stopped:
                 self._stops.append(stop)
 
-    def _with_proof(self, unit: SchedulingUnit) -> SchedulingUnit:
-        """Keep the last attempt of a failed task for a host that is proven.
-
-        It waits for one while half of its time is left, in a service with idle capacity
-        for a short while only.
-        """
-        if not (unit.last_attempt and unit.failed_before) or unit.guaranteed:
-            return unit
-        if not _has_half_its_time(unit, self._view.now):
-            return unit
-        proof = unit._replace(needs_proof=True)
-        if not could_hold(proof, self._view.hosts):
-            return unit
-        fits = count_fitting_now(proof, self._capacity) >= unit.min_tasks
-        may_wait = unit.failed_seconds < MAX_IDLE_WAIT_SECONDS
-        if fits or may_wait or not self._capacity.is_half_idle(unit.service):
-            return proof
-        return unit
-
     def _drain_leaving(self, host: Host) -> None:
         """Stop runs that would outlast a leaving worker where that helps.
 
@@ -419,7 +388,8 @@
             now=self._view.now,
         )
         if plan is not None:
-            self._hold(unit, plan)
+            for host, count in plan.hosts:
+                self._hold(unit, host, count, is_firm=unit.guaranteed)
 
     def _hold_return(self, unit: SchedulingUnit) -> None:
         """Hold free capacity for tasks whose runs are about to end.
@@ -430,7 +400,7 @@
         now = self._view.now
         layout = best_layout(unit, self._capacity, len(unit.tasks), now, is_gang)
         for host, count in layout or ():
-            self._capacity.hold(host, unit.step.reserved, count)
+            self._hold(unit, host, count, is_firm=unit.guaranteed)
 
     def _hold_free(self, unit: SchedulingUnit) -> None:
         """Hold free capacity for as many tasks as fit, without a search."""
@@ -441,7 +411,7 @@
             if not is_eligible(unit, host):
                 continue
             fits = min(count, count_fitting(unit, host, self._capacity.free(host)))
-            self._capacity.hold(host, unit.step.reserved, fits)
+            self._hold(unit, host, fits, is_firm=unit.guaranteed)
             count -= fits
 
     def _plan_preemption(
@@ -500,9 +470,11 @@
         step = unit.tasks[0][:3]
         charged_work = self._charged_work.get(step, 0.0)
         self._charged_work[step] = charged_work + plan.lost_work
-        self._hold(unit, plan)
-
-    def _hold(self, unit: SchedulingUnit, plan: PreemptionPlan) -> None:
-        """Withhold the planned capacity from later units of this round."""
         for host, count in plan.hosts:
-            self._capacity.hold(host, unit.step.reserved, count)
+            self._hold(unit, host, count, is_firm=True)
+
+    def _hold(
+        self, unit: SchedulingUnit, host: Host, count: int, is_firm: bool
+    ) -> None:
+        """Withhold capacity for ``count`` tasks from later units of this round."""
+        self._capacity.hold(host, unit.step.reserved, count, is_firm)
--- a/src/sequoiachute/coordination/scheduling/preemption.py
+++ b/src/sequoiachute/coordination/scheduling/preemption.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from sequoiachute.coordination.scheduling.capacity import (
+    REMOTE_SLOWDOWN,
     FreeCapacity,
     GangKey,
     cautious_slowdown,
@@ -109,7 +110,15 @@
         plan = search.run(all_or_nothing)
         if plan is not None and (best is None or plan.cost < best.cost):
             best = plan
-    return best
+    if best is not None or not unit.may_split:
+        return best
+    hosts = [
+        host
+        for host in hosts
+        if REMOTE_SLOWDOWN * cautious_slowdown(unit.step, host) <= max_slowdown
+    ]
+    search = _PreemptionSearch(unit, capacity, hosts, max_loss_ratio, now)
+    return search.run(all_or_nothing)
 
 
 class _PreemptionSearch:
--- a/tests/test_idle_capacity.py
+++ b/tests/test_idle_capacity.py
@@ -3,9 +3,10 @@
 import pytest
 
 from sequoiachute.coordination.scheduling import SchedulingView, decide
+from sequoiachute.coordination.scheduling.capacity import GPU_CORES
 from standins.control_site import ControlSite
 from tests.control_checks import accepted
-from tests.test_scheduling_policy import NOW, host, running, unit
+from tests.test_scheduling_policy import CAPACITY, NOW, host, running, unit
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
@@ -95,3 +96,55 @@
     assert not decide(SchedulingView(NOW, hosts, (unit(),))).placements
     overdue = unit(waiting_seconds=2.0)
     assert len(decide(SchedulingView(NOW, hosts, (overdue,))).placements) == 1
+
+
+def test_guaranteed_same_rack_gang_reclaims_though_no_rack_holds_it():
+    hosts = []
+    for empty in racks(1, 1, 1):
+        runs = [running(empty.name, index, gpus=4) for index in range(2)]
+        hosts.append(empty._replace(running=tuple(runs)))
+    gang = same_rack_gang(3, priority=0, guaranteed=True)
+    decision = decide(SchedulingView(NOW, tuple(hosts), (gang,)))
+    assert len(decision.stops) == 3
+
+
+def test_urgent_gang_is_split_at_once_if_no_rack_could_hold_it():
+    gang = same_rack_gang(3, priority=0)
+    decision = decide(SchedulingView(NOW, racks(1, 1, 1), (gang,)))
+    assert len(decision.placements) == 3
+
+
+def test_overdue_urgent_work_takes_an_idle_host_instead_of_stopping_a_run():
+    busy = host("busy", running=(running(gpus=8),))
+    idle = [host(f"{n}", recent_failures=2, doubt_age=0.5) for n in range(4)]
+    urgent = unit(priority=0, waiting_seconds=2.5)
+    decision = decide(SchedulingView(NOW, (busy, *idle), (urgent,)))
+    assert len(decision.placements) == 1
+    assert not decision.stops
+
+
+def test_lesser_work_leaves_what_guaranteed_work_waits_for():
+    busy, *idle = racks(6)
+    hosts = (busy._replace(running=(running(gpus=8, stopping=True),)), *idle)
+    gang = unit(6, gpus=8, priority=0, guaranteed=True, step={"gang": True})
+    lesser = unit(40, job="lesser", priority=2, waiting_seconds=2.0)
+    assert not decide(SchedulingView(NOW, hosts, (gang, lesser))).placements
+
+
+def test_overdue_work_takes_any_host_only_until_its_service_is_half_used():
+    hosts = racks(6, recent_failures=2, doubt_age=0.5)
+    overdue = unit(40, waiting_seconds=2.0)
+    placements = decide(SchedulingView(NOW, hosts, (overdue,))).placements
+    used_cores = sum(1 + GPU_CORES for _ in placements)
+    assert 0 <= used_cores - 6 * (32 + 8 * GPU_CORES) / 2 < 1 + GPU_CORES
+
+
+def test_lasting_work_takes_any_host_however_full_its_service_is():
+    full = running(need=CAPACITY, priority=1, remaining_seconds=500.0)
+    sound = [host(f"s{n}", running=(full,)) for n in range(4)]
+    idle = [host(f"d{n}", recent_failures=2, doubt_age=1.0) for n in range(2)]
+    hosts = (*sound, *idle)
+    lasting = unit(step={"lasting": True}, waiting_seconds=2.0)
+    assert len(decide(SchedulingView(NOW, hosts, (lasting,))).placements) == 1
+    other = unit(waiting_seconds=2.0)
+    assert not decide(SchedulingView(NOW, hosts, (other,))).placements
