Say in log lines where a worker stands and which lifetime refused a start

`worker announced` gets zone, rack and labels, `start settled` the worker's lifetime (`life`); host and reason stand in `run never started` of the placer, as before.

--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -169,5 +169,5 @@
     def _settle(self, key: tuple[str, int], reason: str) -> None:
         self.settled[key] = SettledStart(key[0], key[1], reason)
         log = logger.bind(task=key[0], run=key[1], term=self.term, reason=reason)
-        log.info("start settled: it never ran")
+        log.bind(life=self.worker_id).info("start settled: it never ran")
         self._on_settled()
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -96,6 +96,7 @@
         if changed:
             info = heartbeat.info
             log = logger.bind(worker=info.lifetime.worker_id, leaving=info.leaving)
+            log = log.bind(zone=info.zone, rack=info.rack, labels=info.labels)
             log.info("worker announced")
             self._update_may_start()
             self._request_report()
