--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -10,6 +10,7 @@
 from sequoiachute.coordination.dispatch.placer import TaskPlacer, Term
 from sequoiachute.coordination.dispatch.sessions import AgentSessions
 from sequoiachute.coordination.intake import Intake
+from sequoiachute.coordination.scheduling.waits import Waits
 from sequoiachute.coordination.store.election import Election
 from sequoiachute.coordination.store.follower import Follower
 from sequoiachute.coordination.store.group import address_of
@@ -180,6 +181,17 @@
             "agents", lambda: len(self._agents.sessions) if self._agents else 0
         )
         metrics.gauge("store_age_seconds", self._runs_follower.age)
+        metrics.gauge("units_waiting", lambda: self._waits.units)
+        metrics.gauge(
+            "units_waiting_beside_capacity", lambda: self._waits.beside_capacity
+        )
+
+    @property
+    def _waits(self) -> Waits:
+        """What waits at this placer; nothing while another entry is the placer."""
+        if self._placer is None or not self.is_leading:
+            return Waits()
+        return self._placer.wait_log.waits
 
     def leave(self) -> None:
         """Give up the placer's role and report not ready; go on serving callers."""
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -23,6 +23,7 @@
 )
 from sequoiachute.coordination.dispatch.upkeep import Upkeep, encode_wave
 from sequoiachute.coordination.dispatch.views import build_view
+from sequoiachute.coordination.dispatch.wait_log import WaitLog
 from sequoiachute.coordination.scheduling import (
     RunStop,
     SchedulingDecision,
@@ -121,6 +122,11 @@
         Returns the decision for the view of a round.
     times : WorkerTimes
         What workers promise.
+
+    Attributes
+    ----------
+    wait_log : WaitLog
+        What waits after the last rounds.
     """
 
     def __init__(
@@ -148,6 +154,7 @@
         self._ticket_cache = TicketCache(advisor, self.wake)
         self._upkeep = Upkeep(machines, identity.member, ledger, agents, operations)
         self._settlement = Settlement(ledger, agents)
+        self.wait_log = WaitLog()
         self._statistics = RunStatistics(ledger.speeds)
         self._sequence = 0
         self._end_backup = EndBackup(store, ledger, agents)
@@ -222,6 +229,7 @@
         self._drop_ended_jobs()
         for session in self._agents.sessions.values():
             session.refresh(self._ledger)
+        self.wait_log.record_round(view, decision, now)
 
     def _update_statistics(self) -> None:
         """Record each worker's reading once; a repeated one would look like a stall."""
@@ -405,6 +413,9 @@
         log = log.bind(life=placement.lifetime.worker_id, term=self._term)
         log = log.bind(expected=round(placement.expected_seconds, 2))
         log = log.bind(speed=round(speed, 2), speed_error=round(speed_error, 2))
+        step = self._step_of(task)
+        if step.same_rack:
+            log = log.bind(racks=len(self._racks_of(task, step.count)))
         log.bind(slack=round(placement.slack_seconds, 2)).info("placed")
 
     def _step_of(self, task: TaskId) -> StepSpec:
--- a/src/sequoiachute/state/exposition.py
+++ b/src/sequoiachute/state/exposition.py
@@ -17,6 +17,8 @@
     "runs_stopped_total": "Runs that the placer has stopped, by reason.",
     "agents": "Agents that report to this placer.",
     "leading": "1 while this entry is the placer.",
+    "units_waiting": "Steps or gangs that have waited for more than 1 s.",
+    "units_waiting_beside_capacity": "Those of them that there is room for.",
     "store_age_seconds": "Time since the store confirmed the view of runs.",
     "looks_total": "Looks at the worker, by outcome.",
     "orders_total": "Orders to the worker, by kind and outcome.",
