--- a/tests/test_idle_capacity.py
+++ b/tests/test_idle_capacity.py
@@ -115,7 +115,8 @@
 
 
 def test_overdue_urgent_work_takes_an_idle_host_instead_of_stopping_a_run():
-    busy = host("busy", running=(running(gpus=8),))
+    worked = running(gpus=8, unsaved_seconds=0.5, remaining_seconds=50.0)
+    busy = host("busy", running=(worked,))
     idle = [host(f"{n}", recent_failures=2, doubt_age=0.5) for n in range(4)]
     urgent = unit(priority=0, waiting_seconds=2.5)
     decision = decide(SchedulingView(NOW, (busy, *idle), (urgent,)))
