Count room beyond a unit's own tasks where it must fit twice over

Found by the generated views of: a host counted for as many tasks as the unit has, so that lasting work with one sound place, or a gang that prefers one rack, never fitted twice on a single large worker and waited. The view failed before and passes; 139 tests of views pass.

--- a/src/sequoiachute/coordination/scheduling/capacity.py
+++ b/src/sequoiachute/coordination/scheduling/capacity.py
@@ -10,6 +10,7 @@
 REMOTE_SLOWDOWN = 3.0  # for data in another rack or a split gang; the site's far_x
 GPU_CORES = 8  # cores that one accelerator counts as
 MAX_RECENT_FAILURES = 2  # without a success since; such a host gets no tasks
+MAX_TASKS_PER_HOST = 1_000_000  # more than any host takes
 MIN_PROBE_DELAY_SECONDS = 1.5  # after a failure, where there is no other host
 
 GangKey = tuple[str, int, int]  # job ID, occurrence and step
@@ -201,8 +202,13 @@
 
 def count_fitting(unit: SchedulingUnit, host: Host, free: Resources) -> int:
     """Return how many more tasks of ``unit`` fit in the ``free`` part of ``host``."""
+    return min(len(unit.tasks), _count_room(unit, host, free))
+
+
+def _count_room(unit: SchedulingUnit, host: Host, free: Resources) -> int:
+    """Return for how many tasks like those of ``unit`` there is room on ``host``."""
     step = unit.step
-    fitting = len(unit.tasks)
+    fitting = MAX_TASKS_PER_HOST
     if step.per_worker:
         placed = unit.placed_per_host.get(host.name, 0)
         fitting = min(fitting, step.per_worker - placed)
@@ -212,12 +218,12 @@
     return max(0, fitting)
 
 
-def count_fitting_now(unit: SchedulingUnit, capacity: FreeCapacity) -> int:
-    """Return how many tasks of ``unit`` fit on all hosts that it may run on."""
+def count_room_now(unit: SchedulingUnit, capacity: FreeCapacity) -> int:
+    """Return for how many tasks like those of ``unit`` its hosts have room."""
     count = 0
     for host in capacity.hosts.values():
         if is_eligible(unit, host):
-            count += count_fitting(unit, host, capacity.free(host))
+            count += _count_room(unit, host, capacity.free(host))
     return count
 
 
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -14,7 +14,7 @@
     GangKey,
     cautious_slowdown,
     count_fitting,
-    count_fitting_now,
+    count_room_now,
     is_eligible,
     slowdown,
 )
@@ -201,7 +201,7 @@
         count = self._capacity.count_until_half_used(unit)
         if not count and not unit.step.lasting:
             return unit
-        fitting = count_fitting_now(anywhere, self._capacity)
+        fitting = count_room_now(anywhere, self._capacity)
         fits_twice = fitting >= 2 * unit.min_tasks
         if unit.step.lasting and not fits_twice:
             return unit
--- a/src/sequoiachute/coordination/scheduling/preferences.py
+++ b/src/sequoiachute/coordination/scheduling/preferences.py
@@ -5,7 +5,7 @@
 from sequoiachute.coordination.scheduling.capacity import (
     FreeCapacity,
     could_hold,
-    count_fitting_now,
+    count_room_now,
 )
 from sequoiachute.coordination.scheduling.layout import best_layout
 from sequoiachute.coordination.scheduling.model import (
@@ -87,7 +87,7 @@
     proof = unit._replace(needs_proof=True)
     if not could_hold(proof, view.hosts):
         return unit
-    fits = count_fitting_now(proof, capacity) >= unit.min_tasks
+    fits = count_room_now(proof, capacity) >= unit.min_tasks
     may_wait = unit.failed_seconds < MAX_IDLE_WAIT_SECONDS
     if fits or may_wait or not capacity.is_half_idle(unit.service):
         return proof
--- a/tests/test_idle_capacity.py
+++ b/tests/test_idle_capacity.py
@@ -149,3 +149,10 @@
     assert len(decide(SchedulingView(NOW, hosts, (lasting,))).placements) == 1
     other = unit(waiting_seconds=2.0)
     assert not decide(SchedulingView(NOW, hosts, (other,))).placements
+
+
+def test_lasting_work_on_the_only_worker_counts_as_fitting_twice_over():
+    lasting = unit(step={"lasting": True, "gang": True}, waiting_seconds=2.0)
+    hosts = racks(1, recent_failures=2, doubt_age=0.5)
+    view = SchedulingView(NOW, hosts, (lasting,))
+    assert len(decide(view).placements) == 1
