Check in the state machine that no work waits beside idle workers

Change: IdleWatch (tests/control_checks.py) asserts every 0.2 s, by what the stand-in workers run, that no task whose turn has come, or gang, has waited for more than 3 s on end while it fits twice over and less than half of each resource is in use. The machine has gangs with same_rack over workers in racks of their own, per_worker, steps in a chain, cancelled jobs, and workers that fail, refuse, leave and return. A rule calm repairs everything, waits for leases (9.5 s) and a takeover (3.5 s) and then watches further submissions, faults of workers and changes of placer; the teardown watches as well. A job may end as failed if the workers' history has as many failed runs of one of its tasks or gangs as it has attempts, and as cancelled if it was cancelled; all others must complete as before.

--- a/standins/control_site.py
+++ b/standins/control_site.py
@@ -25,6 +25,7 @@
 from standins.task_worker import History, MemoryTaskWorker
 
 HEARTBEAT_SECONDS = 0.5
+TASK_NEED = Resources(1000, 1000, 1)
 QUEUE = Queue("proofs", "site.example", "/p/", "render", 1, 3, 3.0, 1.0)
 URGENT = Queue("urgent", "site.example", "/u/", "render", 0, 3, 1.5, 0.25)
 CATALOGUE = PlatformCatalogue(
@@ -88,7 +89,8 @@
 class ControlSite:
     """Entries, agents with workers, one store and one network.
 
-    The constructor lets time pass until a placer is elected.
+    The constructor lets time pass until a placer is elected. ``jobs`` holds every job
+    submitted by its job id, whether it was accepted or not.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         self.store = MemoryKeyedStore()
         self.network = MemoryNetwork()
         self.history = History()
+        self.jobs: dict[str, JobGraph] = {}
         self._last_number = 0
         self.seeds = tuple(f"10.0.0.{index}:7000" for index in range(entries))
         self.entries = [Entry(self, index) for index in range(entries)]
@@ -127,6 +130,12 @@
         zones = (key.partition("/")[2] for key in records if "/" in key)
         operations.closed_zones = frozenset(zones)
 
+    def can_start(self, worker: int) -> bool:
+        """Return whether a worker and its agent start what the placer orders."""
+        process = self.agents[worker].process
+        is_stuck = process.killed or process.frozen
+        return self.workers[worker].can_start and not is_stuck
+
     def run_for(self, seconds: float) -> None:
         """Advance the paused clock."""
         clock.sleep(seconds)
@@ -139,27 +148,37 @@
         queue: Queue = QUEUE,
         wait: float = 3.0,
         job_id: str = "",
+        steps: int = 1,
         **step: object,
     ) -> tuple[str, IntakeOutcome]:
-        """Submit a job of one step; return its job id and the outcome."""
+        """Submit a job of equal steps in a chain; return its job id and the outcome."""
         job_id = job_id or f"{self.next_number():016x}"
-        spec = StepSpec(count, Resources(1000, 1000, 1), seconds, **step)
+        first = StepSpec(count, TASK_NEED, seconds, **step)
+        chain = [first]
+        for number in range(1, steps):
+            chain.append(first._replace(after=(number - 1,)))
         job = JobGraph(
             job_id,
             "brocach",
             queue.name,
             queue.service,
             str(seconds),
-            (spec,),
+            tuple(chain),
             accepted_at=clock.wall_time(),
             priority=queue.priority,
             attempts=queue.attempts,
             stretch=queue.stretch,
             slo_seconds=queue.slo_seconds,
         )
+        self.jobs.setdefault(job_id, job)
         control = self.entries[entry].control
         return job_id, control.intake.submit(job, clock.now() + wait)
 
+    def cancel(self, job_id: str, entry: int = 0, wait: float = 3.0) -> IntakeOutcome:
+        """Cancel a job at an entry."""
+        intake = self.entries[entry].control.intake
+        return intake.cancel(job_id, "brocach", clock.now() + wait)
+
     def state(self, job_id: str, entry: int = 0) -> str:
         """Return a job's state as an entry shows it."""
         return self.entries[entry].control.intake.state(job_id, "brocach")[1]
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -147,6 +147,17 @@
         """Reading of the worker's own clock in milliseconds."""
         return int((clock.now() - self._started_at) * 1000 * CLOCK_RATE) + 1000
 
+    @property
+    def running(self) -> frozenset[str]:
+        """The tasks that run now."""
+        return frozenset(self._runs)
+
+    @property
+    def can_start(self) -> bool:
+        """Whether the worker starts what it is asked to."""
+        is_leaving = self.leaving_seconds is not None
+        return not (is_leaving or self.refuses_starts or self.silent)
+
     def used(self) -> Resources:
         """Return the resources in use; each run takes one accelerator."""
         return Resources(gpus=len(self._runs))
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -1,7 +1,8 @@
 """Random faults of entries, agents, workers and the store.
 
 No task ever runs twice at once, and after all faults are repaired every accepted
-job completes.
+job completes, unless its tasks have failed or it was cancelled. Once what the faults
+left behind is over, no work waits beside idle workers.
 """
 
 from hypothesis import settings
@@ -16,51 +17,122 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.intake import ACCEPTED, REFUSED
-from sequoiachute.protocol.workload import COMPLETE
+from sequoiachute.protocol.workload import CANCELLED, COMPLETE, FAILED
 from standins.control_site import QUEUE, URGENT, ControlSite
 from standins.paused import install_paused_clock
+from tests.control_checks import TAKEOVER_SECONDS, IdleWatch, failed_attempts
 from tests.run_checks import assert_no_duplicate_runs, assert_run_numbers_increase
 
 ENTRIES = 3
-WORKERS = 3
+WORKERS = 4
 RECOVERY_SECONDS = 90.0
+LEASE_END_SECONDS = 9.5  # from a worker's last report until all its leases are over
+CALM_SECONDS = LEASE_END_SECONDS + TAKEOVER_SECONDS  # from the repair of all faults
 
 entries = st.integers(0, ENTRIES - 1)
 workers = st.integers(0, WORKERS - 1)
+in_trouble = precondition(lambda self: self.watch is None)
+in_calm = precondition(lambda self: self.watch is not None)
 
 
 class ControlMachine(RuleBasedStateMachine):
+    watch = None
+
     @initialize()
     def create_site(self):
         install_paused_clock()
         self.site = ControlSite(ENTRIES, WORKERS)
+        for number, worker in enumerate(self.site.workers):
+            worker.rack = f"rack-{number}"
         self.accepted_jobs = []
         self.refused_jobs = []
+        self.cancelled_jobs = set()
 
     @rule(
         entry=entries,
-        count=st.integers(1, 4),
+        count=st.sampled_from([1, 2, 3, 4, 6, 8]),
         seconds=st.sampled_from([0.3, 2.0, 8.0]),
         urgent=st.booleans(),
         gang=st.booleans(),
+        same_rack=st.booleans(),
+        per_worker=st.sampled_from([0, 0, 2]),
+        steps=st.sampled_from([1, 1, 2]),
     )
-    def submit(self, entry, count, seconds, urgent, gang):
-        process = self.site.entries[entry].process
-        if process.killed or process.frozen:
+    def submit(self, entry, count, seconds, urgent, **step):
+        if self._is_stuck(entry):
             return
         queue = URGENT if urgent else QUEUE
-        job, outcome = self.site.submit(
-            seconds, count, entry, queue, wait=1.0, gang=gang
-        )
+        job, outcome = self.site.submit(seconds, count, entry, queue, wait=1.0, **step)
         if outcome.kind == ACCEPTED:
             self.accepted_jobs.append(job)
         elif outcome.kind == REFUSED:
             self.refused_jobs.append(job)
 
+    @precondition(lambda self: self.accepted_jobs)
+    @rule(entry=entries, number=st.integers(0, 3))
+    def cancel(self, entry, number):
+        if self._is_stuck(entry):
+            return
+        job = self.accepted_jobs[-1 - number % len(self.accepted_jobs)]
+        self.cancelled_jobs.add(job)
+        self.site.cancel(job, entry, wait=1.0)
+
+    def _is_stuck(self, entry):
+        process = self.site.entries[entry].process
+        return process.killed or process.frozen
+
     @rule(seconds=st.sampled_from([0.1, 0.7, 2.5, 11.0]))
     def wait(self, seconds):
-        self.site.run_for(seconds)
+        if self.watch is None:
+            self.site.run_for(seconds)
+        else:
+            self.watch.run_for(seconds)
+
+    @in_trouble
+    @rule()
+    def calm(self):
+        self._repair()
+        self.site.run_for(CALM_SECONDS)
+        self.watch = IdleWatch(self.site)
+
+    @in_calm
+    @rule()
+    def end_calm(self):
+        self.watch = None
 
+    @in_calm
+    @rule()
+    def change_placer(self):
+        placer = self.site.placer()
+        self.site.kill_entry(placer)
+        self.site.run_for(TAKEOVER_SECONDS)
+        self.site.restart_entry(placer)
+        self.site.run_for(TAKEOVER_SECONDS)
+        self.watch = IdleWatch(self.site)
+
+    @rule(worker=workers, fails=st.booleans())
+    def fail_runs(self, worker, fails):
+        self.site.workers[worker].fails_runs = fails
+
+    @rule(worker=workers, refuses=st.booleans())
+    def refuse_starts(self, worker, refuses):
+        self.site.workers[worker].refuses_starts = refuses
+
+    @rule(worker=workers, seconds=st.sampled_from([1.0, 20.0]))
+    def leave(self, worker, seconds):
+        self.site.workers[worker].leaving_seconds = seconds
+
+    @rule(worker=workers)
+    def return_worker(self, worker):
+        self._return_worker(worker)
+
+    def _return_worker(self, worker):
+        """Let a worker that leaves come back in a new lifetime."""
+        if self.site.workers[worker].leaving_seconds is not None:
+            self.site.workers[worker].leaving_seconds = None
+            self.site.workers[worker].restart()
+
+    @in_trouble
     @rule()
     def kill_placer(self):
         placer = self.site.placer()
@@ -68,11 +140,13 @@
         if placer >= 0 and alive > 1:
             self.site.kill_entry(placer)
 
+    @in_trouble
     @rule(entry=entries)
     def restart_entry(self, entry):
         if self.site.entries[entry].process.killed:
             self.site.restart_entry(entry)
 
+    @in_trouble
     @rule(entry=entries, frozen=st.booleans())
     def freeze_entry(self, entry, frozen):
         target = self.site.entries[entry]
@@ -85,15 +159,18 @@
             )
             update_cut(pair)
 
+    @in_trouble
     @rule(worker=workers)
     def kill_agent(self, worker):
         self.site.kill_agent(worker)
 
+    @in_trouble
     @rule(worker=workers)
     def restart_agent(self, worker):
         if self.site.agents[worker].process.killed:
             self.site.restart_agent(worker)
 
+    @in_trouble
     @rule(worker=workers, frozen=st.booleans())
     def freeze_agent(self, worker, frozen):
         self.site.agents[worker].process.frozen = frozen
@@ -102,39 +179,47 @@
     def crash_worker(self, worker):
         self.site.workers[worker].restart()
 
+    @in_trouble
     @rule(worker=workers, late=st.sampled_from([0.0, 0.0, 3.0]), lost=st.booleans())
     def disturb_orders(self, worker, late, lost):
         self.site.workers[worker].late_seconds = late
         self.site.workers[worker].lose_replies = lost
 
+    @in_trouble
     @rule(down=st.booleans(), lost=st.booleans(), late=st.sampled_from([0.0, 2.0]))
     def disturb_store(self, down, lost, late):
         self.site.store.down = down
         self.site.store.lose_replies = lost
         self.site.store.late_seconds = late
 
+    @in_trouble
     @rule(topics=st.sets(st.sampled_from(["jobs", "jobs-2", "jobs-3", "runs", "op"])))
     def disturb_topics(self, topics):
         self.site.store.down_topics = topics
 
+    @in_trouble
     @rule(entry=entries, refused=st.booleans(), silent=st.booleans())
     def disturb_store_access(self, entry, refused, silent):
         self.site.entries[entry].store.rejecting = refused
         self.site.entries[entry].store.unresponsive = silent
 
+    @in_trouble
     @rule()
     def reassign_partitions(self):
         self.site.store.reassign_partitions()
 
+    @in_trouble
     @rule(topic=st.sampled_from(["jobs", "jobs-2", "runs", "op"]))
     def discard_history(self, topic):
         self.site.store.discard_history(topic)
 
+    @in_trouble
     @rule(entry=entries, worker=workers)
     def cut_connection(self, entry, worker):
         pair = (self.site.agents[worker].address, self.site.entries[entry].address)
         self.site.network.cut.add(pair)
 
+    @in_trouble
     @rule(entry=entries, other=entries, lost=st.booleans())
     def disturb_peer_replies(self, entry, other, lost):
         pair = (self.site.entries[entry].address, self.site.entries[other].address)
@@ -155,17 +240,31 @@
         if not hasattr(self, "site"):
             return
         self._repair()
-        until = clock.now() + RECOVERY_SECONDS
-        while clock.now() < until:
-            self.site.run_for(0.5)
-            if all(self.site.state(job) == COMPLETE for job in self.accepted_jobs):
-                break
-        states = {job: self.site.state(job) for job in self.accepted_jobs}
-        assert set(states.values()) <= {COMPLETE}, states
+        self.site.run_for(CALM_SECONDS)
+        watch = IdleWatch(self.site)
+        until = clock.now() + RECOVERY_SECONDS - CALM_SECONDS
+        while clock.now() < until and not self._has_ended():
+            watch.run_for(0.5)
+        for job in self.accepted_jobs:
+            state = self.site.state(job)
+            assert state in self._possible_ends(job), (job, state)
         assert_no_duplicate_runs(self.site.history, crashes=True)
         started = {start.task.partition(".")[0] for start in self.site.history.starts}
         assert not started & set(self.refused_jobs)
 
+    def _has_ended(self):
+        states = {self.site.state(job) for job in self.accepted_jobs}
+        return states <= {COMPLETE, FAILED, CANCELLED}
+
+    def _possible_ends(self, job):
+        """Return the final states that the history of a job allows."""
+        states = {COMPLETE}
+        if job in self.cancelled_jobs:
+            states.add(CANCELLED)
+        if failed_attempts(self.site, job) >= self.site.jobs[job].attempts:
+            states.add(FAILED)
+        return states
+
     def _repair(self):
         site = self.site
         site.network.cut.clear()
@@ -180,6 +279,9 @@
             site.agents[worker].process.frozen = False
             self.disturb_orders(worker, 0.0, False)
             self.restart_agent(worker)
+            self._return_worker(worker)
+            self.fail_runs(worker, False)
+            self.refuse_starts(worker, False)
 
 
 ControlMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=30)
