Check in the soak test that no job waits beside idle workers

Change: once faults are cleared and an election (6 s: the placer's lease and the freshness of its view) and the hold of restarted agents (5.5 s) are over, each caller submits two jobs, and jobs and workers' histories are sampled every 0.2 s. A job that is queued for more than 3 s while one worker could hold it twice over and less than half of the accelerators are in use is a violation.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -68,7 +68,7 @@
         while not stop.is_set():
             count += 1
             if count % 4 == 0:
-                self._submit_job(f"job-{self._number}-{count}")
+                self.submit_job(f"job-{self._number}-{count}")
             else:
                 self._send_request(count)
             stop.wait(CALL_INTERVAL_SECONDS)
@@ -111,7 +111,8 @@
             reason=refusal["title"],
         )
 
-    def _submit_job(self, key: str) -> None:
+    def submit_job(self, key: str) -> None:
+        """Submit a job under an idempotency key."""
         tasks = 2 if self._rng.random() < GANG_SHARE else 1
         seconds = self._rng.uniform(*RUN_SECONDS)
         body = msgspec.json.encode({**JOB_SPEC, "tasks": tasks, "run_seconds": seconds})
--- a/soak/histories.py
+++ b/soak/histories.py
@@ -189,3 +189,68 @@
     ``seen`` maps a job to the final states that callers saw.
     """
     return {job_id for job_id, states in seen.items() if len(states) > 1}
+
+
+class JobSample(NamedTuple):
+    """What entries and workers showed of jobs at one time.
+
+    Attributes
+    ----------
+    at : float
+        Time in seconds.
+    waiting : dict of str to int
+        Number of the last attempt of each job that waits for a start, by job.
+    used : list of int
+        Accelerators in use on each worker.
+    """
+
+    at: float
+    waiting: dict[str, int]
+    used: list[int]
+
+
+def idle_waits(samples, needs, capacity, bound):
+    """Return the jobs that waited beside idle workers for more than ``bound`` seconds.
+
+    Workers are idle if less than half of their accelerators are in use and one of
+    them could hold the job twice over.
+
+    Parameters
+    ----------
+    samples : list of JobSample
+        In order of time, without faults that are near.
+    needs : dict of str to int
+        Accelerators that each job needs.
+    capacity : int
+        Accelerators of each worker.
+    bound : float
+    """
+    late = set()
+    since: dict[tuple[str, int], float] = {}
+    for sample in samples:
+        is_half_idle = sum(sample.used) < capacity * len(sample.used) / 2
+        most_free = max(capacity - used for used in sample.used)
+        startable = {}
+        for job_id, attempt in sample.waiting.items():
+            if is_half_idle and most_free >= 2 * needs[job_id]:
+                # A start since the last sample begins a new wait.
+                began = since.get((job_id, attempt), sample.at)
+                startable[(job_id, attempt)] = began
+                if sample.at - began > bound:
+                    late.add(job_id)
+        since = startable
+    return late
+
+
+def used_accelerators(starts, attempts):
+    """Return how many members of jobs run on one worker; each takes an accelerator.
+
+    Parameters
+    ----------
+    starts : list of TaskStart
+        Starts on the worker.
+    attempts : dict of str to int
+        Last attempt of each job that runs. Its members count until the job is shown
+        as waiting or ended.
+    """
+    return sum(attempts.get(start.job_id) == start.attempt for start in starts)
--- a/soak/trial.py
+++ b/soak/trial.py
@@ -3,17 +3,18 @@
 import threading
 import time
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 import urllib3
 
+from sequoiachute.coordination.bounds import AGENT_STARTUP_HOLD_SECONDS
 from soak import histories
-from soak.callers import DEADLINE_SECONDS, Caller
-from soak.histories import Call, RequestRun, TaskStart
+from soak.callers import DEADLINE_SECONDS, JOB_SPEC, Caller
+from soak.histories import Call, JobSample, RequestRun, TaskStart
 from soak.plan import Fault, draw_plan
 from soak.proxy import CLEAR, Link
-from standins.cluster import OPERATOR_KEY, Cluster, Process, caller_key
+from standins.cluster import ACCELERATORS, OPERATOR_KEY, Cluster, Process, caller_key
 from standins.demo import CATALOGUE
 
 ACCOUNT = "brocach"
@@ -26,6 +27,13 @@
 FINAL_STATES = ("finished", "failed", "cancelled")
 # The deadline, the query of the agent for the outcome, and the length of a fault.
 MAX_CALL_SECONDS = DEADLINE_SECONDS + 10.0
+ELECTION_SECONDS = 6.0  # a placer's lease, and a view of the log that is fresh again
+# After the last fault a placer may have to be elected, and agents that were restarted
+# start nothing.
+CALM_SECONDS = ELECTION_SECONDS + AGENT_STARTUP_HOLD_SECONDS
+MAX_IDLE_WAIT_SECONDS = 3.0  # of a job that fits twice over where half is idle
+SAMPLE_INTERVAL_SECONDS = 0.2  # between two samples of waiting jobs
+CALM_JOBS = 2  # that each caller submits once the faults are over
 
 
 class TrialResult(NamedTuple):
@@ -96,6 +104,7 @@
         self._end_seen_at: dict[str, float] = {}
         self._final_states: dict[str, set[str]] = {}
         self._offsets: dict[int, list[int]] = {}
+        self._samples: list[JobSample] = []
         self._violations: dict[str, list[str]] = {}
         self._stopping: set[tuple[str, int]] = set()
         self._stop_threads: list[threading.Thread] = []
@@ -255,20 +264,64 @@
             stop.join()
 
     def _settle(self) -> None:
-        """Wait until every accepted job has finished, then check a last time."""
+        """Wait until every accepted job has finished, then check a last time.
+
+        Some jobs are submitted once what the faults left behind is over.
+        """
         self._cluster.wait_ready()
         path = f"/v1/data-centres/{DRAINED_DATA_CENTRE}/restore"
         self._cluster.wait_until(
             lambda: self._call_as_operator(0, "POST", path)[0] == 200, SETTLE_SECONDS
         )
+        time.sleep(CALM_SECONDS)
+        self._samples.append(self._sample())
+        for number in range(CALM_JOBS):
+            for index, caller in enumerate(self._callers):
+                caller.submit_job(f"calm-{index}-{number}")
         accepted = self._accepted_jobs()
         try:
             self._cluster.wait_until(
-                lambda: not self._unfinished_jobs(accepted), SETTLE_SECONDS
+                lambda: self._have_finished(accepted), SETTLE_SECONDS
             )
         except TimeoutError:
             self._record("lost jobs", self._unfinished_jobs(accepted))
         self._check_histories()
+        self._record("waits beside idle workers", self._idle_waits())
+
+    def _have_finished(self, accepted: set[str]) -> bool:
+        """Return whether all jobs have finished; take a sample of them if not."""
+        if not self._unfinished_jobs(accepted):
+            return True
+        self._samples.append(self._sample())
+        time.sleep(SAMPLE_INTERVAL_SECONDS)
+        return False
+
+    def _idle_waits(self) -> set[str]:
+        needs = {}
+        for caller in self._callers:
+            for job in caller.accepted:
+                needs[job.job_id] = job.tasks * JOB_SPEC["accelerators"]
+        return histories.idle_waits(
+            self._samples, needs, ACCELERATORS, MAX_IDLE_WAIT_SECONDS
+        )
+
+    def _sample(self) -> JobSample:
+        """Return which accepted jobs wait at every entry, and what the workers run."""
+        accepted = self._accepted_jobs()
+        at = time.monotonic()
+        views = [self._described_jobs(entry) for entry in range(ENTRIES)]
+        waiting, running = {}, {}
+        for job_id in accepted:
+            jobs = [view[job_id] for view in views if job_id in view]
+            if any(job["state"] == "running" for job in jobs):
+                running[job_id] = max(job["attempt"] for job in jobs)
+            elif jobs and all(job["state"] == "queued" for job in jobs):
+                waiting[job_id] = max(job["attempt"] for job in jobs)
+        used = []
+        for worker in self._cluster.workers:
+            _, starts = self._worker_history(worker)
+            used.append(histories.used_accelerators(starts, running))
+        return JobSample(at, waiting, used)
 
     def _accepted_jobs(self) -> set[str]:
         jobs = [job for caller in self._callers for job in list(caller.accepted)]
@@ -281,6 +334,11 @@
         return unfinished
 
     def _job_states(self, entry: int) -> dict[str, str]:
+        jobs = self._described_jobs(entry).values()
+        return {job["job_id"]: job["state"] for job in jobs}
+
+    def _described_jobs(self, entry: int) -> dict[str, dict[str, Any]]:
+        """Return the account's jobs as an entry shows them; none if it can't."""
         try:
             status, _, answer = self._cluster.call(
                 "GET", "/v1/jobs", caller_key(ACCOUNT), entry=entry, timeout=3.0
@@ -290,7 +348,7 @@
         if status != 200:
             return {}
         jobs = msgspec.json.decode(answer)["jobs"]
-        return {job["job_id"]: job["state"] for job in jobs}
+        return {job["job_id"]: job for job in jobs}
 
     def _check_histories(self) -> None:
         """Check everything recorded so far against the guarantees."""
@@ -333,14 +391,23 @@
     def _worker_histories(self) -> tuple[list[RequestRun], list[TaskStart]]:
         runs, starts = [], []
         for worker in self._cluster.workers:
-            for row in self._cluster.history(worker):
-                if row["what"] == "request":
-                    body = row["body"].encode()
-                    runs.append(RequestRun(row["request_id"], row["attempt_id"], body))
-                else:
-                    job_id, attempt, member = row["task_id"].rsplit(".", 2)
-                    start = TaskStart(job_id, int(attempt), int(member), row["at"])
-                    starts.append(start)
+            worker_runs, worker_starts = self._worker_history(worker)
+            runs += worker_runs
+            starts += worker_starts
+        return runs, starts
+
+    def _worker_history(
+        self, worker: Process
+    ) -> tuple[list[RequestRun], list[TaskStart]]:
+        runs, starts = [], []
+        for row in self._cluster.history(worker):
+            if row["what"] == "request":
+                body = row["body"].encode()
+                runs.append(RequestRun(row["request_id"], row["attempt_id"], body))
+            else:
+                job_id, attempt, member = row["task_id"].rsplit(".", 2)
+                start = TaskStart(job_id, int(attempt), int(member), row["at"])
+                starts.append(start)
         return runs, starts
 
     def _record(self, kind: str, found) -> None:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -27,6 +27,7 @@
 REGION = "bavaria"
 DATA_CENTRES = ("muc-1", "muc-2", "muc-3")
 WORKERS_PER_RACK = 3
+ACCELERATORS = 8  # of each worker
 
 
 class Process(NamedTuple):
@@ -185,7 +186,7 @@
             "rpc_address": free_address(),
             "backend_server": f"http://{self._backend_address(index)}",
             "entries": self._entry_addresses(index),
-            "accelerators": 8,
+            "accelerators": ACCELERATORS,
             "slots": 8,
             "connections": 64,
             "speed": 1.0 + 0.5 * (index % 3),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 
 from soak import histories
 from soak.__main__ import describe
-from soak.histories import Call, RequestRun, TaskStart
+from soak.histories import Call, JobSample, RequestRun, TaskStart
 from soak.plan import MAX_LOG_FAULT_SECONDS, draw_plan
 from soak.proxy import CLEAR, CUT_TO_CLIENT, CUT_TO_SERVER, DELAYED, SILENT, Link
 from soak.trial import MAX_CALL_SECONDS, Trial, TrialResult
@@ -66,6 +66,53 @@
     assert histories.overdue_calls([overdue], MAX_CALL_SECONDS)
 
 
+def sampled(waiting, used, until=4.0, attempt=0):
+    """Return samples of a job that waits while the workers are used as given."""
+    samples = []
+    for tenths in range(int(10 * until) + 1):
+        jobs = {"j": attempt} if waiting else {}
+        samples.append(JobSample(tenths / 10, jobs, list(used)))
+    return samples
+
+
+@pytest.mark.parametrize("used", [(0, 0), (0, 7), (4, 3)])
+def test_wait_beside_idle_workers_is_found(used):
+    assert histories.idle_waits(sampled(True, used), {"j": 2}, 8, 3.0) == {"j"}
+
+
+@pytest.mark.parametrize(
+    "samples",
+    [
+        sampled(False, (0, 0)),
+        sampled(True, (0, 0), until=3.0),
+        sampled(True, (4, 4)),  # half is in use
+        sampled(True, (5, 6), until=20.0),
+        sampled(True, (0, 0))[:20] + sampled(True, (0, 0), attempt=1)[20:],
+        sampled(True, (0, 0))[:20]
+        + sampled(True, (8, 2))[20:25]
+        + sampled(True, (0, 0))[25:],
+        [*sampled(True, (0, 0))[:20], JobSample(2.0, {}, [0, 0])]
+        + sampled(True, (0, 0))[21:],
+    ],
+)
+def test_wait_is_allowed_if_short_or_beside_busy_workers(samples):
+    assert not histories.idle_waits(samples, {"j": 2}, 8, 3.0)
+
+
+def test_wait_is_allowed_where_no_worker_holds_the_job_twice():
+    assert not histories.idle_waits(sampled(True, (0, 0)), {"j": 5}, 8, 3.0)
+
+
+def test_members_of_the_last_attempt_use_accelerators():
+    starts = [
+        TaskStart("j", 1, 0, 1.0),
+        TaskStart("j", 2, 0, 2.0),
+        TaskStart("j", 2, 1, 2.0),
+        TaskStart("ended", 1, 0, 1.0),
+    ]
+    assert histories.used_accelerators(starts, {"j": 2}) == 2
+
+
 def test_description_lists_the_violations():
     result = TrialResult(3, 1, 2, 1, 0, {"duplicate runs": ["x", "y"]})
     assert describe(result).splitlines() == [
