Look for room on untried hosts without making a layout

The rule that a failed task goes where it has not failed made a whole layout for each failed unit to see whether it has room there. The room is now counted until it suffices; only a gang of one rack needs the layout. All cases of tests/test_attempts.py still pass; two of gangs in one rack are added.

--- a/src/sequoiachute/coordination/scheduling/capacity.py
+++ b/src/sequoiachute/coordination/scheduling/capacity.py
@@ -227,6 +227,20 @@
     return count
 
 
+def has_room(unit: SchedulingUnit, capacity: FreeCapacity) -> bool:
+    """Return whether ``unit`` fits now on the hosts that it may run on.
+
+    Of tasks that are placed independently one must fit; racks are not considered.
+    """
+    count = 0
+    for host in capacity.fitting_hosts(unit.step.reserved):
+        if is_eligible(unit, host):
+            count += count_fitting(unit, host, capacity.free(host))
+        if count >= unit.min_tasks:
+            return True
+    return False
+
+
 def could_hold(unit: SchedulingUnit, hosts: Iterable[Host]) -> bool:
     """Return whether the hosts that ``unit`` may run on would hold it if empty.
 
--- a/src/sequoiachute/coordination/scheduling/preferences.py
+++ b/src/sequoiachute/coordination/scheduling/preferences.py
@@ -6,6 +6,7 @@
     FreeCapacity,
     could_hold,
     count_room_now,
+    has_room,
 )
 from sequoiachute.coordination.scheduling.layout import best_layout
 from sequoiachute.coordination.scheduling.model import (
@@ -59,8 +60,10 @@
     if not unit.tried_hosts:
         return unit
     untried = unit._replace(needs_untried=True)
-    count = unit.min_tasks
-    if best_layout(untried, capacity, count, now) is None:
+    if not has_room(untried, capacity):
+        return unit
+    in_one_rack = unit.step.same_rack and not unit.may_split
+    if in_one_rack and not best_layout(untried, capacity, unit.min_tasks, now):
         return unit
     return untried
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -204,3 +204,18 @@
     retry = unit(tried_hosts=names, avoided_hosts=names, failed_before=True)
     decision = decide(SchedulingView(NOW, hosts, (retry,)))
     assert tasks_by_host(decision) == {"older": 1}
+
+
+@pytest.mark.parametrize(
+    ("racks", "expected"), [("1122", {"c": 1, "d": 1}), ("112", {"a": 1, "b": 1})]
+)
+def test_gang_of_one_rack_takes_a_rack_where_it_has_not_failed(racks, expected):
+    hosts = tuple(
+        host(name, rack=rack) for name, rack in zip("abcd", racks, strict=False)
+    )
+    tried = frozenset("a")
+    step = {"gang": True, "same_rack": True}
+    fields = {"tried_hosts": tried, "avoided_hosts": tried, "failed_before": True}
+    gang = unit(2, gpus=8, step=step, **fields)
+    decision = decide(SchedulingView(NOW, hosts, (gang,)))
+    assert tasks_by_host(decision) == expected
