--- a/src/sequoiachute/coordination/scheduling/preferences.py
+++ b/src/sequoiachute/coordination/scheduling/preferences.py
@@ -5,7 +5,6 @@
 from sequoiachute.coordination.scheduling.capacity import (
     FreeCapacity,
     could_hold,
-    count_room_now,
     has_room,
 )
 from sequoiachute.coordination.scheduling.layout import best_layout
@@ -90,7 +89,7 @@
     proof = unit._replace(needs_proof=True)
     if not could_hold(proof, view.hosts):
         return unit
-    fits = count_room_now(proof, capacity) >= unit.min_tasks
+    fits = has_room(proof, capacity)
     may_wait = unit.failed_seconds < MAX_IDLE_WAIT_SECONDS
     if fits or may_wait or not capacity.is_half_idle(unit.service):
         return proof
