Grant a lifetime no lease by the clock of the one before

If the worker began a new lifetime meanwhile, the reply named the new lifetime, but its lease counted from the clock of the old one. In the test a clock that started at 1,000 ms got a lease until 909,001 ms.

Change: a reply has a lease only if the report was about the lifetime that it names.

--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -263,11 +263,15 @@
         if report.wait and not is_first:
             session.wait_for_change(report.known_version, report.wait)
         orders, ack = session.refresh(self._ledger)
+        # The lease counts on the clock of the lifetime that the report is about.
+        is_of_lifetime = (
+            report.worker is not None and report.worker.lifetime == session.lifetime
+        )
         return reply._replace(
             leading=True,
             version=session.version,
             lifetime=session.lifetime,
-            lease_ms=lease_ms,
+            lease_ms=lease_ms if is_of_lifetime else 0,
             ack=ack,
             zone_closed=session.zone_closed,
             runs=orders,
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,53 @@
+"""Leases that the placer grants, and when they have certainly expired."""
+
+import eventlet
+import pytest
+
+from sequoiachute import clock
+from sequoiachute.coordination.dispatch.sessions import AgentSessions
+from sequoiachute.protocol.stored import StoredRecord
+from sequoiachute.protocol.supervision import Orders, Report, WorkerInfo
+from sequoiachute.protocol.workload import (
+    JobGraph,
+    JobProgress,
+    Lifetime,
+    Resources,
+    StepSpec,
+    TaskState,
+    encode,
+)
+from sequoiachute.state.ledger import Ledger
+
+pytestmark = pytest.mark.usefixtures("paused_clock")
+
+TERM = 7
+REPLY = Orders(False, "", TERM, ())
+
+
+def report(lifetime, clock_ms, sequence, wait=0.0):
+    info = WorkerInfo(lifetime, "render", "z", "r", (), Resources(gpus=4))
+    return Report("h", "agent-1", sequence, info, None, TERM, clock_ms, wait=wait)
+
+
+def sessions_with_a_placed_run(lifetime):
+    ledger = Ledger()
+    job = JobGraph("j", "a", "q", "render", "", (StepSpec(1, Resources()),))
+    ledger.apply("runs", StoredRecord(1, "job/j", encode(job)))
+    progress = JobProgress("", {"0.0.0": TaskState(1, "h", lifetime)})
+    ledger.apply("runs", StoredRecord(2, "j", encode(progress)))
+    return ledger, AgentSessions(ledger, TERM, lambda: None, lambda: 0.0)
+
+
+def test_reply_grants_a_lifetime_no_lease_by_the_clock_of_the_one_before():
+    old, new = Lifetime("w-1", 1), Lifetime("w-2", 2)
+    _, agents = sessions_with_a_placed_run(new)
+    agents.handle_report(report(old, 900_000, sequence=1), REPLY)
+    known_version = agents.sessions["h"].version
+    waiting = report(old, 900_001, sequence=2, wait=0.7)
+    waiting = waiting._replace(known_version=known_version)
+    reply = eventlet.spawn(agents.handle_report, waiting, REPLY)
+    clock.sleep(0.1)
+    agents.handle_report(report(new, 1000, sequence=3), REPLY)
+    orders = reply.wait()
+    assert orders.lifetime == new
+    assert orders.lease_ms == 0
