Start the runs of a silent worker again although its agent reports

Cause: is_lost counted from the agent's last report, with or without an answer of the worker.

Change: it counts from when the newest reading of the worker's clock came in, with the same margins. Every lease ends at a reading plus 9 s on the worker's clock. No reading is newer than the report in which it first came, so no lease ends later than 9 s (at a clock 2 % slow) after the newest one came in, whichever reply, poll or start carries it and however late it is carried out. A reading in a report that is overtaken counts too, and elapsed time includes suspension. Readings of an earlier term are older than the first answer under the present fence; without such an answer the wait for earlier placers stays as it was.

--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -37,7 +37,8 @@
     """State of one agent and its worker, from its reports.
 
     ``reported_at`` is a time of ``clock.elapsed``, which also counts while the
-    machine is suspended. The worker of ``reserved_lifetime`` waits for its upkeep
+    machine is suspended; so is ``newest_reading_at``, when the newest reading of the
+    worker's clock came in. The worker of ``reserved_lifetime`` waits for its upkeep
     and gets only tasks that have waited too long; for that of ``upkeep_lifetime`` it
     has been ordered. ``checkpoint_tokens`` holds the newest token of each run placed
     here and outlasts the lifetime that ran it.
@@ -53,6 +54,8 @@
         self.is_fenced = False
         self.worker_clock_ms = 0
         self.worker_answered_at = float("-inf")
+        self.newest_reading_at = float("-inf")
+        self._newest_reading = (Lifetime(), 0)
         self.sampled_clock_ms = 0
         self.runs: dict[tuple[str, int], RunReport] = {}
         self.checkpoint_tokens: dict[tuple[str, int], str] = {}
@@ -86,6 +89,20 @@
         """Return seconds since a report showed a new answer of the worker."""
         return clock.elapsed() - self.worker_answered_at
 
+    def record_reading(self, report: Report) -> None:
+        """Record when the newest reading of the worker's clock came in.
+
+        Leases count from such readings, also from one that is overtaken by a later
+        report.
+        """
+        if report.worker is None:
+            return
+        lifetime, newest_ms = self._newest_reading
+        if report.worker.lifetime == lifetime and report.worker_clock_ms <= newest_ms:
+            return
+        self._newest_reading = (report.worker.lifetime, report.worker_clock_ms)
+        self.newest_reading_at = clock.elapsed()
+
     def apply_report(self, report: Report, term: int) -> bool:
         """Apply a report; return whether it may change a scheduling decision.
 
@@ -257,6 +274,7 @@
             session = self.sessions[report.host] = Session(report.host)
             self._newest_agent_at = clock.elapsed()
             logger.bind(host=report.host, term=self.term).info("first report of agent")
+        session.record_reading(report)
         lease_ms = self._lease_ms(report)
         if session.apply_report(report, self.term):
             self._wake()
@@ -290,13 +308,19 @@
         return report.worker_clock_ms + int(self._lease_seconds * 1000)
 
     def is_lost(self, host: str) -> bool:
-        """Return whether every lease of an agent's worker has certainly expired."""
+        """Return whether every lease of an agent's worker has certainly expired.
+
+        No lease ends later than the longest one from the newest reading of the
+        worker's clock, however often its agent reports that reading again.
+        """
         lease_lifetime = (
             self._lease_seconds * (1 + MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_SECONDS
         )
         session = self.sessions.get(host)
-        if session is not None and session.age() <= lease_lifetime:
-            return False
+        if session is not None:
+            reading_age = clock.elapsed() - session.newest_reading_at
+            if reading_age <= lease_lifetime:
+                return False
         # An earlier placer may have granted leases until its confirmation expired.
         handover = MAX_CONFIRMATION_AGE_SECONDS + lease_lifetime
         if session is None or not session.is_fenced:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -4,7 +4,10 @@
 import pytest
 
 from sequoiachute import clock
-from sequoiachute.coordination.dispatch.sessions import AgentSessions
+from sequoiachute.coordination.dispatch.sessions import (
+    MAX_CLOCK_DRIFT,
+    AgentSessions,
+)
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.supervision import Orders, Report, WorkerInfo
 from sequoiachute.protocol.workload import (
@@ -17,6 +20,7 @@
     encode,
 )
 from sequoiachute.state.ledger import Ledger
+from standins.task_worker import CLOCK_RATE
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
@@ -51,3 +55,22 @@
     orders = reply.wait()
     assert orders.lifetime == new
     assert orders.lease_ms == 0
+
+
+def test_lease_ends_before_a_worker_counts_as_lost_by_its_newest_reading():
+    """Also if the report with that reading is overtaken by a later one."""
+    lifetime = Lifetime("w", 1)
+    _, agents = sessions_with_a_placed_run(lifetime)
+    agents.handle_report(report(lifetime, 1000, sequence=1), REPLY)
+    clock.sleep(5.0)
+    agents.handle_report(report(lifetime, 1000, sequence=3), REPLY)
+    reading_ms = 1000 + int(5.0 * 1000 * CLOCK_RATE)
+    read_at = clock.now()
+    orders = agents.handle_report(report(lifetime, reading_ms, sequence=2), REPLY)
+    lease_end = read_at + (orders.lease_ms - reading_ms) / 1000 * (1 + MAX_CLOCK_DRIFT)
+    for sequence in range(4, 100):
+        agents.handle_report(report(lifetime, 1000, sequence), REPLY)
+        if agents.is_lost("h"):
+            break
+        clock.sleep(0.25)
+    assert lease_end < clock.now() <= lease_end + 0.6
