Order no start of a run whose loss is being recorded

The order is reproduced, the double run was not played.

Change: such runs are ordered to stop, after which the worker refuses them. A host from which this placer has no report is not covered: it has no session to note it in.

Measured: the new test failed before and passes.

--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -174,8 +174,13 @@
         session = self._agents.sessions.get(host)
         for task in list(self._ledger.tasks_on_host(host)):
             state = draft.task(task)
-            if state.host == host:
-                self._draft_loss(task, state, session, draft, "lease run out")
+            if state.host != host:
+                continue
+            if session is not None:
+                # Until the loss is recorded, a worker that answers again would get
+                # the order to start a run that it has not started yet.
+                session.stops[task] = state.run
+            self._draft_loss(task, state, session, draft, "lease run out")
 
     def _draft_loss(
         self,
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -5,9 +5,12 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.dispatch.sessions import (
+    LEASE_EXPIRY_MARGIN_SECONDS,
+    LEASE_SECONDS,
     MAX_CLOCK_DRIFT,
     AgentSessions,
 )
+from sequoiachute.coordination.dispatch.settlement import ProgressDraft, Settlement
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.supervision import Orders, Report, WorkerInfo
 from sequoiachute.protocol.workload import (
@@ -26,6 +29,10 @@
 
 TERM = 7
 REPLY = Orders(False, "", TERM, ())
+# From the newest reading of the worker's clock until its leases have expired.
+LEASE_LIFETIME_SECONDS = (
+    LEASE_SECONDS * (1 + MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_SECONDS
+)
 
 
 def report(lifetime, clock_ms, sequence, wait=0.0):
@@ -74,3 +81,17 @@
             break
         clock.sleep(0.25)
     assert lease_end < clock.now() <= lease_end + 0.6
+
+
+def test_run_whose_loss_is_being_recorded_is_not_ordered_again():
+    lifetime = Lifetime("w", 1)
+    ledger, agents = sessions_with_a_placed_run(lifetime)
+    agents.handle_report(report(lifetime, 1000, sequence=1), REPLY)
+    [order] = agents.handle_report(report(lifetime, 1001, sequence=2), REPLY).runs
+    assert not order.stop
+    clock.sleep(LEASE_LIFETIME_SECONDS + 0.1)
+    draft = ProgressDraft(ledger)
+    Settlement(ledger, agents).settle(draft)
+    assert draft.changed
+    [order] = agents.handle_report(report(lifetime, 9001, sequence=3), REPLY).runs
+    assert order.stop
