Derive anew in every round which workers wait for their upkeep

Cause: both marks were set on the way through a wave's machines and reset only for machines that still waited. A repeat of an order whose reply was lost is answered 200, so the mark fell on the new lifetime when nothing would visit it again.

Change: both marks are derived in every round: reserved are the workers of listed machines that a wave in force, not complete, still waits for; a list older than 4 s reserves nothing. An order closes a worker until a later list shows its machine up; without an answer, or without a list, for 3.5 s, since orders may be carried out that late. Before, the next poll opened it after 1 s. Limit, choice and order of upkeeps and fences are as before.

--- a/src/sequoiachute/coordination/dispatch/upkeep.py
+++ b/src/sequoiachute/coordination/dispatch/upkeep.py
@@ -7,13 +7,16 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.dispatch.sessions import AgentSessions, Session
-from sequoiachute.protocol.workload import JobProgress
+from sequoiachute.protocol.workload import JobProgress, Lifetime
 from sequoiachute.state.ledger import Ledger
 from sequoiachute.state.operations import Operations, Wave
 from sequoiachute.transport.machines import MachineService, PlatformMachine
 
 POLL_INTERVAL_SECONDS = 1.0  # for the list of machines while a wave is active
 HANDOVER_SECONDS = 3.5  # orders of the previous placer may arrive this late
+LATE_ORDER_SECONDS = 3.5  # an order without an answer may be carried out this late
+# A list of machines that is older than this reserves no worker.
+MAX_LIST_AGE_SECONDS = 4.0
 UPKEEP_SECONDS = 2.0  # upkeep of one machine; the site's upkeep_s
 FINISH_MARGIN_SECONDS = 3.0
 
@@ -30,6 +33,16 @@
     complete: bool = False
 
 
+class _UpkeepOrder(NamedTuple):
+    """Last order for the upkeep of a worker's machine.
+
+    ``ordered_at`` is a time of ``clock.elapsed``, after the call.
+    """
+
+    ordered_at: float
+    is_acknowledged: bool
+
+
 def encode_wave(progress: WaveProgress) -> bytes:
     """Return the stored form of a wave's progress."""
     return msgspec.msgpack.encode(progress)
@@ -41,6 +54,9 @@
     Idle machines go first. A busy one gets no new tasks, unless these would wait too
     long, and waits for its runs to end, until the time left is just enough for the
     machines still waiting.
+
+    Which workers are reserved or closed is derived anew in every round from the
+    waves in force, their progress, the list of machines and the last orders.
     """
 
     def __init__(
@@ -57,30 +73,85 @@
         self._agents = agents
         self._operations = operations
         self._polled_at = float("-inf")
+        self._listed: dict[str, PlatformMachine] = {}
+        self._listed_at = float("-inf")
+        self._orders: dict[Lifetime, _UpkeepOrder] = {}
 
     def advance(self) -> dict[int, WaveProgress]:
         """Order the upkeep that is due; return the changed progress by wave."""
+        if self._machines is None:
+            return {}
+        waves = self._incomplete_waves()
+        records = {}
+        if waves and self._is_poll_due() and self._read_list(self._machines):
+            for wave in waves:
+                progress = self._progress(wave)
+                new = self._advance_wave(self._machines, wave, progress)
+                if new != progress:
+                    records[wave.number] = new
+        self._mark_sessions(records)
+        return records
+
+    def _incomplete_waves(self) -> list[Wave]:
         waves = []
         for wave in self._operations.waves.values():
             if not self._progress(wave).complete:
                 waves.append(wave)
-        if self._machines is None or not waves or not self._is_poll_due():
-            return {}
+        return waves
+
+    def _read_list(self, machines: MachineService) -> bool:
         self._polled_at = clock.now()
-        listed = self._machines.machines()
+        began_at = clock.elapsed()
+        listed = machines.machines()
         if listed.is_err():
             logger.bind(reason=listed.unwrap_err()).info(
                 "list of machines not available"
             )
-            return {}
-        machines_by_name = {machine.name: machine for machine in listed.unwrap()}
-        records = {}
-        for wave in waves:
-            progress = self._progress(wave)
-            new = self._advance_wave(self._machines, wave, progress, machines_by_name)
-            if new != progress:
-                records[wave.number] = new
-        return records
+            return False
+        self._listed = {machine.name: machine for machine in listed.unwrap()}
+        self._listed_at = began_at
+        self._forget_completed_orders()
+        return True
+
+    def _forget_completed_orders(self) -> None:
+        """Open the workers whose machines are up after an acknowledged order."""
+        up = {machine.worker_id for machine in self._listed.values() if machine.is_up}
+        now = clock.elapsed()
+        for lifetime, order in list(self._orders.items()):
+            is_over = order.is_acknowledged and lifetime.worker_id in up
+            if is_over or now - order.ordered_at > LATE_ORDER_SECONDS:
+                del self._orders[lifetime]
+
+    def _mark_sessions(self, records: dict[int, WaveProgress]) -> None:
+        """Mark the workers that wait for their upkeep and those it is ordered for."""
+        waiting = self._waiting_workers(records)
+        now = clock.elapsed()
+        for session in self._agents.sessions.values():
+            lifetime = session.lifetime
+            is_waiting = lifetime.worker_id in waiting
+            session.reserved_lifetime = lifetime if is_waiting else None
+            order = self._orders.get(lifetime)
+            is_closed = (
+                order is not None and now - order.ordered_at <= LATE_ORDER_SECONDS
+            )
+            session.upkeep_lifetime = lifetime if is_closed else None
+
+    def _waiting_workers(self, records: dict[int, WaveProgress]) -> set[str]:
+        """Return the worker IDs of the machines that wait for their upkeep."""
+        if clock.elapsed() - self._listed_at > MAX_LIST_AGE_SECONDS:
+            return set()
+        workers = set()
+        for wave in self._operations.waves.values():
+            progress = records.get(wave.number) or self._progress(wave)
+            if progress.complete:
+                continue
+            for name in wave.machines:
+                machine = self._listed.get(name)
+                if machine is None or name in progress.started:
+                    continue
+                if machine.worker_id:
+                    workers.add(machine.worker_id)
+        return workers
 
     def _progress(self, wave: Wave) -> WaveProgress:
         data = self._ledger.wave(wave.number)
@@ -98,14 +169,11 @@
         machines: MachineService,
         wave: Wave,
         progress: WaveProgress,
-        machines_by_name: dict[str, PlatformMachine],
     ) -> WaveProgress:
         if not progress.first_seen_at:
             progress = progress._replace(first_seen_at=clock.wall_time())
             machines.publish_wave_state(wave.number, False)
-        present = [
-            machines_by_name[name] for name in wave.machines if name in machines_by_name
-        ]
+        present = [self._listed[name] for name in wave.machines if name in self._listed]
         waiting = [
             machine for machine in present if machine.name not in progress.started
         ]
@@ -117,10 +185,10 @@
             if down >= wave.max_concurrent:
                 break
             down += 1
-            self._close(machine)
             outcome = machines.begin_upkeep(
                 machine.name, wave.number, self._holder, self._agents.term
             )
+            self._record_order(machine, outcome.is_ok())
             log = logger.bind(machine=machine.name, wave=wave.number)
             if outcome.is_err():
                 # The upkeep may have begun anyway, so the machine counts as down.
@@ -130,16 +198,17 @@
             progress = progress._replace(started=(*progress.started, machine.name))
         return progress
 
-    def _close(self, machine: PlatformMachine) -> None:
+    def _record_order(self, machine: PlatformMachine, is_acknowledged: bool) -> None:
         """Let the present worker of a machine whose upkeep is ordered get no task."""
         for session in self._agents.sessions.values():
             if session.lifetime.worker_id == machine.worker_id:
-                session.upkeep_lifetime = session.lifetime
+                order = _UpkeepOrder(clock.elapsed(), is_acknowledged)
+                self._orders[session.lifetime] = order
 
     def _startable(
         self, wave: Wave, progress: WaveProgress, waiting: list[PlatformMachine]
     ) -> list[PlatformMachine]:
-        """Reserve waiting machines; return those that may go down, idle ones first."""
+        """Return the waiting machines that may go down, idle ones first."""
         elapsed = clock.wall_time() - progress.first_seen_at
         rounds = -(-len(waiting) // max(1, wave.max_concurrent))
         needed = (
@@ -152,8 +221,6 @@
             session = sessions.get(machine.worker_id)
             runs = 0
             if session is not None:
-                session.reserved_lifetime = session.lifetime
-                session.upkeep_lifetime = None
                 runs = len(self._ledger.tasks_on_host(session.host))
             if not machine.is_up or (runs and not is_urgent):
                 continue
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -33,16 +33,21 @@
 class MemoryMachines:
     """Machines whose upkeep takes ``seconds``.
 
-    With ``lose_replies`` an upkeep begins but the reply is lost.
+    With ``lose_replies`` an upkeep begins but the reply is lost; with a ``refusal``
+    none begins. With ``cannot_list`` the list can't be read. ``workers`` holds each
+    machine's worker.
     """
 
-    def __init__(self, names: dict[str, str], seconds: float = 2.0) -> None:
+    def __init__(self, workers: dict[str, str], seconds: float = 2.0) -> None:
         self.seconds = seconds
         self.lose_replies = False
+        self.refusal = ""
+        self.cannot_list = False
         self.begun: list[tuple[float, str, int]] = []
         self.shown: list[tuple[int, bool]] = []
         self.terms: list[int] = []
-        self._names = names
+        self.workers = workers
+        self._renewed: set[str] = set()
 
     def _down_until(self, name: str) -> float:
         times = [at for at, begun, _ in self.begun if begun == name]
@@ -51,12 +56,23 @@
     @property
     def down(self) -> int:
         """Number of machines that are down now."""
-        return sum(self._down_until(name) > clock.now() for name in self._names)
+        return sum(self._down_until(name) > clock.now() for name in self.workers)
+
+    def renew_workers(self) -> dict[str, str]:
+        """Give machines whose upkeep is over a new worker; return these."""
+        found = {}
+        for name in {begun for _, begun, _ in self.begun} - self._renewed:
+            if self._down_until(name) <= clock.now():
+                found[name] = self.workers[name] = f"{self.workers[name]}-new"
+        self._renewed.update(found)
+        return found
 
     def machines(self) -> Result[tuple[PlatformMachine, ...], str]:
         """Return every machine."""
+        if self.cannot_list:
+            return Err("no answer")
         found = []
-        for name, worker in self._names.items():
+        for name, worker in self.workers.items():
             down = self._down_until(name) > clock.now()
             found.append(PlatformMachine(name, worker, "muc-1", not down, down))
         return Ok(tuple(found))
@@ -66,6 +82,8 @@
     ) -> Result[None, str]:
         """Take a machine down; a repeat for the same wave changes nothing."""
         self.terms.append(term)
+        if self.refusal:
+            return Err(self.refusal)
         has_begun = any(name == machine and of == wave for _, name, of in self.begun)
         if not has_begun:
             self.begun.append((clock.now(), machine, wave))
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -6,7 +6,12 @@
     TicketCache,
 )
 from sequoiachute.coordination.dispatch.sessions import AgentSessions, Session
-from sequoiachute.coordination.dispatch.upkeep import Upkeep, encode_wave
+from sequoiachute.coordination.dispatch.upkeep import (
+    LATE_ORDER_SECONDS,
+    MAX_LIST_AGE_SECONDS,
+    Upkeep,
+    encode_wave,
+)
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.supervision import WorkerInfo
 from sequoiachute.protocol.workload import (
@@ -35,6 +40,7 @@
         names = tuple(f"m-{n}" for n in range(count))
         self.operations.waves = {1: Wave(1, names, finish_by, most)}
         self.agents = AgentSessions(self.ledger, 7, lambda: None, lambda: 0.0)
+        self.most = most
         self._offset = 0
         for number in range(count):
             session = Session(f"h-{number}")
@@ -60,12 +66,31 @@
         state = TaskState(1, host, Lifetime(host.replace("h", "w"), 1))
         self.record("j", encode(JobProgress("", {"0.0.0": state})))
 
+    def renew_workers(self):
+        """Give each machine whose upkeep is over a new worker, known to its agent."""
+        for name, worker_id in self.machines.renew_workers().items():
+            session = self.agents.sessions[name.replace("m", "h")]
+            session.worker = session.worker._replace(lifetime=Lifetime(worker_id, 2))
+
+    @property
+    def reserved(self):
+        return self._marked("reserved_lifetime")
+
+    @property
+    def closed(self):
+        return self._marked("upkeep_lifetime")
+
+    def _marked(self, mark):
+        sessions = self.agents.sessions.values()
+        return [s.host for s in sessions if getattr(s, mark) == s.lifetime]
+
     def run_for(self, seconds):
         until = clock.now() + seconds
         while clock.now() < until:
+            self.renew_workers()
             for number, progress in self.upkeep.advance().items():
                 self.record(f"wave/{number}", encode_wave(progress))
-            assert self.machines.down <= self.operations.waves[1].max_concurrent
+            assert self.machines.down <= self.most
             clock.sleep(0.25)
 
     @property
@@ -106,6 +131,83 @@
     assert session.upkeep_lifetime == session.lifetime
 
 
+def test_worker_is_open_after_its_upkeep_although_the_reply_was_lost():
+    site = WaveSite(count=2)
+    site.run_for(3)
+    site.machines.lose_replies = True
+    site.run_for(1)
+    site.machines.lose_replies = False
+    site.run_for(20)
+    assert site.machines.shown[-1] == (1, True)
+    assert sorted(site.begun) == ["m-0", "m-1"]
+    assert site.reserved == site.closed == []
+
+
+def test_workers_are_open_after_each_reply_was_lost():
+    site = WaveSite(count=2)
+    site.machines.lose_replies = True
+    site.run_for(12)
+    site.machines.lose_replies = False
+    site.run_for(10)
+    assert site.machines.shown[-1] == (1, True)
+    assert site.reserved == site.closed == []
+
+
+def test_no_worker_is_reserved_for_a_withdrawn_wave():
+    site = WaveSite()
+    site.add_run("h-2")
+    site.run_for(6)
+    assert "h-2" in site.reserved
+    site.operations.waves = {}
+    site.upkeep.advance()
+    assert site.reserved == []
+
+
+@pytest.mark.parametrize("answer", ["answered 409 busy", "no answer"])
+def test_workers_are_open_soon_after_a_refused_wave_is_withdrawn(answer):
+    site = WaveSite(count=2)
+    site.machines.refusal = answer
+    site.run_for(5)
+    assert site.closed
+    site.operations.waves = {}
+    site.run_for(LATE_ORDER_SECONDS + 0.5)
+    assert site.reserved == site.closed == site.begun == []
+
+
+def test_worker_stays_closed_while_its_order_may_still_be_carried_out():
+    site = WaveSite(count=2)
+    site.machines.refusal = "no answer"
+    site.run_for(3.75)
+    assert site.closed == ["h-0"]
+    site.operations.waves = {}
+    site.run_for(LATE_ORDER_SECONDS - 0.75)
+    assert site.closed == ["h-0"]
+
+
+def test_no_worker_is_reserved_once_the_list_of_machines_is_out_of_date():
+    site = WaveSite()
+    site.add_run("h-2")
+    site.run_for(6)
+    assert "h-2" in site.reserved
+    site.machines.cannot_list = True
+    site.run_for(MAX_LIST_AGE_SECONDS + 0.5)
+    assert site.reserved == site.closed == []
+    site.machines.cannot_list = False
+    site.run_for(1.5)
+    assert "h-2" in site.reserved
+
+
+def test_machine_with_a_new_worker_is_reserved_while_its_upkeep_has_not_begun():
+    site = WaveSite()
+    site.add_run("h-2")
+    site.run_for(6)
+    session = site.agents.sessions["h-2"]
+    session.worker = session.worker._replace(lifetime=Lifetime("w-2-new", 5))
+    site.machines.workers["m-2"] = "w-2-new"
+    site.run_for(1.5)
+    assert session.reserved_lifetime == Lifetime("w-2-new", 5)
+
+
 def test_upkeep_waits_while_a_lasting_step_has_too_few_tasks():
     site = WaveSite(finish_by=10.0)
     site.add_run("h-2", lasting=True, max_unavailable=1)
