Failing test: a lost machine's task waits for ever while the placer changes

Cause: a new placer waits 19.5 s from the start of its own term, since an earlier one may have granted leases until 10 s after its last confirmation. The same holds for a worker that is silent in each of these terms.

Not changed: a later term may count from an earlier one only if that one can have granted no lease meanwhile. That needs a fenced record that a host is silent, after which no lease is granted to it until the store has the record of its return; the next placer may then count from when it read the first.

--- a/tests/test_silent_worker.py
+++ b/tests/test_silent_worker.py
@@ -84,3 +84,21 @@
     site.run_for(10)
     assert len(site.history.starts) == 2
     assert_no_duplicate_runs(site.history)
+
+
+def test_runs_of_a_lost_machine_restart_although_the_placer_changes():
+    site = ControlSite()
+    accepted(site, 500.0)
+    site.run_for(1)
+    worker_id = site.history.starts[0].worker_id
+    for index, worker in enumerate(site.workers):
+        if worker.lifetime.worker_id == worker_id:
+            site.kill_agent(index)
+    for _ in range(4):
+        placer = site.placer()
+        site.kill_entry(placer)
+        site.run_for(0.25)
+        site.restart_entry(placer)
+        site.run_for(15)
+    assert len(site.history.starts) == 2
+    assert_no_duplicate_runs(site.history)
