Count a machine as down while its upkeep order may still be carried out

If another machine became idle by the next poll, it was ordered too: in the test two machines were down where the wave allows one (rule LIMIT).

Not covered: a machine whose worker no agent has reported.

--- a/src/sequoiachute/coordination/dispatch/upkeep.py
+++ b/src/sequoiachute/coordination/dispatch/upkeep.py
@@ -180,11 +180,12 @@
         if not waiting:
             shown = machines.publish_wave_state(wave.number, True)
             return progress._replace(complete=shown)
-        down = sum(machine.in_upkeep for machine in present)
+        ordered = {lifetime.worker_id for lifetime in self._orders}
+        down = {m.name for m in present if m.in_upkeep or m.worker_id in ordered}
         for machine in self._startable(wave, progress, waiting):
-            if down >= wave.max_concurrent:
-                break
-            down += 1
+            if machine.name not in down and len(down) >= wave.max_concurrent:
+                continue
+            down.add(machine.name)
             outcome = machines.begin_upkeep(
                 machine.name, wave.number, self._holder, self._agents.term
             )
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -1,5 +1,6 @@
 """In-memory stand-ins for the advice service and the machines service."""
 
+import eventlet
 from result import Err, Ok, Result
 
 from sequoiachute import clock
@@ -34,14 +35,16 @@
     """Machines whose upkeep takes ``seconds``.
 
     With ``lose_replies`` an upkeep begins but the reply is lost; with a ``refusal``
-    none begins. With ``cannot_list`` the list can't be read. ``workers`` holds each
-    machine's worker.
+    none begins. With ``late_seconds`` there is no reply and the upkeep begins that much
+    later. With ``cannot_list`` the list can't be read. ``workers`` holds each machine's
+    worker.
     """
 
     def __init__(self, workers: dict[str, str], seconds: float = 2.0) -> None:
         self.seconds = seconds
         self.lose_replies = False
         self.refusal = ""
+        self.late_seconds = 0.0
         self.cannot_list = False
         self.begun: list[tuple[float, str, int]] = []
         self.shown: list[tuple[int, bool]] = []
@@ -84,10 +87,16 @@
         self.terms.append(term)
         if self.refusal:
             return Err(self.refusal)
+        if self.late_seconds:
+            eventlet.spawn_after(self.late_seconds, self._begin, machine, wave)
+            return Err("no answer")
+        self._begin(machine, wave)
+        return Err("no answer") if self.lose_replies else Ok(None)
+
+    def _begin(self, machine: str, wave: int) -> None:
         has_begun = any(name == machine and of == wave for _, name, of in self.begun)
         if not has_begun:
             self.begun.append((clock.now(), machine, wave))
-        return Err("no answer") if self.lose_replies else Ok(None)
 
     def publish_wave_state(self, wave: int, complete: bool) -> bool:
         """Record what is shown to operators."""
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -184,6 +184,18 @@
     assert site.closed == ["h-0"]
 
 
+def test_orders_carried_out_late_do_not_exceed_the_limit_of_machines_down():
+    site = WaveSite()
+    site.add_run("h-0")
+    site.machines.late_seconds = 1.25
+    site.run_for(3.75)
+    site.record("j", None)
+    site.machines.late_seconds = 0.0
+    site.run_for(30)
+    assert sorted(site.begun) == [f"m-{n}" for n in range(4)]
+    assert site.machines.shown[-1] == (1, True)
+
+
 def test_no_worker_is_reserved_once_the_list_of_machines_is_out_of_date():
     site = WaveSite()
     site.add_run("h-2")
