Keep a task for a while from a host that has refused to start it

Each refused start has a price.

Cause: only the refusal «takes no work» counted against a worker. After any other the next round found the same best worker.

Change: any refusal is a doubt about this task and this host. For 10 s other hosts are preferred for the task, as after a failure; on the host itself it is tried again after 0.2 s, doubled by each refusal up to 2 s, so that a single worker is neither asked in every round nor left out for longer. Other tasks are not concerned: a worker without room is sound. A refused ticket drops the step's cached tickets, so that new ones are asked for; an older ticket's refusal does not. A start that was settled by an ordered stop is no refusal.

--- a/src/sequoiachute/coordination/dispatch/advice.py
+++ b/src/sequoiachute/coordination/dispatch/advice.py
@@ -64,6 +64,12 @@
             self._request_later(step, others)
         return cached.tickets
 
+    def drop(self, step: str, ticket: str) -> None:
+        """Drop the tickets of a step if ``ticket``, which was refused, is one."""
+        cached = self._cache.get(step)
+        if cached is not None and ticket in cached.tickets.values():
+            del self._cache[step]
+
     def _valid_tickets(self, step: str) -> _CachedTickets | None:
         cached = self._cache.get(step)
         if cached is not None and cached.expires_at <= clock.now():
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -38,6 +38,7 @@
 from sequoiachute.protocol.supervision import (
     DONE,
     RUN_FAILED,
+    WITHDRAWN,
     EndReport,
     SettledStart,
 )
@@ -62,7 +63,7 @@
 from sequoiachute.state.operations import Operations
 from sequoiachute.transport.machines import Advisor, MachineService
 from sequoiachute.transport.store import KeyedStore, Writer
-from sequoiachute.transport.worker import UNHEALTHY
+from sequoiachute.transport.worker import BAD_TICKET, UNHEALTHY
 
 # Expired leases and due times are checked this often without any report.
 ROUND_INTERVAL_SECONDS = 0.25
@@ -331,11 +332,21 @@
         return clock.elapsed() - progress.worked_seconds(estimate)
 
     def _record_refused_starts(self, session: Session) -> None:
-        for _, start in self._reports_of_placed(session, session.settled):
-            if start.reason == UNHEALTHY:
-                # However many starts it refuses at a time, it is one doubt.
-                self._statistics.record_doubt(session.lifetime, clock.elapsed())
-                return
+        now = clock.elapsed()
+        is_unhealthy = False
+        for task, start in self._reports_of_placed(session, session.settled):
+            is_stopped = session.stops.get(task, 0) == start.run
+            if is_stopped and start.reason == WITHDRAWN:
+                continue
+            self._statistics.start_doubts.record(task, session.host, now)
+            is_unhealthy = is_unhealthy or start.reason == UNHEALTHY
+            if start.reason == BAD_TICKET:
+                step = str(task).rpartition(".")[0]
+                ticket = session.tickets.get((task, start.run), "")
+                self._ticket_cache.drop(step, ticket)
+        if is_unhealthy:
+            # However many starts it refuses at a time, it is one doubt.
+            self._statistics.record_doubt(session.lifetime, now)
 
     def _order_stops(self, stops: tuple[RunStop, ...]) -> None:
         for stop in stops:
--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from sequoiachute.coordination.dispatch.speeds import SpeedEstimator, SpeedSample
+from sequoiachute.coordination.dispatch.start_doubts import StartDoubts
 from sequoiachute.coordination.dispatch.wait_times import WaitTimes
 from sequoiachute.protocol.supervision import RunReport
 from sequoiachute.protocol.workload import Lifetime, Machine, MachineSpeed, TaskId
@@ -131,6 +132,7 @@
         self._failed_at: dict[str, float] = {}
         self._blamed_tasks: set[TaskId] = set()
         self.wait_times = WaitTimes()
+        self.start_doubts = StartDoubts()
         self.moved_tasks: set[TaskId] = set()
         self.preemptions: dict[TaskId, int] = {}
         self.charged_work: dict[tuple[str, int, int], float] = defaultdict(float)
@@ -188,6 +190,7 @@
     def forget_ended_jobs(self, live: set[str]) -> None:
         """Drop what is kept by job or task, but for the jobs that are ``live``."""
         self.wait_times.forget_ended_jobs(live)
+        self.start_doubts.forget_ended_jobs(live)
         self.moved_tasks = {task for task in self.moved_tasks if task.job_id in live}
         self._blamed_tasks = {t for t in self._blamed_tasks if t.job_id in live}
         for task in [task for task in self.preemptions if task.job_id not in live]:
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -45,8 +45,9 @@
 from sequoiachute.state.ledger import Ledger
 from sequoiachute.state.operations import Operations
 
-# Whether tasks may wait, whether none has failed, and the hosts on which they have.
-_WaitKey = tuple[bool, bool, tuple[str, ...]]
+# Whether tasks may wait, whether none has failed, the hosts that others are preferred
+# to, and those on which they are not tried for now.
+_WaitKey = tuple[bool, bool, tuple[str, ...], tuple[str, ...]]
 
 
 class _ViewContext(NamedTuple):
@@ -156,7 +157,9 @@
         if queue is None or not queue.advised:
             found.append(unit)
             continue
-        usable = [host for host in fastest_first if meets_requirements(unit, host)]
+        # Tickets are asked for also for hosts that are tried again in a moment.
+        asking = unit._replace(paused_hosts=frozenset())
+        usable = [host for host in fastest_first if meets_requirements(asking, host)]
         usable.sort(key=lambda host: not is_eligible(unit, host))
         workers = tuple(host.lifetime.worker_id for host in usable)
         step = str(unit.tasks[0]).rpartition(".")[0]
@@ -341,25 +344,35 @@
 ) -> list[tuple[float, tuple[TaskId, ...]]]:
     """Return the tasks in groups, each with the seconds for which it has waited.
 
-    Tasks that have failed are apart from the others, by the hosts on which they have,
-    and so are those that have waited as long as they may; these come first. A gang
-    stays together.
+    Tasks that have failed or were not started are apart from the others, by the hosts
+    on which that was, and so are those that have waited as long as they may; these come
+    first. A gang stays together.
     """
     now = clock.elapsed()
+    start_doubts = context.statistics.start_doubts
     is_gang = bool(tasks) and job.steps[tasks[0].step].gang
     groups: dict[_WaitKey, list[TaskId]] = {}
     waits: dict[_WaitKey, float] = {}
     for task in tasks:
         seconds = context.statistics.wait_times.seconds(task, now)
-        tried = tuple(sorted(context.statistics.tried_hosts(task)))
-        key = (seconds < MAX_IDLE_WAIT_SECONDS, not _failures(progress, task), tried)
+        tried = tuple(sorted(_tried_hosts(task, context)))
+        paused = tuple(sorted(start_doubts.paused_hosts(task, now)))
+        may_wait = seconds < MAX_IDLE_WAIT_SECONDS
+        key = (may_wait, not _failures(progress, task), tried, paused)
         if is_gang:
-            key = (False, False, ())
+            key = (False, False, (), ())
         groups.setdefault(key, []).append(task)
         waits[key] = min(seconds, waits.get(key, seconds))
     return [(waits[key], tuple(groups[key])) for key in sorted(groups)]
 
 
+def _tried_hosts(task: TaskId, context: _ViewContext) -> frozenset[str]:
+    """Return the hosts on which a task has failed or was lately not started."""
+    statistics = context.statistics
+    doubted = statistics.start_doubts.doubted_hosts(task, clock.elapsed())
+    return statistics.tried_hosts(task) | doubted
+
+
 def _failures(progress: JobProgress, task: TaskId) -> int:
     state = progress.tasks.get(task_key(task))
     return state.failures if state is not None else 0
@@ -418,7 +431,12 @@
                 placed[state.host] = placed.get(state.host, 0) + 1
     failures = max(_failures(progress, task) for task in tasks)
     statistics = context.statistics
-    tried_hosts = frozenset[str]().union(*map(statistics.tried_hosts, tasks))
+    now = clock.elapsed()
+    tried_hosts: frozenset[str] = frozenset()
+    paused_hosts: frozenset[str] = frozenset()
+    for task in tasks:
+        tried_hosts |= _tried_hosts(task, context)
+        paused_hosts |= statistics.start_doubts.paused_hosts(task, now)
     return SchedulingUnit(
         account=job.account,
         priority=queue.priority if queue is not None else job.priority,
@@ -433,11 +451,12 @@
         queue=job.queue,
         last_attempt=failures >= job.attempts - 1 and not job.steps[index].lasting,
         failed_before=failures > 0,
-        failed_seconds=context.statistics.failed_seconds(job.job_id, clock.elapsed()),
+        failed_seconds=statistics.failed_seconds(job.job_id, now),
         guaranteed=_is_guaranteed(job, context),
         stretch=job.stretch,
         waves=count_waves(job.steps[index], capacity),
         running=running,
         charged_work=context.statistics.charged_work.get(tasks[0][:3], 0.0),
         tried_hosts=tried_hosts,
+        paused_hosts=paused_hosts,
     )
--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -7,7 +7,7 @@
 
 from sequoiachute import clock
 from sequoiachute.errors import describe_failure
-from sequoiachute.protocol.supervision import RunOrder, SettledStart
+from sequoiachute.protocol.supervision import WITHDRAWN, RunOrder, SettledStart
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.transport.worker import ALREADY_RAN, TaskWorker, WorkerStatus
 
@@ -83,7 +83,7 @@
                 continue
             del self._stopped_at[key]
             if key not in self._ended and key in self.orders:
-                self._settle(key, "withdrawn")
+                self._settle(key, WITHDRAWN)
         self.reconcile()
 
     def reconcile(self) -> None:
--- a/src/sequoiachute/coordination/scheduling/capacity.py
+++ b/src/sequoiachute/coordination/scheduling/capacity.py
@@ -171,6 +171,8 @@
     step = unit.step
     if not host.is_open or host.service != unit.service:
         return False
+    if host.name in unit.paused_hosts:
+        return False
     if step.label and step.label not in host.labels:
         return False
     if unit.tickets is not None and host.lifetime.worker_id not in unit.tickets:
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -167,9 +167,11 @@
         Permits by worker ID; only these workers may run the tasks. ``None``
         means that no permit is needed.
     tried_hosts : frozenset of str
-        Hosts on which the tasks have failed.
+        Hosts on which the tasks have failed or have lately not been started.
     needs_untried : bool
         Whether only hosts on which the tasks have not failed may get them.
+    paused_hosts : frozenset of str
+        Hosts that have refused to start the tasks a moment ago.
     """
 
     account: str
@@ -200,6 +202,7 @@
     tickets: dict[str, str] | None = None
     tried_hosts: frozenset[str] = frozenset()
     needs_untried: bool = False
+    paused_hosts: frozenset[str] = frozenset()
 
     @property
     def min_tasks(self) -> int:
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -113,7 +113,7 @@
     tickets = frozenset(unit.tickets) if unit.tickets is not None else None
     placed = frozenset(unit.placed_per_host.items()) if step.per_worker else None
     key = (unit.priority, requirements, constraints, preferences, proof, placed)
-    key = (*key, untried, tickets)
+    key = (*key, untried, tickets, unit.paused_hosts)
     if unit.priority != URGENT_PRIORITY:
         return key
     # What urgent work may stop depends on its declared work and on what it has cost.
--- a/src/sequoiachute/protocol/supervision.py
+++ b/src/sequoiachute/protocol/supervision.py
@@ -12,6 +12,7 @@
 DONE = "done"
 RUN_FAILED = "failed"
 STOPPED = "stopped"
+WITHDRAWN = "withdrawn"  # reason of a start that was settled by a stop
 
 
 class WorkerInfo(NamedTuple):
--- a/src/sequoiachute/transport/worker.py
+++ b/src/sequoiachute/transport/worker.py
@@ -9,6 +9,7 @@
 
 ALREADY_RAN = "already ran"
 UNHEALTHY = "the worker takes no work"  # reason of a start that it refused
+BAD_TICKET = "ticket"  # reason of a start whose ticket it refused
 
 
 class WorkerError(NamedTuple):
