Don't start a run again that a stop has ruled out

Change: a run that has been stopped is not missing.

Measured: test_start_refused_after_a_lost_one_goes_to_another_worker failed before (no start in 2 s); now one pair of starts, and the task starts on another worker.

--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -94,7 +94,7 @@
             if order.stop:
                 if key not in self._stopped_at:
                     self._spawn_call(self._stop, key)
-            elif key not in self._present and key not in self._started:
+            elif self._is_missing(key):
                 self._spawn_call(self._start, key)
         for key in self._present:
             if key in self.orders or key in self._in_flight or key in self._stopped_at:
@@ -102,6 +102,11 @@
             if self.term:
                 self._spawn_call(self._stop, key)
 
+    def _is_missing(self, key: tuple[str, int]) -> bool:
+        """Return whether a run was neither started nor ruled out by a stop."""
+        known = (self._present, self._started, self._stopped_at)
+        return not any(key in runs for runs in known)
+
     def _spawn_call(self, call: Callable, key: tuple[str, int]) -> None:
         self._in_flight.add(key)
         eventlet.spawn(self._run_call, call, key)
--- a/tests/test_starts_refused.py
+++ b/tests/test_starts_refused.py
@@ -45,6 +45,23 @@
     assert len(refused) <= 1
 
 
+def test_start_refused_after_a_lost_one_goes_to_another_worker():
+    site = ControlSite(workers=4, gpus=4)
+    asked = []
+
+    def start(worker_id, order, term, lease_ms):
+        asked.append(order.run)
+        if len(asked) % 2:
+            return Err(WorkerError("no answer", None))
+        return Err(WorkerError("room", False))
+
+    site.workers[0].start = start
+    accepted(site, 2.0)
+    site.run_for(2.0)
+    assert len(site.history.starts) == 1
+    assert asked == [1, 1]
+
+
 def test_refusal_for_lack_of_room_does_not_close_the_worker_to_others():
     site = ControlSite(workers=1, gpus=4)
     worker = site.workers[0]
