Stop the other members of a gang of which a start was refused

Cause: a gang is placed again only once none of its members is placed. Nothing stopped those that had started, so that it waited for their ends.

Change: a refused start stops the other members of that run.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -339,6 +339,7 @@
             if is_stopped and start.reason == WITHDRAWN:
                 continue
             self._statistics.start_doubts.record(task, session.host, now)
+            self._stop_gang_of(task, start.run)
             is_unhealthy = is_unhealthy or start.reason == UNHEALTHY
             if start.reason == BAD_TICKET:
                 step = str(task).rpartition(".")[0]
@@ -348,6 +349,22 @@
             # However many starts it refuses at a time, it is one doubt.
             self._statistics.record_doubt(session.lifetime, now)
 
+    def _stop_gang_of(self, task: TaskId, run: int) -> None:
+        """Stop the other members of a gang that has not started whole."""
+        job = self._ledger.job(task.job_id)
+        if job is None or not job.steps[task.step].gang:
+            return
+        step = job.steps[task.step]
+        tasks = self._ledger.progress(task.job_id).tasks
+        for index in range(step.count):
+            member = task._replace(index=index)
+            state = tasks.get(task_key(member))
+            if member == task or state is None or state.run != run or state.done:
+                continue
+            session = self._agents.sessions.get(state.host)
+            if session is not None and session.lifetime == state.lifetime:
+                session.stops[member] = run
+
     def _order_stops(self, stops: tuple[RunStop, ...]) -> None:
         for stop in stops:
             session = self._agents.sessions.get(stop.host)
--- a/tests/test_starts_refused.py
+++ b/tests/test_starts_refused.py
@@ -45,6 +45,17 @@
     assert len(refused) <= 1
 
 
+@pytest.mark.parametrize("reason", REASONS)
+def test_gang_refused_by_one_worker_starts_on_others(reason):
+    site = ControlSite(workers=4, gpus=4)
+    refuse_starts(site.workers[0], reason)
+    job = accepted(site, 5.0, count=6, gang=True)
+    site.run_for(2.5)
+    running = {run.task for worker in site.workers for run in worker.status().runs}
+    assert len(running) == 6
+    complete(site, [job], 6)
+
+
 def test_start_refused_after_a_lost_one_goes_to_another_worker():
     site = ControlSite(workers=4, gpus=4)
     asked = []
