--- a/tests/test_idle_watch.py
+++ b/tests/test_idle_watch.py
@@ -13,6 +13,8 @@
     startable_units,
 )
 
+MAX_REFUSED_STARTS = 50  # of six tasks in nine seconds
+
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
 
@@ -126,3 +128,17 @@
     for job in (single, gang):
         assert site.state(job) == "failed"
         assert failed_attempts(site, job) == QUEUE.attempts
+
+
+def test_failed_work_does_not_wait_for_a_worker_that_refuses_it():
+    site = site_of_racks(workers=2)
+    sound, refusing = site.workers
+    sound.fails_runs = refusing.refuses_starts = True
+    jobs = [accepted(site, 1.0, count=3) for _ in range(2)]
+    while max(failed_attempts(site, job) for job in jobs) < QUEUE.attempts - 1:
+        site.run_for(0.05)
+    sound.fails_runs = False
+    refused_before = refusing.refused_starts
+    IdleWatch(site).run_for(3 * MAX_IDLE_START_SECONDS)
+    assert refusing.refused_starts - refused_before <= MAX_REFUSED_STARTS
+    complete(site, jobs, 3)
