--- a/tests/test_starts_refused.py
+++ b/tests/test_starts_refused.py
@@ -3,6 +3,7 @@
 import pytest
 from result import Err
 
+from sequoiachute import clock
 from sequoiachute.coordination.dispatch.advice import TicketCache
 from sequoiachute.coordination.dispatch.start_doubts import (
     DOUBT_SECONDS,
@@ -13,7 +14,8 @@
 from sequoiachute.transport.worker import UNHEALTHY, WorkerError
 from standins.control_site import QUEUE, URGENT, ControlSite
 from standins.machines import MemoryAdvisor
-from tests.control_checks import accepted, complete
+from standins.task_worker import CALL_TIMEOUT_SECONDS
+from tests.control_checks import TAKEOVER_SECONDS, accepted, complete
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
@@ -135,3 +137,89 @@
     assert not cache.tickets("step", ("w-a",))
     site.run_for(0.1)
     assert len(advisor.asked) == 2
+
+
+def ignore_starts(worker):
+    """Let starts at a worker never be answered nor carried out; return their times."""
+    tries = []
+
+    def start(worker_id, order, term, lease_ms):
+        tries.append(clock.now())
+        clock.sleep(CALL_TIMEOUT_SECONDS)
+        return Err(WorkerError("no answer", None))
+
+    worker.start = start
+    return tries
+
+
+def running_tasks(site):
+    return {run.task for worker in site.workers for run in worker.status().runs}
+
+
+@pytest.mark.parametrize("queue", [QUEUE, URGENT])
+def test_task_whose_start_is_never_answered_starts_on_another_worker(queue):
+    """As the reviewer of issue 34 saw: 134 tries in 60 s, three workers idle."""
+    site = ControlSite(workers=4, gpus=4)
+    tries = ignore_starts(site.workers[0])
+    job = accepted(site, 2.0, queue=queue)
+    site.run_for(3.0)
+    assert len(site.history.starts) == 1
+    assert len(tries) <= 4
+    complete(site, [job], 3)
+
+
+def test_gang_of_which_some_starts_are_never_answered_starts_on_others():
+    site = ControlSite(workers=4, gpus=4)
+    ignore_starts(site.workers[0])
+    job = accepted(site, 9.0, count=6, gang=True)
+    site.run_for(3.0)
+    assert len(running_tasks(site)) == 6
+    complete(site, [job], 9)
+
+
+def test_new_placer_withdraws_a_start_that_is_never_answered():
+    site = ControlSite(workers=4, gpus=4)
+    ignore_starts(site.workers[0])
+    job = accepted(site, 2.0)
+    site.run_for(0.5)
+    placer = site.placer()
+    site.kill_entry(placer)
+    site.run_for(TAKEOVER_SECONDS + 3.0)
+    assert len(site.history.starts) == 1
+    complete(site, [job], 3)
+
+
+def test_task_runs_nowhere_else_while_the_stop_of_its_start_is_unanswered():
+    site = ControlSite(workers=4, gpus=4)
+    worker = site.workers[0]
+    worker.late_seconds = 30.0
+    job = accepted(site, 40.0)
+    site.run_for(25.0)
+    assert not site.history.starts
+    worker.late_seconds = 0.0
+    site.run_for(2.0)
+    assert [start.worker_id for start in site.history.starts] != ["worker-0-1"]
+    assert len(site.history.starts) == 1
+    site.run_for(30.0)
+    assert len(site.history.starts) == 1
+    complete(site, [job], 30)
+
+
+@pytest.mark.parametrize("late", [2.0, 5.0, 8.0])
+def test_late_starts_are_waited_for_where_no_worker_is_faster(late):
+    site = ControlSite(workers=4, gpus=4)
+    for worker in site.workers:
+        worker.late_seconds = late
+    jobs = [accepted(site, 4.0) for _ in range(8)]
+    complete(site, jobs, 120)
+
+
+def test_start_is_not_withdrawn_without_room_elsewhere():
+    site = ControlSite(workers=2, gpus=1)
+    accepted(site, 60.0)
+    site.run_for(1.0)
+    free = [worker for worker in site.workers if not worker.status().runs]
+    tries = ignore_starts(free[0])
+    accepted(site, 2.0)
+    site.run_for(5.0)
+    assert len(tries) > 8
