--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -21,7 +21,6 @@
     Settlement,
     newest_token,
 )
-from sequoiachute.coordination.dispatch.unseen_starts import UnseenStarts
 from sequoiachute.coordination.dispatch.upkeep import Upkeep, encode_wave
 from sequoiachute.coordination.dispatch.views import build_view
 from sequoiachute.coordination.dispatch.wait_log import WaitLog
@@ -158,9 +157,6 @@
         self._settlement = Settlement(ledger, agents)
         self.wait_log = WaitLog()
         self._statistics = RunStatistics(ledger.speeds)
-        self._unseen_starts = UnseenStarts(
-            ledger, agents, self._statistics.start_doubts
-        )
         self._sequence = 0
         self._end_backup = EndBackup(store, ledger, agents)
         self._speeds_recorded_at = clock.now()
@@ -227,7 +223,6 @@
         self._metrics.observe("decision_seconds", now - decision_began, now)
         self._order_stops(decision.stops)
         self._record_placements(decision.placements)
-        self._withdraw_unseen_starts(view, decision)
         if decision.is_truncated and decision.stops:
             self.wake()
         self._record_speeds()
@@ -287,9 +282,6 @@
             progress = self._statistics.progress_of(task, end.run)
             self._statistics.forget_run(task, end.run)
             self._metrics.count("runs_ended_total", how=end.outcome)
-            if self._unseen_starts.is_withdrawn(task, end.run):
-                doubts = self._statistics.start_doubts
-                doubts.record(task, session.host, clock.elapsed())
             if end.outcome in (DONE, RUN_FAILED):
                 self._statistics.wait_times.end(task)
             if end.outcome == DONE:
@@ -344,8 +336,7 @@
         is_unhealthy = False
         for task, start in self._reports_of_placed(session, session.settled):
             is_stopped = session.stops.get(task, 0) == start.run
-            is_known = is_stopped and start.reason == WITHDRAWN
-            if is_known and not self._unseen_starts.is_withdrawn(task, start.run):
+            if is_stopped and start.reason == WITHDRAWN:
                 continue
             self._statistics.start_doubts.record(task, session.host, now)
             self._stop_gang_of(task, start.run)
@@ -374,14 +365,6 @@
             if session is not None and session.lifetime == state.lifetime:
                 session.stops[member] = run
 
-    def _withdraw_unseen_starts(
-        self, view: SchedulingView, decision: SchedulingDecision
-    ) -> None:
-        """Stop runs that their workers don't start while others have room."""
-        self._unseen_starts.update()
-        stops = self._unseen_starts.withdraw(view.hosts, decision.placements)
-        self._order_stops(tuple(stops))
-
     def _order_stops(self, stops: tuple[RunStop, ...]) -> None:
         for stop in stops:
             session = self._agents.sessions.get(stop.host)
@@ -475,9 +458,7 @@
         if now < self._retention_checked_at + RETENTION_INTERVAL_SECONDS:
             return
         self._retention_checked_at = now
-        live = {job.job_id for job in self._ledger.live()}
-        self._statistics.forget_ended_jobs(live)
-        self._unseen_starts.forget_ended_jobs(live)
+        self._statistics.forget_ended_jobs({job.job_id for job in self._ledger.live()})
         cutoff = clock.wall_time() - ENDED_JOB_RETENTION_SECONDS
         expired = self._ledger.ended_before(cutoff)[:MAX_RECORDS_PER_APPEND]
         if not expired:
