Generated views: fixed examples of a limit broken and of lasting work that waits

The example for per_worker had 2 tasks and broke nothing on the code with the fault: a plan without stops held the second. With 3 tasks places 2 of them on a host with a limit of 1. New examples: a lasting task waited for ever beside one idle host that is reserved or in doubt, since a host counted as holding no more tasks than the unit has.

--- a/tests/test_idle_capacity_views.py
+++ b/tests/test_idle_capacity_views.py
@@ -45,12 +45,13 @@
     Resources(1_000, 1_000, 8),
     Resources(8_000, 8_000, 0),
 )
+DOUBTFUL = {"recent_failures": 2, "doubt_age": 0.5}
 HOST_STATES = (
     {},
     {"proof_age": 1.0},
     {"recent_failures": 1, "doubt_age": 0.5},
     {"recent_failures": 1, "doubt_age": 2.0},
-    {"recent_failures": 2, "doubt_age": 0.5},
+    DOUBTFUL,
     {"recent_failures": 2, "doubt_age": 2.0},
     {"is_reserved": True},
     {"is_open": False},
@@ -363,9 +364,11 @@
     return SchedulingView(NOW, hosts, tuple(units), is_gathering)
 
 
-def idle_view(hosts, waiting):
+def idle_view(hosts, waiting, **fields):
     """Return a view of idle hosts, each in a rack of its own."""
-    found = [host(f"h{number}", rack=f"r-{number}") for number in range(hosts)]
+    found = [
+        host(f"h{number}", rack=f"r-{number}", **fields) for number in range(hosts)
+    ]
     return SchedulingView(NOW, tuple(found), (waiting,))
 
 
@@ -376,6 +379,8 @@
 @settings(max_examples=300)
 @example(idle_view(5, overdue_unit(12, step={"gang": True, "same_rack": True})))
 @example(idle_view(6, overdue_unit(3, step={"same_rack": True, "per_worker": 1})))
+@example(idle_view(1, overdue_unit(1, step={"lasting": True}), is_reserved=True))
+@example(idle_view(1, overdue_unit(1, step={"lasting": True}), **DOUBTFUL))
 @given(view=views())
 def test_overdue_work_starts_beside_idle_capacity(view):
     found = [
@@ -387,7 +392,7 @@
 
 
 @settings(max_examples=300)
-@example(idle_view(1, unit(2, priority=0, step={"per_worker": 1})))
+@example(idle_view(1, unit(3, priority=0, step={"per_worker": 1})))
 @given(view=views())
 def test_placements_keep_every_requirement(view):
     decision = decide(view)
