Place independent tasks that prefer one rack on all racks in one round

Found by the generated views: of four overdue tasks, one to a worker, each worker in a rack of its own, a round placed three, since each of its passes takes one rack. The view is a fixed example of the property now; it failed before and passes.

--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -209,7 +209,11 @@
             anywhere = anywhere._replace(may_split=True)
         count = len(unit.tasks) if unit.step.gang else max(1, count)
         anywhere = with_untried_hosts(anywhere, self._view.now, self._capacity)
-        placed = self._place_fitting(anywhere._replace(tasks=unit.tasks[:count]))
+        anywhere = anywhere._replace(tasks=unit.tasks[:count])
+        placed = self._place_fitting(anywhere)
+        while placed.may_split and len(placed.tasks) < len(anywhere.tasks):
+            # Tasks that are placed independently take one rack after the other.
+            anywhere, placed = placed, self._place_fitting(placed)
         placed_count = min(count, len(unit.tasks)) - len(placed.tasks)
         if not placed_count:
             self._smallest_misfit[fit_key] = unit.min_tasks
--- a/tests/test_idle_capacity_views.py
+++ b/tests/test_idle_capacity_views.py
@@ -381,6 +381,7 @@
 @example(idle_view(6, overdue_unit(3, step={"same_rack": True, "per_worker": 1})))
 @example(idle_view(1, overdue_unit(1, step={"lasting": True}), is_reserved=True))
 @example(idle_view(1, overdue_unit(1, step={"lasting": True}), **DOUBTFUL))
+@example(idle_view(14, overdue_unit(4, step={"same_rack": True, "per_worker": 1})))
 @given(view=views())
 def test_overdue_work_starts_beside_idle_capacity(view):
     found = [
