Refuse at once while the store answers nobody, before calls to it end

A job sent 1.15 s into a silence of the store was held by its entry for 3 s, appended 14 times and answered «unknown» (504), although nothing could serve it.

An entry took the store for unreachable only 0.8 s after calls on every topic of jobs had ended without an answer; a long poll or an append ends 2 to 3 s after the silence began.

Now the time counts from the first call without an answer, of whatever kind, pending or failed: joins, appends, probes, reads without a wait. Any answer ends it. The threshold is 0.8 s, or twice what the latest append took. Meanwhile the entry pings its peers; while one of them reaches the store, it is not silent. A submission or cancellation that has not been appended is then refused, or waits for the return if its caller can't come back. Its reason is "the store answers nobody".

A sound store that turns slow (answers of 1 s or more) all at once can't be told from a silent one until its first slow answer, so that callers may be refused in between.

--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -32,6 +32,8 @@
 UNKNOWN = "unknown"
 ABSENT = "absent"
 
+SILENT = "the store answers nobody"
+
 
 class IntakeOutcome(NamedTuple):
     """Outcome of a caller's request; ``retry_after`` is in seconds.
@@ -156,13 +158,14 @@
                 return self._refusal(reason, race)
             boundary = wait_until if now < wait_until else last_moment
             timeout = min(ATTEMPT_SECONDS, boundary - now)
-            if not self._is_unreachable():
+            is_silent = not may_exist and self._store.is_silent
+            if not is_silent and not self._is_unreachable():
                 race.add(self._appends(key, value, last_moment - now))
             elif may_exist:
                 # Reads notice the store's return sooner than an unanswered append.
                 timeout = min(PROBE_INTERVAL_SECONDS, timeout)
             else:
-                reason = "the store can't be reached"
+                reason = SILENT if is_silent else "the store can't be reached"
             outcome = race.run(timeout)
             if outcome.is_ok():
                 topic, offset = outcome.unwrap()
@@ -229,7 +232,7 @@
         self._waiting += 1
         self._store.expect_return(wait_until)
         try:
-            if self._is_unreachable():
+            if self._store.is_silent or self._is_unreachable():
                 self._store.availability.wait_recovered(wait_until - now)
             else:
                 clock.sleep(min(REFUSED_RETRY_SECONDS, wait_until - now))
--- a/src/sequoiachute/coordination/store/availability.py
+++ b/src/sequoiachute/coordination/store/availability.py
@@ -33,6 +33,7 @@
         self._answered_at = float("-inf")
         self._returned_at = float("-inf")
         self._has_failed = False
+        self._unanswered_since: float | None = None
         self._return_listeners: list[Callable[[], None]] = []
         self._failing_since: dict[str, float] = {}
         self._recovered = Event()
@@ -59,12 +60,56 @@
         """
         return max(STAGGER_SECONDS, SLOW_STAGGER_FACTOR * self.append_seconds)
 
+    @property
+    def is_overdue(self) -> bool:
+        """Whether calls have gone without any answer for longer than the store needs.
+
+        What the latest appends took does not fade here: no answer shows that the
+        store is quicker by now.
+        """
+        if not self.has_unanswered:
+            return False
+        slow_seconds = SLOW_STAGGER_FACTOR * self._append_seconds
+        return self.unanswered_seconds >= max(UNREACHABLE_AFTER_SECONDS, slow_seconds)
+
+    @property
+    def unanswered_seconds(self) -> float:
+        """Seconds since the first call after the last answer, 0 if there is none."""
+        since = self._unanswered_since
+        return 0.0 if since is None else clock.now() - since
+
+    @property
+    def has_unanswered(self) -> bool:
+        """Whether a call has begun since the last answer, and has none itself."""
+        return self._unanswered_since is not None
+
     def call_on_return(self, listener: Callable[[], None]) -> None:
         """Have ``listener`` called when the store answers after a silence."""
         self._return_listeners.append(listener)
 
+    def record_call(self) -> None:
+        """Record that a call begins that a sound store would answer at once.
+
+        Before the first answer of all, an entry that starts has its own wait.
+        """
+        if self._unanswered_since is None and self._answered_at > float("-inf"):
+            self._unanswered_since = clock.now()
+
+    def end_silence(self) -> None:
+        """Note an answer, whoever the call was made for; only later calls count."""
+        was_overdue = self.is_overdue
+        self._unanswered_since = None
+        if was_overdue:
+            self._wake_waiting()
+
+    def restart_silence(self) -> None:
+        """Count the time without an answer anew: the process did not run meanwhile."""
+        if self._unanswered_since is not None:
+            self._unanswered_since = clock.now()
+
     def record_answer(self, call: str) -> None:
         """Record that the store has answered a call, also one without a topic."""
+        self.end_silence()
         now = clock.now()
         silent_seconds = now - self._answered_at
         self._answered_at = now
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -39,6 +39,9 @@
 PING_INTERVAL_SECONDS = 0.25  # while direct calls fail
 SUSPICION_SECONDS = 0.3  # without an answer to a join; a sound store needs 0.01
 MAX_PINGED_PEERS = 8
+# A process that has not looked for longer, or waited longer for replies, did not run.
+MAX_LOOK_AGE_SECONDS = 1.0
+WATCH_SECONDS = 3.0  # since the last call; a live entry joins more often
 AWAITED_PROBE_SECONDS = 0.05  # between probes while callers wait for the store
 NO_OFFSET = -1
 HISTORY_LOST_OFFSET = -2  # the reply's offset where the history is lost
@@ -130,6 +133,10 @@
         self._next_ping_at = float("-inf")
         self._probing_until = float("-inf")
         self._is_probing = False
+        self._is_watching = False
+        self._called_at = float("-inf")
+        self._looked_at = float("-inf")
+        self._does_peer_reach = True
         self.availability = Availability()
 
     @property
@@ -150,6 +157,16 @@
         """
         return self._has_no_way and not self._reaches_store
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether the store answers nobody, as far as this entry and its peers know.
+
+        Unlike the topics that fail it is known before calls have ended.
+        """
+        is_current = clock.now() <= self._looked_at + MAX_LOOK_AGE_SECONDS
+        is_unreached = is_current and not self._does_peer_reach
+        return is_unreached and self.availability.is_overdue
+
     @property
     def _reaches_store(self) -> bool:
         """Whether direct calls are answered; in a partial outage some of them are."""
@@ -186,6 +203,7 @@
         content whoever writes it.
         """
         began = clock.now()
+        self._record_call()
         outcome = self._append(topic, records, at, writer, timeout)
         now = clock.now()
         self._metrics.observe("append_seconds", now - began, now, topic=topic)
@@ -229,6 +247,7 @@
         """Join a group, always directly: a member must reach the store itself."""
         began = clock.now()
         self._is_join_answered = False
+        self._record_call()
         suspicion = eventlet.spawn_after(SUSPICION_SECONDS, self._ping_if_due)
         try:
             membership = self._store.join(group, member, generation, ttl)
@@ -269,6 +288,7 @@
         self._is_probing = False
 
     def _probe(self) -> None:
+        self._record_call()
         try:
             self._store.members(GROUP)
         except StoreUnavailableError:
@@ -286,6 +306,7 @@
         if answered:
             self._answered_at = clock.now()
             self._is_isolated = self._has_no_way = False
+            self.availability.end_silence()
             if was_cut_off:
                 logger.info("reaching the store again")
             return
@@ -302,23 +323,62 @@
 
         A peer's reply to a read is none: it comes late while the store is silent.
         """
-        peers = self._candidates()[:MAX_PINGED_PEERS]
-        queue: LightQueue = LightQueue()
-        for peer in peers:
-            eventlet.spawn(self._ping, peer, queue)
-        replies = [queue.get() for _ in peers]
+        replies = self._ping_all()
         self._is_pinging = False
         self._next_ping_at = clock.now() + PING_INTERVAL_SECONDS
         was_cut_off = self.is_cut_off
         answered = [reply for reply in replies if reply is not None]
         reached = [reply for reply in answered if reply.reaches_store]
-        if peers and not answered and not self._is_join_answered:
+        if replies and not answered and not self._is_join_answered:
             # The end of the call would show no more.
             self._is_direct_failing = True
-        self._is_isolated = self._is_direct_failing and bool(peers) and not answered
-        self._has_no_way = self._is_direct_failing and bool(peers) and not reached
+        self._is_isolated = self._is_direct_failing and bool(replies) and not answered
+        self._has_no_way = self._is_direct_failing and bool(replies) and not reached
         if self.is_cut_off and not was_cut_off:
-            logger.bind(peers=len(peers)).warning("cut off from the store and peers")
+            logger.bind(peers=len(replies)).warning("cut off from the store and peers")
+
+    def _ping_all(self) -> list[PingReply | None]:
+        """Return the replies of the peers that are asked first, all of them pinged."""
+        peers = self._candidates()[:MAX_PINGED_PEERS]
+        queue: LightQueue = LightQueue()
+        for peer in peers:
+            eventlet.spawn(self._ping, peer, queue)
+        return [queue.get() for _ in peers]
+
+    def _record_call(self) -> None:
+        """Note a call to the store; watch for silence until there is an answer."""
+        self._called_at = clock.now()
+        self.availability.record_call()
+        if not self._is_watching and self.availability.has_unanswered:
+            self._is_watching = True
+            eventlet.spawn_after(SUSPICION_SECONDS, self._watch, clock.now())
+
+    def _watch(self, ran_at: float) -> None:
+        """Look for peers that reach the store while it gives this entry no answer.
+
+        Parameters
+        ----------
+        ran_at : float
+            Clock time at which this process is known to have run.
+        """
+        while self.availability.has_unanswered:
+            if clock.now() >= self._called_at + WATCH_SECONDS:
+                break
+            if self.availability.unanswered_seconds >= SUSPICION_SECONDS:
+                self._look_for_peers()
+            if clock.now() > ran_at + MAX_LOOK_AGE_SECONDS:
+                # Answers may lie in the sockets of a process that was frozen.
+                self.availability.restart_silence()
+            ran_at = clock.now()
+            clock.sleep(PING_INTERVAL_SECONDS)
+        self._does_peer_reach = True
+        self._is_watching = False
+
+    def _look_for_peers(self) -> None:
+        replies = self._ping_all()
+        reached = [r for r in replies if r is not None and r.reaches_store]
+        self._does_peer_reach = bool(reached)
+        self._looked_at = clock.now()
 
     def _ping(self, peer: str, replies: LightQueue) -> None:
         """Put the peer's reply, ``None`` if there is none."""
@@ -335,6 +395,8 @@
         self._prefer_peers_until = clock.now() + PREFER_PEERS_SECONDS
 
     def _read(self, topic: str, offset: int, wait: float) -> RecordPage:
+        if wait == 0:
+            self._record_call()
         asks_peers_first = clock.now() < self._prefer_peers_until
         if asks_peers_first:
             relayed = self._relay_read(ReadQuery(topic, offset, wait))
@@ -440,13 +502,17 @@
         except StoreUnavailableError:
             return ReadReply(NO_OFFSET)
         except HistoryLostError:
+            self.availability.end_silence()
             return ReadReply(HISTORY_LOST_OFFSET)
+        self.availability.end_silence()
         return ReadReply(page.next, page.records)
 
     def _serve_append(self, query: AppendQuery) -> AppendReply:
         outcome = self._store.append(
             query.topic, list(query.records), query.at, query.writer, query.timeout
         )
+        if outcome.is_ok() or is_conclusive(outcome.unwrap_err()):
+            self.availability.end_silence()
         if outcome.is_ok():
             return AppendReply(outcome.unwrap())
         return AppendReply(NO_OFFSET, outcome.unwrap_err())
