--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -234,14 +234,15 @@
 
     def _update_statistics(self) -> None:
         """Record each worker's reading once; a repeated one would look like a stall."""
+        racks: dict[GangKey, int] = {}
         for session in self._agents.sessions.values():
             if session.worker_clock_ms != session.sampled_clock_ms:
                 session.sampled_clock_ms = session.worker_clock_ms
-                self._record_progress(session)
+                self._record_progress(session, racks)
             self._record_ends(session)
             self._record_refused_starts(session)
 
-    def _record_progress(self, session: Session) -> None:
+    def _record_progress(self, session: Session, racks: dict[GangKey, int]) -> None:
         placed = self._ledger.tasks_on_host(session.host)
         for run in session.runs.values():
             task = parse_task_id(run.task)
@@ -256,7 +257,7 @@
                 self._statistics.wait_times.end(task)
             rack = session.worker.rack if session.worker else ""
             is_remote = step.data_rack and step.data_rack != rack
-            if step.same_rack and len(self._racks_of(task, step.count)) > 1:
+            if step.same_rack and self._count_racks(task, step.count, racks) > 1:
                 is_remote = True
             distance_factor = REMOTE_SLOWDOWN if is_remote else 1.0
             estimate = 0.0 if step.lasting else step.estimate_seconds
@@ -264,8 +265,18 @@
                 run, session.machine, estimate, distance_factor, session.reported_at
             )
 
+    def _count_racks(self, task: TaskId, count: int, known: dict[GangKey, int]) -> int:
+        """Return on how many racks the tasks of the step of ``task`` are placed.
+
+        ``known`` holds the result for each step, so that one pass over many tasks of a
+        step looks at each task once.
+        """
+        step = task[:3]
+        if step not in known:
+            known[step] = len(self._racks_of(task, count))
+        return known[step]
+
     def _racks_of(self, task: TaskId, count: int) -> set[str]:
-        """Return the racks on which the tasks of the step of ``task`` are placed."""
         tasks = self._ledger.progress(task.job_id).tasks
         racks = set()
         for index in range(count):
@@ -396,8 +407,9 @@
         self._append_draft(draft)
         for job_id in started:
             self._observe_first_start(job_id)
+        racks: dict[GangKey, int] = {}
         for placement in placements:
-            self._log_placed(placement)
+            self._log_placed(placement, racks)
 
     def _gang_runs(self, placements: tuple[TaskPlacement, ...]) -> dict[GangKey, int]:
         """Return the common run number of the members of each gang."""
@@ -430,7 +442,7 @@
             session = self._agents.sessions[placement.host]
             session.tickets[(task, run)] = placement.ticket
 
-    def _log_placed(self, placement: TaskPlacement) -> None:
+    def _log_placed(self, placement: TaskPlacement, racks: dict[GangKey, int]) -> None:
         self._metrics.count("runs_placed_total")
         task = placement.task
         run = self._ledger.progress(task.job_id).tasks[task_key(task)].run
@@ -443,7 +455,7 @@
         log = log.bind(speed=round(speed, 2), speed_error=round(speed_error, 2))
         step = self._step_of(task)
         if step.same_rack:
-            log = log.bind(racks=len(self._racks_of(task, step.count)))
+            log = log.bind(racks=self._count_racks(task, step.count, racks))
         log.bind(slack=round(placement.slack_seconds, 2)).info("placed")
 
     def _step_of(self, task: TaskId) -> StepSpec:
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -294,12 +294,15 @@
             if not _is_ready(job, progress, occurrence, step):
                 continue
             waiting = _waiting_tasks(job, progress, occurrence, index)
+            returning = _returning_tasks(job, progress, occurrence, index, context)
+            if not waiting and not returning:
+                continue
+            placed = _count_placed(progress, occurrence, index)
             for seconds, tasks in _group_waiting(job, progress, waiting, context):
-                unit = _build_unit(job, progress, index, tasks, context)
+                unit = _build_unit(job, progress, placed, tasks, context)
                 units.append(unit._replace(waiting_seconds=seconds))
-            tasks = _returning_tasks(job, progress, occurrence, index, context)
-            if tasks:
-                unit = _build_unit(job, progress, index, tasks, context)
+            if returning:
+                unit = _build_unit(job, progress, placed, returning, context)
                 units.append(unit._replace(returning=True))
 
 
@@ -410,25 +413,39 @@
     return (*placed, *stopping, *others) if is_ending else ()
 
 
+class _PlacedTasks(NamedTuple):
+    """Tasks of a step that are placed, in all and on each host."""
+
+    count: int
+    per_host: dict[str, int]
+
+
+def _count_placed(progress: JobProgress, occurrence: int, index: int) -> _PlacedTasks:
+    per_host: dict[str, int] = {}
+    count = 0
+    prefix = f"{occurrence}.{index}."
+    for key, state in progress.tasks.items():
+        if not key.startswith(prefix):
+            continue
+        count += state.placed
+        if state.host:
+            per_host[state.host] = per_host.get(state.host, 0) + 1
+    return _PlacedTasks(count, per_host)
+
+
 def _build_unit(
     job: JobGraph,
     progress: JobProgress,
-    index: int,
+    placed: _PlacedTasks,
     tasks: tuple[TaskId, ...],
     context: _ViewContext,
 ) -> SchedulingUnit:
+    index = tasks[0].step
     queue = context.operations.queue(job.queue)
     service = queue.service if queue is not None else job.service
     occurrence = tasks[0].occurrence
     capacity = context.capacity.get(service, Resources())
     starts_at, deadline = objective(job, occurrence, capacity)
-    placed: dict[str, int] = {}
-    running = 0
-    for key, state in progress.tasks.items():
-        if key.startswith(f"{occurrence}.{index}."):
-            running += state.placed
-            if state.host:
-                placed[state.host] = placed.get(state.host, 0) + 1
     failures = max(_failures(progress, task) for task in tasks)
     statistics = context.statistics
     now = clock.elapsed()
@@ -447,7 +464,7 @@
         step=job.steps[index],
         tasks=tasks,
         avoided_hosts=tried_hosts | statistics.doubted_hosts(job.job_id),
-        placed_per_host=placed,
+        placed_per_host=placed.per_host,
         queue=job.queue,
         last_attempt=failures >= job.attempts - 1 and not job.steps[index].lasting,
         failed_before=failures > 0,
@@ -455,7 +472,7 @@
         guaranteed=_is_guaranteed(job, context),
         stretch=job.stretch,
         waves=count_waves(job.steps[index], capacity),
-        running=running,
+        running=placed.count,
         charged_work=context.statistics.charged_work.get(tasks[0][:3], 0.0),
         tried_hosts=tried_hosts,
         paused_hosts=paused_hosts,
