--- a/src/sequoiachute/coordination/scheduling/capacity.py
+++ b/src/sequoiachute/coordination/scheduling/capacity.py
@@ -199,7 +199,8 @@
     max_failures = 1 if unit.last_attempt else MAX_RECENT_FAILURES
     if host.recent_failures < max_failures:
         return True
-    return unit.only_doubtful and host.doubt_age >= MIN_PROBE_DELAY_SECONDS
+    may_probe = host.doubt_age >= MIN_PROBE_DELAY_SECONDS or unit.is_overdue
+    return unit.only_doubtful and may_probe
 
 
 def count_fitting(unit: SchedulingUnit, host: Host, free: Resources) -> int:
--- a/src/sequoiachute/coordination/scheduling/layout.py
+++ b/src/sequoiachute/coordination/scheduling/layout.py
@@ -188,9 +188,11 @@
 
 def _preference(
     unit: SchedulingUnit, capacity: FreeCapacity, host: Host, now: float
-) -> tuple[float, int, float, int, str]:
+) -> tuple[bool, float, int, float, int, str]:
     """Return the sort key of ``host``; the smallest is preferred.
 
+    Hosts that should run empty come last.
+
     Hosts that meet the deadline come first, among them those that runs have not
     failed on, the slowest of these leading, then those with the fewest free
     accelerators. This leaves fast workers to urgent work. Work with a tight
@@ -203,8 +205,9 @@
     if host.name in unit.avoided_hosts:
         effective_slowdown *= FAILED_HOST_PENALTY
     remaining = capacity.free(host).minus(unit.step.reserved)
+    late_key = (host.is_reserved, round(effective_slowdown, 1), 0, 0.0)
     if unit.is_tight:
-        return (round(effective_slowdown, 1), 0, 0.0, remaining.gpus, host.name)
+        return (*late_key, remaining.gpus, host.name)
     slack = unit.deadline - now - unit.chain_seconds
     estimate = max(unit.step.estimate_seconds, 0.1)
     max_slowdown = PLANNED_SHARE * (1 + slack / estimate)
@@ -214,8 +217,8 @@
         if unit.failed_before:
             # Another failure may be the last: soundness goes before speed.
             rank = _soundness_rank(host)
-        return (0.0, doubts, rank, remaining.gpus, host.name)
-    return (round(effective_slowdown, 1), 0, 0.0, remaining.gpus, host.name)
+        return (host.is_reserved, 0.0, doubts, rank, remaining.gpus, host.name)
+    return (*late_key, remaining.gpus, host.name)
 
 
 def _soundness_rank(host: Host) -> float:
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -256,7 +256,7 @@
         return unit._replace(may_split=wait_seconds > split_seconds)
 
     def _with_round(self, unit: SchedulingUnit) -> SchedulingUnit:
-        """Return the unit with the tasks of its step that were placed in this round."""
+        """Return the unit with the tasks of its step that this round has served."""
         placed = self._placed.get(unit.tasks[0][:3])
         if not placed:
             return unit
@@ -475,6 +475,7 @@
         charged_work = self._charged_work.get(step, 0.0)
         self._charged_work[step] = charged_work + plan.lost_work
         for host, count in plan.hosts:
+            self._placed.setdefault(step, Counter())[host.name] += count
             self._hold(unit, host, count, is_firm=True)
 
     def _hold(
