--- a/src/sequoiachute/coordination/scheduling/waits.py
+++ b/src/sequoiachute/coordination/scheduling/waits.py
@@ -29,6 +29,7 @@
 HOSTS_CLOSED = "hosts closed"
 LABEL = "label"
 NO_TICKET = "no ticket"
+STARTS_REFUSED = "starts refused"
 WAVES = "wide step starts in waves"
 UPKEEP = "hosts reserved for upkeep"
 DOUBT = "hosts in doubt"
@@ -307,7 +308,7 @@
 def _requirements(unit: SchedulingUnit) -> tuple:
     """Return all that decides whether a service has room for ``unit``."""
     step = unit.step
-    key = (unit.service, step.reserved, step.label, unit.min_tasks)
+    key = (unit.service, step.reserved, step.label, unit.min_tasks, unit.paused_hosts)
     if unit.tickets is None and not step.per_worker:
         return key
     tickets = frozenset(unit.tickets) if unit.tickets is not None else None
@@ -326,6 +327,10 @@
 def _unmet_requirement(unit: SchedulingUnit, hosts: list[Host]) -> str:
     """Return which requirement leaves too few hosts for ``unit``, even empty ones."""
     unit = unit._replace(takes_any_host=True)
+    unpaused = unit._replace(paused_hosts=frozenset())
+    if unit.paused_hosts and could_hold(unpaused, hosts):
+        return STARTS_REFUSED
+    unit = unpaused
     anywhere = unit._replace(step=unit.step._replace(label=""), tickets=None)
     if not could_hold(anywhere, hosts):
         return HOSTS_CLOSED
--- a/tests/test_wait_reasons.py
+++ b/tests/test_wait_reasons.py
@@ -98,6 +98,11 @@
     assert reason_of([host("a"), full], labelled) is None
 
 
+def test_refused_starts_are_a_reason():
+    paused = waiting(paused_hosts=frozenset("a"))
+    assert reason_of([host("a")], paused) == reasons.STARTS_REFUSED
+
+
 def test_tickets():
     assert reason_of([host("a")], waiting(tickets={})) == reasons.NO_TICKET
     hosts = [host("a"), host("b")]
