Failing test: an order to one life of a worker is carried out by the next

The stand-in's worker always came back under a new id, so that nothing had ever seen the same id twice; it now can. Its runs are kept by task and run: a second run of a task replaced the first one.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -451,6 +451,7 @@
         speed_error = self._statistics.speed_error(machine, clock.elapsed())
         log = logger.bind(task=str(task), run=run, host=placement.host)
         log = log.bind(life=placement.lifetime.worker_id, term=self._term)
+        log = log.bind(born=placement.lifetime.started_ms)
         log = log.bind(expected=round(placement.expected_seconds, 2))
         log = log.bind(speed=round(speed, 2), speed_error=round(speed_error, 2))
         step = self._step_of(task)
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -196,7 +196,8 @@
             token = newest_token(token, reported_token)
         draft.set_task(task, state._replace(host="", lifetime=Lifetime(), token=token))
         log = logger.bind(task=str(task), run=state.run, host=state.host)
-        log.bind(life=state.lifetime.worker_id, reason=reason).warning("run lost")
+        log = log.bind(life=state.lifetime.worker_id, born=state.lifetime.started_ms)
+        log.bind(reason=reason).warning("run lost")
 
     def _settle_recorded_ends(self, job: JobGraph, draft: ProgressDraft) -> None:
         """Take over ends that were recorded while progress could not be."""
--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -100,6 +100,8 @@
             if key in self.orders or key in self._in_flight or key in self._stopped_at:
                 continue
             if self.term:
+                log = logger.bind(task=key[0], run=key[1], term=self.term)
+                log.bind(life=self.worker_id).warning("unordered run found")
                 self._spawn_call(self._stop, key)
 
     def _is_missing(self, key: tuple[str, int]) -> bool:
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -155,6 +155,10 @@
         if outcome.is_err():
             return False
         status = outcome.unwrap()
+        if status.lifetime != expected:
+            log = logger.bind(worker=expected.worker_id, expected=expected.started_ms)
+            log.bind(born=status.lifetime.started_ms).warning("another life answered")
+            self.metrics.count("other_life_answers_total")
         self._status = status
         if previous is None or previous.lifetime != status.lifetime:
             self._start_lifetime(status.lifetime)
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -33,7 +33,12 @@
     at: float
     task: str
     run: int
-    worker_id: str
+    lifetime: Lifetime
+
+    @property
+    def worker_id(self) -> str:
+        """Identity of the worker, which a later lifetime may have again."""
+        return self.lifetime.worker_id
 
 
 class EndRecord(NamedTuple):
@@ -43,30 +48,35 @@
     task: str
     run: int
     outcome: str
-    worker_id: str
+    lifetime: Lifetime
+
+    @property
+    def worker_id(self) -> str:
+        """Identity of the worker, which a later lifetime may have again."""
+        return self.lifetime.worker_id
 
 
 class History:
     """Starts and ends of runs on all workers, in order.
 
-    ``acknowledged`` holds the task, run and worker ID of every acknowledged end.
+    ``acknowledged`` holds the task, run and lifetime of every acknowledged end.
     """
 
     def __init__(self) -> None:
         self.starts: list[StartRecord] = []
         self.ends: list[EndRecord] = []
-        self.acknowledged: set[tuple[str, int, str]] = set()
+        self.acknowledged: set[tuple[str, int, Lifetime]] = set()
 
     def intervals(self, task: str) -> list[tuple[float, float]]:
         """Return the start and end times of a task's runs.
 
         A run that has not ended has an infinite end time.
         """
-        ends = {(e.task, e.run, e.worker_id): e.at for e in self.ends}
+        ends = {(e.task, e.run, e.lifetime): e.at for e in self.ends}
         intervals = []
         for start in self.starts:
             if start.task == task:
-                key = (task, start.run, start.worker_id)
+                key = (task, start.run, start.lifetime)
                 intervals.append((start.at, ends.get(key, float("inf"))))
         return intervals
 
@@ -106,12 +116,13 @@
         self.rack = "rack-1"
         self.poll_count = 0
         self._lifetime_count = 0
+        self._worker_id = ""
         self.restart()
 
     @property
     def lifetime(self) -> Lifetime:
         """The current lifetime."""
-        return Lifetime(f"{self.name}-{self._lifetime_count}", self._lifetime_count)
+        return Lifetime(self._worker_id, self._lifetime_count)
 
     def info(self) -> WorkerInfo:
         """Return the worker's description in its heartbeats."""
@@ -126,14 +137,16 @@
             self.leaving_seconds or 0.0,
         )
 
-    def restart(self) -> None:
+    def restart(self, same_id: bool = False) -> None:
         """Crash and start a new lifetime without any earlier state."""
         if self._lifetime_count:
             for run in list(self._runs.values()):
                 self._record_end(run, "crashed")
         self._lifetime_count += 1
+        if not same_id:
+            self._worker_id = f"{self.name}-{self._lifetime_count}"
         self._started_at = clock.now()
-        self._runs: dict[str, _Run] = {}
+        self._runs: dict[tuple[str, int], _Run] = {}
         self._highest_term = 0
         self._lease_ms = 0
         self._ends: list[EndReport] = []
@@ -150,7 +163,7 @@
     @property
     def running(self) -> frozenset[str]:
         """The tasks that run now."""
-        return frozenset(self._runs)
+        return frozenset(task for task, _ in self._runs)
 
     @property
     def can_start(self) -> bool:
@@ -178,7 +191,7 @@
         self._lease_ms = max(self._lease_ms, min(lease_ms, latest_ms))
 
     def _end(self, run: _Run, outcome: str) -> None:
-        self._runs.pop(run.task, None)
+        self._runs.pop((run.task, run.run), None)
         self._end_count += 1
         self._ends.append(EndReport(self._end_count, run.task, run.run, outcome, ""))
         self._record_end(run, outcome)
@@ -186,8 +199,7 @@
         ended.send(None)
 
     def _record_end(self, run: _Run, outcome: str) -> None:
-        worker_id = self.lifetime.worker_id
-        end = EndRecord(clock.now(), run.task, run.run, outcome, worker_id)
+        end = EndRecord(clock.now(), run.task, run.run, outcome, self.lifetime)
         self.history.ends.append(end)
 
     def status(self) -> WorkerStatus:
@@ -213,7 +225,7 @@
         self._extend_leases(lease_ms)
         for end in self._ends:
             if end.number <= ack:
-                key = (end.task, end.run, self.lifetime.worker_id)
+                key = (end.task, end.run, self.lifetime)
                 self.history.acknowledged.add(key)
         self._ends = [end for end in self._ends if end.number > ack]
         if not self._ends and wait:
@@ -235,8 +247,7 @@
         if term < self._highest_term:
             return Err(WorkerError("fence", False, fenced=True))
         self._highest_term = term
-        active = self._runs.get(task)
-        if active is not None and active.run == run:
+        if (task, run) in self._runs:
             return Ok(None)
         if run <= self._highest_run.get(task, 0):
             return Err(WorkerError(ALREADY_RAN, False))
@@ -244,9 +255,8 @@
             return Err(WorkerError("late", False))
         self._extend_leases(lease_ms)
         self._highest_run[task] = run
-        self._runs[task] = _Run(task, run, self.seconds_of(order.payload))
-        start = StartRecord(clock.now(), task, run, self.lifetime.worker_id)
-        self.history.starts.append(start)
+        self._runs[(task, run)] = _Run(task, run, self.seconds_of(order.payload))
+        self.history.starts.append(StartRecord(clock.now(), task, run, self.lifetime))
         return Ok(None)
 
     def stop(
@@ -258,13 +268,13 @@
         if term < self._highest_term:
             return Err(WorkerError("fence", False, fenced=True))
         self._highest_run[task] = max(run, self._highest_run.get(task, 0))
-        active = self._runs.get(task)
-        if active is not None and active.run == run:
+        active = self._runs.get((task, run))
+        if active is not None:
             eventlet.spawn_after(STOP_DELAY_SECONDS, self._finish_stop, active)
         return Ok(None)
 
     def _finish_stop(self, run: _Run) -> None:
-        if self._runs.get(run.task) is run:
+        if self._runs.get((run.task, run.run)) is run:
             self._end(run, "stopped")
 
     def link(self, process: MemoryProcess) -> "WorkerLink":
--- a/tests/run_checks.py
+++ b/tests/run_checks.py
@@ -14,7 +14,7 @@
             assert later[0] >= earlier[1], f"runs of {task} overlap: {intervals}"
         completions = []
         for end in history.ends:
-            acked = (end.task, end.run, end.worker_id) in history.acknowledged
+            acked = (end.task, end.run, end.lifetime) in history.acknowledged
             if end.task == task and end.outcome == "done" and (acked or not crashes):
                 completions.append(end.at)
         starts = [start.at for start in history.starts if start.task == task]
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -34,13 +34,14 @@
     start = worker.start
 
     def fail(run):
-        if worker._runs.get(run.task) is run:
+        if worker._runs.get((run.task, run.run)) is run:
             worker._end(run, "failed")
 
     def start_and_fail(worker_id, order, term, lease_ms):
         outcome = start(worker_id, order, term, lease_ms)
-        if order.task.partition(".")[0] in jobs and order.task in worker._runs:
-            eventlet.spawn_after(POISON_SECONDS, fail, worker._runs[order.task])
+        run = worker._runs.get((order.task, order.run))
+        if order.task.partition(".")[0] in jobs and run is not None:
+            eventlet.spawn_after(POISON_SECONDS, fail, run)
         return outcome
 
     worker.start = start_and_fail
--- a/tests/test_run_checks.py
+++ b/tests/test_run_checks.py
@@ -1,5 +1,6 @@
 import pytest
 
+from sequoiachute.protocol.workload import Lifetime
 from standins.task_worker import EndRecord, History, StartRecord
 from tests.run_checks import assert_no_duplicate_runs, assert_run_numbers_increase
 
@@ -13,11 +14,11 @@
 
 
 def start(at, run, worker="w-1"):
-    return StartRecord(at, "t.0.0.0", run, worker)
+    return StartRecord(at, "t.0.0.0", run, Lifetime(worker, 1))
 
 
 def end(at, run, outcome="done", worker="w-1"):
-    return EndRecord(at, "t.0.0.0", run, outcome, worker)
+    return EndRecord(at, "t.0.0.0", run, outcome, Lifetime(worker, 1))
 
 
 @pytest.mark.parametrize(
@@ -40,7 +41,7 @@
     with pytest.raises(AssertionError):
         assert_no_duplicate_runs(history)
     assert_no_duplicate_runs(history, crashes=True)
-    history.acknowledged.add(("t.0.0.0", 1, "w-1"))
+    history.acknowledged.add(("t.0.0.0", 1, Lifetime("w-1", 1)))
     with pytest.raises(AssertionError):
         assert_no_duplicate_runs(history, crashes=True)
 
--- /dev/null
+++ b/tests/test_worker_lives.py
@@ -0,0 +1,35 @@
+"""Workers that start again under the id that they had."""
+
+import pytest
+
+from standins.control_site import ControlSite
+from tests.control_checks import accepted, complete
+
+pytestmark = pytest.mark.usefixtures("paused_clock")
+
+CRASH_AFTER_SECONDS = 0.3  # while the start is still repeated
+
+
+def crash_under_unanswered_starts(late_seconds, count, workers=2, **step):
+    """Let starts go unanswered to a worker that begins a new life meanwhile.
+
+    The starts to all workers are carried out ``late_seconds`` later.
+    """
+    site = ControlSite(workers=workers)
+    for worker in site.workers:
+        worker.late_seconds = late_seconds
+    job = accepted(site, 20.0, count=count, **step)
+    site.run_for(CRASH_AFTER_SECONDS)
+    for worker in site.workers:
+        worker.late_seconds = 0.0
+        worker.restart(same_id=True)
+    return site, job
+
+
+@pytest.mark.parametrize("late_seconds", [0.6, 1.0, 2.0, 4.0, 6.0, 12.0])
+@pytest.mark.parametrize(
+    "step", [{"count": 1}, {"count": 4, "gang": True}, {"count": 6}]
+)
+def test_start_to_an_earlier_life_runs_beside_no_other_run(late_seconds, step):
+    site, job = crash_under_unanswered_starts(late_seconds, **step)
+    complete(site, [job], 50)
