Let no order to one life of a worker take effect beside a run of the next

Cause: calls to a worker named its id and carried the placer's term as fencing token. A worker may start again under its id; it has then seen no token, and a start without an answer may be carried out seconds later. The new life took the start, while a report of another life was enough to record the run as lost and to place the task anew; the agent repeated the start by the id as well.

Change: the fencing token is the start of the life plus the term, so that the token of a later life is higher under any term that may follow. The agent calls a life, not an id, and expects the newest one that it knows from heartbeats or answers. A run is lost with its life only once a later one has answered under its own token and does not list it; one that is listed began before that poll and is recorded as a run of the new life, where it holds its room until it has ended.

A poll answered by another life than it was meant for does not count as fenced, and the next one expects the life that answered: a second restart between two heartbeats made the agent poll without a pause.

--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -41,7 +41,8 @@
     worker's clock came in. The worker of ``reserved_lifetime`` waits for its upkeep
     and gets only tasks that have waited too long; for that of ``upkeep_lifetime`` it
     has been ordered. ``checkpoint_tokens`` holds the newest token of each run placed
-    here and outlasts the lifetime that ran it.
+    here and outlasts the lifetime that ran it. ``left_lifetime`` is the last one that
+    has announced its end.
     """
 
     def __init__(self, host: str) -> None:
@@ -50,6 +51,7 @@
         self.sequence = -1
         self.worker: WorkerInfo | None = None
         self.ended_lifetimes: set[Lifetime] = set()
+        self.left_lifetime: Lifetime | None = None
         self.reported_at = float("-inf")
         self.is_fenced = False
         self.worker_clock_ms = 0
@@ -115,6 +117,7 @@
         self.sequence = report.sequence
         self.reported_at = clock.elapsed()
         if report.ended_lifetime is not None:
+            self.left_lifetime = report.ended_lifetime
             self.ended_lifetimes.add(report.ended_lifetime)
         self._apply_worker(report.worker)
         self.is_fenced = report.term == term and report.worker is not None
@@ -129,6 +132,11 @@
         self.settled = report.settled
         return self._decision_inputs() != before
 
+    def lists(self, task: TaskId, run: int) -> bool:
+        """Return whether the worker lists a run as present or ended."""
+        key = (str(task), run)
+        return key in self.runs or any((end.task, end.run) == key for end in self.ends)
+
     def _decision_inputs(self) -> tuple:
         worker = self.worker
         leaving = worker is not None and worker.leaving
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -85,6 +85,7 @@
         Jobs that have reached their final state get orders to stop their runs.
         """
         for session in self._agents.sessions.values():
+            self._adopt_late_starts(session, draft)
             self._settle_ends(session, draft)
             self._settle_refused_starts(session, draft)
             self._settle_ended_lifetimes(session, draft)
@@ -159,15 +160,32 @@
             log = logger.bind(task=start.task, run=start.run, host=session.host)
             log.bind(reason=start.reason).info("run never started")
 
+    def _adopt_late_starts(self, session: Session, draft: ProgressDraft) -> None:
+        """Move a run to the later lifetime that has carried out its start."""
+        if not session.is_fenced:
+            return
+        for task, state in list(self._ledger.tasks_on_host(session.host).items()):
+            if state.lifetime == session.lifetime or not session.lists(task, state.run):
+                continue
+            draft.set_task(task, state._replace(lifetime=session.lifetime))
+            log = logger.bind(task=str(task), run=state.run, host=session.host)
+            log = log.bind(life=session.lifetime.worker_id)
+            log = log.bind(born=session.lifetime.started_ms)
+            log = log.bind(ordered=state.lifetime.started_ms)
+            log.warning("run began in a later life")
+
     def _settle_ended_lifetimes(self, session: Session, draft: ProgressDraft) -> None:
+        """Draft the loss of the runs of lifetimes that are certainly over.
+
+        A later lifetime can carry out a start to an earlier one until it has seen a
+        fencing token of its own; what it then does not list, it never starts.
+        """
         for task in list(self._ledger.tasks_on_host(session.host)):
             state = draft.task(task)
             if state.host != session.host:
                 continue
-            ended = state.lifetime in session.ended_lifetimes
-            if session.worker is not None and state.lifetime != session.lifetime:
-                ended = True
-            if ended:
+            is_superseded = session.is_fenced and state.lifetime != session.lifetime
+            if is_superseded or state.lifetime == session.left_lifetime:
                 self._draft_loss(task, state, session, draft, "lifetime over")
 
     def _settle_expired_leases(self, host: str, draft: ProgressDraft) -> None:
--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -8,6 +8,7 @@
 from sequoiachute import clock
 from sequoiachute.errors import describe_failure
 from sequoiachute.protocol.supervision import WITHDRAWN, RunOrder, SettledStart
+from sequoiachute.protocol.workload import Lifetime
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.transport.worker import ALREADY_RAN, TaskWorker, WorkerStatus
 
@@ -41,13 +42,15 @@
         self._started: set[tuple[str, int]] = set()
         self._stopped_at: dict[tuple[str, int], float] = {}
         self._in_flight: set[tuple[str, int]] = set()
-        self.worker_id = ""
+        self.lifetime = Lifetime()
         self.term = 0
         self.lease_ms = 0
         self.may_start = True
 
-    def reset(self) -> None:
-        """Clear all state of the worker's previous lifetime."""
+    def begin_lifetime(self, lifetime: Lifetime) -> None:
+        """Call the worker in ``lifetime`` from now on, without any earlier state."""
+        self.lifetime = lifetime
+        self.lease_ms = 0
         self.orders.clear()
         self.settled.clear()
         self._present.clear()
@@ -101,7 +104,7 @@
                 continue
             if self.term:
                 log = logger.bind(task=key[0], run=key[1], term=self.term)
-                log.bind(life=self.worker_id).warning("unordered run found")
+                log.bind(life=self.lifetime.worker_id).warning("unordered run found")
                 self._spawn_call(self._stop, key)
 
     def _is_missing(self, key: tuple[str, int]) -> bool:
@@ -125,11 +128,11 @@
         self.reconcile()
 
     def _start(self, key: tuple[str, int]) -> None:
-        worker_id = self.worker_id
+        lifetime = self.lifetime
         may_exist = False
         while True:
             order = self.orders.get(key)
-            if order is None or order.stop or worker_id != self.worker_id:
+            if order is None or order.stop or lifetime != self.lifetime:
                 return
             if not self.may_start:
                 if may_exist:
@@ -140,9 +143,11 @@
             if not self.lease_ms:
                 clock.sleep(CALL_RETRY_SECONDS)
                 continue
-            outcome = self._worker.start(worker_id, order, self.term, self.lease_ms)
+            outcome = self._worker.start(lifetime, order, self.term, self.lease_ms)
             label = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
             self._metrics.count("orders_total", kind="start", outcome=label)
+            if lifetime != self.lifetime:
+                return
             if outcome.is_ok():
                 self._started.add(key)
                 logger.bind(task=key[0], run=key[1], term=self.term).info("started")
@@ -160,11 +165,13 @@
             clock.sleep(CALL_RETRY_SECONDS)
 
     def _stop(self, key: tuple[str, int]) -> None:
-        worker_id = self.worker_id
-        while worker_id == self.worker_id:
-            outcome = self._worker.stop(worker_id, key[0], key[1], self.term)
+        lifetime = self.lifetime
+        while lifetime == self.lifetime:
+            outcome = self._worker.stop(lifetime, key[0], key[1], self.term)
             label = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
             self._metrics.count("orders_total", kind="stop", outcome=label)
+            if lifetime != self.lifetime:
+                return
             if outcome.is_ok():
                 self._stopped_at[key] = clock.now()
                 logger.bind(task=key[0], run=key[1], term=self.term).info("stop asked")
@@ -176,5 +183,5 @@
     def _settle(self, key: tuple[str, int], reason: str) -> None:
         self.settled[key] = SettledStart(key[0], key[1], reason)
         log = logger.bind(task=key[0], run=key[1], term=self.term, reason=reason)
-        log.bind(life=self.worker_id).info("start settled: it never ran")
+        log.bind(life=self.lifetime.worker_id).info("start settled: it never ran")
         self._on_settled()
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -132,36 +132,46 @@
             if not self._poll_once() or self._status.ends:
                 clock.sleep(POLL_RETRY_SECONDS)
 
+    def _newest_lifetime(self) -> Lifetime | None:
+        """Return the worker's newest lifetime known from its heartbeats and answers."""
+        if self._heartbeat is None:
+            return None
+        announced = self._heartbeat.info.lifetime
+        answered = self._status.lifetime if self._status is not None else announced
+        is_newer = answered.started_ms > announced.started_ms
+        is_same_worker = answered.worker_id == announced.worker_id
+        return answered if is_newer and is_same_worker else announced
+
     def _poll_once(self) -> bool:
-        heartbeat = self._heartbeat
-        if heartbeat is None:
+        """Poll the worker; return whether the next poll may follow at once."""
+        expected = self._newest_lifetime()
+        if expected is None:
             return False
         polled_at = clock.now()
         term = self._term
         previous = self._status
-        is_same_lifetime = (
-            previous is not None and previous.lifetime == heartbeat.info.lifetime
-        )
-        lease_ms, ack = (
-            (self._reconciler.lease_ms, self._ack) if is_same_lifetime else (0, 0)
-        )
+        is_same_lifetime = previous is not None and previous.lifetime == expected
+        lease_ms = self._reconciler.lease_ms if is_same_lifetime else 0
+        ack = self._ack if is_same_lifetime else 0
         # The placer orders nothing before the worker has answered under its term.
         is_fenced = is_same_lifetime and term == self._fenced_term
         wait = POLL_WAIT_SECONDS if is_fenced else 0.0
-        expected = heartbeat.info.lifetime
         outcome = self._worker.poll(expected, term, lease_ms, ack, wait)
         label = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
         self.metrics.count("looks_total", outcome=label)
         if outcome.is_err():
             return False
         status = outcome.unwrap()
+        previous = self._status
+        self._status = status
+        if previous is None or previous.lifetime != status.lifetime:
+            self._start_lifetime(status.lifetime)
         if status.lifetime != expected:
+            # The call was meant for an earlier lifetime, and so was its fencing token.
             log = logger.bind(worker=expected.worker_id, expected=expected.started_ms)
             log.bind(born=status.lifetime.started_ms).warning("another life answered")
             self.metrics.count("other_life_answers_total")
-        self._status = status
-        if previous is None or previous.lifetime != status.lifetime:
-            self._start_lifetime(status.lifetime)
+            return self._newest_lifetime() == status.lifetime
         self._fenced_term = max(self._fenced_term, term)
         ends_changed = previous is None or previous.ends != status.ends
         present = {(run.task, run.run) for run in status.runs}
@@ -176,11 +186,11 @@
 
     def _adjust_pace(self, status: WorkerStatus) -> None:
         """Set the pace of filling tasks by the latency of serving ones."""
-        worker_id = status.lifetime.worker_id
+        lifetime = status.lifetime
         for task, run, percent in self._pacer.pending_changes(
             status.runs, self._reconciler.orders
         ):
-            outcome = self._worker.pace(worker_id, task, run, percent, self._term)
+            outcome = self._worker.pace(lifetime, task, run, percent, self._term)
             if outcome.is_ok():
                 self._pacer.acknowledge(task, run, percent)
                 logger.bind(task=task, run=run, percent=percent).info("paced")
@@ -189,9 +199,7 @@
         logger.bind(worker=lifetime.worker_id, born=lifetime.started_ms).info(
             "worker's lifetime"
         )
-        self._reconciler.reset()
-        self._reconciler.worker_id = lifetime.worker_id
-        self._reconciler.lease_ms = 0
+        self._reconciler.begin_lifetime(lifetime)
         self._fenced_term = 0
         self._ack = 0
         self._version = 0
--- a/src/sequoiachute/platform/worker.py
+++ b/src/sequoiachute/platform/worker.py
@@ -19,6 +19,7 @@
     UNHEALTHY,
     WorkerError,
     WorkerStatus,
+    fencing_token,
 )
 
 POLL_TIMEOUT_SECONDS = 0.5  # beyond the requested wait
@@ -38,15 +39,13 @@
     ) -> Result[WorkerStatus, WorkerError]:
         """Renew the run leases, acknowledge ends and return the worker's status."""
         body: dict[str, Any] = {
-            "fence": term,
+            "fence": fencing_token(lifetime, term),
             "ack_cursor": ack,
             "wait_ms": int(wait * 1000),
         }
         if lease_ms:
             body["due_ms"] = lease_ms
-        outcome = self._call(
-            self._poll_client, "/v1/hold", lifetime.worker_id, body, wait
-        )
+        outcome = self._call(self._poll_client, "/v1/hold", lifetime, body, wait)
         if outcome.is_err():
             return outcome
         response = outcome.unwrap()
@@ -57,7 +56,7 @@
             return Err(WorkerError(reason, None))
 
     def start(
-        self, worker_id: str, order: RunOrder, term: int, lease_ms: int
+        self, lifetime: Lifetime, order: RunOrder, term: int, lease_ms: int
     ) -> Result[None, WorkerError]:
         """Start a run; repeating the call has no effect."""
         body = {
@@ -65,45 +64,47 @@
             "run": order.run,
             "spec": order.payload,
             "due_ms": lease_ms,
-            "fence": term,
+            "fence": fencing_token(lifetime, term),
         }
         if order.token:
             body["checkpoint_token"] = order.token
         if order.ticket:
             body["ticket"] = order.ticket
-        return self._send_order("/v1/run-start", worker_id, body)
+        return self._send_order("/v1/run-start", lifetime, body)
 
     def stop(
-        self, worker_id: str, task: str, run: int, term: int
+        self, lifetime: Lifetime, task: str, run: int, term: int
     ) -> Result[None, WorkerError]:
         """Stop a run; after success, a run not started yet never will be."""
-        body = {"task": task, "run": run, "fence": term}
-        return self._send_order("/v1/run-stop", worker_id, body)
+        fence = fencing_token(lifetime, term)
+        body = {"task": task, "run": run, "fence": fence}
+        return self._send_order("/v1/run-stop", lifetime, body)
 
     def pace(
-        self, worker_id: str, task: str, run: int, percent: int, term: int
+        self, lifetime: Lifetime, task: str, run: int, percent: int, term: int
     ) -> Result[None, WorkerError]:
         """Limit a run to ``percent`` of its speed."""
-        body = {"task": task, "run": run, "percent": percent, "fence": term}
-        return self._send_order("/v1/pace", worker_id, body)
+        fence = fencing_token(lifetime, term)
+        body = {"task": task, "run": run, "percent": percent, "fence": fence}
+        return self._send_order("/v1/pace", lifetime, body)
 
     def _send_order(
-        self, path: str, worker_id: str, body: dict[str, Any]
+        self, path: str, lifetime: Lifetime, body: dict[str, Any]
     ) -> Result[None, WorkerError]:
-        outcome = self._call(self._order_client, path, worker_id, body, 0.0)
+        outcome = self._call(self._order_client, path, lifetime, body, 0.0)
         return outcome if outcome.is_err() else Ok(None)
 
     def _call(
         self,
         client: HttpClient,
         path: str,
-        worker_id: str,
+        lifetime: Lifetime,
         body: dict[str, Any],
         wait: float,
     ) -> Result[HttpResponse, WorkerError]:
         headers = json_headers()
-        if worker_id:
-            headers["X-Expect-Worker"] = worker_id
+        if lifetime.worker_id:
+            headers["X-Expect-Worker"] = lifetime.worker_id
         timeout = wait + POLL_TIMEOUT_SECONDS if wait else ORDER_TIMEOUT_SECONDS
         data = msgspec.json.encode(body)
         response = client.call("POST", path, timeout, data, headers)
--- a/src/sequoiachute/transport/worker.py
+++ b/src/sequoiachute/transport/worker.py
@@ -38,8 +38,21 @@
     ends: tuple[EndReport, ...]
 
 
+def fencing_token(lifetime: Lifetime, term: int) -> int:
+    """Return the fencing token of calls to one lifetime of a worker under a term.
+
+    A worker that starts again has seen no token, and calls to its earlier lifetime
+    may be carried out seconds later. The token increases with the lifetime as well as
+    with the term, so that they are refused once the new lifetime has answered.
+    """
+    return lifetime.started_ms + term
+
+
 class TaskWorker(Protocol):
-    """The worker on an agent's host; every call is fenced by a term."""
+    """The worker on an agent's host.
+
+    Every call is meant for one lifetime and carries its ``fencing_token``.
+    """
 
     def poll(
         self, lifetime: Lifetime, term: int, lease_ms: int, ack: int, wait: float
@@ -59,19 +72,19 @@
         ...
 
     def start(
-        self, worker_id: str, order: RunOrder, term: int, lease_ms: int
+        self, lifetime: Lifetime, order: RunOrder, term: int, lease_ms: int
     ) -> Result[None, WorkerError]:
         """Start a run; repeating the call has no effect."""
         ...
 
     def stop(
-        self, worker_id: str, task: str, run: int, term: int
+        self, lifetime: Lifetime, task: str, run: int, term: int
     ) -> Result[None, WorkerError]:
         """Stop a run; after success, a run not started yet never will be."""
         ...
 
     def pace(
-        self, worker_id: str, task: str, run: int, percent: int, term: int
+        self, lifetime: Lifetime, task: str, run: int, percent: int, term: int
     ) -> Result[None, WorkerError]:
         """Limit a run to ``percent`` of its speed."""
         ...
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -19,6 +19,7 @@
     UNHEALTHY,
     WorkerError,
     WorkerStatus,
+    fencing_token,
 )
 from standins.memory import MemoryProcess
 
@@ -147,7 +148,7 @@
             self._worker_id = f"{self.name}-{self._lifetime_count}"
         self._started_at = clock.now()
         self._runs: dict[tuple[str, int], _Run] = {}
-        self._highest_term = 0
+        self._highest_fence = 0
         self._lease_ms = 0
         self._ends: list[EndReport] = []
         self._highest_run: dict[str, int] = {}
@@ -219,9 +220,10 @@
         self.poll_count += 1
         if lifetime.worker_id != self.lifetime.worker_id:
             return Err(WorkerError("other lifetime", False))
-        if term < self._highest_term:
+        fence = fencing_token(lifetime, term)
+        if fence < self._highest_fence:
             return Err(WorkerError("fence", False, fenced=True))
-        self._highest_term = term
+        self._highest_fence = fence
         self._extend_leases(lease_ms)
         for end in self._ends:
             if end.number <= ack:
@@ -235,18 +237,19 @@
         return Ok(self.status())
 
     def start(
-        self, worker_id: str, order: RunOrder, term: int, lease_ms: int
+        self, lifetime: Lifetime, order: RunOrder, term: int, lease_ms: int
     ) -> Result[None, WorkerError]:
         """Start a run, unless it is fenced or has been started before."""
         task, run = order.task, order.run
-        if worker_id != self.lifetime.worker_id:
+        if lifetime.worker_id != self.lifetime.worker_id:
             return Err(WorkerError("other lifetime", False))
         if self.refuses_starts:
             self.refused_starts += 1
             return Err(WorkerError(UNHEALTHY, False))
-        if term < self._highest_term:
+        fence = fencing_token(lifetime, term)
+        if fence < self._highest_fence:
             return Err(WorkerError("fence", False, fenced=True))
-        self._highest_term = term
+        self._highest_fence = fence
         if (task, run) in self._runs:
             return Ok(None)
         if run <= self._highest_run.get(task, 0):
@@ -260,13 +263,15 @@
         return Ok(None)
 
     def stop(
-        self, worker_id: str, task: str, run: int, term: int
+        self, lifetime: Lifetime, task: str, run: int, term: int
     ) -> Result[None, WorkerError]:
         """Stop a run after ``STOP_DELAY_SECONDS`` and rule out a later start."""
-        if worker_id != self.lifetime.worker_id:
+        if lifetime.worker_id != self.lifetime.worker_id:
             return Err(WorkerError("other lifetime", False))
-        if term < self._highest_term:
+        fence = fencing_token(lifetime, term)
+        if fence < self._highest_fence:
             return Err(WorkerError("fence", False, fenced=True))
+        self._highest_fence = fence
         self._highest_run[task] = max(run, self._highest_run.get(task, 0))
         active = self._runs.get((task, run))
         if active is not None:
@@ -297,22 +302,23 @@
         if self._worker.silent:
             clock.sleep(wait + CALL_TIMEOUT_SECONDS)
             return Err(WorkerError("no answer", None))
+        clock.sleep(0.001)
         outcome = self._worker.poll(lifetime, term, lease_ms, ack, wait)
         self._process.apply_faults()
         return outcome
 
     def start(
-        self, worker_id: str, order: RunOrder, term: int, lease_ms: int
+        self, lifetime: Lifetime, order: RunOrder, term: int, lease_ms: int
     ) -> Result[None, WorkerError]:
         """Start a run."""
         start = self._worker.start
-        return self._order(lambda: start(worker_id, order, term, lease_ms))
+        return self._order(lambda: start(lifetime, order, term, lease_ms))
 
     def stop(
-        self, worker_id: str, task: str, run: int, term: int
+        self, lifetime: Lifetime, task: str, run: int, term: int
     ) -> Result[None, WorkerError]:
         """Stop a run."""
-        return self._order(lambda: self._worker.stop(worker_id, task, run, term))
+        return self._order(lambda: self._worker.stop(lifetime, task, run, term))
 
     def _order(self, operation: object) -> Result[None, WorkerError]:
         self._process.apply_faults()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -37,8 +37,8 @@
         if worker._runs.get((run.task, run.run)) is run:
             worker._end(run, "failed")
 
-    def start_and_fail(worker_id, order, term, lease_ms):
-        outcome = start(worker_id, order, term, lease_ms)
+    def start_and_fail(lifetime, order, term, lease_ms):
+        outcome = start(lifetime, order, term, lease_ms)
         run = worker._runs.get((order.task, order.run))
         if order.task.partition(".")[0] in jobs and run is not None:
             eventlet.spawn_after(POISON_SECONDS, fail, run)
--- a/tests/test_last_attempts.py
+++ b/tests/test_last_attempts.py
@@ -66,8 +66,8 @@
     def fail_starts(worker):
         start = worker.start
 
-        def start_and_fail(worker_id, order, term, lease_ms):
-            outcome = start(worker_id, order, term, lease_ms)
+        def start_and_fail(lifetime, order, term, lease_ms):
+            outcome = start(lifetime, order, term, lease_ms)
             if worker is unsound or (own_faults and own_faults.pop()):
                 run = worker._runs[(order.task, order.run)]
                 eventlet.spawn_after(0.1, worker._end, run, "failed")
--- a/tests/test_starts_refused.py
+++ b/tests/test_starts_refused.py
@@ -27,7 +27,7 @@
     """Let a worker refuse every start; return the list of refused tasks."""
     refused = []
 
-    def start(worker_id, order, term, lease_ms):
+    def start(lifetime, order, term, lease_ms):
         refused.append(order.task)
         return Err(WorkerError(reason, False))
 
@@ -62,7 +62,7 @@
     site = ControlSite(workers=4, gpus=4)
     asked = []
 
-    def start(worker_id, order, term, lease_ms):
+    def start(lifetime, order, term, lease_ms):
         asked.append(order.run)
         if len(asked) % 2:
             return Err(WorkerError("no answer", None))
@@ -81,10 +81,10 @@
     start = worker.start
     large = []
 
-    def start_if_small(worker_id, order, term, lease_ms):
+    def start_if_small(lifetime, order, term, lease_ms):
         if order.task.partition(".")[0] in large:
             return Err(WorkerError("room", False))
-        return start(worker_id, order, term, lease_ms)
+        return start(lifetime, order, term, lease_ms)
 
     worker.start = start_if_small
     large.append("f" * 16)
@@ -143,7 +143,7 @@
     """Let starts at a worker never be answered nor carried out; return their times."""
     tries = []
 
-    def start(worker_id, order, term, lease_ms):
+    def start(lifetime, order, term, lease_ms):
         tries.append(clock.now())
         clock.sleep(CALL_TIMEOUT_SECONDS)
         return Err(WorkerError("no answer", None))
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -33,3 +33,40 @@
 def test_start_to_an_earlier_life_runs_beside_no_other_run(late_seconds, step):
     site, job = crash_under_unanswered_starts(late_seconds, **step)
     complete(site, [job], 50)
+
+
+def test_restart_between_two_heartbeats_costs_few_looks():
+    site = ControlSite(workers=1)
+    site.workers[0].restart(same_id=True)
+    site.run_for(0.4)
+    polls = site.workers[0].poll_count
+    site.workers[0].restart(same_id=True)
+    site.run_for(2.0)
+    assert site.workers[0].poll_count - polls <= 10
+
+
+@pytest.mark.parametrize("late_seconds", [0.6, 2.0])
+@pytest.mark.parametrize("disturb", ["placer", "agents"])
+def test_start_to_an_earlier_life_runs_alone_though_others_restart(
+    late_seconds, disturb
+):
+    site, job = crash_under_unanswered_starts(late_seconds, 6)
+    if disturb == "placer":
+        placer = site.placer()
+        site.kill_entry(placer)
+        site.run_for(0.5)
+        site.restart_entry(placer)
+    else:
+        for index in range(len(site.agents)):
+            site.kill_agent(index)
+            site.restart_agent(index)
+    complete(site, [job], 60)
+
+
+def test_run_that_began_in_a_later_life_counts_against_its_room():
+    site, job = crash_under_unanswered_starts(0.5, 4, workers=1)
+    worker = site.workers[0]
+    for _ in range(40):
+        site.run_for(0.05)
+        assert len(worker.status().runs) <= worker.capacity.gpus
+    complete(site, [job], 60)
