Let no late answer or acknowledgement of one life touch another

An answer that is older than what is known of the same worker is ignored, and an acknowledgement is sent only while the worker lists such an end. Both tests failed before.

--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -152,7 +152,7 @@
         previous = self._status
         is_same_lifetime = previous is not None and previous.lifetime == expected
         lease_ms = self._reconciler.lease_ms if is_same_lifetime else 0
-        ack = self._ack if is_same_lifetime else 0
+        ack = self._pending_ack() if is_same_lifetime else 0
         # The placer orders nothing before the worker has answered under its term.
         is_fenced = is_same_lifetime and term == self._fenced_term
         wait = POLL_WAIT_SECONDS if is_fenced else 0.0
@@ -162,6 +162,8 @@
         if outcome.is_err():
             return False
         status = outcome.unwrap()
+        if self._is_overtaken(status):
+            return False
         previous = self._status
         self._status = status
         if previous is None or previous.lifetime != status.lifetime:
@@ -184,6 +186,25 @@
             self._request_report()
         return True
 
+    def _pending_ack(self) -> int:
+        """Return the number to acknowledge, 0 if the worker lists no such end.
+
+        An acknowledgement that comes late could hit ends of another lifetime.
+        """
+        is_pending = any(end.number <= self._ack for end in self._status.ends)
+        return self._ack if is_pending else 0
+
+    def _is_overtaken(self, status: WorkerStatus) -> bool:
+        """Return whether something newer of the same worker has come before."""
+        known = self._newest_lifetime()
+        is_earlier = status.lifetime.started_ms < known.started_ms
+        if is_earlier and status.lifetime.worker_id == known.worker_id:
+            return True
+        newest = self._status
+        if newest is None or newest.lifetime != status.lifetime:
+            return False
+        return status.clock_ms < newest.clock_ms
+
     def _adjust_pace(self, status: WorkerStatus) -> None:
         """Set the pace of filling tasks by the latency of serving ones."""
         lifetime = status.lifetime
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -231,9 +231,11 @@
                 self.history.acknowledged.add(key)
         self._ends = [end for end in self._ends if end.number > ack]
         if not self._ends and wait:
-            ended = self._ended
+            number, ended = self._lifetime_count, self._ended
             with eventlet.Timeout(wait, False):
                 ended.wait()
+            if number != self._lifetime_count:
+                return Err(WorkerError("the worker has crashed", None))
         return Ok(self.status())
 
     def start(
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -122,15 +122,15 @@
     def leave(self, worker, seconds):
         self.site.workers[worker].leaving_seconds = seconds
 
-    @rule(worker=workers)
-    def return_worker(self, worker):
-        self._return_worker(worker)
+    @rule(worker=workers, same_id=st.booleans())
+    def return_worker(self, worker, same_id):
+        self._return_worker(worker, same_id)
 
-    def _return_worker(self, worker):
+    def _return_worker(self, worker, same_id):
         """Let a worker that leaves come back in a new lifetime."""
         if self.site.workers[worker].leaving_seconds is not None:
             self.site.workers[worker].leaving_seconds = None
-            self.site.workers[worker].restart()
+            self.site.workers[worker].restart(same_id)
 
     @in_trouble
     @rule()
@@ -175,12 +175,16 @@
     def freeze_agent(self, worker, frozen):
         self.site.agents[worker].process.frozen = frozen
 
-    @rule(worker=workers)
-    def crash_worker(self, worker):
-        self.site.workers[worker].restart()
+    @rule(worker=workers, same_id=st.booleans())
+    def crash_worker(self, worker, same_id):
+        self.site.workers[worker].restart(same_id)
 
     @in_trouble
-    @rule(worker=workers, late=st.sampled_from([0.0, 0.0, 3.0]), lost=st.booleans())
+    @rule(
+        worker=workers,
+        late=st.sampled_from([0.0, 0.0, 1.0, 3.0, 8.0]),
+        lost=st.booleans(),
+    )
     def disturb_orders(self, worker, late, lost):
         self.site.workers[worker].late_seconds = late
         self.site.workers[worker].lose_replies = lost
@@ -279,7 +283,7 @@
             site.agents[worker].process.frozen = False
             self.disturb_orders(worker, 0.0, False)
             self.restart_agent(worker)
-            self._return_worker(worker)
+            self._return_worker(worker, same_id=False)
             self.fail_runs(worker, False)
             self.refuse_starts(worker, False)
 
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -1,7 +1,9 @@
 """Workers that start again under the id that they had."""
 
+import eventlet
 import pytest
 
+from sequoiachute import clock
 from standins.control_site import ControlSite
 from tests.control_checks import accepted, complete
 
@@ -70,3 +72,45 @@
         site.run_for(0.05)
         assert len(worker.status().runs) <= worker.capacity.gpus
     complete(site, [job], 60)
+
+
+def test_acknowledgement_is_sent_only_while_its_ends_are_listed():
+    site = ControlSite(workers=1)
+    worker = site.workers[0]
+    poll = worker.poll
+    acks = []
+
+    def record_and_poll(lifetime, term, lease_ms, ack, wait):
+        listed = [end.number for end in worker.status().ends]
+        acks.append((ack, listed))
+        return poll(lifetime, term, lease_ms, ack, wait)
+
+    worker.poll = record_and_poll
+    complete(site, [accepted(site, 0.5, count=3)], 10)
+    site.run_for(3)
+    assert any(ack for ack, _ in acks)
+    assert [(ack, listed) for ack, listed in acks if ack and ack not in listed] == []
+
+
+def test_answer_of_an_earlier_life_that_comes_late_is_ignored():
+    site = ControlSite(workers=1)
+    worker, supervisor = site.workers[0], site.agents[0].supervisor
+    poll = worker.poll
+
+    def poll_slowly(*arguments):
+        outcome = poll(*arguments)
+        clock.sleep(2.0)
+        return outcome
+
+    worker.poll = poll_slowly
+    late = eventlet.spawn(supervisor._poll_once)
+    site.run_for(0.002)
+    worker.poll = poll
+    site.run_for(0.5)
+    worker.restart(same_id=True)
+    site.run_for(0.6)
+    job = accepted(site, 3.0)
+    late.wait()
+    assert supervisor._status.lifetime == worker.lifetime
+    complete(site, [job], 5)
+    assert len(site.history.starts) == 1
