Take notices and reports about one life for no other

A worker's DELETE names its id only. One that comes late, when the worker runs again under that id, ended the new life: its runs were recorded as lost while they went on, and their tasks started elsewhere. A report of an agent's earlier process that arrives after one of the next did the same: only reports of one process were ordered.

A notice counts only for a worker that has said that it leaves, and its life is over once nothing answers at its address, or another worker does. A report about a life that a later one has followed is ignored.

--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -112,6 +112,8 @@
         """
         if report.incarnation == self.incarnation and report.sequence < self.sequence:
             return False
+        if report.worker is not None and self._is_over(report.worker.lifetime):
+            return False
         before = self._decision_inputs()
         self.incarnation = report.incarnation
         self.sequence = report.sequence
@@ -132,6 +134,12 @@
         self.settled = report.settled
         return self._decision_inputs() != before
 
+    def _is_over(self, lifetime: Lifetime) -> bool:
+        """Return whether a later lifetime has been reported."""
+        is_earlier = lifetime.started_ms < self.lifetime.started_ms
+        is_same_worker = lifetime.worker_id == self.lifetime.worker_id
+        return (is_earlier and is_same_worker) or lifetime in self.ended_lifetimes
+
     def lists(self, task: TaskId, run: int) -> bool:
         """Return whether the worker lists a run as present or ended."""
         key = (str(task), run)
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -64,6 +64,7 @@
         self._sequence = 0
         self._heartbeat: Heartbeat | None = None
         self._announced_at = 0.0
+        self._departing_lifetime: Lifetime | None = None
         self._ended_lifetime: Lifetime | None = None
         self._status: WorkerStatus | None = None
         self._term = 0
@@ -102,12 +103,24 @@
             self._request_report()
 
     def handle_worker_leave(self, worker_id: str) -> None:
-        """Treat the worker's lifetime as over; ignore any other worker."""
+        """Take note that a worker that leaves is about to end.
+
+        The notice names no lifetime and may come late: the lifetime is over once the
+        worker can't be reached any more.
+        """
         heartbeat = self._heartbeat
         if heartbeat is None or heartbeat.info.lifetime.worker_id != worker_id:
             return
-        self._ended_lifetime = heartbeat.info.lifetime
-        logger.bind(worker=worker_id).info("worker left")
+        logger.bind(worker=worker_id, leaving=heartbeat.info.leaving).info(
+            "worker left"
+        )
+        if heartbeat.info.leaving:
+            self._departing_lifetime = heartbeat.info.lifetime
+
+    def _end_lifetime(self, lifetime: Lifetime) -> None:
+        self._ended_lifetime = lifetime
+        log = logger.bind(worker=lifetime.worker_id, born=lifetime.started_ms)
+        log.info("worker's lifetime ended")
         self._update_may_start()
         self._request_report()
 
@@ -160,6 +173,9 @@
         label = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
         self.metrics.count("looks_total", outcome=label)
         if outcome.is_err():
+            is_gone = outcome.unwrap_err().gone and expected == self._departing_lifetime
+            if is_gone and expected != self._ended_lifetime:
+                self._end_lifetime(expected)
             return False
         status = outcome.unwrap()
         if self._is_overtaken(status):
--- a/src/sequoiachute/platform/worker.py
+++ b/src/sequoiachute/platform/worker.py
@@ -109,10 +109,11 @@
         data = msgspec.json.encode(body)
         response = client.call("POST", path, timeout, data, headers)
         if isinstance(response, HttpFailure):
-            applied = None if response.sent else False
+            is_sent = response.sent
+            applied = None if is_sent else False
             # A failed connection says nothing about the run: as after a fence,
             # the order is not settled but sent again.
-            return Err(WorkerError(response.reason, applied, fenced=not response.sent))
+            return Err(WorkerError(response.reason, applied, not is_sent, not is_sent))
         if response.status == 200:
             return Ok(response)
         return Err(_decode_error(response))
@@ -120,7 +121,7 @@
 
 def _decode_error(response: HttpResponse) -> WorkerError:
     if response.status == 421:
-        return WorkerError(OTHER_LIFETIME, False)
+        return WorkerError(OTHER_LIFETIME, False, gone=True)
     if response.status == 409:
         reason = str(decode_object(response.body).get("reason", "conflict"))
         if reason == "old":
--- a/src/sequoiachute/transport/worker.py
+++ b/src/sequoiachute/transport/worker.py
@@ -18,12 +18,14 @@
     ``reason`` is ``ALREADY_RAN`` if the run to start had been started before.
     ``applied`` is false if the call certainly had no effect, and ``None`` if it
     may have taken effect or may still do so. ``fenced`` is true if the worker
-    has seen a higher term, or could not be reached at all.
+    has seen a higher term, or could not be reached at all. ``gone`` is true if nothing
+    listens at the worker's address, or another worker does.
     """
 
     reason: str
     applied: bool | None
     fenced: bool = False
+    gone: bool = False
 
 
 class WorkerStatus(NamedTuple):
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -25,6 +25,7 @@
 
 STOP_DELAY_SECONDS = 0.1
 CALL_TIMEOUT_SECONDS = 0.4
+NO_CONNECTION = WorkerError("no connection", False, fenced=True, gone=True)
 CLOCK_RATE = 0.98  # a worker's clock may be 2 % slow
 
 
@@ -97,7 +98,7 @@
     orders are carried out but time out; with ``late_seconds`` they time out and
     are carried out that much later. ``fails_runs`` fails every run at once,
     ``refuses_starts`` refuses every start and counts them in ``refused_starts``,
-    ``silent`` answers no call.
+    ``silent`` answers no call, ``gone`` refuses connections and runs nothing.
     """
 
     def __init__(self, name: str, capacity: Resources, history: History) -> None:
@@ -111,6 +112,7 @@
         self.refuses_starts = False
         self.refused_starts = 0
         self.silent = False
+        self.gone = False
         self.max_lease_seconds = 10.0
         self.leaving_seconds: float | None = None
         self.zone = "muc-1"
@@ -170,7 +172,7 @@
     def can_start(self) -> bool:
         """Whether the worker starts what it is asked to."""
         is_leaving = self.leaving_seconds is not None
-        return not (is_leaving or self.refuses_starts or self.silent)
+        return not (is_leaving or self.refuses_starts or self.silent or self.gone)
 
     def used(self) -> Resources:
         """Return the resources in use; each run takes one accelerator."""
@@ -178,6 +180,9 @@
 
     def _run_tasks(self, lifetime_number: int) -> None:
         while lifetime_number == self._lifetime_count:
+            if self.gone:
+                for run in list(self._runs.values()):
+                    self._end(run, "crashed")
             for run in list(self._runs.values()):
                 if self.clock_ms > self._lease_ms:
                     self._end(run, "lapsed")
@@ -305,6 +310,8 @@
             clock.sleep(wait + CALL_TIMEOUT_SECONDS)
             return Err(WorkerError("no answer", None))
         clock.sleep(0.001)
+        if self._worker.gone:
+            return Err(NO_CONNECTION)
         outcome = self._worker.poll(lifetime, term, lease_ms, ack, wait)
         self._process.apply_faults()
         return outcome
@@ -325,6 +332,8 @@
     def _order(self, operation: object) -> Result[None, WorkerError]:
         self._process.apply_faults()
         clock.sleep(0.001)
+        if self._worker.gone:
+            return Err(NO_CONNECTION)
         if self._worker.silent:
             clock.sleep(CALL_TIMEOUT_SECONDS)
             return Err(WorkerError("no answer", None))
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -4,6 +4,9 @@
 import pytest
 
 from sequoiachute import clock
+from sequoiachute.coordination.dispatch.sessions import Session
+from sequoiachute.protocol.supervision import Report, WorkerInfo
+from sequoiachute.protocol.workload import Lifetime, Resources
 from standins.control_site import ControlSite
 from tests.control_checks import accepted, complete
 
@@ -114,3 +117,63 @@
     assert supervisor._status.lifetime == worker.lifetime
     complete(site, [job], 5)
     assert len(site.history.starts) == 1
+
+
+def run_in_second_life():
+    """Return a site whose worker runs a task in its second life under one id."""
+    site = ControlSite(workers=1)
+    site.workers[0].restart(same_id=True)
+    site.run_for(1.0)
+    job = accepted(site, 4.0)
+    site.run_for(0.5)
+    return site, job
+
+
+def test_notice_of_departure_of_an_earlier_life_does_not_end_the_next():
+    site, job = run_in_second_life()
+    worker_id = site.workers[0].lifetime.worker_id
+    site.agents[0].supervisor.handle_worker_leave(worker_id)
+    complete(site, [job], 6)
+    assert len(site.history.starts) == 1
+
+
+def test_notice_of_departure_of_an_earlier_life_does_not_end_one_that_leaves():
+    site, job = run_in_second_life()
+    site.workers[0].leaving_seconds = 20.0
+    site.run_for(1.0)
+    worker_id = site.workers[0].lifetime.worker_id
+    site.agents[0].supervisor.handle_worker_leave(worker_id)
+    complete(site, [job], 6)
+    assert len(site.history.starts) == 1
+
+
+@pytest.mark.parametrize("count", [1, 4])
+def test_runs_of_a_worker_that_has_left_start_elsewhere_at_once(count):
+    site = ControlSite(workers=2)
+    job = accepted(site, 20.0, count=count, gang=True)
+    site.run_for(0.5)
+    first = site.history.starts[0].worker_id
+    index = [w.lifetime.worker_id for w in site.workers].index(first)
+    site.workers[index].leaving_seconds = 20.0
+    site.run_for(1.0)
+    site.workers[index].gone = True
+    site.agents[index].supervisor.handle_worker_leave(first)
+    site.run_for(1.0)
+    assert {start.worker_id for start in site.history.starts} > {first}
+    complete(site, [job], 30)
+
+
+@pytest.mark.parametrize("second_id", ["w", "other"])
+def test_late_report_about_an_earlier_life_is_ignored(second_id):
+    first, second = Lifetime("w", 1), Lifetime(second_id, 2)
+    session = Session("host")
+    session.apply_report(report(first, "old agent"), 1)
+    session.apply_report(report(second, "new agent"), 1)
+    assert not session.apply_report(report(first, "old agent"), 1)
+    assert session.lifetime == second
+    assert second not in session.ended_lifetimes
+
+
+def report(lifetime, incarnation):
+    info = WorkerInfo(lifetime, "render", "muc-1", "rack-1", (), Resources())
+    return Report("host", incarnation, 1, info, None, 1, 1000)
