Start nothing over a capacity that has shrunk, or beside what was not ordered

Beside a run that the placer has not ordered, which is being stopped and still counts, work was started as well.

The order says what the run takes, and the agent, which hears the worker's description first, compares it before each try with what was announced last and with all runs that may be there. A worker that has not described itself for 4 s gets no start. A host that is over its capacity in one resource has room for nothing: a task that takes none of that resource fitted.

Stand-in and state machine shrink and grow workers and check LIMIT at each start.

--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -16,7 +16,13 @@
     SettledStart,
     WorkerInfo,
 )
-from sequoiachute.protocol.workload import Lifetime, Machine, TaskId, parse_task_id
+from sequoiachute.protocol.workload import (
+    Lifetime,
+    Machine,
+    Resources,
+    TaskId,
+    parse_task_id,
+)
 from sequoiachute.state.ledger import Ledger
 
 LEASE_SECONDS = 9.0  # if workers allow as much
@@ -186,6 +192,7 @@
                     stop=stop,
                     target_ms=step.latency_target_ms if step is not None else 0,
                     filling=step is not None and step.filling,
+                    need=step.reserved if step is not None else Resources(),
                 )
             )
         return tuple(orders)
--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -8,11 +8,15 @@
 from sequoiachute import clock
 from sequoiachute.errors import describe_failure
 from sequoiachute.protocol.supervision import WITHDRAWN, RunOrder, SettledStart
-from sequoiachute.protocol.workload import Lifetime
+from sequoiachute.protocol.workload import Lifetime, Resources
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.transport.worker import ALREADY_RAN, TaskWorker, WorkerStatus
 
 CALL_RETRY_SECONDS = 0.05  # between two attempts of an unanswered call
+# A worker describes itself every 0.5 to 1.5 s; its capacity may have shrunk since.
+MAX_ANNOUNCEMENT_AGE_SECONDS = 4.0
+NO_ROOM = "no room"  # reason of a start that the worker's capacity excludes
+NOT_ANNOUNCED = "the worker has not described itself lately"
 
 
 class RunReconciler:
@@ -39,6 +43,7 @@
         self.settled: dict[tuple[str, int], SettledStart] = {}
         self._present: set[tuple[str, int]] = set()
         self._ended: set[tuple[str, int]] = set()
+        self._attempted: set[tuple[str, int]] = set()
         self._started: set[tuple[str, int]] = set()
         self._stopped_at: dict[tuple[str, int], float] = {}
         self._in_flight: set[tuple[str, int]] = set()
@@ -46,6 +51,8 @@
         self.term = 0
         self.lease_ms = 0
         self.may_start = True
+        self._capacity = Resources()
+        self._announced_at = float("-inf")
 
     def begin_lifetime(self, lifetime: Lifetime) -> None:
         """Call the worker in ``lifetime`` from now on, without any earlier state."""
@@ -55,9 +62,15 @@
         self.settled.clear()
         self._present.clear()
         self._ended.clear()
+        self._attempted.clear()
         self._started.clear()
         self._stopped_at.clear()
 
+    def set_capacity(self, capacity: Resources) -> None:
+        """Set the capacity that the worker has announced just now."""
+        self._capacity = capacity
+        self._announced_at = clock.elapsed()
+
     def set_orders(self, orders: tuple[RunOrder, ...]) -> None:
         """Replace all orders and reconcile.
 
@@ -134,15 +147,17 @@
             order = self.orders.get(key)
             if order is None or order.stop or lifetime != self.lifetime:
                 return
-            if not self.may_start:
+            obstacle = self._obstacle(key, order)
+            if obstacle:
                 if may_exist:
                     self._stop(key)
                 else:
-                    self._settle(key, "worker accepts no new runs")
+                    self._settle(key, obstacle)
                 return
-            if not self.lease_ms:
+            if not self.lease_ms or self._has_unordered_runs():
                 clock.sleep(CALL_RETRY_SECONDS)
                 continue
+            self._attempted.add(key)
             outcome = self._worker.start(lifetime, order, self.term, self.lease_ms)
             label = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
             self._metrics.count("orders_total", kind="start", outcome=label)
@@ -164,6 +179,30 @@
             may_exist = may_exist or error.applied is None
             clock.sleep(CALL_RETRY_SECONDS)
 
+    def _obstacle(self, key: tuple[str, int], order: RunOrder) -> str:
+        """Return why a run must not start now, empty if it may."""
+        if not self.may_start:
+            return "worker accepts no new runs"
+        if clock.elapsed() - self._announced_at > MAX_ANNOUNCEMENT_AGE_SECONDS:
+            return NOT_ANNOUNCED
+        used = order.need
+        for other, other_order in self.orders.items():
+            if other != key and self._may_run(other):
+                used = used.plus(other_order.need)
+        return "" if self._capacity.covers(used) else NO_ROOM
+
+    def _may_run(self, key: tuple[str, int]) -> bool:
+        if key in self._ended or key in self.settled:
+            return False
+        return key in self._present or key in self._attempted
+
+    def _has_unordered_runs(self) -> bool:
+        """Return whether the worker runs something that is not ordered.
+
+        It is being stopped, and holds room of unknown size until it has ended.
+        """
+        return any(key not in self.orders for key in self._present)
+
     def _stop(self, key: tuple[str, int]) -> None:
         lifetime = self.lifetime
         while lifetime == self.lifetime:
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -93,6 +93,7 @@
                 return
         self._heartbeat = heartbeat
         self._announced_at = clock.now()
+        self._reconciler.set_capacity(heartbeat.info.capacity)
         changed = previous is None or previous.info != heartbeat.info
         if changed:
             info = heartbeat.info
--- a/src/sequoiachute/coordination/scheduling/capacity.py
+++ b/src/sequoiachute/coordination/scheduling/capacity.py
@@ -216,6 +216,8 @@
         placed = unit.placed_per_host.get(host.name, 0)
         fitting = min(fitting, step.per_worker - placed)
     for available, needed in zip(free, step.reserved, strict=True):
+        if available < 0:
+            return 0
         if needed > 0:
             fitting = min(fitting, available // needed)
     return max(0, fitting)
--- a/src/sequoiachute/protocol/supervision.py
+++ b/src/sequoiachute/protocol/supervision.py
@@ -96,6 +96,8 @@
 class RunOrder(NamedTuple):
     """A run that the worker should have, or should stop if ``stop`` is set.
 
+    It takes ``need`` of the worker's capacity.
+
     The tail latency of a task that serves requests must stay under ``target_ms``;
     a ``filling`` task yields processors to it.
     """
@@ -108,6 +110,7 @@
     stop: bool = False
     target_ms: int = 0
     filling: bool = False
+    need: Resources = Resources()
 
 
 class Orders(NamedTuple):
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -1,5 +1,6 @@
 """In-memory stand-in for a worker that runs tasks under leases."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import eventlet
@@ -24,18 +25,26 @@
 from standins.memory import MemoryProcess
 
 STOP_DELAY_SECONDS = 0.1
+SHRINK_NOTICE_SECONDS = 4.5  # from a shrink until it counts; users' contact_ms and beat
 CALL_TIMEOUT_SECONDS = 0.4
 NO_CONNECTION = WorkerError("no connection", False, fenced=True, gone=True)
 CLOCK_RATE = 0.98  # a worker's clock may be 2 % slow
 
 
 class StartRecord(NamedTuple):
-    """A run started by a worker; ``at`` is in seconds."""
+    """A run started by a worker; ``at`` is in seconds.
+
+    ``beside`` holds the tasks that ran there already and ``room`` the most capacity
+    that the worker has announced lately. ``late`` is true if the order was held up.
+    """
 
     at: float
     task: str
     run: int
     lifetime: Lifetime
+    beside: tuple[str, ...] = ()
+    room: Resources = Resources()
+    late: bool = False
 
     @property
     def worker_id(self) -> str:
@@ -103,7 +112,7 @@
 
     def __init__(self, name: str, capacity: Resources, history: History) -> None:
         self.name = name
-        self.capacity = capacity
+        self._capacities = [(clock.now(), capacity)]
         self.history = history
         self.seconds_of = float
         self.lose_replies = False
@@ -113,6 +122,7 @@
         self.refused_starts = 0
         self.silent = False
         self.gone = False
+        self.is_carrying_out_late = False
         self.max_lease_seconds = 10.0
         self.leaving_seconds: float | None = None
         self.zone = "muc-1"
@@ -122,6 +132,27 @@
         self._worker_id = ""
         self.restart()
 
+    @property
+    def capacity(self) -> Resources:
+        """What the worker has room for; it may shrink and grow while tasks run."""
+        return self._capacities[-1][1]
+
+    @capacity.setter
+    def capacity(self, capacity: Resources) -> None:
+        self._capacities.append((clock.now(), capacity))
+
+    def _recent_room(self) -> Resources:
+        """Return the most of each resource within ``SHRINK_NOTICE_SECONDS``."""
+        room = self.capacity
+        until = float("inf")
+        for since, capacity in reversed(self._capacities):
+            if until < clock.now() - SHRINK_NOTICE_SECONDS:
+                break
+            pairs = zip(room, capacity, strict=True)
+            room = Resources(*(max(pair) for pair in pairs))
+            until = since
+        return room
+
     @property
     def lifetime(self) -> Lifetime:
         """The current lifetime."""
@@ -265,8 +296,18 @@
             return Err(WorkerError("late", False))
         self._extend_leases(lease_ms)
         self._highest_run[task] = run
+        beside = tuple(other for other, _ in self._runs)
         self._runs[(task, run)] = _Run(task, run, self.seconds_of(order.payload))
-        self.history.starts.append(StartRecord(clock.now(), task, run, self.lifetime))
+        start = StartRecord(
+            clock.now(),
+            task,
+            run,
+            self.lifetime,
+            beside,
+            self._recent_room(),
+            self.is_carrying_out_late,
+        )
+        self.history.starts.append(start)
         return Ok(None)
 
     def stop(
@@ -329,6 +370,11 @@
         """Stop a run."""
         return self._order(lambda: self._worker.stop(lifetime, task, run, term))
 
+    def _carry_out_late(self, operation: Callable[[], object]) -> None:
+        self._worker.is_carrying_out_late = True
+        operation()
+        self._worker.is_carrying_out_late = False
+
     def _order(self, operation: object) -> Result[None, WorkerError]:
         self._process.apply_faults()
         clock.sleep(0.001)
@@ -338,7 +384,9 @@
             clock.sleep(CALL_TIMEOUT_SECONDS)
             return Err(WorkerError("no answer", None))
         if self._worker.late_seconds:
-            eventlet.spawn_after(self._worker.late_seconds, operation)
+            eventlet.spawn_after(
+                self._worker.late_seconds, self._carry_out_late, operation
+            )
             clock.sleep(CALL_TIMEOUT_SECONDS)
             return Err(WorkerError("no answer", None))
         outcome = operation()
--- a/tests/control_checks.py
+++ b/tests/control_checks.py
@@ -204,6 +204,20 @@
     return max(0, min(counts))
 
 
+def assert_room_kept(site):
+    """Assert that no start has brought a worker over its capacity (LIMIT).
+
+    What a worker has carried out late is its own doing.
+    """
+    for start in site.history.starts:
+        if start.late:
+            continue
+        used = _need(site, start.task)
+        for task in start.beside:
+            used = used.plus(_need(site, task))
+        assert start.room.covers(used), (start, used)
+
+
 def failed_attempts(site, job_id):
     """Return the most runs that failed of any task of a job, or of any gang."""
     failed = set()
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -20,11 +20,17 @@
 from sequoiachute.protocol.workload import CANCELLED, COMPLETE, FAILED
 from standins.control_site import QUEUE, URGENT, ControlSite
 from standins.paused import install_paused_clock
-from tests.control_checks import TAKEOVER_SECONDS, IdleWatch, failed_attempts
+from tests.control_checks import (
+    TAKEOVER_SECONDS,
+    IdleWatch,
+    assert_room_kept,
+    failed_attempts,
+)
 from tests.run_checks import assert_no_duplicate_runs, assert_run_numbers_increase
 
 ENTRIES = 3
 WORKERS = 4
+GPUS = 4  # of a worker that has not shrunk
 RECOVERY_SECONDS = 90.0
 LEASE_END_SECONDS = 9.5  # from a worker's last report until all its leases are over
 CALM_SECONDS = LEASE_END_SECONDS + TAKEOVER_SECONDS  # from the repair of all faults
@@ -175,6 +181,11 @@
     def freeze_agent(self, worker, frozen):
         self.site.agents[worker].process.frozen = frozen
 
+    @rule(worker=workers, gpus=st.sampled_from([1, 2, 4]))
+    def change_capacity(self, worker, gpus):
+        capacity = self.site.workers[worker].capacity
+        self.site.workers[worker].capacity = capacity._replace(gpus=gpus)
+
     @rule(worker=workers, same_id=st.booleans())
     def crash_worker(self, worker, same_id):
         self.site.workers[worker].restart(same_id)
@@ -239,6 +250,7 @@
     def no_task_runs_twice(self):
         assert_no_duplicate_runs(self.site.history, crashes=True)
         assert_run_numbers_increase(self.site.history)
+        assert_room_kept(self.site)
 
     def teardown(self):
         if not hasattr(self, "site"):
@@ -284,6 +296,7 @@
             self.disturb_orders(worker, 0.0, False)
             self.restart_agent(worker)
             self._return_worker(worker, same_id=False)
+            self.change_capacity(worker, GPUS)
             self.fail_runs(worker, False)
             self.refuse_starts(worker, False)
 
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -2,13 +2,17 @@
 
 import eventlet
 import pytest
+from result import Err
 
 from sequoiachute import clock
 from sequoiachute.coordination.dispatch.sessions import Session
+from sequoiachute.coordination.hosting.runs import MAX_ANNOUNCEMENT_AGE_SECONDS
 from sequoiachute.protocol.supervision import Report, WorkerInfo
 from sequoiachute.protocol.workload import Lifetime, Resources
+from sequoiachute.transport.worker import WorkerError
 from standins.control_site import ControlSite
-from tests.control_checks import accepted, complete
+from standins.task_worker import SHRINK_NOTICE_SECONDS
+from tests.control_checks import accepted, assert_room_kept, complete
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
@@ -177,3 +181,28 @@
 def report(lifetime, incarnation):
     info = WorkerInfo(lifetime, "render", "muc-1", "rack-1", (), Resources())
     return Report("host", incarnation, 1, info, None, 1, 1000)
+
+
+def test_start_that_is_repeated_does_not_exceed_a_capacity_that_has_shrunk():
+    site = ControlSite(workers=1)
+    worker = site.workers[0]
+    start = worker.start
+    worker.start = lambda *order: Err(WorkerError("no answer", None))
+    job = accepted(site, 3.0, count=4)
+    site.run_for(0.5)
+    worker.capacity = worker.capacity._replace(gpus=2)
+    site.run_for(SHRINK_NOTICE_SECONDS + 0.5)
+    worker.start = start
+    site.run_for(2.0)
+    assert len(worker.status().runs) == 2
+    assert_room_kept(site)
+    complete(site, [job], 20)
+
+
+def test_nothing_starts_on_a_worker_that_has_not_described_itself_lately():
+    site = ControlSite(workers=1)
+    site.agents[0].supervisor.handle_heartbeat = lambda heartbeat: None
+    site.run_for(MAX_ANNOUNCEMENT_AGE_SECONDS + 1.0)
+    accepted(site, 3.0)
+    site.run_for(2.0)
+    assert site.history.starts == []
