Refuse deeply nested input like any other that can't be read

Seen: JSON or MessagePack nested 100,000 deep raised RecursionError out of decode_object, decode_job_body, decode_record, MessageCodec.decode and Ledger.apply. No caller catches it, so the green thread that follows the operators' topic ended with one such record. A record of a job's progress that could not be decoded erased the known progress: it was removed before the new one was decoded. A reply of a peer that can't be decoded raised ValidationError out of RpcClient.call, where callers expect an Err.

Cause: the decoders' callers listed the errors that they knew, each its own list; the ledger changed its state before it had the new one.

Ruled out: msgspec reports truncated data, invalid UTF-8 and numbers out of range as DecodeError already; only the depth is not.

Change: protocol/decoder.py decodes all JSON and MessagePack and raises DecodeError alone; the ledger decodes before it changes; unreadable progress of a wave is logged and counts as none; RPC turns unreadable messages into an Err at the caller and INVALID_ARGUMENT at the server.

--- a/src/sequoiachute/cli/client.py
+++ b/src/sequoiachute/cli/client.py
@@ -16,6 +16,7 @@
     ProblemView,
 )
 from sequoiachute.protocol.catalogue import Catalogue
+from sequoiachute.protocol.decoder import decode_json
 from sequoiachute.protocol.records import JobSpec
 from sequoiachute.status import ExitStatus
 
@@ -178,7 +179,7 @@
         if is_answer or not media_type.startswith("application/problem+json"):
             return
         try:
-            problem = msgspec.json.decode(response.data, type=ProblemView)
+            problem = decode_json(response.data, ProblemView)
         except msgspec.DecodeError as error:
             raise self._unreachable(
                 f"HTTP {response.status} without a valid problem document"
@@ -187,7 +188,7 @@
 
     def _decode(self, reply: EntryReply, expected: Any) -> Any:
         try:
-            return msgspec.json.decode(reply.body, type=expected)
+            return decode_json(reply.body, expected)
         except msgspec.DecodeError as error:
             raise self._unreachable(
                 f"HTTP {reply.status} without the expected JSON"
--- a/src/sequoiachute/coordination/dispatch/upkeep.py
+++ b/src/sequoiachute/coordination/dispatch/upkeep.py
@@ -7,6 +7,7 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.dispatch.sessions import AgentSessions, Session
+from sequoiachute.protocol.decoder import decode_msgpack
 from sequoiachute.protocol.workload import JobProgress, Lifetime
 from sequoiachute.state.ledger import Ledger
 from sequoiachute.state.operations import Operations, Wave
@@ -157,7 +158,11 @@
         data = self._ledger.wave(wave.number)
         if not data:
             return WaveProgress()
-        return msgspec.msgpack.decode(data, type=WaveProgress)
+        try:
+            return decode_msgpack(data, WaveProgress)
+        except msgspec.DecodeError:
+            logger.bind(wave=wave.number).error("undecodable progress of a wave")
+            return WaveProgress()
 
     def _is_poll_due(self) -> bool:
         if clock.now() - self._polled_at < POLL_INTERVAL_SECONDS:
--- a/src/sequoiachute/http/inputs.py
+++ b/src/sequoiachute/http/inputs.py
@@ -6,6 +6,7 @@
 import falcon
 import msgspec
 
+from sequoiachute.protocol.decoder import decode_json
 from sequoiachute.protocol.strict import convert_strictly
 from sequoiachute.transport.web import problem, read_body
 
@@ -22,8 +23,8 @@
     """
     body = read_body(request, limit)
     try:
-        return convert_strictly(msgspec.json.decode(body), expected), body
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return convert_strictly(decode_json(body), expected), body
+    except (msgspec.DecodeError, RecursionError) as error:
         remedy = "correct the body; see /openapi.json"
         raise problem(400, f"the body is not valid: {error}", remedy) from error
 
--- a/src/sequoiachute/platform/http.py
+++ b/src/sequoiachute/platform/http.py
@@ -7,6 +7,8 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from sequoiachute.protocol.decoder import decode_json
+
 # Connecting takes a few ms; TCP resends a lost SYN only after 1 s.
 CONNECT_TIMEOUT_SECONDS = 0.5
 DEFAULT_POOL_SIZE = 32
@@ -95,7 +97,7 @@
 def decode_object(body: bytes) -> dict[str, Any]:
     """Decode a JSON object; return an empty one if the body is anything else."""
     try:
-        value = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        value = decode_json(body)
+    except msgspec.DecodeError:
         return {}
     return value if isinstance(value, dict) else {}
--- a/src/sequoiachute/platform/jobs.py
+++ b/src/sequoiachute/platform/jobs.py
@@ -16,6 +16,7 @@
     IntakeOutcome,
 )
 from sequoiachute.platform.replies import HttpReply, StartResponse, write_reply
+from sequoiachute.protocol.decoder import decode_json
 from sequoiachute.protocol.workload import JobGraph, Resources, StepSpec
 from sequoiachute.state.operations import Queue
 from sequoiachute.transport.webserver import ARRIVED_AT
@@ -120,8 +121,8 @@
         If the body is not a valid job; the message names the field.
     """
     try:
-        body = msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        body = decode_json(data)
+    except msgspec.DecodeError as error:
         raise InvalidJobError("send a JSON object") from error
     if not isinstance(body, dict):
         raise InvalidJobError("send a JSON object")
--- a/src/sequoiachute/protocol/codec.py
+++ b/src/sequoiachute/protocol/codec.py
@@ -5,6 +5,8 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
+from sequoiachute.protocol.decoder import decode_msgpack
+
 
 class MessageCodec(CodecBase):
     """Encodes ``NamedTuple`` messages as MessagePack arrays.
@@ -20,11 +22,11 @@
         return msgspec.msgpack.encode(message)
 
     def decode(self, data: bytes, message_type: Any) -> Any:
-        """Return the message in ``data``; raise ``msgspec.ValidationError``."""
+        """Return the message in ``data``; raise ``msgspec.DecodeError``."""
         try:
-            return msgspec.msgpack.decode(data, type=message_type)
+            return decode_msgpack(data, message_type)
         except msgspec.ValidationError:
-            fields = msgspec.msgpack.decode(data)
+            fields = decode_msgpack(data)
             known_count = len(message_type._fields)
             if not isinstance(fields, list) or len(fields) <= known_count:
                 raise
--- a/src/sequoiachute/protocol/records.py
+++ b/src/sequoiachute/protocol/records.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from sequoiachute.protocol.catalogue import Catalogue, Within
+from sequoiachute.protocol.decoder import decode_json
 from sequoiachute.protocol.service_levels import (
     ServiceLevelRollup,
     ServiceLevelSummary,
@@ -269,7 +270,7 @@
 def decode_record(data: bytes) -> Any | None:
     """Return the typed record in ``data``, or ``None`` if it must be skipped."""
     try:
-        fields = msgspec.json.decode(data)
+        fields = decode_json(data)
         if not isinstance(fields, dict) or fields.get("format") != FORMAT_VERSION:
             return None
         record_type = _RECORD_TYPES.get(fields.get("kind"))
--- a/src/sequoiachute/protocol/workload.py
+++ b/src/sequoiachute/protocol/workload.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from sequoiachute.protocol.decoder import decode_msgpack
+
 PENDING = "pending"
 ACTIVE = "active"
 COMPLETE = "complete"
@@ -234,9 +236,9 @@
 
 def decode_job(data: bytes) -> JobGraph:
     """Return the job in a store record; raise ``msgspec.DecodeError``."""
-    return msgspec.msgpack.decode(data, type=JobGraph)
+    return decode_msgpack(data, JobGraph)
 
 
 def decode_progress(data: bytes) -> JobProgress:
     """Return the progress in a store record; raise ``msgspec.DecodeError``."""
-    return msgspec.msgpack.decode(data, type=JobProgress)
+    return decode_msgpack(data, JobProgress)
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -7,6 +7,7 @@
 import msgspec
 from loguru import logger
 
+from sequoiachute.protocol.decoder import decode_msgpack
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.workload import (
     ACTIVE,
@@ -75,7 +76,7 @@
 
 def decode_speeds(data: bytes) -> dict[Machine, MachineSpeed]:
     """Return learned speeds by machine; raise ``msgspec.DecodeError``."""
-    rows = msgspec.msgpack.decode(data, type=list[_SpeedRow])
+    rows = decode_msgpack(data, list[_SpeedRow])
     return {
         Machine(row.host, row.labels): MachineSpeed(row.speed, row.error)
         for row in rows
@@ -203,7 +204,7 @@
         self._offsets[(topic, record.key)] = record.offset
         try:
             self._apply_value(record)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except msgspec.DecodeError as error:
             log = logger.bind(topic=topic, key=record.key, offset=record.offset)
             log.error("skipped an undecodable record: {}", type(error).__name__)
         return True
@@ -212,7 +213,7 @@
         key, value = record.key, record.value
         if key == LEADER_KEY:
             if value is not None:
-                self.leader = msgspec.msgpack.decode(value, type=Leader)
+                self.leader = decode_msgpack(value, Leader)
         elif key == SPEEDS_KEY:
             self.speeds = decode_speeds(value or b"")
         elif key.startswith(WAVE_PREFIX):
@@ -231,7 +232,7 @@
                 self._ends.pop(job_id, None)
             else:
                 ends = self._ends.setdefault(job_id, {})
-                ends.setdefault(task, msgspec.msgpack.decode(value, type=int))
+                ends.setdefault(task, decode_msgpack(value, int))
         else:
             self._apply_progress(key, value)
 
@@ -250,11 +251,10 @@
             self._live[job_id] = None
 
     def _apply_progress(self, job_id: str, value: bytes | None) -> None:
+        new = NO_PROGRESS if value is None else decode_progress(value)
         old = self._progress.pop(job_id, NO_PROGRESS)
-        if value is None:
-            new = NO_PROGRESS
-        else:
-            new = self._progress[job_id] = decode_progress(value)
+        if value is not None:
+            self._progress[job_id] = new
         self._reindex_hosts(job_id, old, new)
         if new.state and not any(task.placed for task in new.tasks.values()):
             self._live.pop(job_id, None)
--- a/src/sequoiachute/transport/backend.py
+++ b/src/sequoiachute/transport/backend.py
@@ -9,6 +9,7 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from sequoiachute.errors import RpcError
+from sequoiachute.protocol.decoder import decode_json
 from sequoiachute.transport.ports import BackendResponse, BackendTask
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -163,7 +164,7 @@
         if response.status == 404:
             return Ok(None)
         try:
-            return Ok(msgspec.json.decode(response.data, type=BackendTask))
+            return Ok(decode_json(response.data, BackendTask))
         except msgspec.DecodeError as error:
             return Err(RpcError(self._url, f"invalid response: {error}", True))
 
--- a/src/sequoiachute/transport/logservice.py
+++ b/src/sequoiachute/transport/logservice.py
@@ -7,6 +7,7 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from sequoiachute.errors import LogUnavailableError
+from sequoiachute.protocol.decoder import decode_json
 from sequoiachute.transport.ports import LogEntry, LogPage
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -66,7 +67,7 @@
         if response.status != 200:
             raise LogUnavailableError(f"append answered {response.status}")
         try:
-            return msgspec.json.decode(response.data, type=int)
+            return decode_json(response.data, int)
         except msgspec.DecodeError as error:
             raise LogUnavailableError("invalid reply", maybe_applied=True) from error
 
@@ -96,7 +97,7 @@
         if response.status != 200:
             raise LogUnavailableError(f"read answered {response.status}")
         try:
-            page = msgspec.json.decode(response.data, type=_WirePage)
+            page = decode_json(response.data, _WirePage)
         except msgspec.DecodeError as error:
             raise LogUnavailableError("invalid reply") from error
         entries = []
--- a/src/sequoiachute/transport/rpc.py
+++ b/src/sequoiachute/transport/rpc.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import eventlet
+import msgspec
 from eventlet.asyncio import spawn_for_awaitable
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler, Status
@@ -92,7 +93,7 @@
         async def serve(stream: Any) -> None:
             self._open_calls += 1
             try:
-                message = await stream.recv_message()
+                message = await _receive(stream)
                 future = asyncio.get_running_loop().create_future()
                 eventlet.spawn(_run_handler, handler, message, future)
                 await stream.send_message(await future)
@@ -102,6 +103,13 @@
         return serve
 
 
+async def _receive(stream: Any) -> Any:
+    try:
+        return await stream.recv_message()
+    except msgspec.DecodeError as error:
+        raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
+
+
 async def _listen(server: Server, host: str, port: int) -> OSError | None:
     """Start ``server``; return the error if it can't listen, else ``None``."""
     try:
@@ -178,6 +186,8 @@
             reply = await call(message, timeout=timeout)
         except GRPCError as error:
             return Err(RpcError(self.address, f"{error.status.name}", True))
+        except msgspec.DecodeError as error:
+            return Err(RpcError(self.address, f"unreadable reply: {error}", True))
         except (OSError, TimeoutError, StreamTerminatedError) as error:
             if isinstance(error, TimeoutError):
                 self._count_timeout(channel)
