Refuse addresses that are none, in one place

Seen: a member of the store's group or a seed with a port out of range (10.0.0.9:99999, :-1, twenty digits), without one, or with letters or other digits for it, raised OverflowError, ValueError or UnicodeError out of the constructors and calls of RpcClient, RpcPool and HttpClient, where callers expect an Err: pings, relayed calls and searches for the placer ended. A row of the group that is no list, or too short, raised out of members().

Cause: three places split addresses by themselves and checked nothing.

Ruled out: a valid address that nobody listens at, which is an Err already.

Change: transport/address.py parses and validates; the calls of a client with an invalid address fail at once with the remedy, as certainly not delivered. MetadataStore.members leaves out rows that name no address, with a line, so that they displace no peer.

--- a/src/sequoiachute/platform/http.py
+++ b/src/sequoiachute/platform/http.py
@@ -8,6 +8,7 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from sequoiachute.protocol.decoder import decode_json
+from sequoiachute.transport.address import ADDRESS_REMEDY, parse_address
 
 # Connecting takes a few ms; TCP resends a lost SYN only after 1 s.
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -42,7 +43,7 @@
     """
 
     def __init__(self, address: str, pool_size: int = DEFAULT_POOL_SIZE) -> None:
-        self._address = address
+        self._endpoint = parse_address(address)
         self._pool_size = pool_size
         self._pool = self._create_pool()
 
@@ -59,6 +60,8 @@
         Connecting takes at most ``CONNECT_TIMEOUT_SECONDS`` of its own; the
         response must be complete within ``timeout`` seconds of that.
         """
+        if self._pool is None:
+            return HttpFailure(f"no address; {ADDRESS_REMEDY}", False)
         connect = min(CONNECT_TIMEOUT_SECONDS, timeout)
         timeouts = urllib3.Timeout(connect=connect, read=timeout)
         pool = self._pool
@@ -76,10 +79,11 @@
         self._replace(pool)
         return HttpFailure(f"no answer within {timeout:.2f} s", True)
 
-    def _create_pool(self) -> urllib3.HTTPConnectionPool:
-        host, _, port = self._address.rpartition(":")
+    def _create_pool(self) -> urllib3.HTTPConnectionPool | None:
+        if self._endpoint is None:
+            return None
         return urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=self._pool_size, block=False, retries=False
+            *self._endpoint, maxsize=self._pool_size, block=False, retries=False
         )
 
     def _replace(self, pool: urllib3.HTTPConnectionPool) -> None:
--- a/src/sequoiachute/platform/store.py
+++ b/src/sequoiachute/platform/store.py
@@ -2,11 +2,14 @@
 
 from base64 import b64decode
 from struct import Struct
+from typing import Any
 from urllib.parse import urlencode
 
 import msgspec
+from loguru import logger
 from result import Err, Ok, Result
 
+from sequoiachute.coordination.store.group import address_of
 from sequoiachute.platform.http import (
     HttpClient,
     HttpFailure,
@@ -15,6 +18,7 @@
     json_headers,
 )
 from sequoiachute.protocol.stored import StoredRecord
+from sequoiachute.transport.address import parse_address
 from sequoiachute.transport.store import (
     AppendError,
     HistoryLostError,
@@ -125,7 +129,14 @@
         """Return the members that own a partition."""
         body = self._get_object("/v1/log-owners", {"group": group})
         rows = body.get("items") or body.get("owners") or body.get("parts") or []
-        return tuple(dict.fromkeys(str(row[2]) for row in rows))
+        members = {}
+        for row in rows if isinstance(rows, list) else ():
+            member = _decode_member(row)
+            if not member:
+                logger.bind(group=group).warning("odd member of the group left out")
+                continue
+            members[member] = None
+        return tuple(members)
 
     def _get_object(self, path: str, query: dict) -> dict:
         response = self._http.call(
@@ -149,6 +160,14 @@
     return decode_object(response.body)
 
 
+def _decode_member(row: Any) -> str:
+    """Return the member of a row, empty if it does not name an entry's address."""
+    if not isinstance(row, list) or len(row) <= 2 or not isinstance(row[2], str):
+        return ""
+    member = row[2]
+    return member if parse_address(address_of(member)) is not None else ""
+
+
 def _decode_append(response: HttpResponse) -> Result[int, AppendError]:
     body = decode_object(response.body)
     if response.status == 200 and "offset" in body:
--- a/src/sequoiachute/transport/rpc.py
+++ b/src/sequoiachute/transport/rpc.py
@@ -18,6 +18,7 @@
 from sequoiachute.errors import RpcError, describe_failure
 from sequoiachute.protocol.codec import MessageCodec
 from sequoiachute.protocol.messages import Method
+from sequoiachute.transport.address import ADDRESS_REMEDY, parse_address
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 TIMEOUTS_BEFORE_RECONNECT = 2
@@ -144,21 +145,27 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self._endpoint = parse_address(address)
         self._channel = self._open_channel()
         self._consecutive_timeouts = 0
         self._open_calls: dict[Channel, int] = {}
 
-    def _open_channel(self) -> Channel:
-        host, _, port = self.address.rpartition(":")
-        return Channel(host, int(port), codec=MessageCodec())
+    def _open_channel(self) -> Channel | None:
+        if self._endpoint is None:
+            return None
+        return Channel(*self._endpoint, codec=MessageCodec())
 
     def call(
         self, method: Method, message: Any, timeout: float
     ) -> Result[Any, RpcError]:
         """Call ``method`` and return its reply.
 
-        The call fails after ``timeout`` seconds.
+        The call fails after ``timeout`` seconds, and at once if the address is
+        invalid.
         """
+        if self._channel is None:
+            reason = f"no address; {ADDRESS_REMEDY}"
+            return Err(RpcError(self.address, reason, False))
         task = spawn_for_awaitable(self._call(method, message, timeout))
         return task.wait()
 
@@ -213,7 +220,8 @@
 
     def close(self) -> None:
         """Close the connection."""
-        self._channel.close()
+        if self._channel is not None:
+            self._channel.close()
 
 
 class RpcPool:
--- a/tests/test_foreign_input.py
+++ b/tests/test_foreign_input.py
@@ -8,9 +8,11 @@
 import msgspec
 import pytest
 
-from sequoiachute.platform.http import decode_object
+from sequoiachute.coordination.store.relay import PING, PingQuery
+from sequoiachute.platform.http import HttpClient, HttpResponse, decode_object
 from sequoiachute.platform.jobs import InvalidJobError, decode_job_body
 from sequoiachute.platform.operator import apply_operator_records
+from sequoiachute.platform.store import MetadataStore
 from sequoiachute.protocol.codec import MessageCodec
 from sequoiachute.protocol.records import decode_record
 from sequoiachute.protocol.stored import StoredRecord
@@ -24,6 +26,8 @@
 )
 from sequoiachute.state.ledger import Ledger, decode_speeds
 from sequoiachute.state.operations import Operations, Queue
+from sequoiachute.transport.address import parse_address
+from sequoiachute.transport.rpc import RpcClient, RpcPool
 
 QUEUE = Queue("q", "h", "/p/", "s", 1, 2, 3.0, 1.0)
 DEEP_JSON = [b'{"a":' * 100_000, b"[" * 100_000 + b"]" * 100_000]
@@ -114,3 +118,37 @@
     assert "unreadable reply" in reply
     assert request == "INVALID_ARGUMENT"
     assert sound == "PingReply(reaches_store=True)"
+
+
+# Addresses.
+
+ODD_ADDRESSES = ["10.0.0.9:99999", ":-1", "10.0.0.9:-1", "10.0.0.9", "h:port", ""]
+ODD_ADDRESSES += ["10.0.0.9:" + "9" * 20, "h:0", ":80", "a..b:80", "é:80", "h:²"]
+ODD_ADDRESSES += ["h:" + "1" * 5000, "a b:80", "x" * 70 + ":80", "h:8 0", "h:+80"]
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+def test_odd_address_is_an_error_of_the_call(address):
+    assert parse_address(address) is None
+    for call in (RpcPool().call, lambda _, *rest: RpcClient(address).call(*rest)):
+        error = call(address, PING, PingQuery(), 0.2).unwrap_err()
+        assert not error.delivered
+        assert "host:port" in error.reason
+    failure = HttpClient(address).call("GET", "/", 0.2)
+    assert not failure.sent
+    assert "host:port" in failure.reason
+
+
+def test_addresses_are_parsed():
+    assert parse_address("127.0.0.1:1") == ("127.0.0.1", 1)
+    assert parse_address("edge-1.example:65535") == ("edge-1.example", 65535)
+
+
+def test_odd_member_of_the_group_is_left_out(monkeypatch):
+    rows = [["t", 0, f"{address}/x", 0] for address in ODD_ADDRESSES]
+    rows += [None, [], "text", {"a": 1}, [1, 2, 3], ["t", 0, ["m"], 0], 7]
+    rows.insert(3, ["t", 1, "10.0.0.8:7000/a", 4])
+    store = MetadataStore("127.0.0.1:1")
+    answer = HttpResponse(200, {}, json.dumps({"items": rows}).encode())
+    monkeypatch.setattr(store._http, "call", lambda *call: answer)
+    assert store.members("placer") == ("10.0.0.8:7000/a",)
