Take bounded whole numbers only from other writers

Seen: a status report with a capacity of -1 or 1e300, a seq of 1e300, a born that is true, 2^70 or missing was taken; a catalogue with version 1e300 was put in force, so that no later one was ever newer; a wave whose machines are lists went to the placer, which looks them up and ends. A catalogue with a host that is no string, a stretch of 10^400 and a run's name that is a list raised AttributeError, OverflowError and TypeError out of the decoders: the green thread that follows the operators or polls the worker ended.

Ruled out: truncated or invalid JSON, which was refused already.

Change: platform/fields.py checks decoded fields: whole numbers and numbers from 0 to 2^53 - 1, strings, lists, objects; each decoder raises FieldError alone. A status report needs born.

--- a/src/sequoiachute/platform/heartbeats.py
+++ b/src/sequoiachute/platform/heartbeats.py
@@ -1,11 +1,21 @@
 """HTTP interface for the heartbeats of the worker on an agent's host."""
 
+import re
 from collections.abc import Iterable
 from typing import Any
 
 from loguru import logger
 
 from sequoiachute.coordination.hosting.supervisor import Heartbeat, Supervisor
+from sequoiachute.platform.fields import (
+    FieldError,
+    fields,
+    number,
+    required,
+    text,
+    texts,
+    whole,
+)
 from sequoiachute.platform.http import decode_object
 from sequoiachute.platform.replies import HttpReply, StartResponse, write_reply
 from sequoiachute.protocol.supervision import WorkerInfo
@@ -15,6 +25,8 @@
 MAX_HEARTBEAT_BYTES = 65536
 WORKER_STATES = frozenset(("ready", "drain"))
 
+_WORKER_ID = re.compile(r"[!-~]{1,128}")
+
 
 class HeartbeatsApp:
     """WSGI application for one worker's heartbeats."""
@@ -46,8 +58,8 @@
         body = decode_object(environ["wsgi.input"].read(length))
         try:
             heartbeat = decode_heartbeat(worker_id, body)
-        except (KeyError, TypeError, ValueError) as error:
-            log = logger.bind(worker=worker_id, reason=type(error).__name__)
+        except FieldError as error:
+            log = logger.bind(worker=worker_id, reason=str(error))
             log.warning("invalid heartbeat ignored")
             return HttpReply(400, {"error": "the status report is invalid"})
         self._supervisor.handle_heartbeat(heartbeat)
@@ -59,40 +71,37 @@
 
     Raises
     ------
-    KeyError, TypeError, ValueError
-        If a field is missing or invalid.
+    FieldError
+        If a field is missing or invalid, or the worker's ID can't be sent in a
+        header.
     """
-    state = body["state"]
-    if state not in WORKER_STATES:
-        raise ValueError(f"unknown state {state!r}")
-    capacity = body["capacity"]
-    labels = tuple(body.get("labels") or ())
-    if not all(isinstance(label, str) for label in labels):
-        raise TypeError("labels must be strings")
+    if not _WORKER_ID.fullmatch(worker_id):
+        raise FieldError("use a worker ID of 1 to 128 printable ASCII characters")
+    state = required(body, "state")
+    if text(state) not in WORKER_STATES:
+        raise FieldError(f"use a state of {', '.join(sorted(WORKER_STATES))}")
+    capacity = fields(required(body, "capacity"))
+    labels = texts(body.get("labels") or [])
     return Heartbeat(
         info=WorkerInfo(
-            lifetime=Lifetime(worker_id, int(body.get("born", 0))),
-            service=_text(body["service"]),
-            zone=_text(body["zone"]),
+            lifetime=Lifetime(worker_id, whole(required(body, "born"))),
+            service=text(required(body, "service")),
+            zone=text(required(body, "zone")),
             rack=_rack(labels),
             labels=labels,
             capacity=Resources(
-                int(capacity["cpu"]), int(capacity["mem_mb"]), int(capacity["gpus"])
+                whole(required(capacity, "cpu")),
+                whole(required(capacity, "mem_mb")),
+                whole(required(capacity, "gpus")),
             ),
             leaving=state == "drain",
-            leaving_seconds=float(body.get("remaining_ms") or 0) / 1000,
+            leaving_seconds=number(body.get("remaining_ms") or 0) / 1000,
         ),
-        sequence=int(body["seq"]),
-        clock_ms=int(body.get("clock_ms") or 0),
+        sequence=whole(required(body, "seq")),
+        clock_ms=whole(body.get("clock_ms") or 0),
     )
 
 
-def _text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"expected a string, not {type(value).__name__}")
-    return value
-
-
 def _rack(labels: tuple[str, ...]) -> str:
     """Return the rack: the last label; the first is the worker's kind."""
     return labels[-1] if len(labels) > 1 else ""
--- a/src/sequoiachute/platform/http.py
+++ b/src/sequoiachute/platform/http.py
@@ -105,3 +105,9 @@
     except msgspec.DecodeError:
         return {}
     return value if isinstance(value, dict) else {}
+
+
+def read_reason(body: bytes) -> str:
+    """Return the field ``reason`` of a refusal, empty if it has none."""
+    reason = decode_object(body).get("reason")
+    return reason if isinstance(reason, str) else ""
--- a/src/sequoiachute/platform/jobs.py
+++ b/src/sequoiachute/platform/jobs.py
@@ -1,5 +1,6 @@
 """HTTP interface for callers to submit, query, count and cancel jobs."""
 
+import re
 from collections.abc import Iterable
 from typing import Any
 
@@ -28,6 +29,7 @@
 MAX_TASKS = 10_000
 MAX_PAYLOAD_BYTES = 4000
 RETRY_AFTER_SECONDS = 1.0
+_MILLISECONDS = re.compile(r"[0-9]{1,15}")
 START_WAIT_SECONDS = 0.5  # an entry usually reads its state within 0.1 s
 
 
@@ -207,7 +209,8 @@
 
 def _read_deadline(environ: dict[str, Any]) -> float:
     text = environ.get("HTTP_X_DEADLINE_MS", "")
-    seconds = int(text) / 1000 if text.isdigit() else DEFAULT_DEADLINE_SECONDS
+    is_valid = _MILLISECONDS.fullmatch(text) is not None
+    seconds = int(text) / 1000 if is_valid else DEFAULT_DEADLINE_SECONDS
     return environ[ARRIVED_AT] + seconds
 
 
--- a/src/sequoiachute/platform/machines.py
+++ b/src/sequoiachute/platform/machines.py
@@ -1,14 +1,19 @@
 """HTTP clients of the platform's advice and machine services."""
 
+from typing import Any
+
 import msgspec
+from loguru import logger
 from result import Err, Ok, Result
 
+from sequoiachute.platform.fields import FieldError, items, number, required, texts
 from sequoiachute.platform.http import (
     HttpClient,
     HttpFailure,
     HttpResponse,
     decode_object,
     json_headers,
+    read_reason,
 )
 from sequoiachute.platform.store import MetadataStore
 from sequoiachute.transport.machines import Advice, PlatformMachine
@@ -34,12 +39,13 @@
         body = _decode_response(response)
         if body.is_err():
             return body
-        fields = body.unwrap()
+        answer = body.unwrap()
         try:
-            tickets = {str(row[0]): str(row[1]) for row in fields["good"]}
-            return Ok(Advice(tickets, float(fields["valid_ms"]) / 1000))
-        except (KeyError, TypeError, ValueError, IndexError) as error:
-            return Err(f"invalid advice: {type(error).__name__}")
+            valid_seconds = number(required(answer, "valid_ms")) / 1000
+            rows = items(required(answer, "good"))
+        except FieldError as error:
+            return Err(f"invalid advice: {error}")
+        return Ok(Advice(_decode_tickets(rows), valid_seconds))
 
 
 class CloudMachines:
@@ -88,6 +94,19 @@
         return self._store.append(STATUS_TOPIC, [(f"wave/{wave}", value)]).is_ok()
 
 
+def _decode_tickets(rows: list[Any]) -> dict[str, str]:
+    """Return tickets by worker; rows of another form name no worker."""
+    tickets = {}
+    for row in rows:
+        try:
+            worker_id, ticket = texts(row)[:2]
+        except ValueError:
+            logger.warning("odd row of advice left out")
+            continue
+        tickets[worker_id] = ticket
+    return tickets
+
+
 def _decode_machine(item: dict) -> PlatformMachine:
     return PlatformMachine(
         name=str(item["machine"]),
@@ -103,5 +122,5 @@
         return Err(response.reason)
     if response.status == 200:
         return Ok(decode_object(response.body))
-    reason = decode_object(response.body).get("reason", "")
+    reason = read_reason(response.body)
     return Err(f"answered {response.status} {reason}".strip())
--- a/src/sequoiachute/platform/operator.py
+++ b/src/sequoiachute/platform/operator.py
@@ -4,6 +4,16 @@
 
 from loguru import logger
 
+from sequoiachute.platform.fields import (
+    FieldError,
+    fields,
+    items,
+    number,
+    required,
+    text,
+    texts,
+    whole,
+)
 from sequoiachute.platform.http import decode_object
 from sequoiachute.state.operations import (
     Operations,
@@ -16,6 +26,7 @@
 CATALOGUE_KEY = "config"
 CLOSED_ZONE_PREFIX = "evacuate/"
 WAVE_PREFIX = "wave/"
+DEFAULT_BODY_LIMIT = 262144
 
 
 def apply_operator_records(records: dict[str, bytes], operations: Operations) -> None:
@@ -43,42 +54,46 @@
 def _decode_catalogue(data: bytes) -> PlatformCatalogue | None:
     body = decode_object(data)
     try:
+        limits = fields(body.get("limits", {}))
+        services = [fields(item) for item in items(body.get("services", []))]
         return PlatformCatalogue(
-            version=int(body["version"]),
-            queues=tuple(_decode_queue(item) for item in body.get("routes", ())),
-            accounts=tuple(_decode_account(item) for item in body.get("tenants", ())),
+            version=whole(required(body, "version")),
+            queues=tuple(map(_decode_queue, items(body.get("routes", [])))),
+            accounts=tuple(map(_decode_account, items(body.get("tenants", [])))),
             spare_services=frozenset(
-                item["name"] for item in body.get("services", ()) if item.get("spare")
+                text(required(item, "name")) for item in services if item.get("spare")
             ),
-            body_limit=int(body.get("limits", {}).get("max_body_bytes", 262144)),
+            body_limit=whole(limits.get("max_body_bytes", DEFAULT_BODY_LIMIT)),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except FieldError as error:
         log = logger.bind(bytes=len(data))
-        log.error("invalid catalogue ignored: {}", type(error).__name__)
+        log.error("invalid catalogue ignored: {}", error)
         return None
 
 
-def _decode_queue(item: dict[str, Any]) -> Queue:
+def _decode_queue(value: Any) -> Queue:
+    item = fields(value)
     return Queue(
-        name=item["name"],
-        host=item["host"],
-        prefix=item["path_prefix"],
-        service=item["service"],
-        priority=int(item.get("prio", 0)),
-        attempts=int(item.get("attempts", 1)),
-        stretch=float(item.get("stretch", 1.0)),
-        slo_seconds=float(item.get("slo_ms", 0)) / 1000,
+        name=text(required(item, "name")),
+        host=text(required(item, "host")),
+        prefix=text(required(item, "path_prefix")),
+        service=text(required(item, "service")),
+        priority=whole(item.get("prio", 0)),
+        attempts=whole(item.get("attempts", 1)),
+        stretch=number(item.get("stretch", 1.0)),
+        slo_seconds=number(item.get("slo_ms", 0)) / 1000,
         public=bool(item.get("public", False)),
         advised=bool(item.get("advice")),
     )
 
 
-def _decode_account(item: dict[str, Any]) -> PlatformAccount:
-    guaranteed = item.get("guaranteed") or {}
+def _decode_account(value: Any) -> PlatformAccount:
+    item = fields(value)
+    guaranteed = fields(item.get("guaranteed") or {})
     return PlatformAccount(
-        name=item["name"],
-        keys=frozenset(item.get("api_keys", ())),
-        guaranteed_gpus=int(guaranteed.get("gpus", 0)),
+        name=text(required(item, "name")),
+        keys=frozenset(texts(item.get("api_keys", []))),
+        guaranteed_gpus=whole(guaranteed.get("gpus", 0)),
     )
 
 
@@ -90,13 +105,13 @@
         body = decode_object(data)
         try:
             wave = Wave(
-                number=int(body["wave"]),
-                machines=tuple(body["machines"]),
-                finish_by_seconds=float(body.get("finish_by_s", 0)),
-                max_concurrent=int(body.get("cap", 1)),
+                number=whole(required(body, "wave")),
+                machines=texts(required(body, "machines")),
+                finish_by_seconds=number(body.get("finish_by_s", 0)),
+                max_concurrent=whole(body.get("cap", 1)),
             )
-        except (KeyError, TypeError, ValueError):
-            logger.bind(key=key).error("invalid wave ignored")
+        except FieldError as error:
+            logger.bind(key=key, reason=str(error)).error("invalid wave ignored")
             continue
         waves[wave.number] = wave
     return waves
--- a/src/sequoiachute/platform/store.py
+++ b/src/sequoiachute/platform/store.py
@@ -10,12 +10,21 @@
 from result import Err, Ok, Result
 
 from sequoiachute.coordination.store.group import address_of
+from sequoiachute.platform.fields import (
+    FieldError,
+    fields,
+    items,
+    required,
+    text,
+    whole,
+)
 from sequoiachute.platform.http import (
     HttpClient,
     HttpFailure,
     HttpResponse,
     decode_object,
     json_headers,
+    read_reason,
 )
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.transport.address import parse_address
@@ -53,15 +62,15 @@
             if after:
                 query["deps"] = after
             page = self._get_object("/v1/log-newest", query)
+            found, page_end = _decode_snapshot_page(page, topic)
             if end < 0:
-                end = int(page.get("end", 0))
-            items = page.get("items", [])
-            for item in items:
-                value = b64decode(item["value"])
-                records.append(StoredRecord(int(item["offset"]), item["key"], value))
-            if not page.get("has_more") or not items:
+                end = page_end
+            records += found
+            previous, after = after, found[-1].key if found else ""
+            if not page.get("has_more"):
                 return TopicSnapshot(tuple(records), end)
-            after = items[-1]["key"]
+            if after in ("", previous):
+                raise StoreUnavailableError("a snapshot's page leads to no other")
 
     def read(self, topic: str, offset: int, wait: float) -> RecordPage:
         """Return records from ``offset`` on, waiting up to ``wait`` seconds."""
@@ -118,8 +127,13 @@
             "generation": generation,
         }
         joined = self._post_object("/v1/log-join", body)
-        partitions = [row[1] for row in joined.get("parts", [])]
-        return Membership(int(joined.get("generation", 0)), 0 in partitions)
+        try:
+            generation = whole(required(joined, "generation"))
+            rows = items(joined.get("parts", []))
+        except FieldError as error:
+            raise StoreUnavailableError(f"unreadable answer: {error}") from error
+        is_candidate = any(isinstance(row, list) and row[1:2] == [0] for row in rows)
+        return Membership(generation, is_candidate)
 
     def leave(self, group: str, member: str) -> None:
         """Leave a group."""
@@ -160,6 +174,42 @@
     return decode_object(response.body)
 
 
+def _decode_snapshot_page(page: dict, topic: str) -> tuple[list[StoredRecord], int]:
+    """Return a page's records and the topic's end; leave out unreadable items."""
+    try:
+        rows = items(required(page, "items"))
+        end = whole(required(page, "end"))
+    except FieldError as error:
+        raise StoreUnavailableError(f"unreadable answer: {error}") from error
+    records = []
+    for row in rows:
+        record = _decode_item(row)
+        if record is None:
+            logger.bind(topic=topic).warning("odd item of a snapshot left out")
+            continue
+        records.append(record)
+    return records, end
+
+
+def _offset(value: Any) -> int:
+    """Return an offset, -1 if ``value`` is none."""
+    try:
+        return whole(value)
+    except FieldError:
+        return -1
+
+
+def _decode_item(item: Any) -> StoredRecord | None:
+    """Return the record of a snapshot's item, ``None`` if it can't be read."""
+    try:
+        record = fields(item)
+        value = b64decode(text(required(record, "value")))
+        offset = whole(required(record, "offset"))
+        return StoredRecord(offset, text(required(record, "key")), value)
+    except ValueError:
+        return None
+
+
 def _decode_member(row: Any) -> str:
     """Return the member of a row, empty if it does not name an entry's address."""
     if not isinstance(row, list) or len(row) <= 2 or not isinstance(row[2], str):
@@ -170,13 +220,15 @@
 
 def _decode_append(response: HttpResponse) -> Result[int, AppendError]:
     body = decode_object(response.body)
-    if response.status == 200 and "offset" in body:
-        return Ok(int(body["offset"]))
+    if response.status == 200:
+        offset = _offset(body.get("offset"))
+        if offset >= 0:
+            return Ok(offset)
     if response.status == 412:
-        end = int(body.get("end", -1))
+        end = _offset(body.get("end"))
         return Err(AppendError("the topic ends elsewhere", False, end=end))
     if response.status == 409:
-        reason = str(body.get("reason", "conflict"))
+        reason = read_reason(response.body) or "conflict"
         return Err(AppendError(reason, False, fenced=True))
     if response.status in (429, 503, 507):
         return Err(AppendError(f"the store answered {response.status}", False))
--- a/src/sequoiachute/platform/worker.py
+++ b/src/sequoiachute/platform/worker.py
@@ -5,12 +5,14 @@
 import msgspec
 from result import Err, Ok, Result
 
+from sequoiachute.platform.fields import items, number, required, text, whole
 from sequoiachute.platform.http import (
     HttpClient,
     HttpFailure,
     HttpResponse,
     decode_object,
     json_headers,
+    read_reason,
 )
 from sequoiachute.protocol.supervision import EndReport, RunOrder, RunReport
 from sequoiachute.protocol.workload import Lifetime
@@ -121,7 +123,7 @@
     if response.status == 421:
         return WorkerError(OTHER_LIFETIME, False)
     if response.status == 409:
-        reason = str(decode_object(response.body).get("reason", "conflict"))
+        reason = read_reason(response.body) or "conflict"
         if reason == "old":
             return WorkerError(ALREADY_RAN, False)
         return WorkerError(reason, False, fenced=reason == "fence")
@@ -134,12 +136,20 @@
 
 def _decode_status(response: HttpResponse, expected: Lifetime) -> WorkerStatus:
     body = decode_object(response.body)
-    lifetime = expected._replace(started_ms=int(body.get("born", expected.started_ms)))
-    runs = tuple(_decode_run(row) for row in body["running"])
-    ends = tuple(EndReport(*row[:5]) for row in body["ended"])
-    return WorkerStatus(lifetime, int(body["clock_ms"]), runs, ends)
+    born = whole(body.get("born", expected.started_ms))
+    runs = tuple(_decode_run(items(row)) for row in items(required(body, "running")))
+    ends = tuple(_decode_end(items(row)) for row in items(required(body, "ended")))
+    lifetime = expected._replace(started_ms=born)
+    return WorkerStatus(lifetime, whole(required(body, "clock_ms")), runs, ends)
 
 
 def _decode_run(row: list[Any]) -> RunReport:
-    usage = int(row[4]) if len(row) > 4 and row[4] is not None else 0
-    return RunReport(str(row[0]), int(row[1]), str(row[2]), int(row[3]), usage)
+    usage = int(number(row[4])) if len(row) > 4 and row[4] is not None else 0
+    percent = int(number(row[3]))
+    return RunReport(text(row[0]), whole(row[1]), text(row[2]), percent, usage)
+
+
+def _decode_end(row: list[Any]) -> EndReport:
+    return EndReport(
+        whole(row[0]), text(row[1]), whole(row[2]), text(row[3]), text(row[4])
+    )
--- a/src/sequoiachute/protocol/workload.py
+++ b/src/sequoiachute/protocol/workload.py
@@ -4,6 +4,7 @@
 tasks of the same shape; a run is one start of a task.
 """
 
+import re
 from typing import Any, NamedTuple
 
 import msgspec
@@ -16,6 +17,8 @@
 FAILED = "failed"
 CANCELLED = "cancelled"
 
+_INDEX = re.compile(r"[0-9]{1,15}")
+
 
 class Resources(NamedTuple):
     """Thousandths of a core, memory in MB and accelerators."""
@@ -141,7 +144,7 @@
 def parse_task_id(text: str) -> TaskId | None:
     """Parse the text form of a task's identity; return ``None`` if it is invalid."""
     parts = text.split(".")
-    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+    if len(parts) != 4 or not all(_INDEX.fullmatch(part) for part in parts[1:]):
         return None
     return TaskId(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
 
--- a/tests/test_foreign_input.py
+++ b/tests/test_foreign_input.py
@@ -9,25 +9,39 @@
 import pytest
 
 from sequoiachute.coordination.store.relay import PING, PingQuery
+from sequoiachute.platform.fields import FieldError
+from sequoiachute.platform.heartbeats import decode_heartbeat
 from sequoiachute.platform.http import HttpClient, HttpResponse, decode_object
-from sequoiachute.platform.jobs import InvalidJobError, decode_job_body
+from sequoiachute.platform.jobs import (
+    DEFAULT_DEADLINE_SECONDS,
+    InvalidJobError,
+    _read_deadline,
+    decode_job_body,
+)
+from sequoiachute.platform.machines import AdviceService
 from sequoiachute.platform.operator import apply_operator_records
 from sequoiachute.platform.store import MetadataStore
+from sequoiachute.platform.worker import RpcWorker
 from sequoiachute.protocol.codec import MessageCodec
 from sequoiachute.protocol.records import decode_record
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.supervision import Report
 from sequoiachute.protocol.workload import (
     JobProgress,
+    Lifetime,
     TaskState,
     decode_job,
     decode_progress,
     encode,
+    parse_task_id,
 )
 from sequoiachute.state.ledger import Ledger, decode_speeds
-from sequoiachute.state.operations import Operations, Queue
+from sequoiachute.state.operations import Operations, Queue, Wave
 from sequoiachute.transport.address import parse_address
+from sequoiachute.transport.machines import Advice
 from sequoiachute.transport.rpc import RpcClient, RpcPool
+from sequoiachute.transport.store import StoreUnavailableError
+from sequoiachute.transport.webserver import ARRIVED_AT
 
 QUEUE = Queue("q", "h", "/p/", "s", 1, 2, 3.0, 1.0)
 DEEP_JSON = [b'{"a":' * 100_000, b"[" * 100_000 + b"]" * 100_000]
@@ -152,3 +166,195 @@
     answer = HttpResponse(200, {}, json.dumps({"items": rows}).encode())
     monkeypatch.setattr(store._http, "call", lambda *call: answer)
     assert store.members("placer") == ("10.0.0.8:7000/a",)
+
+
+# Numbers and types.
+
+ODD_WHOLES = [-1, 1e300, 2**70, 10**400, True, None, "7", [7], {}, 1.5]
+HEARTBEAT = {
+    "service": "s",
+    "zone": "z",
+    "state": "ready",
+    "capacity": {"cpu": 1, "mem_mb": 2, "gpus": 0},
+    "labels": ["a", "r-1"],
+    "clock_ms": 5,
+    "seq": 4,
+    "born": 1000,
+}
+CATALOGUE = {
+    "version": 4,
+    "routes": [{"name": "r", "host": "h", "path_prefix": "/p/", "service": "s"}],
+    "tenants": [{"name": "t", "api_keys": ["k"], "guaranteed": {"gpus": 1}}],
+    "services": [{"name": "s", "spare": True}],
+    "limits": {"max_body_bytes": 1000},
+}
+WAVE = {"wave": 3, "machines": ["m"], "finish_by_s": 9, "cap": 2}
+STATUS = {
+    "clock_ms": 5,
+    "born": 1000,
+    "running": [["j.0.0.0", 1, "", 40, 12]],
+    "ended": [[1, "j.0.0.1", 1, "done", ""]],
+}
+
+
+def replaced(value, path, new):
+    """Return a copy of ``value`` with the item at ``path`` replaced or deleted."""
+    copy = value.copy()
+    if len(path) > 1:
+        copy[path[0]] = replaced(value[path[0]], path[1:], new)
+    elif new is ...:
+        del copy[path[0]]
+    else:
+        copy[path[0]] = new
+    return copy
+
+
+@pytest.mark.parametrize("value", [*ODD_WHOLES, ...])
+@pytest.mark.parametrize(
+    "path", ["born", "seq", "capacity.cpu", "capacity.mem_mb", "capacity.gpus"]
+)
+def test_heartbeat_with_an_odd_number_names_no_worker(path, value):
+    assert decode_heartbeat("w", HEARTBEAT).sequence == 4
+    with pytest.raises(FieldError):
+        decode_heartbeat("w", replaced(HEARTBEAT, path.split("."), value))
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [("state", ["ready"]), ("state", "gone"), ("labels", "ab"), ("labels", [1])]
+    + [("service", None), ("zone", 7), ("capacity", [1, 2, 3]), ("remaining_ms", 1e300)]
+    + [("remaining_ms", 10**400), ("clock_ms", 2**70)],
+)
+def test_heartbeat_with_an_odd_field_names_no_worker(name, value):
+    with pytest.raises(FieldError):
+        decode_heartbeat("w", {**HEARTBEAT, name: value})
+
+
+@pytest.mark.parametrize("worker_id", ["", "a\nb", "é", "a b", "x" * 200])
+def test_heartbeat_of_a_worker_that_no_header_can_name_is_refused(worker_id):
+    with pytest.raises(FieldError):
+        decode_heartbeat(worker_id, HEARTBEAT)
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [(("version",), value) for value in (*ODD_WHOLES, ...)]
+    + [(("routes", 0, "host"), value) for value in (None, [], 7, ...)]
+    + [(("routes", 0, "service"), value) for value in ([], {})]
+    + [(("routes", 0, "stretch"), value) for value in (10**400, "x", -1)]
+    + [(("tenants", 0, "api_keys"), value) for value in ("k", [["k"]], [1], {})]
+    + [(("tenants", 0, "guaranteed"), value) for value in ([1], {"gpus": 1e300})]
+    + [(("services", 0, "name"), value) for value in ([], {}, 7)]
+    + [(("limits",), value) for value in ([], {"max_body_bytes": 10**400})],
+)
+def test_odd_catalogue_is_ignored_and_a_later_one_holds(path, value):
+    operations = Operations()
+    odd = replaced(CATALOGUE, path, value)
+    apply_operator_records({"config": json.dumps(odd).encode()}, operations)
+    assert operations.version == 0
+    apply_operator_records({"config": json.dumps(CATALOGUE).encode()}, operations)
+    assert operations.version == 4
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [("wave", value) for value in ODD_WHOLES]
+    + [("machines", value) for value in ("m", [["m"]], [{}], None, [1])]
+    + [("finish_by_s", 10**400), ("cap", 1e300), ("cap", -1)],
+)
+def test_odd_wave_is_ignored_and_the_others_hold(name, value):
+    operations = Operations()
+    records = {
+        "wave/1": json.dumps({**WAVE, name: value}).encode(),
+        "wave/3": json.dumps(WAVE).encode(),
+    }
+    apply_operator_records(records, operations)
+    assert operations.waves == {3: Wave(3, ("m",), 9.0, 2)}
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [(("running", 0, 1), value) for value in ODD_WHOLES]
+    + [(("ended", 0, 0), value) for value in ODD_WHOLES]
+    + [(("ended", 0, 2), value) for value in ODD_WHOLES]
+    + [(("born",), value) for value in ODD_WHOLES]
+    + [(("clock_ms",), value) for value in (*ODD_WHOLES, ...)]
+    + [(("running", 0, 0), ["j"]), (("ended", 0, 1), ["j"]), (("ended", 0, 3), None)]
+    + [(("running", 0, 3), 1e300), (("running", 0, 4), 10**400)]
+    + [(("running", 0), "text"), (("ended", 0), [1]), (("ended", 0), {})]
+    + [(("running",), {}), (("ended",), "text"), (("running",), ...)],
+)
+def test_odd_status_of_a_worker_is_an_error_of_the_poll(monkeypatch, path, value):
+    worker = RpcWorker("127.0.0.1:1")
+    bodies = [STATUS, replaced(STATUS, path, value)]
+    answers = [HttpResponse(200, {}, json.dumps(body).encode()) for body in bodies]
+    monkeypatch.setattr(worker._poll_client, "call", lambda *call: answers.pop(0))
+    lifetime = Lifetime("w", 1000)
+    sound = worker.poll(lifetime, 1, 0, 0, 0.0).unwrap()
+    assert (sound.lifetime, sound.ends[0].task) == (lifetime, "j.0.0.1")
+    assert "unreadable" in worker.poll(lifetime, 1, 0, 0, 0.0).unwrap_err().reason
+
+
+@pytest.mark.parametrize(
+    "body", [{}, [], {"items": [], "end": 1e300}, {"items": {}, "end": 1}]
+)
+def test_unreadable_snapshot_is_an_unavailable_store(monkeypatch, body):
+    store = answering_store(monkeypatch, [body])
+    with pytest.raises(StoreUnavailableError):
+        store.snapshot("op")
+
+
+def test_odd_item_of_a_snapshot_is_left_out(monkeypatch):
+    odd = [None, {}, {"key": 7, "value": "", "offset": 1}, "text"]
+    odd += [{"key": "k", "value": value, "offset": 1} for value in (7, "é", "a")]
+    odd += [{"key": "k", "value": "", "offset": value} for value in ODD_WHOLES]
+    sound = {"key": "k", "value": "dg==", "offset": 5}
+    store = answering_store(monkeypatch, [{"items": [*odd, sound], "end": 6}])
+    assert store.snapshot("op").records == (StoredRecord(5, "k", b"v"),)
+
+
+def test_snapshot_that_does_not_go_on_is_an_unavailable_store(monkeypatch):
+    sound = {"key": "k", "value": "dg==", "offset": 5}
+    for rows in ([], [{}], [sound]):
+        page = {"items": rows, "has_more": True, "end": 6}
+        store = answering_store(monkeypatch, [page, page])
+        with pytest.raises(StoreUnavailableError):
+            store.snapshot("op")
+
+
+@pytest.mark.parametrize("text", ["²", "1" * 5000, "9" * 400, "-1"])
+def test_odd_deadline_of_a_caller_counts_as_none(text):
+    environ = {"HTTP_X_DEADLINE_MS": text, ARRIVED_AT: 10.0}
+    assert _read_deadline(environ) == 10.0 + DEFAULT_DEADLINE_SECONDS
+
+
+@pytest.mark.parametrize("value", [-1, 1e300, True, None, "7", [7], 10**400])
+def test_odd_answer_to_a_write_of_the_store_is_no_success(monkeypatch, value):
+    store = answering_store(monkeypatch, [{"offset": value}, {"generation": value}])
+    assert store.append("t", []).unwrap_err().applied is None
+    with pytest.raises(StoreUnavailableError):
+        store.join("g", "m", 0, 1.0)
+
+
+def answering_store(monkeypatch, bodies):
+    store = MetadataStore("127.0.0.1:1")
+    answers = [HttpResponse(200, {}, json.dumps(body).encode()) for body in bodies]
+    monkeypatch.setattr(store._http, "call", lambda *call: answers.pop(0))
+    return store
+
+
+def test_odd_row_of_advice_is_left_out(monkeypatch):
+    service = AdviceService("127.0.0.1:1")
+    good = [["w", "ticket"], [], ["v"], "vw", [["v"], "t"], None, {"a": 1, "b": 2}]
+    body = {"good": good, "valid_ms": 3000}
+    answers = [body, {**body, "valid_ms": 1e300}, {**body, "good": {}}]
+    answers = [HttpResponse(200, {}, json.dumps(item).encode()) for item in answers]
+    monkeypatch.setattr(service._http, "call", lambda *call: answers.pop(0))
+    assert service.advise("s", ("w",)).unwrap() == Advice({"w": "ticket"}, 3.0)
+    for _ in range(2):
+        assert "invalid advice" in service.advise("s", ("w",)).unwrap_err()
+
+
+@pytest.mark.parametrize("text", ["j.².0.0", "j.0.0." + "1" * 5000, "j.0.0.-1"])
+def test_odd_task_id_is_none(text):
+    assert parse_task_id(text) is None
