Leave an odd machine out of the list, not the list

Seen: one machine of a page without a name, or an item that is no object, made CloudMachines.machines refuse the whole list, so that no upkeep began; a name, worker or zone of another type was turned into text and taken. A page token of another type, or pages that repeat, kept the placer asking without end.

Cause: the page was decoded as a whole, and str() takes anything.

Ruled out: an unreadable page, which is an error as before.

Change: each item is decoded by itself and left out with a line; a machine in a state without a name is listed as neither up nor in upkeep, so that nothing is ordered for it; the token is text, is encoded, and ends the call with an error when it repeats.

Evidence: 17 of 18 new cases failed before (13 odd machines, 3 tokens, one cycle of pages), all pass now; test_upkeep passes.

--- a/src/sequoiachute/platform/machines.py
+++ b/src/sequoiachute/platform/machines.py
@@ -1,12 +1,21 @@
 """HTTP clients of the platform's advice and machine services."""
 
 from typing import Any
+from urllib.parse import urlencode
 
 import msgspec
 from loguru import logger
 from result import Err, Ok, Result
 
-from sequoiachute.platform.fields import FieldError, items, number, required, texts
+from sequoiachute.platform.fields import (
+    FieldError,
+    fields,
+    items,
+    number,
+    required,
+    text,
+    texts,
+)
 from sequoiachute.platform.http import (
     HttpClient,
     HttpFailure,
@@ -56,22 +65,28 @@
         self._store = store
 
     def machines(self) -> Result[tuple[PlatformMachine, ...], str]:
-        """Return every machine of all pages."""
+        """Return every machine of all pages; leave out those that can't be read."""
         machines: list[PlatformMachine] = []
         token = ""
+        tokens = set()
         while True:
-            path = "/v1/machines" + (f"?page_token={token}" if token else "")
+            query = "?" + urlencode({"page_token": token}) if token else ""
+            path = "/v1/machines" + query
             body = _decode_response(self._http.call("GET", path, CALL_TIMEOUT_SECONDS))
             if body.is_err():
                 return body
-            fields = body.unwrap()
+            page = body.unwrap()
             try:
-                machines.extend(_decode_machine(item) for item in fields["machines"])
-            except (KeyError, TypeError) as error:
-                return Err(f"invalid machine list: {type(error).__name__}")
-            token = fields.get("next_token")
+                rows = items(required(page, "machines"))
+                token = text(page.get("next_token") or "")
+            except FieldError as error:
+                return Err(f"invalid machine list: {error}")
+            machines += _decode_machines(rows)
             if not token:
                 return Ok(tuple(machines))
+            if token in tokens:
+                return Err("invalid machine list: a page was repeated")
+            tokens.add(token)
 
     def begin_upkeep(
         self, machine: str, wave: int, holder: str, term: int
@@ -107,13 +122,27 @@
     return tickets
 
 
-def _decode_machine(item: dict) -> PlatformMachine:
+def _decode_machines(rows: list[Any]) -> list[PlatformMachine]:
+    machines = []
+    for row in rows:
+        try:
+            machines.append(_decode_machine(fields(row)))
+        except FieldError as error:
+            logger.bind(reason=str(error)).warning("odd machine left out")
+    return machines
+
+
+def _decode_machine(item: dict[str, Any]) -> PlatformMachine:
+    name = text(required(item, "machine"))
+    if not name:
+        raise FieldError("send the machine's name")
+    state = text(item.get("state") or "")
     return PlatformMachine(
-        name=str(item["machine"]),
-        worker_id=str(item.get("id") or ""),
-        zone=str(item.get("zone") or ""),
-        is_up=item.get("state") == "up",
-        in_upkeep=item.get("state") == "upkeep",
+        name=name,
+        worker_id=text(item.get("id") or ""),
+        zone=text(item.get("zone") or ""),
+        is_up=state == "up",
+        in_upkeep=state == "upkeep",
     )
 
 
--- a/tests/test_foreign_input.py
+++ b/tests/test_foreign_input.py
@@ -18,7 +18,7 @@
     _read_deadline,
     decode_job_body,
 )
-from sequoiachute.platform.machines import AdviceService
+from sequoiachute.platform.machines import AdviceService, CloudMachines
 from sequoiachute.platform.operator import apply_operator_records
 from sequoiachute.platform.store import MetadataStore
 from sequoiachute.platform.worker import RpcWorker
@@ -38,7 +38,7 @@
 from sequoiachute.state.ledger import Ledger, decode_speeds
 from sequoiachute.state.operations import Operations, Queue, Wave
 from sequoiachute.transport.address import parse_address
-from sequoiachute.transport.machines import Advice
+from sequoiachute.transport.machines import Advice, PlatformMachine
 from sequoiachute.transport.rpc import RpcClient, RpcPool
 from sequoiachute.transport.store import StoreUnavailableError
 from sequoiachute.transport.webserver import ARRIVED_AT
@@ -358,3 +358,59 @@
 @pytest.mark.parametrize("text", ["j.².0.0", "j.0.0." + "1" * 5000, "j.0.0.-1"])
 def test_odd_task_id_is_none(text):
     assert parse_task_id(text) is None
+
+
+# Machines.
+
+MACHINE = {"machine": "m-1", "state": "up", "zone": "z", "id": "w"}
+ODD_MACHINES = [None, [], "text", 7, {}, {"state": "up"}, {**MACHINE, "machine": 7}]
+ODD_MACHINES += [{**MACHINE, "machine": value} for value in ("", None, [["m"]])]
+ODD_MACHINES += [{**MACHINE, name: [7]} for name in ("id", "zone", "state")]
+
+
+def answering_machines(monkeypatch, bodies):
+    service = CloudMachines("127.0.0.1:1", MetadataStore("127.0.0.1:1"))
+    answers = [HttpResponse(200, {}, json.dumps(body).encode()) for body in bodies]
+    paths = []
+
+    def call(method, path, *rest):
+        paths.append(path)
+        return answers.pop(0)
+
+    monkeypatch.setattr(service._http, "call", call)
+    return service, paths
+
+
+@pytest.mark.parametrize("odd", ODD_MACHINES)
+def test_odd_machine_of_a_list_is_left_out_and_the_others_hold(monkeypatch, odd):
+    other = {"machine": "m-2", "state": "upkeep", "id": None}
+    pages = [{"machines": [odd, MACHINE], "next_token": "a b&c"}]
+    pages.append({"machines": [other, odd], "next_token": None})
+    service, paths = answering_machines(monkeypatch, pages)
+    assert service.machines().unwrap() == (
+        PlatformMachine("m-1", "w", "z", True, False),
+        PlatformMachine("m-2", "", "", False, True),
+    )
+    assert paths == ["/v1/machines", "/v1/machines?page_token=a+b%26c"]
+
+
+def test_machine_in_a_state_without_a_name_is_neither_up_nor_in_upkeep(monkeypatch):
+    page = {"machines": [{**MACHINE, "state": "odd"}]}
+    service, _ = answering_machines(monkeypatch, [page])
+    (machine,) = service.machines().unwrap()
+    assert not (machine.is_up or machine.in_upkeep)
+
+
+@pytest.mark.parametrize("token", [7, ["t"], {"a": 1}])
+def test_page_of_machines_that_does_not_go_on_is_an_error(monkeypatch, token):
+    page = {"machines": [MACHINE], "next_token": token}
+    service, paths = answering_machines(monkeypatch, [page] * 2)
+    assert "invalid machine list" in service.machines().unwrap_err()
+    assert len(paths) == 1
+
+
+def test_pages_of_machines_that_repeat_are_an_error(monkeypatch):
+    pages = [{"machines": [MACHINE], "next_token": token} for token in "abab"]
+    service, paths = answering_machines(monkeypatch, pages)
+    assert "invalid machine list" in service.machines().unwrap_err()
+    assert len(paths) == 3
