Let no unexpected error end a loop of a process

Seen: one unexpected exception in a read, a join or a list of members, in a poll of the worker or in a report ended the green thread of a follower, the election, the polls or the reports. It was not started again, and the process went on without it. A ping or probe that failed left its flag set, so that no later one began. A placer that did not start left the entry holding the term with no placer. A record that could not be applied was read again, with the rest of its page unread.

Cause: loops were spawned bare, each with its own list of expected errors.

Ruled out: kills, which pass through as before (GreenletExit is no Exception); errors of calls that are expected, which are handled inside.

A follower records a record that can't be applied and goes on with the next; flags of pings, probes and the watch are reset in any case; an entry whose placer does not start resigns.

--- a/src/sequoiachute/coordination/agent.py
+++ b/src/sequoiachute/coordination/agent.py
@@ -4,7 +4,6 @@
 from typing import Any
 from uuid import uuid4
 
-import eventlet
 from loguru import logger
 
 from sequoiachute import clock
@@ -14,6 +13,7 @@
 from sequoiachute.coordination.freshness import ConfigurationView
 from sequoiachute.coordination.gangleader import GangLeader
 from sequoiachute.coordination.gangs import GangParticipant
+from sequoiachute.coordination.loop import spawn_loop
 from sequoiachute.coordination.runner import TaskRunner
 from sequoiachute.protocol.messages import (
     ATTEMPT,
@@ -126,7 +126,7 @@
     def run(self) -> None:
         """Start announcing the backend server and monitoring contact to entries."""
         self._announcer.run()
-        eventlet.spawn(self._stop_tasks_without_contact)
+        spawn_loop("contact to entries", self._stop_tasks_without_contact)
 
     def leave(self, timeout: float) -> bool:
         """Refuse new work and wait for the work in progress.
--- a/src/sequoiachute/coordination/announcer.py
+++ b/src/sequoiachute/coordination/announcer.py
@@ -1,6 +1,7 @@
 """Announces a backend server to every current entry instance."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 import eventlet
@@ -8,6 +9,7 @@
 from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.loop import spawn_loop
 from sequoiachute.protocol.messages import (
     ANNOUNCE,
     KEEP_ALIVE,
@@ -93,7 +95,7 @@
         if address in self._contacts:
             return
         self._contacts[address] = EntryContact(listed_at=clock.now())
-        eventlet.spawn(self._announce_to, address)
+        spawn_loop("announcements", partial(self._announce_to, address))
 
     def _announce_to(self, address: str) -> None:
         while not self._is_unlisted(address):
--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -3,19 +3,18 @@
 from collections.abc import Callable
 from functools import partial
 
-import eventlet
 from loguru import logger
 
 from sequoiachute import clock
 from sequoiachute.coordination.dispatch.placer import TaskPlacer, Term
 from sequoiachute.coordination.dispatch.sessions import AgentSessions
 from sequoiachute.coordination.intake import Intake
+from sequoiachute.coordination.loop import run_recorded, spawn_loop, spawn_task
 from sequoiachute.coordination.scheduling.waits import Waits
 from sequoiachute.coordination.store.election import Election
 from sequoiachute.coordination.store.follower import Follower
 from sequoiachute.coordination.store.group import address_of
 from sequoiachute.coordination.store.relay import RelayedStore
-from sequoiachute.errors import describe_failure
 from sequoiachute.protocol.messages import Method
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.supervision import (
@@ -89,16 +88,25 @@
         self._published_end = -1
         pause = store.availability.wait_for_probe
         self._jobs_followers = tuple(
-            Follower(topic, store, partial(self._apply_job, topic), pause=pause)
+            Follower(
+                topic,
+                store,
+                partial(self._apply_job, topic),
+                pause=pause,
+                metrics=self.metrics,
+            )
             for topic in JOB_TOPICS
         )
-        self._runs_follower = Follower(RUNS, store, self._apply_run, pause=pause)
+        self._runs_follower = Follower(
+            RUNS, store, self._apply_run, pause=pause, metrics=self.metrics
+        )
         self._published_follower = Follower(
             PUBLISHED_TOPIC,
             store,
             self._apply_published,
             self._replace_published,
             pause,
+            self.metrics,
         )
         self.intake = Intake(store, self.ledger, self._jobs_followers, self.metrics)
         self._election = Election(
@@ -156,8 +164,8 @@
     def run(self) -> None:
         """Start the followers and the election, each in its own green thread."""
         for follower in self._followers():
-            eventlet.spawn(follower.run)
-        eventlet.spawn(self._election.run)
+            spawn_loop(f"follower of {follower.topic}", follower.run, self.metrics)
+        spawn_loop("election", self._election.run, self.metrics)
 
     def _followers(self) -> tuple[Follower, ...]:
         return (self._published_follower, self._runs_follower, *self._jobs_followers)
@@ -270,14 +278,11 @@
             times=self._times,
         )
         self._agents, self._placer = agents, placer
-        eventlet.spawn(self._run_placer, placer)
+        spawn_task("placer's end", self._run_placer, placer, metrics=self.metrics)
 
     def _run_placer(self, placer: TaskPlacer) -> None:
-        try:
-            placer.run()
-        except Exception as error:
-            log = logger.bind(term=placer.term)
-            log.error("placer failed: {}", describe_failure(error))
+        if not run_recorded("placer", placer.run, metrics=self.metrics):
+            logger.bind(term=placer.term).error("placer failed")
         if self._placer is placer:
             self._stop_leading()
 
--- a/src/sequoiachute/coordination/dispatch/advice.py
+++ b/src/sequoiachute/coordination/dispatch/advice.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-import eventlet
 from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.loop import spawn_task
 from sequoiachute.transport.machines import Advisor
 
 # Each worker in a request costs the advisor time; a step rarely needs more.
@@ -86,7 +86,7 @@
         if self._advisor is None or self._is_requesting:
             return
         self._is_requesting = True
-        eventlet.spawn(self._request_pending, self._advisor)
+        spawn_task("requests for advice", self._request_pending, self._advisor)
 
     def _request_pending(self, advisor: Advisor) -> None:
         try:
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -24,6 +24,7 @@
 from sequoiachute.coordination.dispatch.upkeep import Upkeep, encode_wave
 from sequoiachute.coordination.dispatch.views import build_view
 from sequoiachute.coordination.dispatch.wait_log import WaitLog
+from sequoiachute.coordination.loop import spawn_task
 from sequoiachute.coordination.scheduling import (
     RunStop,
     SchedulingDecision,
@@ -555,7 +556,7 @@
             if error.applied is None:
                 # A store slower than the timeout would never be heard.
                 timeout = min(2 * timeout, MAX_APPEND_TIMEOUT_SECONDS)
-            eventlet.spawn(self._end_backup.record)
+            spawn_task("backup of ends", self._end_backup.record, metrics=self._metrics)
             clock.sleep(APPEND_RETRY_SECONDS)
         self._sequence += 1
         first_offset = outcome.unwrap()
--- a/src/sequoiachute/coordination/entry.py
+++ b/src/sequoiachute/coordination/entry.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-import eventlet
 from loguru import logger
 
 from sequoiachute import clock
@@ -17,6 +16,7 @@
     LOCAL_VIEW_POLL_SECONDS,
 )
 from sequoiachute.coordination.log import StreamWriter
+from sequoiachute.coordination.loop import spawn_loop
 from sequoiachute.coordination.membership import EntryDirectory, PeerConfirmer
 from sequoiachute.coordination.placement import PlacementPolicy
 from sequoiachute.coordination.placer import JobPlacer, PlacerState, PlacerStreams
@@ -153,10 +153,10 @@
     def run(self) -> None:
         """Start following the log, placing jobs and recording service levels."""
         self._streams.run()
-        eventlet.spawn(self.directory.run)
-        eventlet.spawn(self._peer_confirmer.run)
-        eventlet.spawn(self.placer.run)
-        eventlet.spawn(self.recorder.run)
+        spawn_loop("membership", self.directory.run)
+        spawn_loop("confirmation by peers", self._peer_confirmer.run)
+        self.placer.run()
+        spawn_loop("service levels", self.recorder.run)
 
     def writer(self, stream: str) -> StreamWriter:
         """Return the writer of ``stream``."""
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -1,6 +1,7 @@
 """Polls the worker, renews its leases, reports to the placer and applies its orders."""
 
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import Any, NamedTuple
 from uuid import uuid4
 
 import eventlet
@@ -11,6 +12,7 @@
 from sequoiachute.coordination.hosting.entries import EntryDirectory
 from sequoiachute.coordination.hosting.pacing import Pacer
 from sequoiachute.coordination.hosting.runs import RunReconciler
+from sequoiachute.coordination.loop import spawn_loop, spawn_task
 from sequoiachute.protocol.supervision import REPORT, Orders, Report, WorkerInfo
 from sequoiachute.protocol.workload import Lifetime
 from sequoiachute.state.metrics import Metrics
@@ -77,9 +79,9 @@
 
     def run(self) -> None:
         """Start polling and reporting, each in its own green thread."""
-        eventlet.spawn(self._poll_worker)
-        eventlet.spawn(self._report_changes)
-        eventlet.spawn(self._wait_for_orders)
+        spawn_loop("polls of the worker", self._poll_worker, self.metrics)
+        spawn_loop("reports of changes", self._report_changes, self.metrics)
+        spawn_loop("wait for orders", self._wait_for_orders, self.metrics)
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Apply a heartbeat; ignore an older one or one of an ended lifetime."""
@@ -221,16 +223,19 @@
         while not self._placer_address:
             if clock.now() >= refresh_at:
                 refresh_at = clock.now() + REFRESH_INTERVAL_SECONDS
-                eventlet.spawn(self._entries.refresh)
+                self._spawn_task("list of entries", self._entries.refresh)
             self._search_wake = Event()
             address = self._hinted_address or self._entries.next_address()
             self._hinted_address = ""
             if address:
                 self._entries.record_asked(address)
-                eventlet.spawn(self._report, address, 0.0)
+                self._spawn_task("search for the placer", self._report, address, 0.0)
             with eventlet.Timeout(SEARCH_INTERVAL_SECONDS, False):
                 self._search_wake.wait()
 
+    def _spawn_task(self, name: str, body: Callable[..., Any], *args: Any) -> None:
+        spawn_task(name, body, *args, metrics=self.metrics)
+
     def _end_pause(self) -> None:
         if not self._search_wake.ready():
             self._search_wake.send(None)
@@ -291,7 +296,7 @@
             logger.bind(term=orders.term, entry=address).info("placer followed")
             self._term = orders.term
             self._version = 0
-            eventlet.spawn(self._poll_once)
+            self._spawn_task("poll of the worker", self._poll_once)
         self._placer_address = address
         self._end_pause()
         status = self._status
--- a/src/sequoiachute/coordination/placer.py
+++ b/src/sequoiachute/coordination/placer.py
@@ -3,6 +3,7 @@
 import eventlet
 
 from sequoiachute import clock
+from sequoiachute.coordination.loop import spawn_loop
 from sequoiachute.coordination.placement import (
     Placement,
     PlacementDecision,
@@ -87,8 +88,11 @@
         return self._lease.known_term
 
     def run(self) -> None:
-        """Keep claiming the lease and run placement rounds; never return."""
-        eventlet.spawn(self._lease.run)
+        """Start claiming the lease and running placement rounds."""
+        spawn_loop("placer lease", self._lease.run)
+        spawn_loop("placement rounds", self._run_rounds)
+
+    def _run_rounds(self) -> None:
         while True:
             clock.sleep(
                 ROUND_INTERVAL_SECONDS
--- a/src/sequoiachute/coordination/store/election.py
+++ b/src/sequoiachute/coordination/store/election.py
@@ -174,4 +174,9 @@
     def _begin_term(self, term: int, how: str) -> None:
         self.term = self._last_term = term
         logger.bind(term=term, how=how).info("leading")
-        self._on_elected(term)
+        try:
+            self._on_elected(term)
+        except Exception:
+            # Without a placer the term would be held for nothing.
+            self.resign()
+            raise
--- a/src/sequoiachute/coordination/store/follower.py
+++ b/src/sequoiachute/coordination/store/follower.py
@@ -1,13 +1,16 @@
 """Follows one keyed topic of the store."""
 
 from collections.abc import Callable
+from typing import Any
 
 import eventlet
 from eventlet.event import Event
 from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.loop import run_recorded
 from sequoiachute.protocol.stored import StoredRecord
+from sequoiachute.state.metrics import Metrics
 from sequoiachute.transport.store import (
     HistoryLostError,
     KeyedStore,
@@ -46,17 +49,24 @@
         apply: Callable[[StoredRecord], None],
         replace: Callable[[tuple[StoredRecord, ...]], None] | None = None,
         pause: Callable[[], None] = _pause,
+        metrics: Metrics | None = None,
     ) -> None:
         self._topic = topic
         self._store = store
         self._apply = apply
         self._replace = replace
         self._pause = pause
+        self._metrics = metrics
         self._caught_up = Event()
         self._unavailable_since: float | None = None
         self.next_offset = -1
         self.confirmed_at = float("-inf")
 
+    @property
+    def topic(self) -> str:
+        """Topic that is followed."""
+        return self._topic
+
     @property
     def is_caught_up(self) -> bool:
         """Whether a snapshot has been read."""
@@ -133,10 +143,10 @@
     def _read_snapshot(self) -> None:
         snapshot = self._store.snapshot(self._topic)
         if self._replace is not None:
-            self._replace(snapshot.records)
+            self._run_recorded(self._replace, snapshot.records)
         else:
             for record in snapshot.records:
-                self._apply(record)
+                self._run_recorded(self._apply, record)
         self.next_offset = max(self.next_offset, snapshot.end)
         if not self._caught_up.ready():
             self._caught_up.send(None)
@@ -144,5 +154,10 @@
     def _apply_page(self, page: RecordPage) -> None:
         for record in page.records:
             if record.offset >= self.next_offset:
-                self._apply(record)
+                self._run_recorded(self._apply, record)
         self.next_offset = max(self.next_offset, page.next)
+
+    def _run_recorded(self, apply: Callable[[Any], None], records: Any) -> None:
+        """Apply records; one that can't be applied hides no later one."""
+        name = f"records of {self._topic}"
+        run_recorded(name, apply, records, metrics=self._metrics)
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from sequoiachute import clock
+from sequoiachute.coordination.loop import spawn_task
 from sequoiachute.coordination.store.availability import Availability
 from sequoiachute.coordination.store.group import GROUP
 from sequoiachute.coordination.store.race import Race, is_conclusive, merge_errors
@@ -278,14 +279,19 @@
         self._probing_until = max(self._probing_until, until)
         if not self._is_probing:
             self._is_probing = True
-            eventlet.spawn(self._probe_repeatedly)
+            self._spawn_task("probes of the store", self._probe_repeatedly)
 
     def _probe_repeatedly(self) -> None:
         began = clock.now()
-        while clock.now() < self._probing_until and self._answered_at < began:
-            eventlet.spawn(self._probe)
-            clock.sleep(AWAITED_PROBE_SECONDS)
-        self._is_probing = False
+        try:
+            while clock.now() < self._probing_until and self._answered_at < began:
+                self._spawn_task("probe of the store", self._probe)
+                clock.sleep(AWAITED_PROBE_SECONDS)
+        finally:
+            self._is_probing = False
+
+    def _spawn_task(self, name: str, body: Callable[..., None], *args: Any) -> None:
+        spawn_task(name, body, *args, metrics=self._metrics)
 
     def _probe(self) -> None:
         self._record_call()
@@ -316,16 +322,18 @@
     def _ping_if_due(self) -> None:
         if not self._is_pinging and clock.now() >= self._next_ping_at:
             self._is_pinging = True
-            eventlet.spawn(self._ping_peers)
+            self._spawn_task("pings of peers", self._ping_peers)
 
     def _ping_peers(self) -> None:
         """Ask peers for a sign of life, all at once.
 
         A peer's reply to a read is none: it comes late while the store is silent.
         """
-        replies = self._ping_all()
-        self._is_pinging = False
-        self._next_ping_at = clock.now() + PING_INTERVAL_SECONDS
+        try:
+            replies = self._ping_all()
+        finally:
+            self._is_pinging = False
+            self._next_ping_at = clock.now() + PING_INTERVAL_SECONDS
         was_cut_off = self.is_cut_off
         answered = [reply for reply in replies if reply is not None]
         reached = [reply for reply in answered if reply.reaches_store]
@@ -342,7 +350,7 @@
         peers = self._candidates()[:MAX_PINGED_PEERS]
         queue: LightQueue = LightQueue()
         for peer in peers:
-            eventlet.spawn(self._ping, peer, queue)
+            self._spawn_task("ping of a peer", self._ping, peer, queue)
         return [queue.get() for _ in peers]
 
     def _record_call(self) -> None:
@@ -351,7 +359,7 @@
         self.availability.record_call()
         if not self._is_watching and self.availability.has_unanswered:
             self._is_watching = True
-            eventlet.spawn_after(SUSPICION_SECONDS, self._watch, clock.now())
+            self._spawn_task("watch of the store", self._watch, clock.now())
 
     def _watch(self, ran_at: float) -> None:
         """Look for peers that reach the store while it gives this entry no answer.
@@ -361,18 +369,21 @@
         ran_at : float
             Clock time at which this process is known to have run.
         """
-        while self.availability.has_unanswered:
-            if clock.now() >= self._called_at + WATCH_SECONDS:
-                break
-            if self.availability.unanswered_seconds >= SUSPICION_SECONDS:
-                self._look_for_peers()
-            if clock.now() > ran_at + MAX_LOOK_AGE_SECONDS:
-                # Answers may lie in the sockets of a process that was frozen.
-                self.availability.restart_silence()
-            ran_at = clock.now()
-            clock.sleep(PING_INTERVAL_SECONDS)
-        self._does_peer_reach = True
-        self._is_watching = False
+        clock.sleep(SUSPICION_SECONDS)
+        try:
+            while self.availability.has_unanswered:
+                if clock.now() >= self._called_at + WATCH_SECONDS:
+                    break
+                if self.availability.unanswered_seconds >= SUSPICION_SECONDS:
+                    self._look_for_peers()
+                if clock.now() > ran_at + MAX_LOOK_AGE_SECONDS:
+                    # Answers may lie in the sockets of a process that was frozen.
+                    self.availability.restart_silence()
+                ran_at = clock.now()
+                clock.sleep(PING_INTERVAL_SECONDS)
+        finally:
+            self._does_peer_reach = True
+            self._is_watching = False
 
     def _look_for_peers(self) -> None:
         replies = self._ping_all()
--- a/src/sequoiachute/coordination/streams.py
+++ b/src/sequoiachute/coordination/streams.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import eventlet
-
 from sequoiachute.coordination.breaker import AppendRateLimiter
 from sequoiachute.coordination.follower import (
     SHARED_VIEW_POLL_SECONDS,
@@ -12,6 +10,7 @@
     RestoreItems,
     StreamFollower,
 )
+from sequoiachute.coordination.loop import spawn_loop
 from sequoiachute.coordination.snapshot_writer import SnapshotWriter
 from sequoiachute.coordination.writer import StreamWriter
 from sequoiachute.transport.ports import LogClient
@@ -96,8 +95,8 @@
     def run(self) -> None:
         """Start the tasks that follow, write and take snapshots."""
         for follower in self._followers.values():
-            eventlet.spawn(follower.run)
+            spawn_loop("stream follower", follower.run)
         for writer in self._writers.values():
-            eventlet.spawn(writer.run)
+            spawn_loop("stream writer", writer.run)
         for snapshot_writer in self._snapshot_writers:
-            eventlet.spawn(snapshot_writer.run)
+            spawn_loop("snapshot writer", snapshot_writer.run)
