Refuse records of the ledger with odd keys

Seen: a record of a job's progress, or of an end, with a key that is no occurrence, step and index (x, 0.0, other digits, 99 digits) raised ValueError out of Ledger.apply or replaced the known progress; an end of a step that the job lacks raised IndexError out of Ledger.state, at every question for that job.

Cause: keys were split and converted without a check, after the record had been applied in part.

Ruled out: undecodable values, which were skipped before.

Change: the keys are checked with the value, before anything changes; such a record is logged and skipped. An end of a step that the job lacks ends nothing.

Evidence: 7 of 7 new cases of test_foreign_input.py failed before, all pass now; test_foreign_decoders, test_upkeep, test_attempts, test_recovery, test_objective, test_control_site, test_store_outages and test_docs pass.

--- a/src/sequoiachute/protocol/workload.py
+++ b/src/sequoiachute/protocol/workload.py
@@ -232,6 +232,11 @@
     return f"{task.occurrence}.{task.step}.{task.index}"
 
 
+def is_task_key(key: str) -> bool:
+    """Return whether ``key`` may be a task's key inside a job's progress."""
+    return parse_task_id(f"j.{key}") is not None
+
+
 def encode(value: Any) -> bytes:
     """Return ``value`` as the bytes of a store record."""
     return msgspec.msgpack.encode(value)
@@ -244,4 +249,8 @@
 
 def decode_progress(data: bytes) -> JobProgress:
     """Return the progress in a store record; raise ``msgspec.DecodeError``."""
-    return decode_msgpack(data, JobProgress)
+    progress = decode_msgpack(data, JobProgress)
+    for key in progress.tasks:
+        if not is_task_key(key):
+            raise msgspec.ValidationError("a task's key is not of three numbers")
+    return progress
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -22,6 +22,7 @@
     TaskState,
     decode_job,
     decode_progress,
+    is_task_key,
 )
 
 # Topics of records that never change: jobs, cancellations and ends of tasks. Each
@@ -230,9 +231,11 @@
             job_id, _, task = key.removeprefix(END_PREFIX).partition(".")
             if value is None:
                 self._ends.pop(job_id, None)
+            elif is_task_key(task):
+                run = decode_msgpack(value, int)
+                self._ends.setdefault(job_id, {}).setdefault(task, run)
             else:
-                ends = self._ends.setdefault(job_id, {})
-                ends.setdefault(task, decode_msgpack(value, int))
+                raise msgspec.ValidationError("the key of an end names no task")
         else:
             self._apply_progress(key, value)
 
@@ -275,6 +278,8 @@
     One member of a gang that is done implies the others.
     """
     occurrence, step, _ = key.split(".")
+    if int(step) >= len(job.steps):
+        return []
     spec = job.steps[int(step)]
     if not spec.gang:
         return [key]
--- a/tests/test_foreign_input.py
+++ b/tests/test_foreign_input.py
@@ -27,8 +27,11 @@
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.supervision import Report
 from sequoiachute.protocol.workload import (
+    JobGraph,
     JobProgress,
     Lifetime,
+    Resources,
+    StepSpec,
     TaskState,
     decode_job,
     decode_progress,
@@ -414,3 +417,29 @@
     service, paths = answering_machines(monkeypatch, pages)
     assert "invalid machine list" in service.machines().unwrap_err()
     assert len(paths) == 3
+
+
+# Keys of the ledger.
+
+
+@pytest.mark.parametrize("key", ["", "x", "0.0", "x.0.0", "0.².0", "0.0." + "9" * 99])
+def test_odd_task_key_leaves_the_ledger_as_it_was(key):
+    ledger = Ledger()
+    progress = JobProgress(tasks={"0.0.0": TaskState(1, "h")})
+    odd = JobProgress(tasks={key: TaskState(1, "odd")})
+    job = JobGraph("j", "a", "q", "s", "", (StepSpec(2, Resources()),))
+    ledger.apply("jobs", StoredRecord(0, "job/j", encode(job)))
+    ledger.apply("runs", StoredRecord(1, "j", encode(progress)))
+    ledger.apply("runs", StoredRecord(2, "j", encode(odd)))
+    ledger.apply("jobs", StoredRecord(3, f"end/j.{key}", encode(1)))
+    assert ledger.progress("j") == progress
+    assert ledger.hosts() == ("h",)
+    assert ledger.state("j") == "active"
+
+
+def test_end_of_a_step_that_the_job_lacks_is_no_end_of_its_tasks():
+    ledger = Ledger()
+    job = JobGraph("j", "a", "q", "s", "", (StepSpec(1, Resources()),))
+    ledger.apply("jobs", StoredRecord(0, "job/j", encode(job)))
+    ledger.apply("jobs", StoredRecord(1, "end/j.0.7.0", encode(1)))
+    assert ledger.state("j") == "pending"
