--- a/src/sequoiachute/platform/jobs.py
+++ b/src/sequoiachute/platform/jobs.py
@@ -1,5 +1,6 @@
 """HTTP interface for callers to submit, query, count and cancel jobs."""
 
+import re
 from collections.abc import Iterable
 from typing import Any
 
@@ -16,6 +17,7 @@
     IntakeOutcome,
 )
 from sequoiachute.platform.replies import HttpReply, StartResponse, write_reply
+from sequoiachute.protocol.decoder import decode_json
 from sequoiachute.protocol.workload import JobGraph, Resources, StepSpec
 from sequoiachute.state.operations import Queue
 from sequoiachute.transport.webserver import ARRIVED_AT
@@ -27,6 +29,7 @@
 MAX_TASKS = 10_000
 MAX_PAYLOAD_BYTES = 4000
 RETRY_AFTER_SECONDS = 1.0
+_MILLISECONDS = re.compile(r"[0-9]{1,15}")
 START_WAIT_SECONDS = 0.5  # an entry usually reads its state within 0.1 s
 
 
@@ -120,8 +123,8 @@
         If the body is not a valid job; the message names the field.
     """
     try:
-        body = msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        body = decode_json(data)
+    except msgspec.DecodeError as error:
         raise InvalidJobError("send a JSON object") from error
     if not isinstance(body, dict):
         raise InvalidJobError("send a JSON object")
@@ -206,7 +209,8 @@
 
 def _read_deadline(environ: dict[str, Any]) -> float:
     text = environ.get("HTTP_X_DEADLINE_MS", "")
-    seconds = int(text) / 1000 if text.isdigit() else DEFAULT_DEADLINE_SECONDS
+    is_valid = _MILLISECONDS.fullmatch(text) is not None
+    seconds = int(text) / 1000 if is_valid else DEFAULT_DEADLINE_SECONDS
     return environ[ARRIVED_AT] + seconds
 
 
--- a/src/sequoiachute/platform/machines.py
+++ b/src/sequoiachute/platform/machines.py
@@ -1,14 +1,28 @@
 """HTTP clients of the platform's advice and machine services."""
 
+from typing import Any
+from urllib.parse import urlencode
+
 import msgspec
+from loguru import logger
 from result import Err, Ok, Result
 
+from sequoiachute.platform.fields import (
+    FieldError,
+    fields,
+    items,
+    number,
+    required,
+    text,
+    texts,
+)
 from sequoiachute.platform.http import (
     HttpClient,
     HttpFailure,
     HttpResponse,
     decode_object,
     json_headers,
+    read_reason,
 )
 from sequoiachute.platform.store import MetadataStore
 from sequoiachute.transport.machines import Advice, PlatformMachine
@@ -34,12 +48,13 @@
         body = _decode_response(response)
         if body.is_err():
             return body
-        fields = body.unwrap()
+        answer = body.unwrap()
         try:
-            tickets = {str(row[0]): str(row[1]) for row in fields["good"]}
-            return Ok(Advice(tickets, float(fields["valid_ms"]) / 1000))
-        except (KeyError, TypeError, ValueError, IndexError) as error:
-            return Err(f"invalid advice: {type(error).__name__}")
+            valid_seconds = number(required(answer, "valid_ms")) / 1000
+            rows = items(required(answer, "good"))
+        except FieldError as error:
+            return Err(f"invalid advice: {error}")
+        return Ok(Advice(_decode_tickets(rows), valid_seconds))
 
 
 class CloudMachines:
@@ -50,22 +65,28 @@
         self._store = store
 
     def machines(self) -> Result[tuple[PlatformMachine, ...], str]:
-        """Return every machine of all pages."""
+        """Return every machine of all pages; leave out those that can't be read."""
         machines: list[PlatformMachine] = []
         token = ""
+        tokens = set()
         while True:
-            path = "/v1/machines" + (f"?page_token={token}" if token else "")
+            query = "?" + urlencode({"page_token": token}) if token else ""
+            path = "/v1/machines" + query
             body = _decode_response(self._http.call("GET", path, CALL_TIMEOUT_SECONDS))
             if body.is_err():
                 return body
-            fields = body.unwrap()
+            page = body.unwrap()
             try:
-                machines.extend(_decode_machine(item) for item in fields["machines"])
-            except (KeyError, TypeError) as error:
-                return Err(f"invalid machine list: {type(error).__name__}")
-            token = fields.get("next_token")
+                rows = items(required(page, "machines"))
+                token = text(page.get("next_token") or "")
+            except FieldError as error:
+                return Err(f"invalid machine list: {error}")
+            machines += _decode_machines(rows)
             if not token:
                 return Ok(tuple(machines))
+            if token in tokens:
+                return Err("invalid machine list: a page was repeated")
+            tokens.add(token)
 
     def begin_upkeep(
         self, machine: str, wave: int, holder: str, term: int
@@ -88,13 +109,40 @@
         return self._store.append(STATUS_TOPIC, [(f"wave/{wave}", value)]).is_ok()
 
 
-def _decode_machine(item: dict) -> PlatformMachine:
+def _decode_tickets(rows: list[Any]) -> dict[str, str]:
+    """Return tickets by worker; rows of another form name no worker."""
+    tickets = {}
+    for row in rows:
+        try:
+            worker_id, ticket = texts(row)[:2]
+        except ValueError:
+            logger.warning("odd row of advice left out")
+            continue
+        tickets[worker_id] = ticket
+    return tickets
+
+
+def _decode_machines(rows: list[Any]) -> list[PlatformMachine]:
+    machines = []
+    for row in rows:
+        try:
+            machines.append(_decode_machine(fields(row)))
+        except FieldError as error:
+            logger.bind(reason=str(error)).warning("odd machine left out")
+    return machines
+
+
+def _decode_machine(item: dict[str, Any]) -> PlatformMachine:
+    name = text(required(item, "machine"))
+    if not name:
+        raise FieldError("send the machine's name")
+    state = text(item.get("state") or "")
     return PlatformMachine(
-        name=str(item["machine"]),
-        worker_id=str(item.get("id") or ""),
-        zone=str(item.get("zone") or ""),
-        is_up=item.get("state") == "up",
-        in_upkeep=item.get("state") == "upkeep",
+        name=name,
+        worker_id=text(item.get("id") or ""),
+        zone=text(item.get("zone") or ""),
+        is_up=state == "up",
+        in_upkeep=state == "upkeep",
     )
 
 
@@ -103,5 +151,5 @@
         return Err(response.reason)
     if response.status == 200:
         return Ok(decode_object(response.body))
-    reason = decode_object(response.body).get("reason", "")
+    reason = read_reason(response.body)
     return Err(f"answered {response.status} {reason}".strip())
--- a/src/sequoiachute/protocol/workload.py
+++ b/src/sequoiachute/protocol/workload.py
@@ -4,16 +4,21 @@
 tasks of the same shape; a run is one start of a task.
 """
 
+import re
 from typing import Any, NamedTuple
 
 import msgspec
 
+from sequoiachute.protocol.decoder import decode_msgpack
+
 PENDING = "pending"
 ACTIVE = "active"
 COMPLETE = "complete"
 FAILED = "failed"
 CANCELLED = "cancelled"
 
+_INDEX = re.compile(r"[0-9]{1,15}")
+
 
 class Resources(NamedTuple):
     """Thousandths of a core, memory in MB and accelerators."""
@@ -139,7 +144,7 @@
 def parse_task_id(text: str) -> TaskId | None:
     """Parse the text form of a task's identity; return ``None`` if it is invalid."""
     parts = text.split(".")
-    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+    if len(parts) != 4 or not all(_INDEX.fullmatch(part) for part in parts[1:]):
         return None
     return TaskId(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
 
@@ -227,6 +232,11 @@
     return f"{task.occurrence}.{task.step}.{task.index}"
 
 
+def is_task_key(key: str) -> bool:
+    """Return whether ``key`` may be a task's key inside a job's progress."""
+    return parse_task_id(f"j.{key}") is not None
+
+
 def encode(value: Any) -> bytes:
     """Return ``value`` as the bytes of a store record."""
     return msgspec.msgpack.encode(value)
@@ -234,9 +244,13 @@
 
 def decode_job(data: bytes) -> JobGraph:
     """Return the job in a store record; raise ``msgspec.DecodeError``."""
-    return msgspec.msgpack.decode(data, type=JobGraph)
+    return decode_msgpack(data, JobGraph)
 
 
 def decode_progress(data: bytes) -> JobProgress:
     """Return the progress in a store record; raise ``msgspec.DecodeError``."""
-    return msgspec.msgpack.decode(data, type=JobProgress)
+    progress = decode_msgpack(data, JobProgress)
+    for key in progress.tasks:
+        if not is_task_key(key):
+            raise msgspec.ValidationError("a task's key is not of three numbers")
+    return progress
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -7,6 +7,7 @@
 import msgspec
 from loguru import logger
 
+from sequoiachute.protocol.decoder import decode_msgpack
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.workload import (
     ACTIVE,
@@ -21,6 +22,7 @@
     TaskState,
     decode_job,
     decode_progress,
+    is_task_key,
 )
 
 # Topics of records that never change: jobs, cancellations and ends of tasks. Each
@@ -75,7 +77,7 @@
 
 def decode_speeds(data: bytes) -> dict[Machine, MachineSpeed]:
     """Return learned speeds by machine; raise ``msgspec.DecodeError``."""
-    rows = msgspec.msgpack.decode(data, type=list[_SpeedRow])
+    rows = decode_msgpack(data, list[_SpeedRow])
     return {
         Machine(row.host, row.labels): MachineSpeed(row.speed, row.error)
         for row in rows
@@ -203,7 +205,7 @@
         self._offsets[(topic, record.key)] = record.offset
         try:
             self._apply_value(record)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except msgspec.DecodeError as error:
             log = logger.bind(topic=topic, key=record.key, offset=record.offset)
             log.error("skipped an undecodable record: {}", type(error).__name__)
         return True
@@ -212,7 +214,7 @@
         key, value = record.key, record.value
         if key == LEADER_KEY:
             if value is not None:
-                self.leader = msgspec.msgpack.decode(value, type=Leader)
+                self.leader = decode_msgpack(value, Leader)
         elif key == SPEEDS_KEY:
             self.speeds = decode_speeds(value or b"")
         elif key.startswith(WAVE_PREFIX):
@@ -229,9 +231,11 @@
             job_id, _, task = key.removeprefix(END_PREFIX).partition(".")
             if value is None:
                 self._ends.pop(job_id, None)
+            elif is_task_key(task):
+                run = decode_msgpack(value, int)
+                self._ends.setdefault(job_id, {}).setdefault(task, run)
             else:
-                ends = self._ends.setdefault(job_id, {})
-                ends.setdefault(task, msgspec.msgpack.decode(value, type=int))
+                raise msgspec.ValidationError("the key of an end names no task")
         else:
             self._apply_progress(key, value)
 
@@ -250,11 +254,10 @@
             self._live[job_id] = None
 
     def _apply_progress(self, job_id: str, value: bytes | None) -> None:
+        new = NO_PROGRESS if value is None else decode_progress(value)
         old = self._progress.pop(job_id, NO_PROGRESS)
-        if value is None:
-            new = NO_PROGRESS
-        else:
-            new = self._progress[job_id] = decode_progress(value)
+        if value is not None:
+            self._progress[job_id] = new
         self._reindex_hosts(job_id, old, new)
         if new.state and not any(task.placed for task in new.tasks.values()):
             self._live.pop(job_id, None)
@@ -275,6 +278,8 @@
     One member of a gang that is done implies the others.
     """
     occurrence, step, _ = key.split(".")
+    if int(step) >= len(job.steps):
+        return []
     spec = job.steps[int(step)]
     if not spec.gang:
         return [key]
--- a/src/sequoiachute/transport/rpc.py
+++ b/src/sequoiachute/transport/rpc.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import eventlet
+import msgspec
 from eventlet.asyncio import spawn_for_awaitable
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler, Status
@@ -17,6 +18,7 @@
 from sequoiachute.errors import RpcError, describe_failure
 from sequoiachute.protocol.codec import MessageCodec
 from sequoiachute.protocol.messages import Method
+from sequoiachute.transport.address import ADDRESS_REMEDY, parse_address
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 TIMEOUTS_BEFORE_RECONNECT = 2
@@ -92,7 +94,7 @@
         async def serve(stream: Any) -> None:
             self._open_calls += 1
             try:
-                message = await stream.recv_message()
+                message = await _receive(stream)
                 future = asyncio.get_running_loop().create_future()
                 eventlet.spawn(_run_handler, handler, message, future)
                 await stream.send_message(await future)
@@ -102,6 +104,13 @@
         return serve
 
 
+async def _receive(stream: Any) -> Any:
+    try:
+        return await stream.recv_message()
+    except msgspec.DecodeError as error:
+        raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
+
+
 async def _listen(server: Server, host: str, port: int) -> OSError | None:
     """Start ``server``; return the error if it can't listen, else ``None``."""
     try:
@@ -136,21 +145,27 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self._endpoint = parse_address(address)
         self._channel = self._open_channel()
         self._consecutive_timeouts = 0
         self._open_calls: dict[Channel, int] = {}
 
-    def _open_channel(self) -> Channel:
-        host, _, port = self.address.rpartition(":")
-        return Channel(host, int(port), codec=MessageCodec())
+    def _open_channel(self) -> Channel | None:
+        if self._endpoint is None:
+            return None
+        return Channel(*self._endpoint, codec=MessageCodec())
 
     def call(
         self, method: Method, message: Any, timeout: float
     ) -> Result[Any, RpcError]:
         """Call ``method`` and return its reply.
 
-        The call fails after ``timeout`` seconds.
+        The call fails after ``timeout`` seconds, and at once if the address is
+        invalid.
         """
+        if self._channel is None:
+            reason = f"no address; {ADDRESS_REMEDY}"
+            return Err(RpcError(self.address, reason, False))
         task = spawn_for_awaitable(self._call(method, message, timeout))
         return task.wait()
 
@@ -178,6 +193,8 @@
             reply = await call(message, timeout=timeout)
         except GRPCError as error:
             return Err(RpcError(self.address, f"{error.status.name}", True))
+        except msgspec.DecodeError as error:
+            return Err(RpcError(self.address, f"unreadable reply: {error}", True))
         except (OSError, TimeoutError, StreamTerminatedError) as error:
             if isinstance(error, TimeoutError):
                 self._count_timeout(channel)
@@ -203,7 +220,8 @@
 
     def close(self) -> None:
         """Close the connection."""
-        self._channel.close()
+        if self._channel is not None:
+            self._channel.close()
 
 
 class RpcPool:
