Count on late calls to an earlier life when a silent worker's runs are given up

A start without an answer that its next life carries out 8 s later, while nobody reaches the worker, ran beside the task's next run (12.0 to 17.9 s and from 15.0 s on). A poll of the earlier life that the new one carries out may grant it 10 s where 9 s from the newest reading were waited for (overlap 0.2 s).

Agents report the starts that were not answered within the last 12 s; such a run is given up once the start can't come any more and the longest lease from then is over. The agent repeats a start only while its lease lasts, and reports a life as ended only when no start to it is out. In the first seconds of a life the longest lease is waited for, whoever granted it.

Price: such a run waits 33 s in place of 9.5 s if its worker stays away. Runs whose starts were answered, and workers that come back, wait no longer. Not covered: an agent that dies within 0.4 s of an unanswered start, and a new placer that has no report of it.

--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -24,6 +24,7 @@
     parse_task_id,
 )
 from sequoiachute.state.ledger import Ledger
+from sequoiachute.transport.worker import MAX_CALL_DELAY_SECONDS
 
 LEASE_SECONDS = 9.0  # if workers allow as much
 MAX_CLOCK_DRIFT = 0.02  # share by which a worker's clock may run slow
@@ -68,6 +69,8 @@
         self.runs: dict[tuple[str, int], RunReport] = {}
         self.checkpoint_tokens: dict[tuple[str, int], str] = {}
         self.ends: tuple[EndReport, ...] = ()
+        self._late_starts: dict[tuple[str, int], float] = {}
+        self._reporting_since = (Lifetime(), 0.0)
         self.settled: tuple[SettledStart, ...] = ()
         self.stops: dict[TaskId, int] = {}
         self.tickets: dict[tuple[TaskId, int], str] = {}
@@ -121,6 +124,7 @@
         if report.worker is not None and self._is_over(report.worker.lifetime):
             return False
         before = self._decision_inputs()
+        is_same_agent = report.incarnation == self.incarnation
         self.incarnation = report.incarnation
         self.sequence = report.sequence
         self.reported_at = clock.elapsed()
@@ -128,7 +132,10 @@
             self.left_lifetime = report.ended_lifetime
             self.ended_lifetimes.add(report.ended_lifetime)
         self._apply_worker(report.worker)
+        self._record_late_starts(report, is_same_agent)
         self.is_fenced = report.term == term and report.worker is not None
+        if self.is_fenced and self._reporting_since[0] != self.lifetime:
+            self._reporting_since = (self.lifetime, self.reported_at)
         if report.worker_clock_ms != self.worker_clock_ms:
             self.worker_answered_at = self.reported_at
         self.worker_clock_ms = report.worker_clock_ms
@@ -140,6 +147,23 @@
         self.settled = report.settled
         return self._decision_inputs() != before
 
+    def _record_late_starts(self, report: Report, is_same_agent: bool) -> None:
+        """Record starts that may be carried out late; a new agent knows of none."""
+        if is_same_agent:
+            self._late_starts.clear()
+        for key in report.late_starts:
+            self._late_starts[tuple(key)] = self.reported_at
+
+    def late_start_age(self, task: TaskId, run: int) -> float:
+        """Return seconds since a report that the start of a run may come late."""
+        reported_at = self._late_starts.get((str(task), run), float("-inf"))
+        return clock.elapsed() - reported_at
+
+    def reporting_seconds(self) -> float:
+        """Return seconds since the present lifetime was first reported as fenced."""
+        lifetime, since = self._reporting_since
+        return clock.elapsed() - since if lifetime == self.lifetime else 0.0
+
     def _is_over(self, lifetime: Lifetime) -> bool:
         """Return whether a later lifetime has been reported."""
         is_earlier = lifetime.started_ms < self.lifetime.started_ms
@@ -272,6 +296,7 @@
         self._wake = wake
         self._confirmation_age = confirmation_age
         self._lease_seconds = min(LEASE_SECONDS, max_lease_seconds)
+        self._max_lease_seconds = max_lease_seconds
         self.term = term
         self.began_at = clock.elapsed()
         self._newest_agent_at = self.began_at
@@ -330,6 +355,24 @@
             return 0
         return report.worker_clock_ms + int(self._lease_seconds * 1000)
 
+    @property
+    def _longest_lease(self) -> float:
+        """Seconds that the longest lease lasts, whoever has granted it."""
+        seconds = self._max_lease_seconds * (1 + MAX_CLOCK_DRIFT)
+        return seconds + LEASE_EXPIRY_MARGIN_SECONDS
+
+    def may_start_late(self, host: str, task: TaskId, run: int) -> bool:
+        """Return whether a lost worker may yet begin a run, or run it.
+
+        An agent repeats a start while its lease lasts. It may be carried out late by
+        the worker's next lifetime, on whose clock the longest lease then counts.
+        """
+        session = self.sessions.get(host)
+        if session is None:
+            return False
+        longest = 2 * self._longest_lease + MAX_CALL_DELAY_SECONDS
+        return session.late_start_age(task, run) <= longest
+
     def is_lost(self, host: str) -> bool:
         """Return whether every lease of an agent's worker has certainly expired.
 
@@ -344,6 +387,9 @@
             reading_age = clock.elapsed() - session.newest_reading_at
             if reading_age <= lease_lifetime:
                 return False
+            # A call to an earlier lifetime may have granted the longest lease.
+            if session.is_fenced and session.reporting_seconds() <= self._longest_lease:
+                return False
         # An earlier placer may have granted leases until its confirmation expired.
         handover = MAX_CONFIRMATION_AGE_SECONDS + lease_lifetime
         if session is None or not session.is_fenced:
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -194,6 +194,8 @@
             state = draft.task(task)
             if state.host != host:
                 continue
+            if self._agents.may_start_late(host, task, state.run):
+                continue
             if session is not None:
                 # Until the loss is recorded, a worker that answers again would get
                 # the order to start a run that it has not started yet.
--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -10,7 +10,12 @@
 from sequoiachute.protocol.supervision import WITHDRAWN, RunOrder, SettledStart
 from sequoiachute.protocol.workload import Lifetime, Resources
 from sequoiachute.state.metrics import Metrics
-from sequoiachute.transport.worker import ALREADY_RAN, TaskWorker, WorkerStatus
+from sequoiachute.transport.worker import (
+    ALREADY_RAN,
+    MAX_CALL_DELAY_SECONDS,
+    TaskWorker,
+    WorkerStatus,
+)
 
 CALL_RETRY_SECONDS = 0.05  # between two attempts of an unanswered call
 # A worker describes itself every 0.5 to 1.5 s; its capacity may have shrunk since.
@@ -46,6 +51,8 @@
         self._attempted: set[tuple[str, int]] = set()
         self._started: set[tuple[str, int]] = set()
         self._stopped_at: dict[tuple[str, int], float] = {}
+        self._unanswered_at: dict[tuple[str, int], float] = {}
+        self._reading = (0, 0.0)
         self._in_flight: set[tuple[str, int]] = set()
         self.lifetime = Lifetime()
         self.term = 0
@@ -71,6 +78,14 @@
         self._capacity = capacity
         self._announced_at = clock.elapsed()
 
+    def late_starts(self) -> tuple[tuple[str, int], ...]:
+        """Return the starts without an answer that may still be carried out."""
+        oldest = clock.elapsed() - MAX_CALL_DELAY_SECONDS
+        for key, at in list(self._unanswered_at.items()):
+            if at < oldest:
+                del self._unanswered_at[key]
+        return tuple(self._unanswered_at)
+
     def set_orders(self, orders: tuple[RunOrder, ...]) -> None:
         """Replace all orders and reconcile.
 
@@ -90,6 +105,7 @@
 
     def apply_status(self, status: WorkerStatus, polled_at: float) -> None:
         """Apply a status requested at ``polled_at`` in clock time, and reconcile."""
+        self._reading = (status.clock_ms, polled_at)
         self._present = {(run.task, run.run) for run in status.runs}
         self._ended = {(end.task, end.run) for end in status.ends}
         for key, stopped_at in list(self._stopped_at.items()):
@@ -154,7 +170,7 @@
                 else:
                     self._settle(key, obstacle)
                 return
-            if not self.lease_ms or self._has_unordered_runs():
+            if not self._has_lease() or self._has_unordered_runs():
                 clock.sleep(CALL_RETRY_SECONDS)
                 continue
             self._attempted.add(key)
@@ -176,7 +192,9 @@
                 else:
                     self._settle(key, error.reason)
                 return
-            may_exist = may_exist or error.applied is None
+            if error.applied is None:
+                may_exist = True
+                self._unanswered_at[key] = clock.elapsed()
             clock.sleep(CALL_RETRY_SECONDS)
 
     def _obstacle(self, key: tuple[str, int], order: RunOrder) -> str:
@@ -191,6 +209,11 @@
                 used = used.plus(other_order.need)
         return "" if self._capacity.covers(used) else NO_ROOM
 
+    def _has_lease(self) -> bool:
+        """Return whether the lease to start under lasts, by the worker's clock."""
+        clock_ms, read_at = self._reading
+        return self.lease_ms > clock_ms + 1000 * (clock.now() - read_at)
+
     def _may_run(self, key: tuple[str, int]) -> bool:
         if key in self._ended or key in self.settled:
             return False
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -318,12 +318,14 @@
             remaining = max(0.0, info.leaving_seconds - elapsed)
             info = info._replace(leaving_seconds=remaining)
         has_worker = info is not None
+        late_starts = self._reconciler.late_starts()
         return Report(
             host=self._host,
             incarnation=self._incarnation,
             sequence=self._sequence,
             worker=info,
-            ended_lifetime=self._ended_lifetime,
+            # The worker's next lifetime may carry out a start to the ended one.
+            ended_lifetime=None if late_starts else self._ended_lifetime,
             term=self._fenced_term,
             worker_clock_ms=status.clock_ms if has_worker else 0,
             runs=status.runs if has_worker else (),
@@ -331,6 +333,7 @@
             settled=tuple(self._reconciler.settled.values()) if has_worker else (),
             known_version=self._version,
             wait=wait,
+            late_starts=late_starts,
         )
 
     def _apply_orders(self, address: str, orders: Orders) -> bool:
--- a/src/sequoiachute/protocol/supervision.py
+++ b/src/sequoiachute/protocol/supervision.py
@@ -76,7 +76,8 @@
     knows whether its fencing is in force there. ``worker_clock_ms`` is a reading
     of the worker's clock taken before this report. ``known_version`` is the
     version of the orders that the agent has, and ``wait`` the seconds for which
-    the placer may delay the reply until there are newer ones.
+    the placer may delay the reply until there are newer ones. ``late_starts`` holds
+    task and run of starts that were not answered and may still be carried out.
     """
 
     host: str
@@ -91,6 +92,7 @@
     settled: tuple[SettledStart, ...] = ()
     known_version: int = 0
     wait: float = 0.0
+    late_starts: tuple[tuple[str, int], ...] = ()
 
 
 class RunOrder(NamedTuple):
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -7,12 +7,14 @@
 from sequoiachute import clock
 from sequoiachute.coordination.dispatch.sessions import Session
 from sequoiachute.coordination.hosting.runs import MAX_ANNOUNCEMENT_AGE_SECONDS
+from sequoiachute.coordination.hosting.supervisor import Heartbeat
 from sequoiachute.protocol.supervision import Report, WorkerInfo
 from sequoiachute.protocol.workload import Lifetime, Resources
 from sequoiachute.transport.worker import WorkerError
 from standins.control_site import ControlSite
 from standins.task_worker import SHRINK_NOTICE_SECONDS
 from tests.control_checks import accepted, assert_room_kept, complete
+from tests.run_checks import assert_no_duplicate_runs
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
@@ -206,3 +208,50 @@
     accepted(site, 3.0)
     site.run_for(2.0)
     assert site.history.starts == []
+
+
+@pytest.mark.parametrize("restarts_agent", [False, True])
+def test_run_is_not_lost_while_its_start_may_still_be_carried_out(restarts_agent):
+    site = ControlSite(workers=2)
+    for worker in site.workers:
+        worker.late_seconds = 8.0
+    job = accepted(site, 30.0)
+    site.run_for(1.0)
+    for worker in site.workers:
+        worker.late_seconds = 0.0
+    [index] = [
+        number
+        for number, agent in enumerate(site.agents)
+        if agent.supervisor._reconciler.orders
+    ]
+    worker, supervisor = site.workers[index], site.agents[index].supervisor
+    supervisor.handle_heartbeat = lambda heartbeat: None
+    worker.silent = True
+    worker.restart(same_id=True)
+    if restarts_agent:
+        site.kill_agent(index)
+        site.restart_agent(index)
+    site.run_for(25.0)
+    assert [start.late for start in site.history.starts][:1] == [True]
+    assert_no_duplicate_runs(site.history)
+    worker.silent = False
+    del supervisor.handle_heartbeat
+    complete(site, [job], 60)
+
+
+def test_lease_granted_by_a_call_to_an_earlier_life_is_waited_for():
+    site = ControlSite(workers=3)
+    job = accepted(site, 30.0, count=6)
+    site.run_for(0.5)
+    worker, agent = site.workers[0], site.agents[0]
+    worker.restart(same_id=True)
+    worker._extend_leases(10**9)
+    agent.supervisor.handle_heartbeat(Heartbeat(worker.info(), 1000, worker.clock_ms))
+    while not worker.status().runs:
+        site.run_for(0.01)
+    agent.supervisor.handle_heartbeat = lambda heartbeat: None
+    worker.silent = True
+    site.run_for(15.0)
+    worker.silent = False
+    del agent.supervisor.handle_heartbeat
+    complete(site, [job], 90)
