Keep the events of worker stand-ins outside their processes

A killed worker took its history along, so no test on real processes could kill one. Each worker stand-in now appends its executions, renewals and stops to a file of the cluster, which adds the time of a kill; it can start again at the address it had.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -146,9 +147,7 @@
             self.workers.append(self.start_worker(index))
             self.agents.append(self.start_agent(index))
         for worker in self.workers:
-            self.wait_until(
-                lambda w=worker: self._is_listening(w), START_TIMEOUT_SECONDS
-            )
+            self.wait_listening(worker)
         self.wait_ready()
 
     def start_entry(self, index: int) -> Process:
@@ -167,11 +166,44 @@
         }
         return self._start_program("entry", settings, settings["http_address"])
 
-    def start_worker(self, index: int) -> Process:
-        """Start a worker stand-in and return it; speeds cycle from 1.0 to 2.0."""
+    def start_worker(self, index: int, address: str = "") -> Process:
+        """Start a worker stand-in and return it; speeds cycle from 1.0 to 2.0.
+
+        It listens on a free address if none is given.
+        """
         speed = 1.0 + 0.5 * (index % 3)
         options = ["--speed", str(speed), "--seed", str(index)]
-        return self._start_standin(f"worker-{index}", "worker", options)
+        self._events_path(index).touch()
+        options += ["--events", str(self._events_path(index))]
+        return self._start_standin(f"worker-{index}", "worker", options, address)
+
+    def kill_worker(self, index: int) -> None:
+        """Kill a worker stand-in and add the time to its events."""
+        killed_at = time.time()
+        self.workers[index].kill()
+        row = msgspec.json.encode({"what": "down", "task_id": "", "at": killed_at})
+        with self._events_path(index).open("ab") as events:
+            events.write(row + b"\n")
+
+    def restart_worker(self, index: int) -> None:
+        """Start a worker stand-in that has ended again, at the address it had."""
+        self.workers[index] = self.start_worker(index, self.workers[index].address)
+
+    def events(self, index: int) -> list[dict[str, Any]]:
+        """Return the events of a worker, those of its ended processes included."""
+        data = self._events_path(index).read_bytes()
+        # A line that is still being written has no end yet.
+        complete = data[: data.rfind(b"\n") + 1]
+        return [msgspec.json.decode(line) for line in complete.splitlines()]
+
+    def copy_events(self, folder: Path) -> None:
+        """Copy the events of every worker into ``folder``, which is created."""
+        folder.mkdir(parents=True, exist_ok=True)
+        for index in range(len(self.workers)):
+            shutil.copy(self._events_path(index), folder)
+
+    def _events_path(self, worker: int) -> Path:
+        return Path(self._folder.name) / f"worker-{worker}.events"
 
     def start_agent(self, index: int) -> Process:
         """Start the agent of worker ``index`` and return it."""
@@ -308,6 +340,10 @@
             )
         return keys
 
+    def wait_listening(self, process: Process) -> None:
+        """Wait until a process accepts connections."""
+        self.wait_until(lambda: self._is_listening(process), START_TIMEOUT_SECONDS)
+
     def _is_listening(self, process: Process) -> bool:
         self._check_running(process)
         host, _, port = process.address.rpartition(":")
@@ -341,8 +377,10 @@
         arguments += ["--settings", str(path)]
         return self._spawn(f"{command} {name}", arguments, address)
 
-    def _start_standin(self, name: str, module: str, options: list[str]) -> Process:
-        address = free_address()
+    def _start_standin(
+        self, name: str, module: str, options: list[str], address: str = ""
+    ) -> Process:
+        address = address or free_address()
         arguments = [sys.executable, "-m", f"standins.{module}", "--listen", address]
         return self._spawn(name, [*arguments, *options], address)
 
