Let soak links deliver calls late and out of order

A held link of the soak delivers everything in order once it is clear, so that no call ever overtook one that its sender had given up. A link in the state LATE delivers what it took in that state after a delay, while newer connections pass; a connection of that time reaches the process that then serves the address.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -16,6 +16,9 @@
 CLEAR = "clear"
 DELAYED = "delayed"
 SILENT = "silent"
+# Bytes and connections to the server arrive ``delay_seconds`` later, even if the link
+# is clear again by then, so that newer connections overtake them.
+LATE = "late"
 CUT_TO_SERVER = "cut to the server"
 CUT_TO_CLIENT = "cut to the client"
 
@@ -51,7 +54,7 @@
 
     @property
     def state(self) -> str:
-        """``CLEAR``, ``DELAYED``, ``SILENT`` or one of the cuts."""
+        """``CLEAR``, ``DELAYED``, ``LATE``, ``SILENT`` or one of the cuts."""
         return self._state
 
     @state.setter
@@ -94,6 +97,8 @@
             threading.Thread(target=self._connect, args=(client,), daemon=True).start()
 
     def _connect(self, client: socket.socket) -> None:
+        if self.state == LATE:
+            time.sleep(self.delay_seconds)
         self._hold("to server")
         try:
             server = socket.create_connection(
@@ -123,7 +128,8 @@
     ) -> None:
         try:
             while data := source.recv(CHUNK_BYTES):
-                if self.state == DELAYED:
+                is_late = self.state == LATE and direction == "to server"
+                if self.state == DELAYED or is_late:
                     time.sleep(self.delay_seconds)
                 self._hold(direction)
                 sink.sendall(data)
