Check runs, accelerators and crashes in the soak's histories

The soak knew starts only, not how long a task ran, so two runs of one job at the same time or one accelerator given twice went unseen.

--- a/soak/histories.py
+++ b/soak/histories.py
@@ -254,3 +254,95 @@
         as waiting or ended.
     """
     return sum(attempts.get(start.job_id) == start.attempt for start in starts)
+
+
+class TaskRun(NamedTuple):
+    """An execution of a task at a worker; times in seconds since the epoch.
+
+    ``accelerators`` are the numbers of those that the task was given.
+    """
+
+    worker: int
+    job_id: str
+    attempt: int
+    member: int
+    accelerators: tuple[int, ...]
+    began: float
+    ended: float
+
+
+class TaskCrash(NamedTuple):
+    """The crash of a worker under a task."""
+
+    job_id: str
+    member: int
+    at: float
+
+
+def concurrent_runs(runs):
+    """Return the pairs of runs of one job that overlap and must not.
+
+    Members of one attempt run side by side; a member does not run beside itself,
+    nor an attempt beside another.
+    """
+    by_job: dict[str, list[TaskRun]] = {}
+    for run in runs:
+        by_job.setdefault(run.job_id, []).append(run)
+    pairs = []
+    for job_runs in by_job.values():
+        for first, second in _overlapping(job_runs):
+            if first.attempt == second.attempt and first.member != second.member:
+                continue
+            pairs.append((first, second))
+    return pairs
+
+
+def overcommitted_accelerators(runs, capacity):
+    """Return the runs with an accelerator that a worker lacks or has given away.
+
+    ``capacity`` is the number of accelerators of each worker.
+    """
+    overcommitted = []
+    by_worker: dict[int, list[TaskRun]] = {}
+    for run in runs:
+        by_worker.setdefault(run.worker, []).append(run)
+        if any(not 0 <= number < capacity for number in run.accelerators):
+            overcommitted.append(run)
+    for worker_runs in by_worker.values():
+        for first, second in _overlapping(worker_runs):
+            if set(first.accelerators) & set(second.accelerators):
+                overcommitted.append(second)
+    return overcommitted
+
+
+def _overlapping(runs):
+    """Return the pairs of runs that overlap, each with its earlier run first."""
+    pairs = []
+    open_runs: list[TaskRun] = []
+    for run in sorted(runs, key=lambda r: r.began):
+        open_runs = [known for known in open_runs if known.ended > run.began]
+        pairs += [(known, run) for known in open_runs]
+        open_runs.append(run)
+    return pairs
+
+
+def starts_over_crash_budget(starts, crashes, crash_limit, start_limit):
+    """Return the starts of tasks that have crashed too many workers before.
+
+    Once ``crash_limit`` workers have crashed under a task, fewer than
+    ``start_limit`` starts of it may follow.
+    """
+    crash_times: dict[tuple[str, int], list[float]] = {}
+    for crash in sorted(crashes, key=lambda c: c.at):
+        crash_times.setdefault((crash.job_id, crash.member), []).append(crash.at)
+    later_starts: dict[tuple[str, int], int] = {}
+    excess = []
+    for start in sorted(starts, key=lambda s: s.at):
+        task = (start.job_id, start.member)
+        times = crash_times.get(task, [])
+        if len(times) < crash_limit or start.at <= times[crash_limit - 1]:
+            continue
+        later_starts[task] = later_starts.get(task, 0) + 1
+        if later_starts[task] >= start_limit:
+            excess.append(start)
+    return excess
