Stop a stand-in's task once, however its messages arrive

The worker stand-in looked at a task's state before it read the message's body, which lets other calls in. It reads first now.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -162,10 +162,12 @@
         task = self._tasks.get(parts[2])
         if task is None:
             return reply(start_response, 404, {})
+        # Read before the state is looked at: the rest of a message may come late.
+        message = read_json(environ) if len(parts) == 4 else {}
         if len(parts) == 4 and parts[3] == "renew":
-            self._renew(parts[2], task, read_json(environ))
+            self._renew(parts[2], task, message)
         elif len(parts) == 4 and self._state(task)[0] == "running":
-            checkpoint = read_json(environ)["checkpoint"]
+            checkpoint = message["checkpoint"]
             saved = self._state(task)[3] if checkpoint else task["done_seconds"]
             task["ended"] = ("stopped", "stopped", "", saved)
             self._record_event({"what": "stop", "task_id": parts[2], "at": time.time()})
