Let a soak's link delay chosen calls to a worker

A link that delays every call soon holds both connections for task calls with renewals, so that starts wait behind them and are rarely late themselves. A link can now delay only calls that begin with a prefix, such as starts; a connection is routed once its first call is known.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -16,8 +16,8 @@
 CLEAR = "clear"
 DELAYED = "delayed"
 SILENT = "silent"
-# Bytes and connections to the server arrive ``delay_seconds`` later, even if the link
-# is clear again by then, so that newer connections overtake them.
+# Calls to the server arrive ``delay_seconds`` later, even if the link is clear again by
+# then, so that newer calls overtake them.
 LATE = "late"
 CUT_TO_SERVER = "cut to the server"
 CUT_TO_CLIENT = "cut to the client"
@@ -37,12 +37,20 @@
     ----------
     target : str
         Address of the server, as ``host:port``.
+
+    Attributes
+    ----------
+    delay_seconds : float
+        Delay of what passes in the states ``DELAYED`` and ``LATE``.
+    late_prefix : bytes
+        What the calls that ``LATE`` delays begin with.
     """
 
     def __init__(self, target: str) -> None:
         self.target = target
         self.address = free_address()
         self.delay_seconds = 0.0
+        self.late_prefix = b""
         self._state = CLEAR
         self._disturbed_since = 0.0
         self._disturbed_seconds = 0.0
@@ -98,7 +106,7 @@
 
     def _connect(self, client: socket.socket) -> None:
         if self.state == LATE:
-            time.sleep(self.delay_seconds)
+            self._delay_late(_peek(client))
         self._hold("to server")
         try:
             server = socket.create_connection(
@@ -128,9 +136,10 @@
     ) -> None:
         try:
             while data := source.recv(CHUNK_BYTES):
-                is_late = self.state == LATE and direction == "to server"
-                if self.state == DELAYED or is_late:
+                if self.state == DELAYED:
                     time.sleep(self.delay_seconds)
+                if self.state == LATE and direction == "to server":
+                    self._delay_late(data)
                 self._hold(direction)
                 sink.sendall(data)
             sink.shutdown(socket.SHUT_WR)
@@ -142,11 +151,23 @@
                 except OSError:
                     continue
 
+    def _delay_late(self, data: bytes) -> None:
+        if data.startswith(self.late_prefix):
+            time.sleep(self.delay_seconds)
+
     def _hold(self, direction: str) -> None:
         while self.state in _HOLDING_STATES[direction] and not self._is_closed:
             time.sleep(HOLD_POLL_SECONDS)
 
 
+def _peek(connection: socket.socket) -> bytes:
+    """Return the first bytes of a connection without taking them."""
+    try:
+        return connection.recv(CHUNK_BYTES, socket.MSG_PEEK)
+    except OSError:
+        return b""
+
+
 def _parse_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
