Let workers fail in the soak

The histories come from the workers' events, and every check of before stays on; deadly jobs are not among those that must finish. An announced capacity can't shrink while an agent runs: it is one of the agent's settings, read at its start.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,10 +6,12 @@
 
 import random
 import sys
+from pathlib import Path
 from typing import Annotated
 
 import typer
 
+from soak.plan import FAULT_KINDS, WORKER_FAULT_KINDS
 from soak.trial import Trial, TrialResult
 
 RANDOM_SEED_LIMIT = 1_000_000
@@ -22,12 +24,19 @@
     workers: Annotated[
         int, typer.Option(min=3, help="Number of workers, each with an agent.")
     ] = 4,
+    kinds: Annotated[
+        str,
+        typer.Option(help="Kinds of faults, by commas; repeated ones are likelier."),
+    ] = ",".join(FAULT_KINDS + WORKER_FAULT_KINDS),
+    keep: Annotated[
+        Path | None, typer.Option(help="Folder for the evidence of violations.")
+    ] = None,
 ) -> None:
     """Run seeds one after another; exit with 1 if any violates a guarantee."""
     start = first if first >= 0 else random.SystemRandom().randrange(RANDOM_SEED_LIMIT)
     failed = 0
     for seed in range(start, start + seeds):
-        result = Trial(seed, seconds, workers).run()
+        result = Trial(seed, seconds, workers, tuple(kinds.split(",")), keep).run()
         print(describe(result), flush=True)
         failed += bool(result.violations)
     sys.exit(1 if failed else 0)
--- a/soak/trial.py
+++ b/soak/trial.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any, NamedTuple
 
 import msgspec
@@ -11,9 +12,11 @@
 from sequoiachute.coordination.bounds import AGENT_STARTUP_HOLD_SECONDS
 from soak import histories
 from soak.callers import DEADLINE_SECONDS, JOB_SPEC, Caller
-from soak.histories import Call, JobSample, RequestRun, TaskStart
-from soak.plan import Fault, draw_plan
-from soak.proxy import CLEAR, Link
+from soak.events import WorkerHistory, read_events
+from soak.histories import Call, JobSample, TaskStart
+from soak.keeper import WorkerKeeper
+from soak.plan import FAULT_KINDS, LATE_CALLS, Fault, draw_plan
+from soak.proxy import CLEAR, LATE, Link
 from standins.cluster import ACCELERATORS, OPERATOR_KEY, Cluster, Process, caller_key
 from standins.demo import CATALOGUE
 
@@ -33,6 +36,13 @@
 CALM_SECONDS = ELECTION_SECONDS + AGENT_STARTUP_HOLD_SECONDS
 MAX_IDLE_WAIT_SECONDS = 3.0  # of a job that fits twice over where half is idle
 SAMPLE_INTERVAL_SECONDS = 0.2  # between two samples of waiting jobs
+# Once this many workers have crashed under a task, fewer than this many starts of it
+# may follow.
+CRASH_LIMIT = 3
+STARTS_AFTER_CRASH_LIMIT = 3
+# For a task to crash as many workers as the budget allows, and more.
+CRASHES_SECONDS = 45.0
+DEADLY_RUN_SECONDS = 30.0
 CALM_JOBS = 2  # that each caller submits once the faults are over
 
 
@@ -87,11 +97,24 @@
         Duration of the faults.
     workers : int
         Number of workers, each with an agent.
+    kinds : tuple of str
+        Kinds of faults to draw from.
+    keep : Path, optional
+        Folder that gets the violations and the events of the workers if there are
+        any violations.
     """
 
-    def __init__(self, seed: int, seconds: float, workers: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        workers: int,
+        kinds: tuple[str, ...] = FAULT_KINDS,
+        keep: Path | None = None,
+    ) -> None:
+        self._keep = keep
         self._seed = seed
-        self._plan = draw_plan(seed, seconds)
+        self._plan = draw_plan(seed, seconds, kinds)
         self._links = Links()
         self._cluster = Cluster(
             (ACCOUNT, "milchschaum"),
@@ -99,6 +122,8 @@
             entries=ENTRIES,
             route=self._links.route,
         )
+        self._keeper = WorkerKeeper(self._cluster)
+        self._deadly: dict[str, str] = {}
         self._callers: list[Caller] = []
         self._held: dict[str, int] = {}
         self._end_seen_at: dict[str, float] = {}
@@ -127,10 +152,12 @@
             for thread in threads:
                 thread.join()
             self._settle()
+            self._keep_evidence()
         finally:
             callers_stop.set()
             for stop in self._stop_threads:
                 stop.join()
+            self._keeper.stop()
             self._cluster.thaw()
             self._cluster.close()
             self._links.close()
@@ -143,6 +170,7 @@
 
     def _start(self) -> None:
         self._cluster.start()
+        self._keeper.start()
         status, _, _ = self._cluster.call(
             "PUT", "/v1/catalogue", OPERATOR_KEY, CATALOGUE
         )
@@ -185,7 +213,14 @@
                 link.reset()
             else:
                 link.delay_seconds = fault.strength
-                link.state = fault.how
+                link.late_prefix = LATE_CALLS.get(fault.how, b"")
+                link.state = LATE if fault.how in LATE_CALLS else fault.how
+        elif fault.kind == "worker":
+            index = fault.index % len(self._cluster.workers)
+            self._keeper.kill(index, fault.until - fault.at)
+        elif fault.kind == "deadly":
+            key = f"deadly-{len(self._deadly)}"
+            self._deadly[key] = self._submit_deadly_job(key)
         else:
             self._change_configuration(fault)
 
@@ -238,6 +273,40 @@
         processes[index] = self._cluster.start_entry(index)
         self._links.route("caller", f"{index}", processes[index].address)
 
+    def _submit_deadly_job(self, key: str) -> str:
+        """Submit a job that crashes its workers; return its id, empty if unknown."""
+        body = {**JOB_SPEC, "tasks": 1, "run_seconds": DEADLY_RUN_SECONDS}
+        status, _, answer = self._call(
+            "POST",
+            "/v1/jobs",
+            caller_key(ACCOUNT),
+            {**body, "payload": "crash"},
+            {"Idempotency-Key": key},
+        )
+        return msgspec.json.decode(answer)["job_id"] if status == 202 else ""
+
+    def _end_deadly_jobs(self) -> None:
+        """Wait for the end of the deadly jobs, and cancel those that go on."""
+        for key, job_id in self._deadly.items():
+            while not job_id:
+                job_id = self._submit_deadly_job(key)
+            self._deadly[key] = job_id
+        deadline = time.monotonic() + CRASHES_SECONDS
+        while time.monotonic() < deadline and self._open_deadly_jobs():
+            self._check_histories()
+            time.sleep(CHECK_INTERVAL_SECONDS)
+        for job_id in self._open_deadly_jobs():
+            self._call("DELETE", f"/v1/jobs/{job_id}", caller_key(ACCOUNT))
+        self._cluster.wait_until(lambda: not self._open_deadly_jobs(), SETTLE_SECONDS)
+
+    def _open_deadly_jobs(self) -> list[str]:
+        states = self._job_states(0)
+        open_jobs = []
+        for job_id in self._deadly.values():
+            if states.get(job_id) not in FINAL_STATES:
+                open_jobs.append(job_id)
+        return open_jobs
+
     def _change_configuration(self, fault: Fault) -> None:
         entry = fault.index % ENTRIES
         if fault.how == "publish":
@@ -248,10 +317,13 @@
         )
 
     def _call_as_operator(self, entry: int, method: str, path: str, body=None):
-        """Call as an operator; return status 0 if a fault prevents the call."""
+        return self._call(method, path, OPERATOR_KEY, body, entry=entry)
+
+    def _call(self, method, path, key, body=None, headers=None, entry=0):
+        """Call an entry; return status 0 if a fault prevents the call."""
         try:
             return self._cluster.call(
-                method, path, OPERATOR_KEY, body, entry=entry, timeout=3.0
+                method, path, key, body, headers, entry=entry, timeout=3.0
             )
         except urllib3.exceptions.HTTPError:
             return 0, {}, b""
@@ -269,6 +341,8 @@
         Some jobs are submitted once what the faults left behind is over.
         """
         self._cluster.wait_ready()
+        self._end_deadly_jobs()
+        self._keeper.wait_up()
         path = f"/v1/data-centres/{DRAINED_DATA_CENTRE}/restore"
         self._cluster.wait_until(
             lambda: self._call_as_operator(0, "POST", path)[0] == 200, SETTLE_SECONDS
@@ -318,9 +392,8 @@
             elif jobs and all(job["state"] == "queued" for job in jobs):
                 waiting[job_id] = max(job["attempt"] for job in jobs)
         used = []
-        for worker in self._cluster.workers:
-            _, starts = self._worker_history(worker)
-            used.append(histories.used_accelerators(starts, running))
+        for history in self._worker_histories():
+            used.append(histories.used_accelerators(history.starts, running))
         return JobSample(at, waiting, used)
 
     def _accepted_jobs(self) -> set[str]:
@@ -357,12 +430,28 @@
         for entry in range(ENTRIES):
             self._read_entry(entry)
         calls = self._calls()
-        runs, starts = self._worker_histories()
-        for kind, found in histories.find_violations(calls, runs, _identity).items():
+        requests, starts, runs, crashes = [], [], [], []
+        for history in self._worker_histories():
+            requests += history.requests
+            starts += history.starts
+            runs += history.runs
+            crashes += history.crashes
+        for kind, found in histories.find_violations(
+            calls, requests, _identity
+        ).items():
             self._record(kind, found)
         self._record("overdue calls", histories.overdue_calls(calls, MAX_CALL_SECONDS))
         self._record("duplicate starts", histories.duplicate_starts(starts))
         self._record("starts after the end", self._late_starts(starts))
+        self._record("concurrent runs", histories.concurrent_runs(runs))
+        self._record(
+            "overcommitted accelerators",
+            histories.overcommitted_accelerators(runs, ACCELERATORS),
+        )
+        excess = histories.starts_over_crash_budget(
+            starts, crashes, CRASH_LIMIT, STARTS_AFTER_CRASH_LIMIT
+        )
+        self._record("starts over the crash budget", excess)
         self._record(
             "conflicting final states",
             histories.conflicting_final_states(self._final_states),
@@ -388,27 +477,19 @@
     def _calls(self) -> list[Call]:
         return [call for caller in self._callers for call in list(caller.calls)]
 
-    def _worker_histories(self) -> tuple[list[RequestRun], list[TaskStart]]:
-        runs, starts = [], []
-        for worker in self._cluster.workers:
-            worker_runs, worker_starts = self._worker_history(worker)
-            runs += worker_runs
-            starts += worker_starts
-        return runs, starts
-
-    def _worker_history(
-        self, worker: Process
-    ) -> tuple[list[RequestRun], list[TaskStart]]:
-        runs, starts = [], []
-        for row in self._cluster.history(worker):
-            if row["what"] == "request":
-                body = row["body"].encode()
-                runs.append(RequestRun(row["request_id"], row["attempt_id"], body))
-            else:
-                job_id, attempt, member = row["task_id"].rsplit(".", 2)
-                start = TaskStart(job_id, int(attempt), int(member), row["at"])
-                starts.append(start)
-        return runs, starts
+    def _worker_histories(self) -> list[WorkerHistory]:
+        worker_histories = []
+        for index in range(len(self._cluster.workers)):
+            worker_histories.append(read_events(index, self._cluster.events(index)))
+        return worker_histories
+
+    def _keep_evidence(self) -> None:
+        if self._keep is None or not self._violations:
+            return
+        folder = self._keep / f"seed-{self._seed}"
+        self._cluster.copy_events(folder)
+        evidence = {"plan": self._plan, "violations": self._violations}
+        (folder / "violations.json").write_bytes(msgspec.json.encode(evidence))
 
     def _record(self, kind: str, found) -> None:
         if found:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,18 +5,38 @@
 import time
 
 import pytest
+import urllib3
 
 from soak import histories
 from soak.__main__ import describe
+from soak.events import read_events
 from soak.histories import Call, JobSample, RequestRun, TaskStart
-from soak.plan import MAX_LOG_FAULT_SECONDS, draw_plan
-from soak.proxy import CLEAR, CUT_TO_CLIENT, CUT_TO_SERVER, DELAYED, SILENT, Link
+from soak.keeper import WorkerKeeper
+from soak.plan import (
+    FAULT_KINDS,
+    LATE_CALLS,
+    MAX_LOG_FAULT_SECONDS,
+    WORKER_FAULT_KINDS,
+    draw_plan,
+)
+from soak.proxy import (
+    CLEAR,
+    CUT_TO_CLIENT,
+    CUT_TO_SERVER,
+    DELAYED,
+    LATE,
+    SILENT,
+    Link,
+)
 from soak.trial import MAX_CALL_SECONDS, Trial, TrialResult
+from standins.cluster import Cluster
 from standins.ports import free_address
 
 HOLD_SECONDS = 0.3
 CI_SEED = 7
 CI_SECONDS = 8.0
+LATE_CALLS_SEED = 600
+LATE_CALLS_SECONDS = 12.0
 
 
 def identity(body):
@@ -133,6 +153,25 @@
             assert fault.until - fault.at <= MAX_LOG_FAULT_SECONDS
 
 
+def test_plan_with_worker_faults_kills_workers_behind_every_kind_of_link():
+    plan = draw_plan(4, 300.0, WORKER_FAULT_KINDS)
+    assert plan == draw_plan(4, 300.0, WORKER_FAULT_KINDS)
+    links = [fault for fault in plan if fault.kind == "link"]
+    states = set()
+    for kill in plan:
+        if kill.kind != "worker":
+            continue
+        for link in links:
+            if (
+                link.index == kill.index
+                and link.at <= kill.at < kill.until < link.until
+            ):
+                states.add(link.how)
+    disturbed = {DELAYED, SILENT, CUT_TO_SERVER, CUT_TO_CLIENT}
+    assert states == disturbed | set(LATE_CALLS)
+    assert any(fault.kind == "deadly" for fault in plan)
+
+
 @pytest.fixture
 def link():
     """Return a link to an echo server."""
@@ -195,6 +234,38 @@
     assert time.monotonic() - began >= 0.4
 
 
+def test_late_bytes_arrive_after_newer_ones_although_the_link_is_clear(link):
+    earlier, later = connect(link), connect(link)
+    for connection in (earlier, later):
+        connection.sendall(b"one")
+        assert receive(connection, 2.0) == b"one"
+    link.delay_seconds = 0.5
+    link.state = LATE
+    earlier.sendall(b"two")
+    opened_late = connect(link)
+    opened_late.sendall(b"three")
+    time.sleep(0.1)
+    link.state = CLEAR
+    later.sendall(b"four")
+    assert receive(later, 0.2) == b"four"
+    assert receive(earlier, 0.1) is None
+    assert receive(earlier, 2.0) == b"two"
+    assert receive(opened_late, 2.0) == b"three"
+
+
+def test_only_calls_with_the_prefix_are_late(link):
+    held, opened = connect(link), connect(link)
+    link.delay_seconds = 0.5
+    link.late_prefix = b"two"
+    link.state = LATE
+    for connection in (held, opened, connect(link)):
+        connection.sendall(b"one")
+        assert receive(connection, 0.3) == b"one"
+    held.sendall(b"two")
+    assert receive(held, 0.3) is None
+    assert receive(held, 2.0) == b"two"
+
+
 def test_reset_closes_open_connections_but_accepts_new_ones(link):
     connection = connect(link)
     connection.sendall(b"one")
@@ -209,7 +280,59 @@
 
 
 @pytest.mark.processes
-def test_short_seeded_run_violates_no_guarantee():
-    result = Trial(CI_SEED, CI_SECONDS, workers=3).run()
+@pytest.mark.parametrize(
+    "kinds", [FAULT_KINDS, ("worker",)], ids=["others", "killed-workers"]
+)
+def test_short_seeded_run_violates_no_guarantee(kinds):
+    result = Trial(CI_SEED, CI_SECONDS, workers=3, kinds=kinds).run()
+    assert not result.violations, describe(result)
+    assert result.answered > 0
+
+
+@pytest.mark.processes
+def test_seeded_run_with_late_calls_violates_no_guarantee():
+    result = Trial(LATE_CALLS_SEED, LATE_CALLS_SECONDS, 3, ("late",)).run()
     assert not result.violations, describe(result)
     assert result.answered > 0
+
+
+@pytest.mark.processes
+def test_task_that_crashes_its_workers_is_not_started_for_ever():
+    result = Trial(CI_SEED, 3.0, workers=3, kinds=("deadly",)).run()
+    assert not result.violations, describe(result)
+    assert result.answered > 0
+
+
+@pytest.mark.processes
+def test_killed_worker_starts_again_and_keeps_its_events():
+    with Cluster(("brocach",), workers=3) as cluster:
+        keeper = WorkerKeeper(cluster)
+        keeper.start()
+        address = cluster.workers[0].address
+        task = {
+            "task_id": "j.1.0",
+            "token": 1,
+            "accelerators": [0],
+            "payload": "",
+            "run_seconds": 9.0,
+            "done_seconds": 0.0,
+            "lease_seconds": 9.0,
+        }
+        start_task(address, task)
+        keeper.kill(0, 0.2)
+        keeper.wait_up()
+        assert cluster.workers[0].address == address
+        assert not cluster.history(cluster.workers[0])
+        start_task(address, task | {"task_id": "j.2.0", "payload": "crash"})
+        cluster.wait_until(lambda: len(cluster.events(0)) == 4, 5.0)
+        keeper.wait_up()
+        keeper.stop()
+        history = read_events(0, cluster.events(0))
+    assert [run.attempt for run in history.runs] == [1, 2]
+    assert not histories.concurrent_runs(history.runs)
+    assert [crash.job_id for crash in history.crashes] == ["j"]
+
+
+def start_task(address, task):
+    response = urllib3.request("POST", f"http://{address}/tasks", json=task)
+    assert response.status == 200
