--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -35,7 +35,7 @@
 HOLD_SECONDS = 0.3
 CI_SEED = 7
 CI_SECONDS = 8.0
-LATE_CALLS_SEED = 600
+LATE_CALLS_SEED = 601
 LATE_CALLS_SECONDS = 12.0
 
 
