--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -16,6 +16,9 @@
 CLEAR = "clear"
 DELAYED = "delayed"
 SILENT = "silent"
+# Calls to the server arrive ``delay_seconds`` later, even if the link is clear again by
+# then, so that newer calls overtake them.
+LATE = "late"
 CUT_TO_SERVER = "cut to the server"
 CUT_TO_CLIENT = "cut to the client"
 
@@ -34,12 +37,20 @@
     ----------
     target : str
         Address of the server, as ``host:port``.
+
+    Attributes
+    ----------
+    delay_seconds : float
+        Delay of what passes in the states ``DELAYED`` and ``LATE``.
+    late_prefix : bytes
+        What the calls that ``LATE`` delays begin with.
     """
 
     def __init__(self, target: str) -> None:
         self.target = target
         self.address = free_address()
         self.delay_seconds = 0.0
+        self.late_prefix = b""
         self._state = CLEAR
         self._disturbed_since = 0.0
         self._disturbed_seconds = 0.0
@@ -51,7 +62,7 @@
 
     @property
     def state(self) -> str:
-        """``CLEAR``, ``DELAYED``, ``SILENT`` or one of the cuts."""
+        """``CLEAR``, ``DELAYED``, ``LATE``, ``SILENT`` or one of the cuts."""
         return self._state
 
     @state.setter
@@ -94,6 +105,8 @@
             threading.Thread(target=self._connect, args=(client,), daemon=True).start()
 
     def _connect(self, client: socket.socket) -> None:
+        if self.state == LATE:
+            self._delay_late(_peek(client))
         self._hold("to server")
         try:
             server = socket.create_connection(
@@ -125,6 +138,8 @@
             while data := source.recv(CHUNK_BYTES):
                 if self.state == DELAYED:
                     time.sleep(self.delay_seconds)
+                if self.state == LATE and direction == "to server":
+                    self._delay_late(data)
                 self._hold(direction)
                 sink.sendall(data)
             sink.shutdown(socket.SHUT_WR)
@@ -136,11 +151,23 @@
                 except OSError:
                     continue
 
+    def _delay_late(self, data: bytes) -> None:
+        if data.startswith(self.late_prefix):
+            time.sleep(self.delay_seconds)
+
     def _hold(self, direction: str) -> None:
         while self.state in _HOLDING_STATES[direction] and not self._is_closed:
             time.sleep(HOLD_POLL_SECONDS)
 
 
+def _peek(connection: socket.socket) -> bytes:
+    """Return the first bytes of a connection without taking them."""
+    try:
+        return connection.recv(CHUNK_BYTES, socket.MSG_PEEK)
+    except OSError:
+        return b""
+
+
 def _parse_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
