Check of TWICE: an end counts as noted only if it is acknowledged within its lease

Traced on its shortest case (3 workers, 6 tasks of 2 s, agent 2 killed at 4.5 s): run 1 of task 5 ends done on worker-2 at 6.05 s, its lease runs out, run 2 starts on worker-0 at 13.82 s, and the first end is acknowledged after the agent's return. RULES: an end is taken note of when it is acknowledged, «unless the worker's lease lapsed between the two». So the product keeps the rule and the check was wrong: it did not know of leases.

One test shows the case, one that an end acknowledged within its lease counts.

--- a/tests/test_control_site.py
+++ b/tests/test_control_site.py
@@ -6,6 +6,7 @@
 from sequoiachute.protocol.workload import COMPLETE, FAILED, WorkerTimes
 from standins.control_site import URGENT, ControlSite
 from tests.control_checks import TAKEOVER_SECONDS, accepted, complete
+from tests.run_checks import assert_no_duplicate_runs
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
@@ -446,3 +447,29 @@
     # An order may be on its way when the cancellation is acknowledged.
     assert all(at <= cancelled_at + 0.1 for at in starts[cancelled])
     assert len(starts[cancelled]) <= 1
+
+
+def test_end_that_is_acknowledged_after_its_lease_has_lapsed_is_not_taken_note_of():
+    site = ControlSite(workers=3, gpus=4)
+    job = accepted(site, 2.0, count=6)
+    site.run_for(0.5)
+    site.kill_agent(2)
+    site.run_for(11)
+    site.restart_agent(2)
+    site.run_for(15)
+    ends = [end for end in site.history.ends if end.outcome == "done"]
+    noted = [(e.task, e.run, e.lifetime) in site.history.acknowledged for e in ends]
+    assert site.state(job) == COMPLETE
+    assert (len(ends), noted.count(False)) == (7, 1)
+    assert_no_duplicate_runs(site.history, crashes=True)
+
+
+def test_end_that_is_acknowledged_within_its_lease_is_taken_note_of():
+    site = ControlSite(workers=3, gpus=4)
+    accepted(site, 2.0, count=6)
+    site.run_for(0.5)
+    site.kill_agent(2)
+    site.run_for(6)
+    site.restart_agent(2)
+    site.run_for(15)
+    assert len(site.history.acknowledged) == len(site.history.ends) == 6
