Failing test: a task that crashes its workers is started without end

The stand-in worker can now be crashed by a task: it is down for some seconds and returns in a new lifetime. The new check counts the starts of a task after three workers have crashed under it.

--- a/standins/control_site.py
+++ b/standins/control_site.py
@@ -78,7 +78,7 @@
 
     def _send_heartbeats(self) -> None:
         while not self.process.killed:
-            if not self.process.frozen:
+            if not (self.process.frozen or self.worker.is_down):
                 self._sequence += 1
                 info = self.worker.info()
                 heartbeat = Heartbeat(info, self._sequence, self.worker.clock_ms)
@@ -90,7 +90,8 @@
     """Entries, agents with workers, one store and one network.
 
     The constructor lets time pass until a placer is elected. ``jobs`` holds every job
-    submitted by its job id, whether it was accepted or not.
+    submitted by its job id, whether it was accepted or not. The tasks of
+    ``deadly_jobs`` crash the workers that start them.
     """
 
     def __init__(
@@ -105,6 +106,7 @@
         self.network = MemoryNetwork()
         self.history = History()
         self.jobs: dict[str, JobGraph] = {}
+        self.deadly_jobs: set[str] = set()
         self._last_number = 0
         self.seeds = tuple(f"10.0.0.{index}:7000" for index in range(entries))
         self.entries = [Entry(self, index) for index in range(entries)]
@@ -114,6 +116,7 @@
             name = f"worker-{index}"
             worker = MemoryTaskWorker(name, capacity, self.history)
             worker.max_lease_seconds = times.max_lease
+            worker.deadly_jobs = self.deadly_jobs
             self.workers.append(worker)
         self.agents = [Agent(self, i, w) for i, w in enumerate(self.workers)]
         self.run_for(4)
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -86,7 +86,8 @@
     orders are carried out but time out; with ``late_seconds`` they time out and
     are carried out that much later. ``fails_runs`` fails every run at once,
     ``refuses_starts`` refuses every start and counts them in ``refused_starts``,
-    ``silent`` answers no call.
+    ``silent`` answers no call. A run of one of the ``deadly_jobs`` crashes the worker
+    after ``crash_delay_seconds``; it is back ``down_seconds`` later.
     """
 
     def __init__(self, name: str, capacity: Resources, history: History) -> None:
@@ -100,6 +101,10 @@
         self.refuses_starts = False
         self.refused_starts = 0
         self.silent = False
+        self.deadly_jobs: set[str] = set()
+        self.crash_delay_seconds = 0.1
+        self.down_seconds = 3.0
+        self.is_down = False
         self.max_lease_seconds = 10.0
         self.leaving_seconds: float | None = None
         self.zone = "muc-1"
@@ -142,6 +147,21 @@
         self._ended = Event()
         eventlet.spawn(self._run_tasks, self._lifetime_count)
 
+    def crash(self) -> None:
+        """Crash; come back in a new lifetime after ``down_seconds``."""
+        eventlet.spawn(self._crash, self.lifetime)
+
+    def _crash(self, lifetime: Lifetime) -> None:
+        if self.is_down or lifetime != self.lifetime:
+            return
+        for run in self._runs.values():
+            self._record_end(run, "crashed")
+        self._runs.clear()
+        self.is_down = True
+        clock.sleep(self.down_seconds)
+        self.is_down = False
+        self.restart()
+
     @property
     def clock_ms(self) -> int:
         """Reading of the worker's own clock in milliseconds."""
@@ -156,7 +176,7 @@
     def can_start(self) -> bool:
         """Whether the worker starts what it is asked to."""
         is_leaving = self.leaving_seconds is not None
-        return not (is_leaving or self.refuses_starts or self.silent)
+        return not (is_leaving or self.refuses_starts or self.silent or self.is_down)
 
     def used(self) -> Resources:
         """Return the resources in use; each run takes one accelerator."""
@@ -227,7 +247,7 @@
     ) -> Result[None, WorkerError]:
         """Start a run, unless it is fenced or has been started before."""
         task, run = order.task, order.run
-        if worker_id != self.lifetime.worker_id:
+        if self.is_down or worker_id != self.lifetime.worker_id:
             return Err(WorkerError("other lifetime", False))
         if self.refuses_starts:
             self.refused_starts += 1
@@ -247,6 +267,8 @@
         self._runs[task] = _Run(task, run, self.seconds_of(order.payload))
         start = StartRecord(clock.now(), task, run, self.lifetime.worker_id)
         self.history.starts.append(start)
+        if task.partition(".")[0] in self.deadly_jobs:
+            eventlet.spawn_after(self.crash_delay_seconds, self._crash, self.lifetime)
         return Ok(None)
 
     def stop(
@@ -284,11 +306,13 @@
     ) -> Result[WorkerStatus, WorkerError]:
         """Renew the leases, acknowledge ends and return the status."""
         self._process.apply_faults()
-        if self._worker.silent:
+        if self._worker.silent or self._worker.is_down:
             clock.sleep(wait + CALL_TIMEOUT_SECONDS)
             return Err(WorkerError("no answer", None))
         outcome = self._worker.poll(lifetime, term, lease_ms, ack, wait)
         self._process.apply_faults()
+        if self._worker.is_down:
+            return Err(WorkerError("no answer", None))
         return outcome
 
     def start(
@@ -307,7 +331,7 @@
     def _order(self, operation: object) -> Result[None, WorkerError]:
         self._process.apply_faults()
         clock.sleep(0.001)
-        if self._worker.silent:
+        if self._worker.silent or self._worker.is_down:
             clock.sleep(CALL_TIMEOUT_SECONDS)
             return Err(WorkerError("no answer", None))
         if self._worker.late_seconds:
--- a/tests/run_checks.py
+++ b/tests/run_checks.py
@@ -1,4 +1,7 @@
-"""Assertions on the run history of workers: no task runs twice."""
+"""Assertions on the run history of workers: no task runs twice or crashes too much."""
+
+MAX_CRASHES = 3  # of workers under one task
+MAX_STARTS_AFTER_CRASHES = 2
 
 
 def assert_no_duplicate_runs(history, crashes=False):
@@ -31,3 +34,26 @@
     for start in history.starts:
         assert start.run > numbers.get(start.task, 0), start
         numbers[start.task] = start.run
+
+
+def assert_crash_budget(history, deadly_jobs):
+    """Assert that a task starts twice at most once three workers have crashed under it.
+
+    Parameters
+    ----------
+    history : History
+    deadly_jobs : set of str
+        Jobs whose tasks crash the workers that start them.
+    """
+    crashes = {}
+    for end in history.ends:
+        if end.outcome == "crashed" and end.task.partition(".")[0] in deadly_jobs:
+            crashes.setdefault(end.task, []).append(end.at)
+    for task, times in crashes.items():
+        if len(times) < MAX_CRASHES:
+            continue
+        third = sorted(times)[MAX_CRASHES - 1]
+        starts = [s.at for s in history.starts if s.task == task and s.at > third]
+        assert len(starts) <= MAX_STARTS_AFTER_CRASHES, (
+            f"{task} started at {starts} after three crashes, the last at {third}"
+        )
--- /dev/null
+++ b/tests/test_crash_budget.py
@@ -0,0 +1,106 @@
+"""Tasks that crash the workers that start them are given up; others are not."""
+
+import random
+
+import pytest
+
+from sequoiachute.protocol.workload import COMPLETE, FAILED
+from standins.control_site import QUEUE, URGENT, ControlSite
+from tests.control_checks import TAKEOVER_SECONDS, accepted
+from tests.run_checks import assert_crash_budget, assert_no_duplicate_runs
+
+pytestmark = pytest.mark.usefixtures("paused_clock")
+
+
+def submit_deadly(site, seconds=2.0, **fields):
+    job_id = f"d{len(site.deadly_jobs):015x}"
+    site.deadly_jobs.add(job_id)
+    return accepted(site, seconds, job_id=job_id, **fields)
+
+
+def run_sound(site, jobs, seconds):
+    """Let time pass until all jobs are complete; none is ever shown as failed."""
+    for _ in range(round(10 * seconds)):
+        site.run_for(0.1)
+        states = [site.state(job) for job in jobs]
+        assert FAILED not in states
+        if set(states) <= {COMPLETE}:
+            break
+    assert [site.state(job) for job in jobs] == [COMPLETE] * len(jobs)
+
+
+def check(site):
+    assert_crash_budget(site.history, site.deadly_jobs)
+    assert_no_duplicate_runs(site.history)
+
+
+def crash_count(site):
+    return len({end.worker_id for end in site.history.ends if end.outcome == "crashed"})
+
+
+@pytest.mark.parametrize("delay", [0.0, 0.1, 2.0])
+@pytest.mark.parametrize("workers", [1, 2, 5])
+def test_task_that_crashes_its_workers_is_given_up(workers, delay):
+    site = ControlSite(workers=workers)
+    for worker in site.workers:
+        worker.crash_delay_seconds = delay
+    job = submit_deadly(site, 8.0)
+    site.run_for(40)
+    check(site)
+    assert site.state(job) == FAILED
+
+
+@pytest.mark.parametrize("workers", [1, 2, 4])
+@pytest.mark.parametrize("seed", range(4))
+def test_sound_jobs_beside_a_deadly_task_complete(workers, seed):
+    rng = random.Random(seed)
+    site = ControlSite(workers=workers)
+    sound, deadly = [], []
+    for _ in range(3):
+        sound.append(accepted(site, rng.choice((0.5, 2.0, 5.0)), count=3))
+        deadly.append(submit_deadly(site, queue=rng.choice((URGENT, QUEUE))))
+        sound.append(accepted(site, rng.choice((0.5, 2.0, 5.0)), count=2))
+        site.run_for(rng.choice((0.1, 1.0, 4.0)))
+    run_sound(site, sound, 90)
+    site.run_for(40)
+    check(site)
+    assert [site.state(job) for job in deadly] == [FAILED] * len(deadly)
+
+
+def test_crashes_count_although_the_placer_changes():
+    site = ControlSite(workers=4)
+    job = submit_deadly(site)
+    for _ in range(5):
+        site.run_for(1.5)
+        placer = site.placer()
+        if placer >= 0:
+            site.kill_entry(placer)
+            site.run_for(TAKEOVER_SECONDS)
+            site.restart_entry(placer)
+    site.run_for(30)
+    check(site)
+    assert site.state(job) == FAILED
+
+
+@pytest.mark.parametrize("step", [{"gang": True}, {"lasting": True}])
+@pytest.mark.parametrize("count", [1, 3, 6])
+def test_deadly_gangs_and_lasting_steps_are_given_up(step, count):
+    site = ControlSite(workers=4, gpus=2)
+    job = submit_deadly(site, 1000.0, count=count, **step)
+    sound = [accepted(site, 2.0, count=2) for _ in range(2)]
+    run_sound(site, sound, 60)
+    site.run_for(40)
+    check(site)
+    assert site.state(job) == FAILED
+
+
+@pytest.mark.parametrize("ages", [(2, 2), (7, 7), (1, 6, 3, 15, 4), (15, 8, 35, 9)])
+def test_sound_task_on_workers_that_crash_by_themselves_completes(ages):
+    """Of more than two crashes in a row one run works for long enough in between."""
+    site = ControlSite(workers=3, gpus=2)
+    jobs = [accepted(site, 40.0, count=2), accepted(site, 40.0)]
+    for seconds in ages:
+        site.run_for(seconds)
+        for worker in site.workers:
+            worker.restart()
+    run_sound(site, jobs, 60)
