--- /dev/null
+++ b/src/sequoiachute/coordination/dispatch/crashes.py
@@ -0,0 +1,88 @@
+"""Tells which tasks crash the workers that start them: no network, no clock.
+
+Every run on a worker that crashes may be the cause, most likely one that had just
+started. Suspected tasks run apart from others, so that further crashes tell.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from sequoiachute.protocol.workload import CrashRecord, Lifetime, TaskId
+
+MIN_PROOF_SECONDS = 2.0  # of work that a task without crashes needs to prove sound
+MAX_PROOF_SECONDS = 60.0
+PROOF_RATIO = 2.0  # of the work in a run that proves sound to that before a crash
+# In a row. A task is given up after fewer only if they had no other possible cause.
+MAX_CRASHES = 4
+MAX_CLEAR_CRASHES = 3
+MIN_SOLE_CRASHES = 2
+NO_CRASHES = CrashRecord()
+
+
+class LostRun(NamedTuple):
+    """A run on a worker that crashed; the members of a gang share their ``task``.
+
+    ``task`` holds the ``record``; the run had worked for ``worked_seconds``.
+    """
+
+    task: TaskId
+    run: int
+    worked_seconds: float
+    record: CrashRecord
+
+
+class Crash(NamedTuple):
+    """A crash of a worker, with the tasks that were placed on it."""
+
+    host: str
+    lifetime: Lifetime
+    tasks: tuple[TaskId, ...]
+
+
+def proof_seconds(record: CrashRecord) -> float:
+    """Return for how long a run has to work to prove its task sound."""
+    seconds = PROOF_RATIO * record.worked_seconds if record.count else 0.0
+    return min(MAX_PROOF_SECONDS, max(MIN_PROOF_SECONDS, seconds))
+
+
+def records_after_crash(
+    runs: Iterable[LostRun], host: str
+) -> dict[TaskId, CrashRecord]:
+    """Return the records of the tasks on a worker that has crashed on ``host``."""
+    runs = list(runs)
+    causes = {run.task for run in runs if _may_be_cause(run)}
+    records = {}
+    for run in runs:
+        if run.run <= run.record.run:
+            # Other workers of the same run of a gang have crashed as well.
+            continue
+        is_cause = run.task in causes
+        count = run.record.count + 1
+        records[run.task] = CrashRecord(
+            count=count,
+            sole=run.record.sole + (is_cause and len(causes) == 1),
+            worked_seconds=max(run.record.worked_seconds, run.worked_seconds),
+            suspected=run.record.suspected or is_cause or count > 1,
+            run=run.run,
+            host=host,
+        )
+    return records
+
+
+def _may_be_cause(run: LostRun) -> bool:
+    return run.worked_seconds < proof_seconds(run.record)
+
+
+def proven_sound(record: CrashRecord) -> CrashRecord:
+    """Return the record of a task of which a run has proved sound.
+
+    Its longest work before a crash stays, so that a task that crashes workers later
+    each time is found as well.
+    """
+    return CrashRecord(worked_seconds=record.worked_seconds, run=record.run)
+
+
+def is_given_up(record: CrashRecord) -> bool:
+    """Return whether a task may not start again."""
+    is_clear = record.sole >= MIN_SOLE_CRASHES and record.count >= MAX_CLEAR_CRASHES
+    return is_clear or record.count >= MAX_CRASHES
--- /dev/null
+++ b/tests/test_crashes.py
@@ -0,0 +1,240 @@
+"""Which tasks count as the cause of a crash, and where suspected ones run."""
+
+import pytest
+
+from sequoiachute.coordination.dispatch.crashes import (
+    MAX_CRASHES,
+    MAX_PROOF_SECONDS,
+    MIN_PROOF_SECONDS,
+    NO_CRASHES,
+    LostRun,
+    is_given_up,
+    proof_seconds,
+    proven_sound,
+    records_after_crash,
+)
+from sequoiachute.coordination.scheduling import SchedulingView, decide
+from sequoiachute.coordination.scheduling import waits as reasons
+from sequoiachute.protocol.workload import (
+    CrashRecord,
+    JobProgress,
+    TaskId,
+    TaskState,
+    decode_progress,
+    encode,
+)
+from standins.control_site import ControlSite
+from tests.control_checks import accepted
+from tests.test_scheduling_policy import NOW, host, running, tasks_by_host, unit
+from tests.test_wait_reasons import reason_of
+
+FRESH, OLD = 0.1, 20.0  # seconds of work before a crash
+
+
+def task(index):
+    return TaskId("job", 0, 0, index)
+
+
+def lost(index, worked_seconds, record=NO_CRASHES, run=1):
+    return LostRun(task(index), run, worked_seconds, record)
+
+
+def test_only_run_on_a_crashed_worker_is_its_sole_cause():
+    [record] = records_after_crash([lost(0, FRESH)], "h").values()
+    assert record == CrashRecord(1, 1, FRESH, True, 1, "h")
+
+
+def test_runs_that_have_just_started_are_suspected_rather_than_old_ones():
+    records = records_after_crash([lost(0, FRESH), lost(1, FRESH), lost(2, OLD)], "h")
+    assert [records[task(i)].suspected for i in range(3)] == [True, True, False]
+    assert [records[task(i)].sole for i in range(3)] == [0, 0, 0]
+    records = records_after_crash([lost(0, FRESH), lost(1, OLD)], "h")
+    assert [records[task(i)].sole for i in range(2)] == [1, 0]
+
+
+def test_old_run_is_suspected_from_the_second_crash_in_a_row_on():
+    [record] = records_after_crash([lost(0, OLD)], "h").values()
+    assert not record.suspected
+    [record] = records_after_crash([lost(0, OLD, record, run=2)], "h").values()
+    assert record.suspected
+    assert record.sole == 1
+
+
+def test_members_of_a_gang_count_once_per_run_and_together():
+    [record] = records_after_crash([lost(0, FRESH), lost(0, FRESH)], "h").values()
+    assert (record.count, record.sole) == (1, 1)
+    assert not records_after_crash([lost(0, FRESH, record)], "other")
+
+
+@pytest.mark.parametrize("others", [0, 1, 2])
+@pytest.mark.parametrize("worked", [0.0, 1.0, OLD])
+def test_task_is_given_up_at_most_two_starts_after_three_crashes(worked, others):
+    """Whatever runs beside it, and if each crash comes a little later."""
+    record, crashes = NO_CRASHES, 0
+    while not is_given_up(record):
+        crashes += 1
+        runs = [lost(0, worked + 0.1 * crashes, record, run=crashes)]
+        runs += [lost(1 + n, FRESH, run=1) for n in range(others)]
+        record = records_after_crash(runs, "h")[task(0)]
+    assert 3 <= crashes <= MAX_CRASHES
+
+
+def test_proof_takes_twice_the_work_before_a_crash_within_bounds():
+    assert proof_seconds(NO_CRASHES) == MIN_PROOF_SECONDS
+    assert proof_seconds(CrashRecord(1, worked_seconds=OLD)) == 2 * OLD
+    assert proof_seconds(CrashRecord(1, worked_seconds=500.0)) == MAX_PROOF_SECONDS
+    proven = proven_sound(CrashRecord(3, 1, OLD, True, 7, "h"))
+    assert proven == CrashRecord(worked_seconds=OLD, run=7)
+
+
+def test_record_outlasts_the_store_and_is_missing_in_older_records():
+    record = CrashRecord(2, 1, 0.5, True, 4, "h")
+    progress = JobProgress("", {"0.0.0": TaskState(4, crashes=record)})
+    assert decode_progress(encode(progress)) == progress
+    older = encode(["", {"0.0.0": [1, "h", ["w", 1], False, 0, 0, ""]}, 0.0])
+    assert decode_progress(older).tasks["0.0.0"].crashes is None
+
+
+def placed_on(hosts, *units):
+    return tasks_by_host(decide(SchedulingView(NOW, tuple(hosts), units)))
+
+
+def suspect(job="suspect", **fields):
+    return unit(job=job, suspected=True, **fields)
+
+
+@pytest.mark.parametrize("priority", [0, 1])
+def test_suspect_runs_alone(priority):
+    hosts = [host("busy", running=[running()]), host("empty", speed=0.5)]
+    assert placed_on(hosts, suspect(priority=priority)) == {"empty": 1}
+    assert placed_on(hosts[:1], suspect(priority=priority)) == {}
+    # Nothing else starts beside it in the same round, nor later.
+    others = [unit(8, job=f"job-{number}") for number in range(2)]
+    counts = placed_on(hosts, suspect(priority=0), *others)
+    assert counts["empty"] == 1
+    taken = host("taken", running=[running(suspected=True)], has_suspect=True)
+    assert placed_on([taken], unit()) == {}
+    assert placed_on([taken], suspect()) == {}
+
+
+def test_suspect_that_has_waited_harms_as_little_as_possible():
+    hosts = [
+        host("urgent", running=[running(priority=0)]),
+        host("much", running=[running(unsaved_seconds=9.0)]),
+        host("little", running=[running(unsaved_seconds=2.0)]),
+        host("taken", running=[running(suspected=True)], has_suspect=True),
+    ]
+    late = suspect(waiting_seconds=2.0)
+    assert placed_on(hosts, late) == {"little": 1}
+    assert placed_on(hosts[::3], late) == {"urgent": 1}
+    assert placed_on(hosts[3:], late) == {}
+
+
+def test_work_that_has_waited_goes_beside_a_suspect_if_there_is_no_other_host():
+    taken = host("taken", running=[running(suspected=True)], has_suspect=True)
+    late = unit(waiting_seconds=2.0)
+    assert placed_on([taken], late) == {"taken": 1}
+    assert placed_on([taken, host("free", speed=0.5)], late) == {"free": 1}
+
+
+def test_nothing_is_stopped_for_a_suspect_and_no_suspect_for_urgent_work():
+    full = host("full", running=[running(gpus=8)])
+    late = suspect(priority=0, waiting_seconds=2.0, deadline_in=5.5)
+    assert not decide(SchedulingView(NOW, (full,), (late,))).stops
+    urgent = unit(priority=0, gpus=8, deadline_in=5.5)
+    assert decide(SchedulingView(NOW, (full,), (urgent,))).stops
+    run = running(gpus=8, suspected=True)
+    taken = host("taken", running=[run], has_suspect=True)
+    assert not decide(SchedulingView(NOW, (taken,), (urgent,))).stops
+
+
+def test_reason_of_a_wait_names_the_crash():
+    busy = host("busy", running=[running()])
+    taken = host("taken", running=[running(suspected=True)], has_suspect=True)
+    assert reason_of([busy], suspect(waiting_seconds=1.5)) == reasons.CRASHES
+    assert reason_of([taken], unit(waiting_seconds=1.5)) == reasons.CRASHES
+
+
+def crash_records(site):
+    ledger = site.entries[site.placer()].control.ledger
+    states = [
+        state
+        for job_id in site.jobs
+        for state in ledger.progress(job_id).tasks.values()
+    ]
+    return [state.crashes for state in states if state.crashes is not None]
+
+
+def site_with_runs():
+    site = ControlSite(workers=1)
+    accepted(site, 30.0, count=2)
+    site.run_for(1)
+    return site
+
+
+@pytest.mark.usefixtures("paused_clock")
+def test_crash_counts_while_the_agent_stays():
+    site = site_with_runs()
+    site.workers[0].restart()
+    site.run_for(1)
+    assert [record.count for record in crash_records(site)] == [1, 1]
+
+
+@pytest.mark.usefixtures("paused_clock")
+def test_crash_of_a_worker_that_is_back_after_its_leases_counts():
+    site = site_with_runs()
+    site.workers[0].down_seconds = 15.0
+    site.workers[0].crash()
+    site.run_for(17)
+    assert [record.count for record in crash_records(site)] == [1, 1]
+
+
+@pytest.mark.usefixtures("paused_clock")
+def test_loss_of_power_is_no_crash():
+    site = site_with_runs()
+    site.kill_agent(0)
+    site.workers[0].restart()
+    site.restart_agent(0)
+    site.run_for(1)
+    assert not crash_records(site)
+
+
+@pytest.mark.usefixtures("paused_clock")
+def test_end_of_a_worker_that_leaves_is_no_crash():
+    site = site_with_runs()
+    site.workers[0].leaving_seconds = 5.0
+    site.run_for(1)
+    site.workers[0].leaving_seconds = None
+    site.workers[0].restart()
+    site.run_for(1)
+    assert not crash_records(site)
+
+
+@pytest.mark.usefixtures("paused_clock")
+def test_end_that_a_worker_announces_at_the_last_moment_is_no_crash():
+    site = site_with_runs()
+    worker_id = site.workers[0].lifetime.worker_id
+    site.agents[0].supervisor.handle_worker_leave(worker_id)
+    site.workers[0].restart()
+    site.run_for(1)
+    assert not crash_records(site)
+
+
+@pytest.mark.usefixtures("paused_clock")
+def test_upkeep_is_no_crash():
+    site = site_with_runs()
+    [session] = site.entries[site.placer()].control._agents.sessions.values()
+    session.upkeep_lifetime = session.lifetime
+    site.workers[0].restart()
+    site.run_for(1)
+    assert not crash_records(site)
+
+
+@pytest.mark.usefixtures("paused_clock")
+def test_suspicion_ends_once_a_run_has_worked_for_long_enough():
+    site = site_with_runs()
+    site.workers[0].restart()
+    site.run_for(2)
+    assert any(record.suspected for record in crash_records(site))
+    site.run_for(9)
+    assert not any(record.count for record in crash_records(site))
