Count crashes by task, keep suspects apart and give deadly tasks up

Each crash lost the work beside it.

Cause: a worker's new lifetime ended the runs of the former one as lost, whatever the reason. Nothing recorded that a worker had crashed under a task, so that nothing bounded the starts.

Change: an agent reports the lifetimes of its worker that ended without a word. The settlement counts them in the state of each task that was placed there, and whether the task was the only possible cause: a run that had worked for long enough is none. Loss of power, leaving, and upkeep ordered by the present placer are no crashes. A line names task, worker, lifetime, counts and what ran beside; `worker_crashes_total` counts.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -9,6 +9,7 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.dispatch.advice import TicketCache
+from sequoiachute.coordination.dispatch.crashes import Crash
 from sequoiachute.coordination.dispatch.end_backup import EndBackup
 from sequoiachute.coordination.dispatch.objectives import DEFAULT_ESTIMATE_SECONDS
 from sequoiachute.coordination.dispatch.run_statistics import (
@@ -154,9 +155,9 @@
         self._agents = agents
         self._ticket_cache = TicketCache(advisor, self.wake)
         self._upkeep = Upkeep(machines, identity.member, ledger, agents, operations)
-        self._settlement = Settlement(ledger, agents)
         self.wait_log = WaitLog()
         self._statistics = RunStatistics(ledger.speeds)
+        self._settlement = Settlement(ledger, agents, self._worked_seconds)
         self._sequence = 0
         self._end_backup = EndBackup(store, ledger, agents)
         self._speeds_recorded_at = clock.now()
@@ -205,8 +206,9 @@
         """
         self._update_statistics()
         draft = ProgressDraft(self._ledger)
-        self._settlement.settle(draft)
+        crashes = self._settlement.settle(draft)
         self._append_draft(draft)
+        self._record_crashes(crashes)
         wall_time = clock.wall_time()
         view = build_view(
             self._ledger,
@@ -342,6 +344,24 @@
         estimate = job.steps[task.step].estimate_seconds or DEFAULT_ESTIMATE_SECONDS
         return clock.elapsed() - progress.worked_seconds(estimate)
 
+    def _worked_seconds(self, task: TaskId, run: int) -> float:
+        """Return for how long a run has been seen at work."""
+        progress = self._statistics.progress_of(task, run)
+        job = self._ledger.job(task.job_id)
+        if progress is None or job is None:
+            return 0.0
+        if job.steps[task.step].gang and not progress.percent:
+            # Its members may wait for each other.
+            return 0.0
+        return progress.seen_seconds()
+
+    def _record_crashes(self, crashes: list[Crash]) -> None:
+        for crash in crashes:
+            self._metrics.count("worker_crashes_total")
+            for task in crash.tasks:
+                # It may wait anew for a worker on which it runs alone.
+                self._statistics.wait_times.end(task)
+
     def _record_refused_starts(self, session: Session) -> None:
         now = clock.elapsed()
         is_unhealthy = False
--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -72,6 +72,10 @@
         ):
             del self._readings[0]
 
+    def seen_seconds(self) -> float:
+        """Return the time from the first reading to the newest."""
+        return self._readings[-1].at - self.first.at
+
     def worked_seconds(self, estimate: float) -> float:
         """Return the time that the run has worked, also before its first reading here.
 
--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -50,6 +50,8 @@
         self.sequence = -1
         self.worker: WorkerInfo | None = None
         self.ended_lifetimes: set[Lifetime] = set()
+        self.crashed_lifetimes: set[Lifetime] = set()
+        self._upkeep_lifetimes: set[Lifetime] = set()
         self.reported_at = float("-inf")
         self.is_fenced = False
         self.worker_clock_ms = 0
@@ -116,6 +118,10 @@
         self.reported_at = clock.elapsed()
         if report.ended_lifetime is not None:
             self.ended_lifetimes.add(report.ended_lifetime)
+        if self.upkeep_lifetime is not None:
+            self._upkeep_lifetimes.add(self.upkeep_lifetime)
+        crashed = set(report.crashed_lifetimes) - self._upkeep_lifetimes
+        self.crashed_lifetimes |= crashed
         self._apply_worker(report.worker)
         self.is_fenced = report.term == term and report.worker is not None
         if report.worker_clock_ms != self.worker_clock_ms:
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -4,9 +4,20 @@
 acknowledged them.
 """
 
+from collections.abc import Callable
+
 from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.dispatch.crashes import (
+    NO_CRASHES,
+    Crash,
+    LostRun,
+    is_given_up,
+    proof_seconds,
+    proven_sound,
+    records_after_crash,
+)
 from sequoiachute.coordination.dispatch.sessions import (
     AgentSessions,
     Session,
@@ -32,6 +43,8 @@
     task_id_of,
 )
 
+MAX_LOGGED_TASKS = 10  # in one line
+
 
 class ProgressDraft:
     """Changed progress records that are not yet in the store."""
@@ -73,27 +86,47 @@
 
 
 class Settlement:
-    """Drafts the outcome of runs from reports and expired leases."""
+    """Drafts the outcome of runs from reports and expired leases.
+
+    Parameters
+    ----------
+    ledger : Ledger
+    agents : AgentSessions
+    worked_seconds : callable
+        Returns for how long a run of a task has been seen at work.
+    """
 
-    def __init__(self, ledger: Ledger, agents: AgentSessions) -> None:
+    def __init__(
+        self,
+        ledger: Ledger,
+        agents: AgentSessions,
+        worked_seconds: Callable[[TaskId, int], float] = lambda task, run: 0.0,
+    ) -> None:
         self._ledger = ledger
         self._agents = agents
+        self._worked_seconds = worked_seconds
+        # Runs whose leases ran out, by the lifetime that may turn out to have crashed.
+        self._expired: dict[Lifetime, dict[TaskId, TaskState]] = {}
 
-    def settle(self, draft: ProgressDraft) -> None:
+    def settle(self, draft: ProgressDraft) -> list[Crash]:
         """Draft every end, loss and final state that is known now.
 
-        Jobs that have reached their final state get orders to stop their runs.
+        Jobs that have reached their final state get orders to stop their runs. Return
+        the crashes of workers that have ended runs.
         """
+        crashes = []
         for session in self._agents.sessions.values():
             self._settle_ends(session, draft)
             self._settle_refused_starts(session, draft)
-            self._settle_ended_lifetimes(session, draft)
+            self._settle_proofs(session, draft)
+            crashes += self._settle_ended_lifetimes(session, draft)
         for host in self._ledger.hosts():
             if self._agents.is_lost(host):
                 self._settle_expired_leases(host, draft)
         for job in list(self._ledger.live()):
             self._settle_recorded_ends(job, draft)
             self._settle_job(job, draft)
+        return crashes
 
     def _settle_ends(self, session: Session, draft: ProgressDraft) -> None:
         for end in sorted(session.ends):
@@ -129,14 +162,18 @@
 
     def _count_failure(self, task: TaskId, run: int, draft: ProgressDraft) -> None:
         """Count a failed run, once per gang even if several members report it."""
-        members = self._gang_members(task)
-        counting_task = members[0] if members else task
+        counting_task = self._counting_task(task)
         state = draft.task(counting_task)
         if run <= state.failed_run:
             return
         failed = state._replace(failures=state.failures + 1, failed_run=run)
         draft.set_task(counting_task, failed)
 
+    def _counting_task(self, task: TaskId) -> TaskId:
+        """Return the task that counts failures and crashes of ``task`` or its gang."""
+        members = self._gang_members(task)
+        return members[0] if members else task
+
     def _gang_members(self, task: TaskId) -> list[TaskId]:
         job = self._ledger.job(task.job_id)
         if job is None or not job.steps[task.step].gang:
@@ -159,7 +196,24 @@
             log = logger.bind(task=start.task, run=start.run, host=session.host)
             log.bind(reason=start.reason).info("run never started")
 
-    def _settle_ended_lifetimes(self, session: Session, draft: ProgressDraft) -> None:
+    def _settle_proofs(self, session: Session, draft: ProgressDraft) -> None:
+        """Forget the crashes under tasks whose present run has worked long enough."""
+        for task, placed in list(self._ledger.tasks_on_host(session.host).items()):
+            if placed.crashes is None or not placed.crashes.count:
+                continue
+            state = draft.task(task)
+            record = state.crashes
+            if record is None or state.run != placed.run:
+                continue
+            if self._worked_seconds(task, state.run) >= proof_seconds(record):
+                draft.set_task(task, state._replace(crashes=proven_sound(record)))
+                log = logger.bind(task=str(task), run=state.run, host=session.host)
+                log.bind(crashes=record.count).info("task proved sound")
+
+    def _settle_ended_lifetimes(
+        self, session: Session, draft: ProgressDraft
+    ) -> list[Crash]:
+        lost: dict[Lifetime, dict[TaskId, TaskState]] = {}
         for task in list(self._ledger.tasks_on_host(session.host)):
             state = draft.task(task)
             if state.host != session.host:
@@ -169,6 +223,38 @@
                 ended = True
             if ended:
                 self._draft_loss(task, state, session, draft, "lifetime over")
+                lost.setdefault(state.lifetime, {})[task] = state
+        for lifetime in self._expired.keys() & session.ended_lifetimes:
+            lost.setdefault(lifetime, {}).update(self._expired.pop(lifetime))
+        crashes = []
+        for lifetime, states in lost.items():
+            if lifetime in session.crashed_lifetimes:
+                self._draft_crash(session.host, lifetime, states, draft)
+                crashes.append(Crash(session.host, lifetime, tuple(states)))
+        return crashes
+
+    def _draft_crash(
+        self,
+        host: str,
+        lifetime: Lifetime,
+        states: dict[TaskId, TaskState],
+        draft: ProgressDraft,
+    ) -> None:
+        """Count the crash of a worker for the tasks that were placed on it."""
+        runs = []
+        for task, state in states.items():
+            counting_task = self._counting_task(task)
+            worked_seconds = self._worked_seconds(task, state.run)
+            record = draft.task(counting_task).crashes or NO_CRASHES
+            runs.append(LostRun(counting_task, state.run, worked_seconds, record))
+        for task, record in records_after_crash(runs, host).items():
+            draft.set_task(task, draft.task(task)._replace(crashes=record))
+            beside = [str(other) for other in states if other != task]
+            log = logger.bind(task=str(task), run=record.run, host=host)
+            log = log.bind(life=lifetime.worker_id, crashes=record.count)
+            log = log.bind(sole=record.sole, suspected=record.suspected)
+            log = log.bind(beside=beside[:MAX_LOGGED_TASKS], others=len(beside))
+            log.warning("worker crashed under task")
 
     def _settle_expired_leases(self, host: str, draft: ProgressDraft) -> None:
         session = self._agents.sessions.get(host)
@@ -180,6 +266,7 @@
                 # Until the loss is recorded, a worker that answers again would get
                 # the order to start a run that it has not started yet.
                 session.stops[task] = state.run
+            self._expired.setdefault(state.lifetime, {})[task] = state
             self._draft_loss(task, state, session, draft, "lease run out")
 
     def _draft_loss(
@@ -230,7 +317,11 @@
             return COMPLETE
         for key, task in progress.tasks.items():
             step = job.steps[int(key.split(".")[1])]
-            if task.failures >= job.attempts and not task.done and not step.lasting:
+            if task.done:
+                continue
+            if task.crashes is not None and is_given_up(task.crashes):
+                return FAILED
+            if task.failures >= job.attempts and not step.lasting:
                 return FAILED
         return ""
 
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -4,6 +4,7 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.dispatch.advice import TicketCache
+from sequoiachute.coordination.dispatch.crashes import NO_CRASHES
 from sequoiachute.coordination.dispatch.objectives import (
     DEFAULT_ESTIMATE_SECONDS,
     chain_seconds,
@@ -33,6 +34,7 @@
 )
 from sequoiachute.protocol.workload import (
     TYPICAL_TIMES,
+    CrashRecord,
     JobGraph,
     JobProgress,
     Resources,
@@ -46,8 +48,9 @@
 from sequoiachute.state.operations import Operations
 
 # Whether tasks may wait, whether none has failed, the hosts that others are preferred
-# to, and those on which they are not tried for now.
-_WaitKey = tuple[bool, bool, tuple[str, ...], tuple[str, ...]]
+# to, those on which they are not tried for now, and the number of a suspected task,
+# which runs apart from others.
+_WaitKey = tuple[bool, bool, tuple[str, ...], tuple[str, ...], int]
 
 
 class _ViewContext(NamedTuple):
@@ -223,6 +226,7 @@
         recent_failures=context.statistics.recent_failures(worker.lifetime, now),
         running=tuple(running),
         leaving_seconds=worker.leaving_seconds if worker.leaving else None,
+        has_suspect=any(run.suspected for run in running),
         doubt_age=context.statistics.doubt_age(worker.lifetime, now),
         proof_age=context.statistics.proof_age(worker.lifetime, now),
     )
@@ -240,18 +244,19 @@
     unsaved_seconds = stalled_seconds = 0.0
     remaining_seconds = estimate
     rate = None
-    progress = context.statistics.progress_of(task, state.run)
-    if progress is not None:
-        worked_seconds = progress.worked_seconds(estimate)
-        rate = progress.rate()
-        stalled_seconds = progress.stalled_seconds(estimate)
-        remaining_seconds = (100 - progress.percent) / (rate or 100 / estimate)
+    run_progress = context.statistics.progress_of(task, state.run)
+    if run_progress is not None:
+        worked_seconds = run_progress.worked_seconds(estimate)
+        rate = run_progress.rate()
+        stalled_seconds = run_progress.stalled_seconds(estimate)
+        remaining_seconds = (100 - run_progress.percent) / (rate or 100 / estimate)
         unsaved_seconds = (
             min(worked_seconds, context.restart_seconds)
             if step.checkpoints
             else worked_seconds
         )
     capacity = context.capacity.get(session.worker.service, Resources())
+    progress = context.ledger.progress(task.job_id)
     starts_at, deadline = objective(job, task.occurrence, capacity)
     return ActiveRun(
         task=task,
@@ -269,13 +274,14 @@
         moved=task in context.statistics.moved_tasks,
         stalled_seconds=stalled_seconds,
         preemptions=context.statistics.preemptions.get(task, 0),
-        percent=progress.percent if progress is not None else 0,
+        percent=run_progress.percent if run_progress is not None else 0,
         step=step,
         service=session.worker.service,
         deadline=deadline,
         downstream_seconds=chain_seconds(job, task.step) - estimate,
         accepted_at=starts_at,
         stretch=job.stretch,
+        suspected=_crashes(job, progress, task).suspected,
     )
 
 
@@ -349,7 +355,7 @@
 
     Tasks that have failed or were not started are apart from the others, by the hosts
     on which that was, and so are those that have waited as long as they may; these come
-    first. A gang stays together.
+    first. A gang stays together, a suspected task is by itself.
     """
     now = clock.elapsed()
     start_doubts = context.statistics.start_doubts
@@ -358,22 +364,35 @@
     waits: dict[_WaitKey, float] = {}
     for task in tasks:
         seconds = context.statistics.wait_times.seconds(task, now)
-        tried = tuple(sorted(_tried_hosts(task, context)))
+        record = _crashes(job, progress, task)
+        tried = tuple(sorted(_tried_hosts(task, record, context)))
         paused = tuple(sorted(start_doubts.paused_hosts(task, now)))
         may_wait = seconds < MAX_IDLE_WAIT_SECONDS
-        key = (may_wait, not _failures(progress, task), tried, paused)
+        apart = task.index if record.suspected else -1
+        key = (may_wait, not _failures(progress, task), tried, paused, apart)
         if is_gang:
-            key = (False, False, (), ())
+            key = (False, False, (), (), -1)
         groups.setdefault(key, []).append(task)
         waits[key] = min(seconds, waits.get(key, seconds))
     return [(waits[key], tuple(groups[key])) for key in sorted(groups)]
 
 
-def _tried_hosts(task: TaskId, context: _ViewContext) -> frozenset[str]:
-    """Return the hosts on which a task has failed or was lately not started."""
+def _tried_hosts(
+    task: TaskId, record: CrashRecord, context: _ViewContext
+) -> frozenset[str]:
+    """Return the hosts on which a task has failed, crashed or was not started."""
     statistics = context.statistics
     doubted = statistics.start_doubts.doubted_hosts(task, clock.elapsed())
-    return statistics.tried_hosts(task) | doubted
+    crashed = {record.host} if record.host else set()
+    return statistics.tried_hosts(task) | doubted | crashed
+
+
+def _crashes(job: JobGraph, progress: JobProgress, task: TaskId) -> CrashRecord:
+    """Return the crashes under a task or, for its member, under a gang."""
+    if job.steps[task.step].gang:
+        task = task._replace(index=0)
+    state = progress.tasks.get(task_key(task))
+    return (state.crashes if state is not None else None) or NO_CRASHES
 
 
 def _failures(progress: JobProgress, task: TaskId) -> int:
@@ -451,8 +470,11 @@
     now = clock.elapsed()
     tried_hosts: frozenset[str] = frozenset()
     paused_hosts: frozenset[str] = frozenset()
+    suspected = False
     for task in tasks:
-        tried_hosts |= _tried_hosts(task, context)
+        record = _crashes(job, progress, task)
+        suspected = suspected or record.suspected
+        tried_hosts |= _tried_hosts(task, record, context)
         paused_hosts |= statistics.start_doubts.paused_hosts(task, now)
     return SchedulingUnit(
         account=job.account,
@@ -476,4 +498,5 @@
         charged_work=context.statistics.charged_work.get(tasks[0][:3], 0.0),
         tried_hosts=tried_hosts,
         paused_hosts=paused_hosts,
+        suspected=suspected,
     )
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -26,6 +26,7 @@
 SEARCH_INTERVAL_SECONDS = 0.1
 REFRESH_DELAY_SECONDS = 0.4  # of a search, before the entries are read anew
 REFRESH_INTERVAL_SECONDS = 1.0
+MAX_CRASHED_LIFETIMES = 8  # the newest; a placer hears of each within seconds
 
 
 class Heartbeat(NamedTuple):
@@ -65,6 +66,7 @@
         self._heartbeat: Heartbeat | None = None
         self._announced_at = 0.0
         self._ended_lifetime: Lifetime | None = None
+        self._crashed_lifetimes: tuple[Lifetime, ...] = ()
         self._status: WorkerStatus | None = None
         self._term = 0
         self._fenced_term = 0
@@ -90,6 +92,8 @@
                 return
             if new == old and heartbeat.sequence <= previous.sequence:
                 return
+            if new != old:
+                self._record_crash(previous.info)
         self._heartbeat = heartbeat
         self._announced_at = clock.now()
         changed = previous is None or previous.info != heartbeat.info
@@ -111,6 +115,14 @@
         self._update_may_start()
         self._request_report()
 
+    def _record_crash(self, last: WorkerInfo) -> None:
+        """Record the end of a lifetime that has not announced it."""
+        if last.leaving or last.lifetime == self._ended_lifetime:
+            return
+        lifetimes = (*self._crashed_lifetimes, last.lifetime)
+        self._crashed_lifetimes = lifetimes[-MAX_CRASHED_LIFETIMES:]
+        logger.bind(worker=last.lifetime.worker_id).warning("worker crashed")
+
     def _update_may_start(self) -> None:
         heartbeat = self._heartbeat
         is_leaving = (
@@ -276,6 +288,7 @@
             settled=tuple(self._reconciler.settled.values()) if has_worker else (),
             known_version=self._version,
             wait=wait,
+            crashed_lifetimes=self._crashed_lifetimes,
         )
 
     def _apply_orders(self, address: str, orders: Orders) -> bool:
--- a/src/sequoiachute/coordination/scheduling/capacity.py
+++ b/src/sequoiachute/coordination/scheduling/capacity.py
@@ -85,12 +85,16 @@
         """Every host by name."""
         return self._hosts
 
-    def fitting_hosts(self, need: Resources) -> list[Host]:
-        """Return the hosts on which a task that needs ``need`` fits now."""
+    def fitting_hosts(self, unit: SchedulingUnit) -> list[Host]:
+        """Return the hosts on which a task of ``unit`` fits now."""
+        need = unit.step.reserved
         found = []
         for name, free in self._free.items():
+            host = self._hosts[name]
+            if unit.needs_empty_host and free != host.capacity:
+                continue
             if free.covers(need):
-                found.append(self._hosts[name])
+                found.append(host)
         return found
 
     @property
@@ -116,6 +120,10 @@
         self._free[host.name] = self._free[host.name].minus(need)
         self._add_service_free(host, Resources().minus(need))
 
+    def close(self, host: Host) -> None:
+        """Leave nothing of ``host`` free."""
+        self.allocate(host, self._free[host.name])
+
     def hold(self, host: Host, need: Resources, count: int, is_firm: bool) -> None:
         """Withhold ``count`` times ``need`` on ``host`` from later work.
 
@@ -190,9 +198,14 @@
         return False
     if unit.needs_untried and host.name in unit.tried_hosts:
         return False
+    if unit.suspected and host.has_suspect:
+        # The next crash would not tell which of them is the cause.
+        return False
     if unit.takes_any_host:
         return True
-    if host.is_reserved:
+    if host.is_reserved or host.has_suspect:
+        return False
+    if unit.needs_empty_host and host.running:
         return False
     if unit.needs_proof and (not host.is_proven or host.name in unit.avoided_hosts):
         return False
@@ -236,7 +249,7 @@
     Of tasks that are placed independently one must fit; racks are not considered.
     """
     count = 0
-    for host in capacity.fitting_hosts(unit.step.reserved):
+    for host in capacity.fitting_hosts(unit):
         if is_eligible(unit, host):
             count += count_fitting(unit, host, capacity.free(host))
         if count >= unit.min_tasks:
--- a/src/sequoiachute/coordination/scheduling/layout.py
+++ b/src/sequoiachute/coordination/scheduling/layout.py
@@ -9,6 +9,7 @@
     cautious_slowdown,
     count_fitting,
     is_eligible,
+    lost_work,
     slowdown,
 )
 from sequoiachute.coordination.scheduling.model import (
@@ -55,9 +56,8 @@
     list of (Host, int) or None
         Hosts and the number of tasks on each; ``None`` if nothing fits.
     """
-    need = unit.step.reserved
     hosts = []
-    for host in capacity.fitting_hosts(need):
+    for host in capacity.fitting_hosts(unit):
         if is_eligible(unit, host):
             hosts.append(host)
     if not unit.step.same_rack:
@@ -151,7 +151,13 @@
 
     Hosts whose speed the tasks would show get one task each before any gets more.
     """
-    preferred = sorted(hosts, key=lambda host: _preference(unit, capacity, host, now))
+    preferred = sorted(
+        hosts,
+        key=lambda host: (
+            _harm(unit, host),
+            _preference(unit, capacity, host, now),
+        ),
+    )
     counts = dict.fromkeys((host.name for host in preferred), 0)
     remaining = count
     for host in preferred:
@@ -170,6 +176,21 @@
     return [(host, counts[host.name]) for host in preferred if counts[host.name]]
 
 
+def _harm(unit: SchedulingUnit, host: Host) -> tuple[bool, int, float]:
+    """Return the sort key of ``host`` by what a crash would harm.
+
+    Hosts with a suspect come last. For a suspect, hosts with urgent and lasting runs
+    come behind others, and among these counts the work that would be lost.
+    """
+    if not unit.suspected:
+        return (host.has_suspect, 0, 0.0)
+    valued = lost = 0.0
+    for run in host.running:
+        valued += run.lasting or run.priority == URGENT_PRIORITY
+        lost += lost_work(run)
+    return (host.has_suspect, int(valued), lost)
+
+
 def _shows_speed(unit: SchedulingUnit, host: Host) -> bool:
     """Return whether a task of ``unit`` would show the unknown speed of ``host``.
 
--- a/src/sequoiachute/coordination/scheduling/migration.py
+++ b/src/sequoiachute/coordination/scheduling/migration.py
@@ -39,6 +39,8 @@
             continue
         if any(run.stopping or run.lasting or run.moved for _, run in group):
             continue
+        if any(run.suspected for _, run in group):
+            continue
         if not _is_candidate(group):
             continue
         if _should_migrate(group, capacity, now):
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -43,6 +43,8 @@
         Expected time from the end of the run's step to the end of the job.
     stretch : float
         Seconds of the objective for each second of the job's work.
+    suspected : bool
+        Whether the task may have crashed a worker.
     """
 
     task: TaskId
@@ -67,6 +69,7 @@
     downstream_seconds: float = 0.0
     accepted_at: float = 0.0
     stretch: float = 1.0
+    suspected: bool = False
 
 
 class Host(NamedTuple):
@@ -93,6 +96,8 @@
     leaving_seconds : float or None
         Time for which a leaving worker stays at least; ``None`` if it does not
         leave.
+    has_suspect : bool
+        Whether a task runs there that may have crashed a worker.
     """
 
     name: str
@@ -111,6 +116,7 @@
     doubt_age: float = float("inf")
     proof_age: float = float("inf")
     is_reserved: bool = False
+    has_suspect: bool = False
 
     @property
     def is_proven(self) -> bool:
@@ -172,6 +178,8 @@
         Whether only hosts on which the tasks have not failed may get them.
     paused_hosts : frozenset of str
         Hosts that have refused to start the tasks a moment ago.
+    suspected : bool
+        Whether the task, or the gang, may have crashed a worker.
     """
 
     account: str
@@ -203,6 +211,7 @@
     tried_hosts: frozenset[str] = frozenset()
     needs_untried: bool = False
     paused_hosts: frozenset[str] = frozenset()
+    suspected: bool = False
 
     @property
     def min_tasks(self) -> int:
@@ -214,6 +223,11 @@
         """Whether the tasks have waited as long as they may beside idle capacity."""
         return self.waiting_seconds >= MAX_IDLE_WAIT_SECONDS
 
+    @property
+    def needs_empty_host(self) -> bool:
+        """Whether a suspected task still waits for a host on which nothing runs."""
+        return self.suspected and not self.is_overdue
+
     @property
     def is_tight(self) -> bool:
         """Whether the objective leaves urgent work no time for a slow host."""
--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -108,12 +108,13 @@
     requirements = (unit.service, step.reserved, step.label, step.per_worker)
     constraints = (step.gang, step.same_rack, unit.last_attempt, unit.guaranteed)
     preferences = (unit.only_doubtful, unit.takes_any_host, unit.may_split)
+    suspicion = (unit.suspected, unit.needs_empty_host)
     proof = unit.avoided_hosts if unit.needs_proof else None
     untried = unit.tried_hosts if unit.needs_untried else None
     tickets = frozenset(unit.tickets) if unit.tickets is not None else None
     placed = frozenset(unit.placed_per_host.items()) if step.per_worker else None
     key = (unit.priority, requirements, constraints, preferences, proof, placed)
-    key = (*key, untried, tickets, unit.paused_hosts)
+    key = (*key, untried, tickets, unit.paused_hosts, suspicion)
     if unit.priority != URGENT_PRIORITY:
         return key
     # What urgent work may stop depends on its declared work and on what it has cost.
@@ -306,8 +307,11 @@
     def _serve(self, unit: SchedulingUnit) -> bool:
         """Place what fits, preempt if urgent; return whether any task was served."""
         # Expired work is served last and must not preempt: its victims would be
-        # placed again before it.
-        if unit.priority == URGENT_PRIORITY and not is_expired(unit, self._view.now):
+        # placed again before it. Nothing is stopped for a task that may crash a worker.
+        is_suspect = unit.suspected and not unit.guaranteed
+        if is_suspect or unit.needs_empty_host:
+            remaining = self._place_fitting(unit)
+        elif unit.priority == URGENT_PRIORITY and not is_expired(unit, self._view.now):
             remaining = self._schedule_urgent(unit)
         else:
             remaining = self._place_fitting(unit)
@@ -455,6 +459,8 @@
                 task = next(tasks)
                 self._placements.append(self._placement(unit, task, host))
                 self._placed.setdefault(task[:3], Counter())[host.name] += 1
+            if unit.suspected:
+                self._capacity.close(host)
 
     def _placement(
         self, unit: SchedulingUnit, task: TaskId, host: Host
--- a/src/sequoiachute/coordination/scheduling/preemption.py
+++ b/src/sequoiachute/coordination/scheduling/preemption.py
@@ -170,6 +170,8 @@
             return False
         if self._unit.guaranteed:
             return not run.guaranteed
+        if run.suspected:
+            return False
         if run.preemptions >= MAX_PREEMPTIONS:
             return False
         if run.task.job_id == self._unit.tasks[0].job_id:
--- a/src/sequoiachute/coordination/scheduling/waits.py
+++ b/src/sequoiachute/coordination/scheduling/waits.py
@@ -33,6 +33,7 @@
 WAVES = "wide step starts in waves"
 UPKEEP = "hosts reserved for upkeep"
 DOUBT = "hosts in doubt"
+CRASHES = "kept apart after a crash"
 PROOF = "waits for a proven host"
 NO_RACK = "no rack has room"
 HELD = "held for other work"
@@ -239,6 +240,8 @@
         unreserved = suitable.where(lambda host: not host.is_reserved)
         if not unreserved.holds_unit:
             return UPKEEP
+        if not unreserved.where(lambda host: _is_apart(unit, host)).holds_unit:
+            return CRASHES
         if not could_hold(unit, suitable.hosts):
             unit = unit._replace(only_doubtful=True)
         eligible = unreserved.where(lambda host: is_eligible(unit, host))
@@ -305,6 +308,11 @@
     return host.is_proven and host.name not in unit.avoided_hosts
 
 
+def _is_apart(unit: SchedulingUnit, host: Host) -> bool:
+    """Return whether ``host`` is open to ``unit`` as to crashes of workers."""
+    return not host.has_suspect and not (unit.needs_empty_host and host.running)
+
+
 def _requirements(unit: SchedulingUnit) -> tuple:
     """Return all that decides whether a service has room for ``unit``."""
     step = unit.step
@@ -320,7 +328,7 @@
     """Return all that decides the reason of a wait beside the requirements."""
     is_due = bool(due_tasks(unit, view).tasks)
     attempts = (unit.last_attempt, unit.failed_before, unit.guaranteed)
-    sizes = (len(unit.tasks), unit.step.same_rack)
+    sizes = (len(unit.tasks), unit.step.same_rack, unit.needs_empty_host)
     return (unit.returning, is_due, attempts, unit.avoided_hosts, sizes)
 
 
--- a/src/sequoiachute/protocol/supervision.py
+++ b/src/sequoiachute/protocol/supervision.py
@@ -76,7 +76,8 @@
     knows whether its fencing is in force there. ``worker_clock_ms`` is a reading
     of the worker's clock taken before this report. ``known_version`` is the
     version of the orders that the agent has, and ``wait`` the seconds for which
-    the placer may delay the reply until there are newer ones.
+    the placer may delay the reply until there are newer ones. ``crashed_lifetimes``
+    are the newest ones that ended without a word while this agent ran.
     """
 
     host: str
@@ -91,6 +92,7 @@
     settled: tuple[SettledStart, ...] = ()
     known_version: int = 0
     wait: float = 0.0
+    crashed_lifetimes: tuple[Lifetime, ...] = ()
 
 
 class RunOrder(NamedTuple):
--- a/src/sequoiachute/protocol/workload.py
+++ b/src/sequoiachute/protocol/workload.py
@@ -187,13 +187,30 @@
 TYPICAL_TIMES = WorkerTimes()
 
 
+class CrashRecord(NamedTuple):
+    """Crashes of workers under a task since a run of it last proved sound.
+
+    ``count`` workers have crashed under it, ``sole`` of them with no other possible
+    cause. By the time of a crash a run had worked for up to ``worked_seconds``. A
+    ``suspected`` task runs apart from others. ``run`` is the last one that a crash
+    ended, ``host`` where that was.
+    """
+
+    count: int = 0
+    sole: int = 0
+    worked_seconds: float = 0.0
+    suspected: bool = False
+    run: int = 0
+    host: str = ""
+
+
 class TaskState(NamedTuple):
     """Recorded state of a task.
 
     ``run`` numbers its starts. ``host`` is the agent on whose worker, in lifetime
     ``lifetime``, the run may exist; it is empty once the run has certainly ended.
     ``token`` is the newest known checkpoint. ``failed_run`` is the last run that
-    failed by itself.
+    failed by itself. For a gang the first member has ``failures`` and ``crashes``.
     """
 
     run: int = 0
@@ -203,6 +220,7 @@
     failures: int = 0
     failed_run: int = 0
     token: str = ""
+    crashes: CrashRecord | None = None
 
     @property
     def placed(self) -> bool:
--- a/src/sequoiachute/state/exposition.py
+++ b/src/sequoiachute/state/exposition.py
@@ -15,6 +15,7 @@
     "runs_ended_total": "Runs that have ended, by how.",
     "runs_placed_total": "Runs that were placed.",
     "runs_stopped_total": "Runs that the placer has stopped, by reason.",
+    "worker_crashes_total": "Crashes of workers on which tasks were placed.",
     "agents": "Agents that report to this placer.",
     "leading": "1 while this entry is the placer.",
     "units_waiting": "Steps or gangs that have waited for more than 1 s.",
