--- a/tests/control_checks.py
+++ b/tests/control_checks.py
@@ -215,3 +215,16 @@
         failed.add((task.step, -1 if is_gang else task.index, end.run))
     counts = Counter(key[:2] for key in failed)
     return max(counts.values(), default=0)
+
+
+def crash_count(site, job_id):
+    """Return the most runs that crashes of workers ended of any task, or any gang."""
+    crashed = set()
+    for end in site.history.ends:
+        task = parse_task_id(end.task)
+        if task.job_id != job_id or end.outcome != "crashed":
+            continue
+        is_gang = site.jobs[job_id].steps[task.step].gang
+        crashed.add((task.step, -1 if is_gang else task.index, end.run))
+    counts = Counter(key[:2] for key in crashed)
+    return max(counts.values(), default=0)
