--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -59,6 +59,8 @@
         self.worker: WorkerInfo | None = None
         self.ended_lifetimes: set[Lifetime] = set()
         self.left_lifetime: Lifetime | None = None
+        self.crashes: dict[Lifetime, frozenset[tuple[str, int]]] = {}
+        self._upkeep_lifetimes: set[Lifetime] = set()
         self.reported_at = float("-inf")
         self.is_fenced = False
         self.worker_clock_ms = 0
@@ -131,6 +133,11 @@
         if report.ended_lifetime is not None:
             self.left_lifetime = report.ended_lifetime
             self.ended_lifetimes.add(report.ended_lifetime)
+        if self.upkeep_lifetime is not None:
+            self._upkeep_lifetimes.add(self.upkeep_lifetime)
+        for lifetime, runs in report.crashes:
+            if lifetime not in self._upkeep_lifetimes:
+                self.crashes[lifetime] = frozenset(runs)
         self._apply_worker(report.worker)
         self._record_late_starts(report, is_same_agent)
         self.is_fenced = report.term == term and report.worker is not None
--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -55,6 +55,7 @@
         self._reading = (0, 0.0)
         self._in_flight: set[tuple[str, int]] = set()
         self.lifetime = Lifetime()
+        self._previous: tuple[Lifetime, tuple[tuple[str, int], ...]] = (Lifetime(), ())
         self.term = 0
         self.lease_ms = 0
         self.may_start = True
@@ -63,6 +64,7 @@
 
     def begin_lifetime(self, lifetime: Lifetime) -> None:
         """Call the worker in ``lifetime`` from now on, without any earlier state."""
+        self._previous = (self.lifetime, self.runs_of(self.lifetime))
         self.lifetime = lifetime
         self.lease_ms = 0
         self.orders.clear()
@@ -73,6 +75,16 @@
         self._started.clear()
         self._stopped_at.clear()
 
+    def runs_of(self, lifetime: Lifetime) -> tuple[tuple[str, int], ...]:
+        """Return the runs that the present or previous lifetime may have run.
+
+        They include all starts that it was asked for, answered or not.
+        """
+        previous, runs = self._previous
+        if lifetime == self.lifetime:
+            return tuple(sorted(self._attempted | self._present | self._ended))
+        return runs if lifetime == previous else ()
+
     def set_capacity(self, capacity: Resources) -> None:
         """Set the capacity that the worker has announced just now."""
         self._capacity = capacity
@@ -98,6 +110,8 @@
             if not order.payload and key in previous:
                 order = order._replace(payload=previous[key].payload)
             self.orders[key] = order
+        self._attempted &= self.orders.keys()
+        self._started &= self.orders.keys()
         for key in list(self.settled):
             if key not in self.orders:
                 del self.settled[key]
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -13,7 +13,13 @@
 from sequoiachute.coordination.hosting.pacing import Pacer
 from sequoiachute.coordination.hosting.runs import RunReconciler
 from sequoiachute.coordination.loop import spawn_loop, spawn_task
-from sequoiachute.protocol.supervision import REPORT, Orders, Report, WorkerInfo
+from sequoiachute.protocol.supervision import (
+    REPORT,
+    CrashReport,
+    Orders,
+    Report,
+    WorkerInfo,
+)
 from sequoiachute.protocol.workload import Lifetime
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.transport.ports import RpcCaller
@@ -28,6 +34,7 @@
 SEARCH_INTERVAL_SECONDS = 0.1
 REFRESH_DELAY_SECONDS = 0.4  # of a search, before the entries are read anew
 REFRESH_INTERVAL_SECONDS = 1.0
+MAX_CRASHES = 8  # the newest; a placer hears of each within seconds
 
 
 class Heartbeat(NamedTuple):
@@ -68,6 +75,7 @@
         self._announced_at = 0.0
         self._departing_lifetime: Lifetime | None = None
         self._ended_lifetime: Lifetime | None = None
+        self._crashes: tuple[CrashReport, ...] = ()
         self._status: WorkerStatus | None = None
         self._term = 0
         self._fenced_term = 0
@@ -93,6 +101,8 @@
                 return
             if new == old and heartbeat.sequence <= previous.sequence:
                 return
+            if new != old:
+                self._record_crash(previous.info)
         self._heartbeat = heartbeat
         self._announced_at = clock.now()
         self._reconciler.set_capacity(heartbeat.info.capacity)
@@ -106,10 +116,10 @@
             self._request_report()
 
     def handle_worker_leave(self, worker_id: str) -> None:
-        """Take note that a worker that leaves is about to end.
+        """Take note that a worker is about to end.
 
         The notice names no lifetime and may come late: the lifetime is over once the
-        worker can't be reached any more.
+        worker, if it has said that it leaves, can't be reached any more.
         """
         heartbeat = self._heartbeat
         if heartbeat is None or heartbeat.info.lifetime.worker_id != worker_id:
@@ -117,8 +127,14 @@
         logger.bind(worker=worker_id, leaving=heartbeat.info.leaving).info(
             "worker left"
         )
-        if heartbeat.info.leaving:
-            self._departing_lifetime = heartbeat.info.lifetime
+        self._departing_lifetime = heartbeat.info.lifetime
+
+    def _is_departing(self, lifetime: Lifetime) -> bool:
+        """Return whether a lifetime has announced its end and is not over yet."""
+        info = self._heartbeat.info
+        is_leaving = info.lifetime == lifetime and info.leaving
+        is_over = lifetime == self._ended_lifetime
+        return is_leaving and lifetime == self._departing_lifetime and not is_over
 
     def _end_lifetime(self, lifetime: Lifetime) -> None:
         self._ended_lifetime = lifetime
@@ -127,6 +143,15 @@
         self._update_may_start()
         self._request_report()
 
+    def _record_crash(self, last: WorkerInfo) -> None:
+        """Record the end of a lifetime that has not announced it."""
+        if last.leaving or last.lifetime == self._departing_lifetime:
+            return
+        crash = CrashReport(last.lifetime, self._reconciler.runs_of(last.lifetime))
+        self._crashes = (*self._crashes, crash)[-MAX_CRASHES:]
+        log = logger.bind(worker=last.lifetime.worker_id, runs=len(crash.runs))
+        log.bind(born=last.lifetime.started_ms).warning("worker crashed")
+
     def _update_may_start(self) -> None:
         heartbeat = self._heartbeat
         is_leaving = (
@@ -176,8 +201,7 @@
         label = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
         self.metrics.count("looks_total", outcome=label)
         if outcome.is_err():
-            is_gone = outcome.unwrap_err().gone and expected == self._departing_lifetime
-            if is_gone and expected != self._ended_lifetime:
+            if outcome.unwrap_err().gone and self._is_departing(expected):
                 self._end_lifetime(expected)
             return False
         status = outcome.unwrap()
@@ -334,6 +358,7 @@
             known_version=self._version,
             wait=wait,
             late_starts=late_starts,
+            crashes=self._crashes,
         )
 
     def _apply_orders(self, address: str, orders: Orders) -> bool:
--- a/src/sequoiachute/protocol/supervision.py
+++ b/src/sequoiachute/protocol/supervision.py
@@ -68,6 +68,16 @@
     reason: str
 
 
+class CrashReport(NamedTuple):
+    """A lifetime that ended without a word, with task and run of what it may have run.
+
+    These are the runs that it was asked to start, answered or not.
+    """
+
+    lifetime: Lifetime
+    runs: tuple[tuple[str, int], ...]
+
+
 class Report(NamedTuple):
     """State of a worker, reported by its agent.
 
@@ -77,7 +87,8 @@
     of the worker's clock taken before this report. ``known_version`` is the
     version of the orders that the agent has, and ``wait`` the seconds for which
     the placer may delay the reply until there are newer ones. ``late_starts`` holds
-    task and run of starts that were not answered and may still be carried out.
+    task and run of starts that were not answered and may still be carried out,
+    ``crashes`` the newest lifetimes that ended without a word while this agent ran.
     """
 
     host: str
@@ -93,6 +104,7 @@
     known_version: int = 0
     wait: float = 0.0
     late_starts: tuple[tuple[str, int], ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
 
 
 class RunOrder(NamedTuple):
