Record the end of a run in a later life before it is acknowledged

An end needs a record whichever life the run was ordered for; one from another life than recorded is settled once that life is fenced. A run adopted in the round in which its gang ended is no longer set back, a report of an earlier life no longer keeps the reading fresh (both by reading).

--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -123,7 +123,7 @@
         """
         if report.incarnation == self.incarnation and report.sequence < self.sequence:
             return False
-        if report.worker is not None and self._is_over(report.worker.lifetime):
+        if report.worker is not None and self.is_over(report.worker.lifetime):
             return False
         before = self._decision_inputs()
         is_same_agent = report.incarnation == self.incarnation
@@ -171,7 +171,7 @@
         lifetime, since = self._reporting_since
         return clock.elapsed() - since if lifetime == self.lifetime else 0.0
 
-    def _is_over(self, lifetime: Lifetime) -> bool:
+    def is_over(self, lifetime: Lifetime) -> bool:
         """Return whether a later lifetime has been reported."""
         is_earlier = lifetime.started_ms < self.lifetime.started_ms
         is_same_worker = lifetime.worker_id == self.lifetime.worker_id
@@ -271,10 +271,9 @@
     task = parse_task_id(end.task)
     if task is None:
         return False
+    # Whichever lifetime the run was ordered for, the one that lists its end had it.
     state = ledger.tasks_on_host(session.host).get(task)
-    if state is None or state.run != end.run:
-        return False
-    return state.lifetime == session.lifetime
+    return state is not None and state.run == end.run
 
 
 class AgentSessions:
@@ -329,7 +328,8 @@
             session = self.sessions[report.host] = Session(report.host)
             self._newest_agent_at = clock.elapsed()
             logger.bind(host=report.host, term=self.term).info("first report of agent")
-        session.record_reading(report)
+        if report.worker is None or not session.is_over(report.worker.lifetime):
+            session.record_reading(report)
         lease_ms = self._lease_ms(report)
         if session.apply_report(report, self.term):
             self._wake()
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -137,6 +137,8 @@
             state = draft.task(task)
             if state.run != end.run or not state.placed:
                 continue
+            if state.lifetime != session.lifetime and not session.is_fenced:
+                continue
             self._draft_end(task, state, end, draft)
             log = logger.bind(task=end.task, run=end.run, host=session.host)
             log.bind(how=end.outcome, number=end.number).info("run ended")
@@ -201,8 +203,11 @@
         """Move a run to the later lifetime that has carried out its start."""
         if not session.is_fenced:
             return
-        for task, state in list(self._ledger.tasks_on_host(session.host).items()):
-            if state.lifetime == session.lifetime or not session.lists(task, state.run):
+        for task in list(self._ledger.tasks_on_host(session.host)):
+            state = draft.task(task)
+            if state.host != session.host or state.lifetime == session.lifetime:
+                continue
+            if not session.lists(task, state.run):
                 continue
             draft.set_task(task, state._replace(lifetime=session.lifetime))
             log = logger.bind(task=str(task), run=state.run, host=session.host)
@@ -231,7 +236,7 @@
         """Draft the loss of the runs of lifetimes that are certainly over.
 
         A later lifetime can carry out a start to an earlier one until it has seen a
-        fencing token of its own; what it then does not list, it never starts. Return
+        fencing token of its own; what it then does not list, it does not start. Return
         the crashes that have ended the lifetimes.
         """
         lost: dict[Lifetime, dict[TaskId, TaskState]] = {}
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -114,6 +114,9 @@
             log.info("worker announced")
             self._update_may_start()
             self._request_report()
+        if previous is not None and previous.info.lifetime != heartbeat.info.lifetime:
+            # Until its first poll the lifetime takes calls to the one before.
+            self._spawn_task("poll of the worker", self._poll_once)
 
     def handle_worker_leave(self, worker_id: str) -> None:
         """Take note that a worker is about to end.
--- a/src/sequoiachute/transport/worker.py
+++ b/src/sequoiachute/transport/worker.py
@@ -45,8 +45,9 @@
     """Return the fencing token of calls to one lifetime of a worker under a term.
 
     A worker that starts again has seen no token, and calls to its earlier lifetime
-    may be carried out seconds later. The token increases with the lifetime as well as
-    with the term, so that they are refused once the new lifetime has answered.
+    may be carried out seconds later. A later lifetime has a higher token than any
+    earlier one under the same or a lower term, so that such calls are refused once it
+    has answered a poll under the term of the present placer.
     """
     return lifetime.started_ms + term
 
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -9,7 +9,7 @@
 from sequoiachute.coordination.hosting.runs import MAX_ANNOUNCEMENT_AGE_SECONDS
 from sequoiachute.coordination.hosting.supervisor import Heartbeat
 from sequoiachute.protocol.supervision import Report, WorkerInfo
-from sequoiachute.protocol.workload import Lifetime, Resources
+from sequoiachute.protocol.workload import COMPLETE, Lifetime, Resources
 from sequoiachute.transport.worker import WorkerError
 from standins.control_site import ControlSite
 from standins.task_worker import SHRINK_NOTICE_SECONDS
@@ -255,3 +255,85 @@
     worker.silent = False
     del agent.supervisor.handle_heartbeat
     complete(site, [job], 90)
+
+
+@pytest.mark.parametrize("delay", [0.004, 0.1])
+@pytest.mark.parametrize("count", [1, 4])
+@pytest.mark.parametrize("seconds", [0.1, 0.2, 0.3, 0.5])
+@pytest.mark.parametrize("pause", [0.0, 0.2, 0.3, 0.4])
+def test_end_of_a_run_in_a_later_life_is_recorded_before_it_is_acknowledged(
+    pause, seconds, count, delay
+):
+    site = ControlSite(workers=1)
+    site.store.delay = delay
+    site.run_for(1.0 + pause)
+    worker = site.workers[0]
+    worker.late_seconds = 0.5
+    job = accepted(site, seconds, count=count, gang=count > 1)
+    site.run_for(0.2)
+    worker.late_seconds = 0.0
+    worker.restart(same_id=True)
+    site.run_for(20)
+    assert_no_duplicate_runs(site.history, crashes=True)
+    assert site.state(job) == COMPLETE
+
+
+def host_index(site, job):
+    """Return the index of the agent on whose worker a job's first task is placed."""
+    ledger = site.entries[site.placer()].control.ledger
+    placed = ledger.progress(job).tasks["0.0.0"]
+    return [agent.address for agent in site.agents].index(placed.host)
+
+
+def place_with_late_start(late_seconds):
+    site = ControlSite(workers=2)
+    for worker in site.workers:
+        worker.late_seconds = late_seconds
+    job = accepted(site, 20.0)
+    site.run_for(0.1)
+    return site, job, host_index(site, job)
+
+
+@pytest.mark.parametrize("late_seconds", [0.5, 3.0])
+def test_late_start_in_a_life_whose_agent_is_frozen_runs_alone(late_seconds):
+    site, _, index = place_with_late_start(late_seconds)
+    for worker in site.workers:
+        worker.late_seconds = 0.0
+    site.workers[index].restart(same_id=True)
+    site.agents[index].process.frozen = True
+    site.run_for(16)
+    assert_no_duplicate_runs(site.history, crashes=True)
+
+
+def test_late_start_in_the_second_life_after_its_own_runs_alone():
+    site, _, index = place_with_late_start(6.0)
+    site.run_for(0.2)
+    for worker in site.workers:
+        worker.late_seconds = 0.0
+    worker = site.workers[index]
+    worker.restart(same_id=True)
+    worker.refuses_starts = True
+    site.run_for(5.65)
+    worker.refuses_starts = False
+    worker.restart(same_id=True)
+    site.run_for(3)
+    assert_no_duplicate_runs(site.history, crashes=True)
+
+
+@pytest.mark.parametrize("late_seconds", [3.0, 6.0])
+def test_late_start_in_a_life_that_follows_a_departure_runs_alone(late_seconds):
+    site, _, index = place_with_late_start(late_seconds)
+    worker = site.workers[index]
+    worker.leaving_seconds = 1.0
+    site.run_for(0.6)
+    for other in site.workers:
+        other.late_seconds = 0.0
+    site.run_for(late_seconds - 0.9)
+    worker.gone = True
+    site.agents[index].supervisor.handle_worker_leave(worker.lifetime.worker_id)
+    site.run_for(0.17)
+    worker.gone = False
+    worker.leaving_seconds = None
+    worker.restart(same_id=True)
+    site.run_for(3)
+    assert_no_duplicate_runs(site.history, crashes=True)
