--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -20,7 +20,9 @@
 CALL_RETRY_SECONDS = 0.05  # between two attempts of an unanswered call
 # A worker describes itself every 0.5 to 1.5 s; its capacity may have shrunk since.
 MAX_ANNOUNCEMENT_AGE_SECONDS = 4.0
+MAX_UNORDERED_WAIT_SECONDS = 2.0  # for runs that end when they are stopped
 NO_ROOM = "no room"  # reason of a start that the worker's capacity excludes
+NOT_STOPPED = "a run that was not ordered does not end"
 NOT_ANNOUNCED = "the worker has not described itself lately"
 
 
@@ -172,19 +174,17 @@
 
     def _start(self, key: tuple[str, int]) -> None:
         lifetime = self.lifetime
+        began_at = clock.now()
         may_exist = False
         while True:
             order = self.orders.get(key)
             if order is None or order.stop or lifetime != self.lifetime:
                 return
-            obstacle = self._obstacle(key, order)
+            obstacle = self._obstacle(key, order, began_at)
             if obstacle:
-                if may_exist:
-                    self._stop(key)
-                else:
-                    self._settle(key, obstacle)
+                self._rule_out(key, obstacle, may_exist)
                 return
-            if not self._has_lease() or self._has_unordered_runs():
+            if self._has_unordered_runs() or not self._has_lease():
                 clock.sleep(CALL_RETRY_SECONDS)
                 continue
             self._attempted.add(key)
@@ -198,23 +198,32 @@
                 logger.bind(task=key[0], run=key[1], term=self.term).info("started")
                 return
             error = outcome.unwrap_err()
-            if error.applied is False and not error.fenced:
-                if error.reason == ALREADY_RAN or may_exist:
-                    # An earlier copy of this start may have run: the next status
-                    # shows its end, or that there is none.
-                    self._stop(key)
-                else:
-                    self._settle(key, error.reason)
-                return
             if error.applied is None:
                 may_exist = True
                 self._unanswered_at[key] = clock.elapsed()
+            if error.applied is False and not error.fenced:
+                may_exist = may_exist or error.reason == ALREADY_RAN
+                self._rule_out(key, error.reason, may_exist)
+                return
             clock.sleep(CALL_RETRY_SECONDS)
 
-    def _obstacle(self, key: tuple[str, int], order: RunOrder) -> str:
-        """Return why a run must not start now, empty if it may."""
+    def _rule_out(self, key: tuple[str, int], reason: str, may_exist: bool) -> None:
+        """Settle a start; if a copy of it may have run, the next status shows its end.
+
+        Or it shows, after a stop, that there is none.
+        """
+        if may_exist:
+            self._stop(key)
+        else:
+            self._settle(key, reason)
+
+    def _obstacle(self, key: tuple[str, int], order: RunOrder, began_at: float) -> str:
+        """Return why a start that began at ``began_at`` must end, else empty."""
         if not self.may_start:
             return "worker accepts no new runs"
+        is_waiting_long = clock.now() - began_at > MAX_UNORDERED_WAIT_SECONDS
+        if is_waiting_long and self._has_unordered_runs():
+            return NOT_STOPPED
         if clock.elapsed() - self._announced_at > MAX_ANNOUNCEMENT_AGE_SECONDS:
             return NOT_ANNOUNCED
         used = order.need
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -6,13 +6,19 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.dispatch.sessions import Session
-from sequoiachute.coordination.hosting.runs import MAX_ANNOUNCEMENT_AGE_SECONDS
+from sequoiachute.coordination.hosting.runs import (
+    MAX_ANNOUNCEMENT_AGE_SECONDS,
+    NOT_STOPPED,
+    RunReconciler,
+)
 from sequoiachute.coordination.hosting.supervisor import Heartbeat
-from sequoiachute.protocol.supervision import Report, WorkerInfo
+from sequoiachute.protocol.supervision import Report, RunOrder, WorkerInfo
 from sequoiachute.protocol.workload import COMPLETE, Lifetime, Resources
+from sequoiachute.state.metrics import Metrics
 from sequoiachute.transport.worker import WorkerError
 from standins.control_site import ControlSite
-from standins.task_worker import SHRINK_NOTICE_SECONDS
+from standins.memory import MemoryProcess
+from standins.task_worker import SHRINK_NOTICE_SECONDS, History, MemoryTaskWorker
 from tests.control_checks import accepted, assert_room_kept, complete
 from tests.run_checks import assert_no_duplicate_runs
 
@@ -337,3 +343,20 @@
     worker.restart(same_id=True)
     site.run_for(3)
     assert_no_duplicate_runs(site.history, crashes=True)
+
+
+def test_start_is_settled_if_a_run_that_was_not_ordered_does_not_end():
+    worker = MemoryTaskWorker("w", Resources(gpus=4), History())
+    runs = RunReconciler(worker.link(MemoryProcess()), lambda: None, Metrics())
+    runs.begin_lifetime(worker.lifetime)
+    runs.set_capacity(worker.capacity)
+    runs.lease_ms = worker.clock_ms + 9000
+    worker.start(worker.lifetime, RunOrder("i.0.0.0", 1, "9"), 1, runs.lease_ms)
+    worker.stop = lambda *order: Err(WorkerError("no answer", None))
+    runs.apply_status(worker.status(), clock.now())
+    runs.set_orders((RunOrder("j.0.0.0", 1, "9"),))
+    clock.sleep(1.0)
+    assert not runs.settled
+    clock.sleep(2.0)
+    assert [start.reason for start in runs.settled.values()] == [NOT_STOPPED]
+    assert worker.running == {"i.0.0.0"}
