Count no crash for a run whose start reached no worker

The agent's tries found no connection, but counted the runs among those that the crashed life was asked to start, so that sound tasks came under suspicion. A try that certainly had no effect counts no more; the test failed before.

--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -201,6 +201,8 @@
             if error.applied is None:
                 may_exist = True
                 self._unanswered_at[key] = clock.elapsed()
+            elif not may_exist:
+                self._attempted.discard(key)
             if error.applied is False and not error.fenced:
                 may_exist = may_exist or error.reason == ALREADY_RAN
                 self._rule_out(key, error.reason, may_exist)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -263,3 +263,16 @@
     asked = runs.runs_of(worker.lifetime)
     runs.begin_lifetime(Lifetime("w", 2))
     assert asked == runs.runs_of(worker.lifetime) == (("j.0.0.0", 1),)
+
+
+@pytest.mark.usefixtures("paused_clock")
+def test_run_whose_start_reached_no_worker_is_not_among_those_of_a_crash():
+    worker = MemoryTaskWorker("w", Resources(gpus=4), History())
+    worker.gone = True
+    runs = RunReconciler(worker.link(MemoryProcess()), lambda: None, Metrics())
+    runs.begin_lifetime(worker.lifetime)
+    runs.set_capacity(worker.capacity)
+    runs.lease_ms = worker.clock_ms + 5000
+    runs.set_orders((RunOrder("j.0.0.0", 1, "9"),))
+    clock.sleep(0.5)
+    assert runs.runs_of(worker.lifetime) == ()
