--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -210,9 +210,10 @@
             clock.sleep(CALL_RETRY_SECONDS)
 
     def _rule_out(self, key: tuple[str, int], reason: str, may_exist: bool) -> None:
-        """Settle a start; if a copy of it may have run, the next status shows its end.
+        """Settle a start that is not tried again.
 
-        Or it shows, after a stop, that there is none.
+        If a copy of it may have run, a stop settles it: the next status shows an end,
+        or that there is none.
         """
         if may_exist:
             self._stop(key)
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -127,9 +127,8 @@
         heartbeat = self._heartbeat
         if heartbeat is None or heartbeat.info.lifetime.worker_id != worker_id:
             return
-        logger.bind(worker=worker_id, leaving=heartbeat.info.leaving).info(
-            "worker left"
-        )
+        log = logger.bind(worker=worker_id, leaving=heartbeat.info.leaving)
+        log.info("worker left")
         self._departing_lifetime = heartbeat.info.lifetime
 
     def _is_departing(self, lifetime: Lifetime) -> bool:
