--- a/tests/control_checks.py
+++ b/tests/control_checks.py
@@ -220,25 +220,21 @@
 
 def failed_attempts(site, job_id):
     """Return the most runs that failed of any task of a job, or of any gang."""
-    failed = set()
-    for end in site.history.ends:
-        task = parse_task_id(end.task)
-        if task.job_id != job_id or end.outcome != "failed":
-            continue
-        is_gang = site.jobs[job_id].steps[task.step].gang
-        failed.add((task.step, -1 if is_gang else task.index, end.run))
-    counts = Counter(key[:2] for key in failed)
-    return max(counts.values(), default=0)
+    return _most_ends(site, job_id, "failed")
 
 
 def crash_count(site, job_id):
     """Return the most runs that crashes of workers ended of any task, or any gang."""
-    crashed = set()
+    return _most_ends(site, job_id, "crashed")
+
+
+def _most_ends(site, job_id, outcome):
+    runs = set()
     for end in site.history.ends:
         task = parse_task_id(end.task)
-        if task.job_id != job_id or end.outcome != "crashed":
+        if task.job_id != job_id or end.outcome != outcome:
             continue
         is_gang = site.jobs[job_id].steps[task.step].gang
-        crashed.add((task.step, -1 if is_gang else task.index, end.run))
-    counts = Counter(key[:2] for key in crashed)
+        runs.add((task.step, -1 if is_gang else task.index, end.run))
+    counts = Counter(key[:2] for key in runs)
     return max(counts.values(), default=0)
