--- a/review/deployment.py
+++ b/review/deployment.py
@@ -405,6 +405,7 @@
     watchdog = threading.Timer(LONGEST_SECONDS, _give_up, (site,))
     watchdog.daemon = True
     watchdog.start()
+    signal.signal(signal.SIGTERM, lambda *_: _give_up(site))
     try:
         status = HELD if case(site, trouble) else BROKEN
     except UnableError as error:
@@ -423,7 +424,7 @@
 
 
 def _give_up(site: Site) -> None:
-    site.record("test", "took too long")
+    site.record("test", "ended from outside, or took too long")
     site.close()
     os._exit(UNABLE)
 
