--- a/review/5/case.py
+++ b/review/5/case.py
@@ -8,7 +8,6 @@
 
 WORKERS = 10  # one of them is unhealthy: a tenth
 JOBS = 4
-GREY_SECONDS = 6.5
 
 
 def case(site: Site, trouble: bool) -> bool:
@@ -48,7 +47,6 @@
         counts.append(answer.get("waiting", -1))
         site.state("proof", "key", jobs[0], entry)
     site.record("test", "the look", not_begun=len(waiting), shown=counts)
-    time.sleep(GREY_SECONDS - 6.0)
     if trouble:
         site.signal_worker("side-0", signal.SIGUSR2)
     time.sleep(5.0)
