--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -235,19 +235,23 @@
             self._published.pop(record.key, None)
         else:
             self._published[record.key] = record.value
-        self._notify_published(record.offset + 1)
+        if record.offset + 1 < self._published_end:
+            # Read again after a snapshot that holds newer records.
+            return
+        self._published_end = record.offset + 1
+        self._put_published_in_force()
 
     def _replace_published(self, records: tuple[StoredRecord, ...]) -> None:
         self._published = {
             record.key: record.value for record in records if record.value is not None
         }
-        newest = max((record.offset + 1 for record in records), default=0)
-        self._notify_published(newest)
+        # Lower than before if the newest keys have been deleted since.
+        self._published_end = max((record.offset + 1 for record in records), default=0)
+        log = logger.bind(keys=len(self._published), end=self._published_end)
+        log.info("published records replaced by a snapshot")
+        self._put_published_in_force()
 
-    def _notify_published(self, end: int) -> None:
-        if end < self._published_end:
-            return
-        self._published_end = end
+    def _put_published_in_force(self) -> None:
         self._on_published(self._published)
         if self._placer is not None:
             self._placer.wake()
--- /dev/null
+++ b/tests/test_lost_history.py
@@ -0,0 +1,37 @@
+import pytest
+
+from standins.control_site import ControlSite
+from tests.control_checks import accepted, complete
+
+pytestmark = pytest.mark.usefixtures("paused_clock")
+
+
+def test_restored_zone_takes_work_although_the_history_is_lost():
+    # Guards against a zone that stays closed since the newest records have a lower
+    # highest offset than the ones read before.
+    site = ControlSite(workers=2)
+    site.workers[0].zone = "muc-2"
+    site.store.publish("evacuate/muc-1", b"{}")
+    site.store.publish("evacuate/muc-2", b"{}")
+    site.run_for(1)
+    for zone in ("muc-1", "muc-2"):
+        site.store.publish(f"evacuate/{zone}", None)
+    site.store.discard_history("op")
+    site.run_for(1)
+    job = accepted(site, 0.5, count=8)
+    complete(site, [job], 6)
+    assert len({start.worker_id for start in site.history.starts}) == 2
+
+
+def test_newer_records_take_effect_after_a_snapshot():
+    # Guards against records dropped as old after a snapshot of lower offsets.
+    site = ControlSite(workers=1)
+    site.store.publish("evacuate/muc-1", b"{}")
+    site.run_for(1)
+    site.store.publish("evacuate/muc-1", None)
+    site.store.discard_history("op")
+    site.run_for(1)
+    site.store.publish("evacuate/muc-1", b"{}")
+    site.run_for(0.2)
+    operations = [entry.control.operations for entry in site.entries]
+    assert all(known.closed_zones == {"muc-1"} for known in operations)
