Count a job as begun once a worker has had a run of it, not once it is placed

Cause: Ledger.waiting_count and Ledger.state took the first record that places a task for its start. The record says what is intended; it stays when the start is settled as never run.

Change: JobProgress.begun is set when a worker lists a run or its end, for a gang when all members are present or one is at work, and when a worker has crashed under a task.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -11,6 +11,7 @@
 from sequoiachute.coordination.dispatch.advice import TicketCache
 from sequoiachute.coordination.dispatch.crashes import Crash
 from sequoiachute.coordination.dispatch.end_backup import EndBackup
+from sequoiachute.coordination.dispatch.first_starts import FirstStarts
 from sequoiachute.coordination.dispatch.objectives import DEFAULT_ESTIMATE_SECONDS
 from sequoiachute.coordination.dispatch.run_statistics import (
     RunProgress,
@@ -159,6 +160,7 @@
         self.wait_log = WaitLog()
         self._statistics = RunStatistics(ledger.speeds)
         self._settlement = Settlement(ledger, agents, self._worked_seconds)
+        self._first_starts = FirstStarts(ledger, agents)
         self._sequence = 0
         self._end_backup = EndBackup(store, ledger, agents)
         self._speeds_recorded_at = clock.now()
@@ -207,7 +209,12 @@
         """
         self._update_statistics()
         draft = ProgressDraft(self._ledger)
+        begun = self._first_starts.find()
         crashes = self._settlement.settle(draft)
+        for crash in crashes:
+            begun += self._first_starts.add(task.job_id for task in crash.tasks)
+        self._observe_first_starts(begun)
+        self._first_starts.draft(draft)
         self._append_draft(draft)
         self._record_crashes(crashes)
         wall_time = clock.wall_time()
@@ -420,14 +427,9 @@
             return
         draft = ProgressDraft(self._ledger)
         gang_runs = self._gang_runs(placements)
-        started = {
-            p.task.job_id for p in placements if self._has_no_runs(p.task.job_id)
-        }
         for placement in placements:
             self._draft_run(placement, gang_runs, draft)
         self._append_draft(draft)
-        for job_id in started:
-            self._observe_first_start(job_id)
         racks: dict[GangKey, int] = {}
         for placement in placements:
             self._log_placed(placement, racks)
@@ -483,9 +485,6 @@
     def _step_of(self, task: TaskId) -> StepSpec:
         return self._ledger.job(task.job_id).steps[task.step]
 
-    def _has_no_runs(self, job_id: str) -> bool:
-        return not self._ledger.progress(job_id).tasks
-
     def _drop_ended_jobs(self) -> None:
         """Delete jobs from the store once their retention is over."""
         now = clock.now()
@@ -517,10 +516,14 @@
         if records:
             self._append(records)
 
-    def _observe_first_start(self, job_id: str) -> None:
-        waited_seconds = clock.wall_time() - self._ledger.job(job_id).accepted_at
+    def _observe_first_starts(self, job_ids: list[str]) -> None:
         now = clock.now()
-        self._metrics.observe("first_start_seconds", max(0.0, waited_seconds), now)
+        for job_id in job_ids:
+            job = self._ledger.job(job_id)
+            if job is None:
+                continue
+            waited_seconds = max(0.0, clock.wall_time() - job.accepted_at)
+            self._metrics.observe("first_start_seconds", waited_seconds, now)
 
     def _record_speeds(self) -> None:
         """Record the learned speeds for the next placer if any has changed."""
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -78,6 +78,11 @@
         ended = progress._replace(state=state, ended_at=clock.wall_time())
         self._changed[job_id] = ended
 
+    def set_begun(self, job_id: str) -> None:
+        """Draft that a worker has had a run of the job."""
+        progress = self._editable_progress(job_id)
+        self._changed[job_id] = progress._replace(begun=True)
+
     def _editable_progress(self, job_id: str) -> JobProgress:
         if job_id not in self._changed:
             recorded = self._ledger.progress(job_id)
--- a/src/sequoiachute/protocol/workload.py
+++ b/src/sequoiachute/protocol/workload.py
@@ -237,12 +237,14 @@
     """Recorded state of a job: its final state, if any, and that of its tasks.
 
     Tasks that were never placed are omitted. A task's key consists of its
-    occurrence, step and index, see ``task_key``.
+    occurrence, step and index, see ``task_key``. ``begun`` is set once a worker has
+    had a run of the job, which its placement does not show.
     """
 
     state: str = ""
     tasks: dict[str, TaskState] = {}
     ended_at: float = 0.0
+    begun: bool = False
 
 
 def task_key(task: TaskId) -> str:
--- a/src/sequoiachute/state/exposition.py
+++ b/src/sequoiachute/state/exposition.py
@@ -9,7 +9,7 @@
     "append_seconds": "Time to append to the store, by topic.",
     "appends_total": "Appends to the store by topic and outcome.",
     "decision_seconds": "Processor and waiting time of one decision.",
-    "first_start_seconds": "Time from a job's acceptance to its first placement.",
+    "first_start_seconds": "Time from a job's acceptance to the first report of a run.",
     "jobs_live": "Accepted jobs that have not ended.",
     "jobs_submitted_total": "Jobs handed in, by outcome.",
     "runs_ended_total": "Runs that have ended, by how.",
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -138,7 +138,14 @@
             return COMPLETE
         if job_id in self._cancelled:
             return CANCELLED
-        return ACTIVE if progress.tasks else PENDING
+        return ACTIVE if self._has_begun(job_id) else PENDING
+
+    def _has_begun(self, job_id: str) -> bool:
+        if self.progress(job_id).begun:
+            return True
+        job = self.job(job_id)
+        ends = self.ends(job_id)
+        return job is not None and any(done_with(job, key) for key in ends)
 
     def _is_complete(self, job_id: str, progress: JobProgress) -> bool:
         job = self.job(job_id)
@@ -167,13 +174,13 @@
             yield self._jobs[job_id]
 
     def waiting_count(self, queue: str) -> int:
-        """Return the number of jobs of a queue that have not been started yet."""
+        """Return the number of a queue's jobs of which no task has begun yet."""
         count = 0
         for job_id in self._live:
             job = self._jobs[job_id]
             if job.queue != queue or job_id in self._cancelled:
                 continue
-            count += not self.progress(job_id).tasks
+            count += not self._has_begun(job_id)
         return count
 
     def ended_before(self, wall: float) -> list[str]:
--- a/tests/test_foreign_input.py
+++ b/tests/test_foreign_input.py
@@ -425,7 +425,7 @@
 @pytest.mark.parametrize("key", ["", "x", "0.0", "x.0.0", "0.².0", "0.0." + "9" * 99])
 def test_odd_task_key_leaves_the_ledger_as_it_was(key):
     ledger = Ledger()
-    progress = JobProgress(tasks={"0.0.0": TaskState(1, "h")})
+    progress = JobProgress(tasks={"0.0.0": TaskState(1, "h")}, begun=True)
     odd = JobProgress(tasks={key: TaskState(1, "odd")})
     job = JobGraph("j", "a", "q", "s", "", (StepSpec(2, Resources()),))
     ledger.apply("jobs", StoredRecord(0, "job/j", encode(job)))
