Keep every record and append within what the store takes

Cause: the progress of a job, of all its occurrences, was one record, written whole at each change, and nothing compared it with record_bytes, nor an append with call_bytes. The store's 400 was taken for an unknown effect, and the placer repeated the append for ever.

A new placer would write the same record.

Change: - The head record has a job's state and its first 64 tasks; each further record has the next 64. Only records with changed tasks are written. With the longest checkpoint token and names one holds some 85 kB. - An append holds at most call_bytes; the records of a job stay in one append where that is possible, the job's state comes last. This also holds for the backup of ends and for the deletion of ended jobs. - The limits come from the platform's settings. - 400 and 413 are definite refusals. The placer halves such an append until the record at fault is alone, sets its job aside and goes on; an entry refuses a submission that no record holds with 413 at once.

--- a/src/sequoiachute/coordination/dispatch/end_backup.py
+++ b/src/sequoiachute/coordination/dispatch/end_backup.py
@@ -4,12 +4,13 @@
 
 from sequoiachute.coordination.dispatch.sessions import AgentSessions, needs_record
 from sequoiachute.coordination.store.availability import STAGGER_SECONDS
+from sequoiachute.coordination.store.batches import in_batches
 from sequoiachute.coordination.store.race import Race, RecordPosition, topic_appends
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.supervision import DONE
 from sequoiachute.protocol.workload import parse_task_id, task_key
 from sequoiachute.state.ledger import JOB_TOPICS, Ledger, end_record
-from sequoiachute.transport.store import KeyedStore
+from sequoiachute.transport.store import KeyedStore, Record
 
 APPEND_TIMEOUT_SECONDS = 0.8
 
@@ -44,28 +45,31 @@
         """
         if self._is_recording:
             return
-        records = self._missing_records()
-        if not records:
-            return
         self._is_recording = True
         try:
-            race: Race[RecordPosition] = Race(STAGGER_SECONDS)
-            timeout = APPEND_TIMEOUT_SECONDS
-            race.add(topic_appends(self._store, JOB_TOPICS, records, timeout))
-            outcome = race.run(timeout)
+            for batch in in_batches([self._missing_records()], self._store.limits):
+                if not self._append(batch):
+                    return
         finally:
             self._is_recording = False
+
+    def _append(self, records: list[Record]) -> bool:
+        race: Race[RecordPosition] = Race(STAGGER_SECONDS)
+        timeout = APPEND_TIMEOUT_SECONDS
+        race.add(topic_appends(self._store, JOB_TOPICS, records, timeout))
+        outcome = race.run(timeout)
         if outcome.is_err():
             reason = outcome.unwrap_err().reason
             logger.bind(ends=len(records), reason=reason).info("backup of ends failed")
-            return
+            return False
         topic, offset = outcome.unwrap()
         for number, (key, value) in enumerate(records):
             self._ledger.apply(topic, StoredRecord(offset + number, key, value))
         logger.bind(ends=len(records), topic=topic).info("ends backed up")
+        return True
 
-    def _missing_records(self) -> list[tuple[str, bytes | None]]:
-        records: list[tuple[str, bytes | None]] = []
+    def _missing_records(self) -> list[Record]:
+        records: list[Record] = []
         for session in self._agents.sessions.values():
             for end in session.ends:
                 if end.outcome != DONE or not needs_record(self._ledger, session, end):
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -36,6 +36,7 @@
 )
 from sequoiachute.coordination.scheduling.capacity import REMOTE_SLOWDOWN, GangKey
 from sequoiachute.coordination.scheduling.preemption import PREEMPTED
+from sequoiachute.coordination.store.batches import in_batches
 from sequoiachute.coordination.store.election import WRITER
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.supervision import (
@@ -51,7 +52,6 @@
     StepSpec,
     TaskId,
     WorkerTimes,
-    encode,
     parse_task_id,
     task_key,
 )
@@ -64,8 +64,9 @@
 )
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.state.operations import Operations
+from sequoiachute.state.progress import job_of_key
 from sequoiachute.transport.machines import Advisor, MachineService
-from sequoiachute.transport.store import KeyedStore, Writer
+from sequoiachute.transport.store import KeyedStore, Record, Writer
 from sequoiachute.transport.worker import BAD_TICKET, UNHEALTHY
 
 # Expired leases and due times are checked this often without any report.
@@ -82,7 +83,7 @@
 # some seconds late.
 ENDED_JOB_RETENTION_SECONDS = 900.0
 RETENTION_INTERVAL_SECONDS = 30.0  # between two checks for jobs to drop
-MAX_RECORDS_PER_APPEND = 200
+MAX_JOBS_DROPPED = 200  # at a time
 TYPICAL_SPEED = MachineSpeed(1.0, UNKNOWN_SPEED_ERROR)
 
 RunOutcome = TypeVar("RunOutcome", EndReport, SettledStart)
@@ -493,20 +494,27 @@
         self._retention_checked_at = now
         self._statistics.forget_ended_jobs({job.job_id for job in self._ledger.live()})
         cutoff = clock.wall_time() - ENDED_JOB_RETENTION_SECONDS
-        expired = self._ledger.ended_before(cutoff)[:MAX_RECORDS_PER_APPEND]
+        expired = self._ledger.ended_before(cutoff)[:MAX_JOBS_DROPPED]
         if not expired:
             return
-        deletions: dict[str, list[tuple[str, bytes | None]]] = {}
+        deletions: dict[str, list[Record]] = {}
         for job_id in expired:
             for topic, key in self._ledger.stored_keys(job_id):
                 deletions.setdefault(topic, []).append((key, None))
+        limits = self._store.limits
         for topic, records in deletions.items():
-            outcome = self._store.append(topic, records, timeout=APPEND_TIMEOUT_SECONDS)
-            if outcome.is_err():
-                reason = outcome.unwrap_err().reason
-                logger.bind(reason=reason).info("dropping ended jobs failed")
-                return
-        self._append([(job_id, None) for job_id in expired])
+            for batch in in_batches([records], limits):
+                outcome = self._store.append(
+                    topic, batch, timeout=APPEND_TIMEOUT_SECONDS
+                )
+                if outcome.is_err():
+                    reason = outcome.unwrap_err().reason
+                    logger.bind(reason=reason).info("dropping ended jobs failed")
+                    return
+        progress_keys = [self._ledger.progress_keys(job_id) for job_id in expired]
+        groups = [[(key, None) for key in keys] for keys in progress_keys]
+        for batch in in_batches(groups, limits):
+            self._append(batch)
         logger.bind(jobs=len(expired)).info("ended jobs dropped")
 
     def _record_waves(self) -> None:
@@ -549,19 +557,18 @@
 
     def _append_draft(self, draft: ProgressDraft) -> None:
         """Append the drafted records and apply them to the ledger."""
-        records = []
-        for job_id, progress in draft.changed.items():
-            if progress != self._ledger.progress(job_id):
-                records.append((job_id, encode(progress)))
-        while records:
-            self._append(records[:MAX_RECORDS_PER_APPEND])
-            records = records[MAX_RECORDS_PER_APPEND:]
-
-    def _append(self, records: list[tuple[str, bytes | None]]) -> None:
+        groups = []
+        for job_id in draft.changed:
+            if not self._ledger.is_set_aside(job_id):
+                groups.append(draft.records(job_id))
+        for batch in in_batches(groups, self._store.limits):
+            self._append(batch)
+
+    def _append(self, records: list[Record]) -> None:
         """Append records until acknowledged, then apply them to the ledger.
 
-        Raises ``DeposedError`` if a later placer has fenced this one or the term
-        has ended.
+        Those that the store rejects are left out, each by itself. Raises
+        ``DeposedError`` if a later placer has fenced this one or the term has ended.
         """
         writer = Writer(WRITER, self._term, self._sequence + 1)
         timeout = APPEND_TIMEOUT_SECONDS
@@ -575,6 +582,9 @@
             if error.fenced or self._ended:
                 self._ended = True
                 raise DeposedError(error.reason)
+            if error.rejected:
+                self._append_parts(records, error.reason)
+                return
             log = logger.bind(term=self._term, reason=error.reason)
             log.bind(records=len(records)).info("append failed, retrying")
             if error.applied is None:
@@ -588,3 +598,19 @@
             self._ledger.apply(
                 self._topic, StoredRecord(first_offset + number, key, value)
             )
+
+    def _append_parts(self, records: list[Record], reason: str) -> None:
+        """Append what the store has rejected in two halves; set a single record aside.
+
+        It would be rejected again: neither its job nor any other may wait for it.
+        """
+        middle = len(records) // 2
+        if middle:
+            self._append(records[:middle])
+            self._append(records[middle:])
+            return
+        ((key, value),) = records
+        log = logger.bind(key=key, bytes=len(value or b""), reason=reason)
+        log.error("record rejected by the store, its job is set aside")
+        self._metrics.count("records_rejected_total")
+        self._ledger.set_aside(job_of_key(key))
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -40,8 +40,9 @@
     Ledger,
     done_with,
     is_complete,
-    task_id_of,
 )
+from sequoiachute.state.progress import HEAD, part_of, part_record, task_id_of
+from sequoiachute.transport.store import Record
 
 MAX_LOGGED_TASKS = 10  # in one line
 
@@ -52,12 +53,49 @@
     def __init__(self, ledger: Ledger) -> None:
         self._ledger = ledger
         self._changed: dict[str, JobProgress] = {}
+        self._changed_tasks: dict[str, set[str]] = {}
 
     @property
     def changed(self) -> dict[str, JobProgress]:
         """Drafted progress by job."""
         return self._changed
 
+    def records(self, job_id: str) -> list[Record]:
+        """Return the records of a job that differ from those of the store.
+
+        The head, with the job's state, comes last.
+        """
+        recorded, drafted = self._ledger.progress(job_id), self._changed[job_id]
+        stored = self._ledger.part_tasks(job_id)
+        parts: dict[int, set[str]] = {}
+        for key in self._changed_tasks.get(job_id, ()):
+            if drafted.tasks[key] != recorded.tasks.get(key):
+                parts.setdefault(self._part_of(job_id, key), set()).add(key)
+        if drafted._replace(tasks={}) != recorded._replace(tasks={}):
+            parts.setdefault(HEAD, set())
+        if HEAD in parts:
+            # An earlier version has put all tasks into the head.
+            for key in stored.get(HEAD, ()):
+                parts.setdefault(self._part_of(job_id, key), set()).add(key)
+        records = []
+        for number in sorted(parts, reverse=True):
+            keys = parts[number]
+            if number != HEAD:
+                keys |= stored.get(number, frozenset())
+            tasks = {key: drafted.tasks[key] for key in keys}
+            records.append(part_record(job_id, number, drafted, tasks))
+        return records
+
+    def _part_of(self, job_id: str, key: str) -> int:
+        job = self._ledger.job(job_id)
+        if job is not None:
+            return part_of(job, key)
+        # Its record is in a topic that can't be read yet.
+        for number, keys in self._ledger.part_tasks(job_id).items():
+            if key in keys:
+                return number
+        return HEAD
+
     def progress(self, job_id: str) -> JobProgress:
         """Return a job's drafted progress, else that of the ledger."""
         drafted = self._changed.get(job_id)
@@ -71,6 +109,7 @@
         """Draft a task's state."""
         progress = self._editable_progress(task.job_id)
         progress.tasks[task_key(task)] = state
+        self._changed_tasks.setdefault(task.job_id, set()).add(task_key(task))
 
     def set_state(self, job_id: str, state: str) -> None:
         """Draft a job's final state and its time."""
--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -15,7 +15,7 @@
 from sequoiachute.protocol.workload import JobGraph, encode
 from sequoiachute.state.ledger import CANCEL_PREFIX, JOB_PREFIX, JOB_TOPICS, Ledger
 from sequoiachute.state.metrics import Metrics
-from sequoiachute.transport.store import AppendError
+from sequoiachute.transport.store import AppendError, record_bytes
 
 REPLY_MARGIN_SECONDS = 0.03  # for the reply to reach the caller in time
 APPEND_SECONDS_MARGIN = 1.25  # of the time that an append lately took
@@ -31,6 +31,7 @@
 REFUSED = "refused"
 UNKNOWN = "unknown"
 ABSENT = "absent"
+TOO_LARGE = "too large"
 
 SILENT = "the store answers nobody"
 
@@ -39,7 +40,8 @@
     """Outcome of a caller's request; ``retry_after`` is in seconds.
 
     ``refused`` means that nothing has been or will be stored; ``unknown`` that the
-    store did not answer in time. ``appends`` is the number of attempts to store it.
+    store did not answer in time, ``too large`` that the store never takes the job.
+    ``appends`` is the number of attempts to store it.
     """
 
     kind: str
@@ -76,7 +78,11 @@
         if existing is not None:
             return self._repeat_outcome(existing, job)
         arrived_at = clock.now()
-        outcome = self._store_record(JOB_PREFIX + job.job_id, encode(job), deadline)
+        record = (JOB_PREFIX + job.job_id, encode(job))
+        if record_bytes(record) > self._store.limits.record_bytes:
+            outcome = IntakeOutcome(TOO_LARGE, "send fewer or shorter steps")
+        else:
+            outcome = self._store_record(*record, deadline)
         self._metrics.count("jobs_submitted_total", outcome=outcome.kind)
         log = _bind_outcome(outcome, arrived_at, deadline)
         log = log.bind(job=job.job_id, account=job.account, queue=job.queue)
@@ -173,6 +179,8 @@
                 return IntakeOutcome(ACCEPTED, appends=race.started)
             error = outcome.unwrap_err()
             reason = error.reason or reason
+            if error.rejected:
+                return IntakeOutcome(TOO_LARGE, reason, appends=race.started)
             may_exist = may_exist or error.applied is not False
             if may_exist:
                 self._store.expect_return(last_moment)
--- a/src/sequoiachute/coordination/store/race.py
+++ b/src/sequoiachute/coordination/store/race.py
@@ -145,4 +145,4 @@
 
 def is_conclusive(error: AppendError) -> bool:
     """Return whether the store gave a definite refusal, so that a retry is useless."""
-    return error.fenced or error.end >= 0
+    return error.fenced or error.rejected or error.end >= 0
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -25,6 +25,7 @@
     KeyedStore,
     Membership,
     RecordPage,
+    StoreLimits,
     StoreUnavailableError,
     TopicSnapshot,
     Writer,
@@ -190,6 +191,11 @@
         """Return records from ``offset`` on."""
         return self._read(topic, offset, wait)
 
+    @property
+    def limits(self) -> StoreLimits:
+        """What one append may hold."""
+        return self._store.limits
+
     def append(
         self,
         topic: str,
--- a/src/sequoiachute/platform/entry.py
+++ b/src/sequoiachute/platform/entry.py
@@ -38,7 +38,7 @@
     signals = start_process("entry", settings, live, listening_at)
     operations = Operations()
     member = member_name(settings.inner_address, uuid4().hex[:8])
-    store = MetadataStore(settings.store)
+    store = MetadataStore(settings.store, settings.store_limits)
     control = ControlPlane(
         member,
         settings.inner_address,
--- a/src/sequoiachute/platform/jobs.py
+++ b/src/sequoiachute/platform/jobs.py
@@ -13,6 +13,7 @@
     ABSENT,
     ACCEPTED,
     REPLY_MARGIN_SECONDS,
+    TOO_LARGE,
     UNKNOWN,
     IntakeOutcome,
 )
@@ -218,6 +219,8 @@
     if outcome.kind == ACCEPTED:
         return HttpReply(200, body)
     error_body = {"error": outcome.reason}
+    if outcome.kind == TOO_LARGE:
+        return HttpReply(413, error_body)
     if outcome.kind == ABSENT:
         return HttpReply(410, error_body)
     if outcome.kind == UNKNOWN:
--- a/src/sequoiachute/platform/settings.py
+++ b/src/sequoiachute/platform/settings.py
@@ -6,6 +6,7 @@
 
 from sequoiachute.errors import SettingsError
 from sequoiachute.protocol.workload import WorkerTimes
+from sequoiachute.transport.store import StoreLimits
 
 PATH_VARIABLE = "SEQUOIACHUTE_BOOT"
 
@@ -15,7 +16,8 @@
 
     ``store``, ``machines``, ``advice``, ``front``, ``ready``, ``control`` and
     ``worker`` are addresses, empty where the role has none; ``inner_port`` is
-    the port for RPC between processes. ``worker_times`` are what workers promise.
+    the port for RPC between processes. ``worker_times`` are what workers promise,
+    ``store_limits`` what one append may hold.
     """
 
     name: str
@@ -32,6 +34,7 @@
     worker: str
     service: str
     worker_times: WorkerTimes
+    store_limits: StoreLimits
 
     @property
     def inner_address(self) -> str:
@@ -86,6 +89,15 @@
         worker=fields.get("app", ""),
         service=fields.get("service", ""),
         worker_times=_decode_times(fields.get("bounds", {})),
+        store_limits=_decode_limits(fields["platform"]),
+    )
+
+
+def _decode_limits(platform: dict[str, Any]) -> StoreLimits:
+    defaults = StoreLimits()
+    return StoreLimits(
+        int(platform.get("record_bytes", defaults.record_bytes)),
+        int(platform.get("call_bytes", defaults.call_bytes)),
     )
 
 
--- a/src/sequoiachute/platform/store.py
+++ b/src/sequoiachute/platform/store.py
@@ -33,6 +33,7 @@
     HistoryLostError,
     Membership,
     RecordPage,
+    StoreLimits,
     StoreUnavailableError,
     TopicSnapshot,
     Writer,
@@ -42,6 +43,7 @@
 MAX_READ_KB = 1024
 TOPIC_PREFIX = "keyed."
 GROUP_TOPIC_PREFIX = "seat."
+DEFAULT_LIMITS = StoreLimits()
 _RECORD_LENGTH = Struct(">I")
 _PAGE_HEADER = Struct(">QQ")
 
@@ -49,8 +51,14 @@
 class MetadataStore:
     """Calls the metadata store; uses partition 0 of every topic."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, limits: StoreLimits = DEFAULT_LIMITS) -> None:
         self._http = HttpClient(address)
+        self._limits = limits
+
+    @property
+    def limits(self) -> StoreLimits:
+        """What one append may hold."""
+        return self._limits
 
     def snapshot(self, topic: str) -> TopicSnapshot:
         """Return the newest record of every key."""
@@ -230,6 +238,9 @@
     if response.status == 409:
         reason = read_reason(response.body) or "conflict"
         return Err(AppendError(reason, False, fenced=True))
+    if response.status in (400, 413):
+        reason = f"the store rejects such records: {read_reason(response.body)}"
+        return Err(AppendError(reason, False, rejected=True))
     if response.status in (429, 503, 507):
         return Err(AppendError(f"the store answered {response.status}", False))
     return Err(AppendError(f"the store answered {response.status}", None))
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -21,9 +21,14 @@
     TaskId,
     TaskState,
     decode_job,
-    decode_progress,
     is_task_key,
 )
+from sequoiachute.state.progress import (
+    PART_PREFIX,
+    PartKey,
+    ProgressTable,
+    parse_part_key,
+)
 
 # Topics of records that never change: jobs, cancellations and ends of tasks. Each
 # record is in the first topic that took it, since an outage may hit some topics only.
@@ -36,7 +41,6 @@
 CANCEL_PREFIX = "cancel/"
 JOB_PREFIX = "job/"
 END_PREFIX = "end/"
-NO_PROGRESS = JobProgress()
 # Of a speed of which nothing is known: 0.6, 1.0 and 1.6 are equally frequent.
 UNKNOWN_SPEED_ERROR = 0.4
 
@@ -95,11 +99,11 @@
     def __init__(self) -> None:
         self._jobs: dict[str, JobGraph] = {}
         self._cancelled: dict[str, float] = {}
-        self._progress: dict[str, JobProgress] = {}
+        self._progress = ProgressTable()
         self._ends: dict[str, dict[str, int]] = {}
         self._offsets: dict[tuple[str, str], int] = {}
-        self._tasks_by_host: dict[str, dict[TaskId, TaskState]] = {}
         self._live: dict[str, None] = {}
+        self._set_aside: set[str] = set()
         self.leader: Leader | None = None
         self.speeds: dict[Machine, MachineSpeed] = {}
         self._waves: dict[str, bytes] = {}
@@ -119,7 +123,11 @@
 
     def progress(self, job_id: str) -> JobProgress:
         """Return what is recorded of a job's tasks."""
-        return self._progress.get(job_id, NO_PROGRESS)
+        return self._progress.get(job_id)
+
+    def part_tasks(self, job_id: str) -> dict[int, frozenset[str]]:
+        """Return the keys of the tasks in each stored part of a job's progress."""
+        return self._progress.part_tasks(job_id)
 
     def ends(self, job_id: str) -> dict[str, int]:
         """Return the runs that were recorded as done beside the progress, by task."""
@@ -168,10 +176,24 @@
             if (topic, key) in self._offsets
         ]
 
+    def progress_keys(self, job_id: str) -> list[str]:
+        """Return the keys of the records of a job's progress, the head last."""
+        numbers = sorted(self.part_tasks(job_id), reverse=True)
+        return [str(PartKey(job_id, number)) for number in numbers]
+
+    def set_aside(self, job_id: str) -> None:
+        """Leave a job out of ``live``: the store takes no records of its progress."""
+        self._set_aside.add(job_id)
+
+    def is_set_aside(self, job_id: str) -> bool:
+        """Return whether ``set_aside`` was called for the job."""
+        return job_id in self._set_aside
+
     def live(self) -> Iterator[JobGraph]:
         """Yield the jobs that have no final state or may still have runs."""
         for job_id in self._live:
-            yield self._jobs[job_id]
+            if job_id not in self._set_aside:
+                yield self._jobs[job_id]
 
     def waiting_count(self, queue: str) -> int:
         """Return the number of a queue's jobs of which no task has begun yet."""
@@ -186,20 +208,20 @@
     def ended_before(self, wall: float) -> list[str]:
         """Return the jobs that ended before a wall time and have no runs left."""
         ended = []
-        for job_id, progress in self._progress.items():
+        for job_id, progress in self._progress.progress.items():
             if not progress.state or progress.ended_at >= wall:
                 continue
-            if not any(task.placed for task in progress.tasks.values()):
+            if not self._progress.placed_count(job_id):
                 ended.append(job_id)
         return ended
 
     def tasks_on_host(self, host: str) -> dict[TaskId, TaskState]:
         """Return the tasks that may be running on the worker of agent ``host``."""
-        return self._tasks_by_host.get(host, {})
+        return self._progress.tasks_on_host(host)
 
     def hosts(self) -> tuple[str, ...]:
         """Return the agents on whose workers tasks may be running."""
-        return tuple(host for host, tasks in self._tasks_by_host.items() if tasks)
+        return self._progress.hosts()
 
     def apply(self, topic: str, record: StoredRecord) -> bool:
         """Apply one record; return whether it was new.
@@ -243,8 +265,13 @@
                 self._ends.setdefault(job_id, {}).setdefault(task, run)
             else:
                 raise msgspec.ValidationError("the key of an end names no task")
+        elif key.startswith(PART_PREFIX):
+            part = parse_part_key(key)
+            self._progress.apply_part(part, value)
+            self._update_live(part.job_id)
         else:
-            self._apply_progress(key, value)
+            self._progress.apply_head(key, value)
+            self._update_live(key)
 
     def _apply_job(self, job_id: str, value: bytes | None) -> None:
         if value is None:
@@ -260,24 +287,10 @@
         if not self.progress(job_id).state:
             self._live[job_id] = None
 
-    def _apply_progress(self, job_id: str, value: bytes | None) -> None:
-        new = NO_PROGRESS if value is None else decode_progress(value)
-        old = self._progress.pop(job_id, NO_PROGRESS)
-        if value is not None:
-            self._progress[job_id] = new
-        self._reindex_hosts(job_id, old, new)
-        if new.state and not any(task.placed for task in new.tasks.values()):
+    def _update_live(self, job_id: str) -> None:
+        if self.progress(job_id).state and not self._progress.placed_count(job_id):
             self._live.pop(job_id, None)
 
-    def _reindex_hosts(self, job_id: str, old: JobProgress, new: JobProgress) -> None:
-        for key, task in old.tasks.items():
-            if task.host and new.tasks.get(key) != task:
-                self._tasks_by_host[task.host].pop(task_id_of(job_id, key), None)
-        for key, task in new.tasks.items():
-            if task.host:
-                tasks = self._tasks_by_host.setdefault(task.host, {})
-                tasks[task_id_of(job_id, key)] = task
-
 
 def done_with(job: JobGraph, key: str) -> list[str]:
     """Return the keys of the tasks that are done when task ``key`` has ended done.
@@ -301,9 +314,3 @@
     if len(progress.tasks) < expected:
         return False
     return sum(task.done for task in progress.tasks.values()) >= expected
-
-
-def task_id_of(job_id: str, key: str) -> TaskId:
-    """Return the identity of the task with ``key`` in a job's progress."""
-    occurrence, step, index = key.split(".")
-    return TaskId(job_id, int(occurrence), int(step), int(index))
--- a/src/sequoiachute/transport/store.py
+++ b/src/sequoiachute/transport/store.py
@@ -9,6 +9,8 @@
 
 from sequoiachute.protocol.stored import StoredRecord
 
+RECORD_OVERHEAD_BYTES = 5  # lengths of the record and of its key
+
 
 class TopicSnapshot(NamedTuple):
     """The newest record of every key, and the offset to continue reading from."""
@@ -17,6 +19,22 @@
     end: int
 
 
+Record = tuple[str, bytes | None]  # key and value
+
+
+class StoreLimits(NamedTuple):
+    """Largest record, with its key, and largest total of one append, in bytes."""
+
+    record_bytes: int = 262144
+    call_bytes: int = 2097152
+
+
+def record_bytes(record: Record) -> int:
+    """Return the size of a record in an append: length, key and value."""
+    key, value = record
+    return RECORD_OVERHEAD_BYTES + len(key.encode()) + len(value or b"")
+
+
 class RecordPage(NamedTuple):
     """Consecutive records of a topic, and the offset after the last of them."""
 
@@ -37,7 +55,8 @@
 
     ``applied`` is false if the append has not taken effect and never will, and
     ``None`` if that is unknown. ``fenced`` is true if a writer with a higher
-    epoch has taken over. ``end`` is the topic's end offset if the condition on
+    epoch has taken over, ``rejected`` if the store takes no such records, now or
+    later. ``end`` is the topic's end offset if the condition on
     it failed, -1 otherwise.
     """
 
@@ -45,6 +64,7 @@
     applied: bool | None
     fenced: bool = False
     end: int = -1
+    rejected: bool = False
 
 
 class Membership(NamedTuple):
@@ -72,6 +92,11 @@
     Every method except ``append`` raises ``StoreUnavailableError``.
     """
 
+    @property
+    def limits(self) -> StoreLimits:
+        """What one append may hold."""
+        ...
+
     def snapshot(self, topic: str) -> TopicSnapshot:
         """Return the newest record of every key."""
         ...
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -14,14 +14,17 @@
     HistoryLostError,
     Membership,
     RecordPage,
+    StoreLimits,
     StoreUnavailableError,
     TopicSnapshot,
     Writer,
+    record_bytes,
 )
 from standins.memory import MemoryProcess
 
 MAX_PAGE_RECORDS = 500
 KEPT_RESULTS_PER_WRITER = 5
+LENGTH_BYTES = 4  # of a record in an append; they count only towards the call
 PARTITIONS = 12
 
 
@@ -125,6 +128,8 @@
         self.reads = 0
         self.group_reads = 0
         self.down_topics: set[str] = set()
+        self.limits = StoreLimits()
+        self.rejected_appends = 0
         self._records: dict[str, list[StoredRecord]] = {}
         self._first_offsets: dict[str, int] = {}
         self._writers: dict[tuple[str, str], _WriterState] = {}
@@ -201,6 +206,11 @@
         writer: Writer | None,
     ) -> Result[int, AppendError]:
         """Append if ``at`` is the topic's end and ``writer`` is not fenced."""
+        sizes = [record_bytes(record) for record in records]
+        largest = max(sizes, default=0) - LENGTH_BYTES
+        if largest > self.limits.record_bytes or sum(sizes) > self.limits.call_bytes:
+            self.rejected_appends += 1
+            return Err(AppendError("size", False, rejected=True))
         state = None
         if writer is not None:
             state = self._writers.setdefault((topic, writer.name), _WriterState())
@@ -273,6 +283,11 @@
         self.unresponsive = False
         self.silent_seconds = 0.0
 
+    @property
+    def limits(self) -> StoreLimits:
+        """What one append may hold."""
+        return self._store.limits
+
     def snapshot(self, topic: str) -> TopicSnapshot:
         """Return the newest record of every key."""
         records = tuple(self._call(lambda: self._store.newest(topic), topic).values())
