Agents look at a run when it changes, not at all runs for each start

Cause: for each start the agent summed up the needs of all its runs, and after each call it went through all runs again, so that its work grew with their square. It also opened as many connections to the worker as there were starts.

Change: the sum is kept up to date; a call that ends reconciles its own run; at most 32 calls are open at a time, as many as connections are kept.

--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import eventlet
+from eventlet.semaphore import Semaphore
 from loguru import logger
 
 from sequoiachute import clock
@@ -17,6 +18,7 @@
     WorkerStatus,
 )
 
+MAX_CONCURRENT_CALLS = 32  # as many connections are kept open
 CALL_RETRY_SECONDS = 0.05  # between two attempts of an unanswered call
 # A worker describes itself every 0.5 to 1.5 s; its capacity may have shrunk since.
 MAX_ANNOUNCEMENT_AGE_SECONDS = 4.0
@@ -56,6 +58,9 @@
         self._unanswered_at: dict[tuple[str, int], float] = {}
         self._reading = (0, 0.0)
         self._in_flight: set[tuple[str, int]] = set()
+        self._calls = Semaphore(MAX_CONCURRENT_CALLS)
+        self._held: dict[tuple[str, int], Resources] = {}
+        self._used = Resources()
         self.lifetime = Lifetime()
         self._previous: tuple[Lifetime, tuple[tuple[str, int], ...]] = (Lifetime(), ())
         self.term = 0
@@ -76,6 +81,7 @@
         self._attempted.clear()
         self._started.clear()
         self._stopped_at.clear()
+        self._recount()
 
     def runs_of(self, lifetime: Lifetime) -> tuple[tuple[str, int], ...]:
         """Return the runs that the present or previous lifetime may have run.
@@ -117,6 +123,7 @@
         for key in list(self.settled):
             if key not in self.orders:
                 del self.settled[key]
+        self._recount()
         self.reconcile()
 
     def apply_status(self, status: WorkerStatus, polled_at: float) -> None:
@@ -132,30 +139,39 @@
             del self._stopped_at[key]
             if key not in self._ended and key in self.orders:
                 self._settle(key, WITHDRAWN)
+        self._recount()
         self.reconcile()
 
     def reconcile(self) -> None:
         """Start ordered runs that are missing; stop present ones not ordered."""
-        for key, order in self.orders.items():
-            if key in self._in_flight or key in self._ended or key in self.settled:
-                continue
-            if order.stop:
-                if key not in self._stopped_at:
-                    self._spawn_call(self._stop, key)
-            elif self._is_missing(key):
-                self._spawn_call(self._start, key)
-        for key in self._present:
-            if key in self.orders or key in self._in_flight or key in self._stopped_at:
-                continue
-            if self.term:
+        for key in self.orders:
+            self._reconcile_run(key)
+        for key in self._present - self.orders.keys():
+            self._reconcile_run(key)
+
+    def _reconcile_run(self, key: tuple[str, int]) -> None:
+        order = self.orders.get(key)
+        if key in self._in_flight:
+            return
+        if order is None:
+            is_unordered = key in self._present and key not in self._stopped_at
+            if is_unordered and self.term:
                 log = logger.bind(task=key[0], run=key[1], term=self.term)
                 log.bind(life=self.lifetime.worker_id).warning("unordered run found")
                 self._spawn_call(self._stop, key)
+            return
+        if key in self._ended or key in self.settled:
+            return
+        if order.stop:
+            if key not in self._stopped_at:
+                self._spawn_call(self._stop, key)
+        elif self._is_missing(key):
+            self._spawn_call(self._start, key)
 
     def _is_missing(self, key: tuple[str, int]) -> bool:
         """Return whether a run was neither started nor ruled out by a stop."""
-        known = (self._present, self._started, self._stopped_at)
-        return not any(key in runs for runs in known)
+        is_known = key in self._present or key in self._started
+        return not is_known and key not in self._stopped_at
 
     def _spawn_call(self, call: Callable, key: tuple[str, int]) -> None:
         self._in_flight.add(key)
@@ -170,7 +186,7 @@
             clock.sleep(CALL_RETRY_SECONDS)
         finally:
             self._in_flight.discard(key)
-        self.reconcile()
+        self._reconcile_run(key)
 
     def _start(self, key: tuple[str, int]) -> None:
         lifetime = self.lifetime
@@ -187,8 +203,14 @@
             if self._has_unordered_runs() or not self._has_lease():
                 clock.sleep(CALL_RETRY_SECONDS)
                 continue
+            if self._calls.locked():
+                with self._calls:
+                    # What is checked above may have changed.
+                    continue
             self._attempted.add(key)
-            outcome = self._worker.start(lifetime, order, self.term, self.lease_ms)
+            self._hold(key, order.need)
+            with self._calls:
+                outcome = self._worker.start(lifetime, order, self.term, self.lease_ms)
             label = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
             self._metrics.count("orders_total", kind="start", outcome=label)
             if lifetime != self.lifetime:
@@ -203,6 +225,7 @@
                 self._unanswered_at[key] = clock.elapsed()
             elif not may_exist:
                 self._attempted.discard(key)
+                self._release(key)
             if error.applied is False and not error.fenced:
                 may_exist = may_exist or error.reason == ALREADY_RAN
                 self._rule_out(key, error.reason, may_exist)
@@ -229,12 +252,25 @@
             return NOT_STOPPED
         if clock.elapsed() - self._announced_at > MAX_ANNOUNCEMENT_AGE_SECONDS:
             return NOT_ANNOUNCED
-        used = order.need
-        for other, other_order in self.orders.items():
-            if other != key and self._may_run(other):
-                used = used.plus(other_order.need)
+        held = self._held.get(key, Resources())
+        used = self._used.minus(held).plus(order.need)
         return "" if self._capacity.covers(used) else NO_ROOM
 
+    def _recount(self) -> None:
+        """Sum up what the runs hold that exist or may exist."""
+        self._held = {
+            key: order.need for key, order in self.orders.items() if self._may_run(key)
+        }
+        self._used = Resources(*map(sum, zip(*self._held.values(), strict=True)))
+
+    def _hold(self, key: tuple[str, int], need: Resources) -> None:
+        self._release(key)
+        self._held[key] = need
+        self._used = self._used.plus(need)
+
+    def _release(self, key: tuple[str, int]) -> None:
+        self._used = self._used.minus(self._held.pop(key, Resources()))
+
     def _has_lease(self) -> bool:
         """Return whether the lease to start under lasts, by the worker's clock."""
         clock_ms, read_at = self._reading
@@ -255,7 +291,8 @@
     def _stop(self, key: tuple[str, int]) -> None:
         lifetime = self.lifetime
         while lifetime == self.lifetime:
-            outcome = self._worker.stop(lifetime, key[0], key[1], self.term)
+            with self._calls:
+                outcome = self._worker.stop(lifetime, key[0], key[1], self.term)
             label = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
             self._metrics.count("orders_total", kind="stop", outcome=label)
             if lifetime != self.lifetime:
@@ -270,6 +307,7 @@
 
     def _settle(self, key: tuple[str, int], reason: str) -> None:
         self.settled[key] = SettledStart(key[0], key[1], reason)
+        self._release(key)
         log = logger.bind(task=key[0], run=key[1], term=self.term, reason=reason)
         log.bind(life=self.lifetime.worker_id).info("start settled: it never ran")
         self._on_settled()
