Bound the runs of large jobs by what agents bear, and the placer's work by change

Cause: everything that fits was placed, 2,560 tasks of 25 thousandths of a core on one worker, and each round of the placer looked at every task of every live job several times, also at those that are done and at each due occurrence.

Change: - A job gets at most half of the runs that are left of 128 a worker, one task of each step where it has none; a step of more than 128 tasks puts at most 128 on a worker. Gangs, services and what a guarantee covers are left out: they have to run whole. Steps share a job's part, so that one that fits nowhere stops no other. - The ledger keeps the counts of each step and the first open occurrence; a job whose records have not changed is not settled again; a round looks only at the tasks that it may place.

--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -149,6 +149,7 @@
         self._ledger = ledger
         self._agents = agents
         self._worked_seconds = worked_seconds
+        self._settled: dict[str, tuple[int, int, bool, bool]] = {}
         # Runs whose leases ran out, by the lifetime that may turn out to have crashed.
         self._expired: dict[Lifetime, dict[TaskId, TaskState]] = {}
 
@@ -168,11 +169,23 @@
         for host in self._ledger.hosts():
             if self._agents.is_lost(host):
                 self._settle_expired_leases(host, draft)
-        for job in list(self._ledger.live()):
-            self._settle_recorded_ends(job, draft)
-            self._settle_job(job, draft)
+        self._settle_jobs(draft)
         return crashes
 
+    def _settle_jobs(self, draft: ProgressDraft) -> None:
+        """Settle the jobs with new records or a draft."""
+        settled = {}
+        for job in list(self._ledger.live()):
+            version = self._ledger.version(job.job_id)
+            is_drafted = job.job_id in draft.changed
+            if is_drafted or self._settled.get(job.job_id) != version:
+                self._settle_recorded_ends(job, draft)
+                self._settle_job(job, draft)
+            elif self._ledger.progress(job.job_id).state:
+                self._order_stops(job, draft)
+            settled[job.job_id] = version
+        self._settled = settled
+
     def _settle_ends(self, session: Session, draft: ProgressDraft) -> None:
         for end in sorted(session.ends):
             if not needs_record(self._ledger, session, end):
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -1,5 +1,6 @@
 """Builds the scheduler's view from ledger, agents' reports and run statistics."""
 
+from math import ceil
 from typing import NamedTuple
 
 from sequoiachute import clock
@@ -46,7 +47,11 @@
 )
 from sequoiachute.state.ledger import Ledger
 from sequoiachute.state.operations import Operations
+from sequoiachute.state.progress import StepCounts
 
+# With a few hundred runs that each take a second an agent uses a fifth of a core.
+MAX_RUNS_PER_WORKER = 128
+MAX_READY_STEPS = 64  # of one job that a round looks at; a job has as many steps
 # Whether tasks may wait, whether none has failed, the hosts that others are preferred
 # to, those on which they are not tried for now, and the number of a suspected task,
 # which runs apart from others.
@@ -59,7 +64,8 @@
     ``guaranteed`` holds the accounts within their guarantee, ``capacity`` the total
     by service. ``restart_seconds`` are lost when a run with checkpoints is stopped,
     which saves its work, and started again. ``stopping`` holds the tasks whose runs
-    have been asked to stop.
+    have been asked to stop. ``runs_left`` is how many more runs the workers' agents
+    bear.
     """
 
     ledger: Ledger
@@ -69,6 +75,7 @@
     capacity: dict[str, Resources]
     restart_seconds: float
     stopping: frozenset[TaskId]
+    runs_left: int
 
 
 def build_view(
@@ -104,6 +111,7 @@
         _capacity_by_service(agents),
         times.restore + times.stop / 2,
         _stopping_tasks(ledger, agents),
+        _runs_left(ledger, agents),
     )
     for session in agents.sessions.values():
         host = _build_host(session, context)
@@ -123,6 +131,12 @@
     )
 
 
+def _runs_left(ledger: Ledger, agents: AgentSessions) -> int:
+    """Return how many more runs the agents bear, all of them together."""
+    placed = sum(len(ledger.tasks_on_host(host)) for host in agents.sessions)
+    return max(0, MAX_RUNS_PER_WORKER * len(agents.sessions) - placed)
+
+
 def _stopping_tasks(ledger: Ledger, agents: AgentSessions) -> frozenset[TaskId]:
     found = set()
     for session in agents.sessions.values():
@@ -292,56 +306,88 @@
     wall_time: float,
     units: list[SchedulingUnit],
 ) -> None:
-    for occurrence in range(job.occurrence_count):
-        due_at = job.due_at(occurrence)
-        if due_at > wall_time:
+    ready = _ready_steps(job, context.ledger, wall_time)
+    allowance = _allowance(job, len(ready), context)
+    for number, (occurrence, index) in enumerate(ready):
+        # Each step gets its share, so that one that fits nowhere stops no other.
+        share = ceil(allowance / (len(ready) - number))
+        placed = context.ledger.step_counts(job.job_id, occurrence, index)
+        waiting = _waiting_tasks(job, progress, placed, occurrence, index, share)
+        allowance = max(0, allowance - len(waiting))
+        for seconds, tasks in _group_waiting(job, progress, waiting, context):
+            unit = _build_unit(job, progress, placed, tasks, context)
+            units.append(unit._replace(waiting_seconds=seconds))
+        returning = _returning_tasks(job, progress, occurrence, index, context)
+        if returning:
+            unit = _build_unit(job, progress, placed, returning, context)
+            units.append(unit._replace(returning=True))
+
+
+def _allowance(job: JobGraph, ready_steps: int, context: _ViewContext) -> int:
+    """Return how many more tasks of a job the scheduler may place.
+
+    Half of the runs that are left beside those of all jobs, so that large jobs leave
+    room to others, and one task of each step where none is placed. What a guarantee
+    covers starts at once.
+    """
+    if _is_guaranteed(job, context):
+        return job.tasks_per_occurrence * job.occurrence_count
+    is_idle = not context.ledger.placed_count(job.job_id)
+    return max(ready_steps if is_idle else 0, context.runs_left // 2)
+
+
+def _ready_steps(
+    job: JobGraph, ledger: Ledger, wall_time: float
+) -> list[tuple[int, int]]:
+    """Return occurrence and index of the first steps whose turn has come."""
+    found = []
+    for occurrence in range(ledger.first_open_occurrence(job), job.occurrence_count):
+        if job.due_at(occurrence) > wall_time or len(found) >= MAX_READY_STEPS:
             break
         for index, step in enumerate(job.steps):
-            if not _is_ready(job, progress, occurrence, step):
+            counts = ledger.step_counts(job.job_id, occurrence, index)
+            if counts.done >= step.count:
                 continue
-            waiting = _waiting_tasks(job, progress, occurrence, index)
-            returning = _returning_tasks(job, progress, occurrence, index, context)
-            if not waiting and not returning:
-                continue
-            placed = _count_placed(progress, occurrence, index)
-            for seconds, tasks in _group_waiting(job, progress, waiting, context):
-                unit = _build_unit(job, progress, placed, tasks, context)
-                units.append(unit._replace(waiting_seconds=seconds))
-            if returning:
-                unit = _build_unit(job, progress, placed, returning, context)
-                units.append(unit._replace(returning=True))
+            if all(
+                ledger.step_counts(job.job_id, occurrence, earlier).done
+                >= job.steps[earlier].count
+                for earlier in step.after
+            ):
+                found.append((occurrence, index))
+    return found
 
 
 def _is_guaranteed(job: JobGraph, context: _ViewContext) -> bool:
     return job.account in context.guaranteed and job.priority == URGENT_PRIORITY
 
 
-def _is_ready(
-    job: JobGraph, progress: JobProgress, occurrence: int, step: StepSpec
-) -> bool:
-    for earlier in step.after:
-        for index in range(job.steps[earlier].count):
-            state = progress.tasks.get(f"{occurrence}.{earlier}.{index}")
-            if state is None or not state.done:
-                return False
-    return True
-
-
 def _waiting_tasks(
-    job: JobGraph, progress: JobProgress, occurrence: int, index: int
+    job: JobGraph,
+    progress: JobProgress,
+    placed: StepCounts,
+    occurrence: int,
+    index: int,
+    limit: int,
 ) -> tuple[TaskId, ...]:
+    """Return the first ``limit`` waiting tasks of a step, all of a gang or a service.
+
+    Nothing is returned of a gang of which members are placed.
+    """
     step = job.steps[index]
-    waiting = []
-    for number in range(step.count):
+    if step.gang and placed.placed:
+        return ()
+    if step.gang or step.lasting:
+        limit = step.count
+    waiting: list[TaskId] = []
+    for number in range(placed.first_open, step.count):
+        if len(waiting) >= limit:
+            break
         state = progress.tasks.get(f"{occurrence}.{index}.{number}")
-        if state is None:
+        if state is not None and state.done:
+            if number == placed.first_open:
+                placed.first_open += 1
+        elif state is None or not state.placed:
             waiting.append(TaskId(job.job_id, occurrence, index, number))
-            continue
-        if state.placed and step.gang:
-            return ()
-        if state.done or state.placed:
-            continue
-        waiting.append(TaskId(job.job_id, occurrence, index, number))
     return tuple(waiting)
 
 
@@ -412,7 +458,7 @@
     A gang waits as a whole: until its last member has ended, none can be placed.
     """
     step = job.steps[index]
-    if job.priority != URGENT_PRIORITY:
+    if job.priority != URGENT_PRIORITY or not (step.gang or context.stopping):
         return ()
     placed, stopping, others = [], [], []
     for number in range(step.count):
@@ -432,30 +478,10 @@
     return (*placed, *stopping, *others) if is_ending else ()
 
 
-class _PlacedTasks(NamedTuple):
-    """Tasks of a step that are placed, in all and on each host."""
-
-    count: int
-    per_host: dict[str, int]
-
-
-def _count_placed(progress: JobProgress, occurrence: int, index: int) -> _PlacedTasks:
-    per_host: dict[str, int] = {}
-    count = 0
-    prefix = f"{occurrence}.{index}."
-    for key, state in progress.tasks.items():
-        if not key.startswith(prefix):
-            continue
-        count += state.placed
-        if state.host:
-            per_host[state.host] = per_host.get(state.host, 0) + 1
-    return _PlacedTasks(count, per_host)
-
-
 def _build_unit(
     job: JobGraph,
     progress: JobProgress,
-    placed: _PlacedTasks,
+    placed: StepCounts,
     tasks: tuple[TaskId, ...],
     context: _ViewContext,
 ) -> SchedulingUnit:
@@ -483,7 +509,7 @@
         chain_seconds=chain_seconds(job, index),
         accepted_at=starts_at,
         service=service,
-        step=job.steps[index],
+        step=_spread(job.steps[index], _is_guaranteed(job, context)),
         tasks=tasks,
         avoided_hosts=tried_hosts | statistics.doubted_hosts(job.job_id),
         placed_per_host=placed.per_host,
@@ -494,9 +520,18 @@
         guaranteed=_is_guaranteed(job, context),
         stretch=job.stretch,
         waves=count_waves(job.steps[index], capacity),
-        running=placed.count,
+        running=placed.placed,
         charged_work=context.statistics.charged_work.get(tasks[0][:3], 0.0),
         tried_hosts=tried_hosts,
         paused_hosts=paused_hosts,
         suspected=suspected,
     )
+
+
+def _spread(step: StepSpec, is_guaranteed: bool) -> StepSpec:
+    """Return a step that puts no more tasks on a worker than its agent bears."""
+    is_exempt = step.gang or step.lasting or is_guaranteed
+    if is_exempt or step.count <= MAX_RUNS_PER_WORKER:
+        return step
+    limit = step.per_worker or MAX_RUNS_PER_WORKER
+    return step._replace(per_worker=min(limit, MAX_RUNS_PER_WORKER))
--- a/src/sequoiachute/protocol/workload.py
+++ b/src/sequoiachute/protocol/workload.py
@@ -117,6 +117,11 @@
         """Number of times that the steps run, at least once."""
         return max(1, self.occurrences)
 
+    @property
+    def tasks_per_occurrence(self) -> int:
+        """Number of tasks of all steps."""
+        return sum(step.count for step in self.steps)
+
     def due_at(self, occurrence: int) -> float:
         """Return the wall time in seconds at which an occurrence may begin."""
         if not self.occurrences:
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -27,6 +27,7 @@
     PART_PREFIX,
     PartKey,
     ProgressTable,
+    StepCounts,
     parse_part_key,
 )
 
@@ -103,6 +104,7 @@
         self._ends: dict[str, dict[str, int]] = {}
         self._offsets: dict[tuple[str, str], int] = {}
         self._live: dict[str, None] = {}
+        self._first_open: dict[str, int] = {}
         self._set_aside: set[str] = set()
         self.leader: Leader | None = None
         self.speeds: dict[Machine, MachineSpeed] = {}
@@ -125,6 +127,37 @@
         """Return what is recorded of a job's tasks."""
         return self._progress.get(job_id)
 
+    def step_counts(self, job_id: str, occurrence: int, step: int) -> StepCounts:
+        """Return the counts of a step of an occurrence, which are updated in place."""
+        return self._progress.step_counts(job_id, occurrence, step)
+
+    def first_open_occurrence(self, job: JobGraph) -> int:
+        """Return the first occurrence of which a task is not done, or the count."""
+        occurrence = self._first_open.get(job.job_id, 0)
+        while occurrence < job.occurrence_count and self._is_done(job, occurrence):
+            occurrence += 1
+        self._first_open[job.job_id] = occurrence
+        return occurrence
+
+    def _is_done(self, job: JobGraph, occurrence: int) -> bool:
+        for index, step in enumerate(job.steps):
+            if self.step_counts(job.job_id, occurrence, index).done < step.count:
+                return False
+        return True
+
+    def placed_count(self, job_id: str) -> int:
+        """Return how many tasks of a job may be running."""
+        return self._progress.placed_count(job_id)
+
+    def version(self, job_id: str) -> tuple[int, int, bool, bool]:
+        """Return what differs after each new record of a job."""
+        return (
+            self._progress.version(job_id),
+            len(self.ends(job_id)),
+            self.is_cancelled(job_id),
+            job_id in self._jobs,
+        )
+
     def part_tasks(self, job_id: str) -> dict[int, frozenset[str]]:
         """Return the keys of the tasks in each stored part of a job's progress."""
         return self._progress.part_tasks(job_id)
@@ -276,6 +309,7 @@
     def _apply_job(self, job_id: str, value: bytes | None) -> None:
         if value is None:
             self._jobs.pop(job_id, None)
+            self._first_open.pop(job_id, None)
             self._live.pop(job_id, None)
             return
         job = decode_job(value)
@@ -310,7 +344,7 @@
     """Return whether every task of every occurrence is done."""
     if job.is_lasting:
         return False
-    expected = job.occurrence_count * sum(step.count for step in job.steps)
+    expected = job.occurrence_count * job.tasks_per_occurrence
     if len(progress.tasks) < expected:
         return False
     return sum(task.done for task in progress.tasks.values()) >= expected
--- a/src/sequoiachute/state/progress.py
+++ b/src/sequoiachute/state/progress.py
@@ -72,6 +72,28 @@
     return str(PartKey(job_id, number)), encode(value)
 
 
+class StepCounts:
+    """Tasks of one step of one occurrence: how many are done, and where runs may be.
+
+    ``first_open`` is an index before which all tasks are done.
+    """
+
+    def __init__(self) -> None:
+        self.done = 0
+        self.placed = 0
+        self.per_host: Counter[str] = Counter()
+        self.first_open = 0
+
+    def add(self, state: TaskState, sign: int) -> None:
+        """Count a task in, or out if ``sign`` is -1."""
+        self.done += sign * state.done
+        if state.placed:
+            self.placed += sign
+            self.per_host[state.host] += sign
+            if not self.per_host[state.host]:
+                del self.per_host[state.host]
+
+
 class ProgressTable:
     """Progress of all jobs, and the tasks that may be running by agent.
 
@@ -82,6 +104,8 @@
         self._progress: dict[str, JobProgress] = {}
         self._part_tasks: dict[str, dict[int, frozenset[str]]] = {}
         self._placed: Counter[str] = Counter()
+        self._steps: dict[str, dict[str, StepCounts]] = {}
+        self._versions: Counter[str] = Counter()
         self._tasks_by_host: dict[str, dict[TaskId, TaskState]] = {}
 
     @property
@@ -101,6 +125,14 @@
         """Return how many tasks of a job may be running."""
         return self._placed[job_id]
 
+    def step_counts(self, job_id: str, occurrence: int, step: int) -> StepCounts:
+        """Return the counts of a step of an occurrence, which are updated in place."""
+        return self._steps.get(job_id, {}).get(f"{occurrence}.{step}") or StepCounts()
+
+    def version(self, job_id: str) -> int:
+        """Return a number that grows with each record of a job's progress."""
+        return self._versions[job_id]
+
     def tasks_on_host(self, host: str) -> dict[TaskId, TaskState]:
         """Return the tasks that may be running on the worker of agent ``host``."""
         return self._tasks_by_host.get(host, {})
@@ -127,6 +159,7 @@
         self, part: PartKey, new: dict[str, TaskState], is_deleted: bool
     ) -> None:
         job_id = part.job_id
+        self._versions[job_id] += 1
         tasks = self._progress[job_id].tasks
         stored = self._part_tasks.setdefault(job_id, {})
         for key in stored.pop(part.number, frozenset()):
@@ -139,7 +172,8 @@
             stored[part.number] = frozenset(new)
         if not stored:
             del self._part_tasks[job_id], self._progress[job_id]
-            del self._placed[job_id]
+            del self._placed[job_id], self._versions[job_id]
+            self._steps.pop(job_id, None)
 
     def _set_task(
         self, job_id: str, tasks: dict[str, TaskState], key: str, new: TaskState | None
@@ -149,10 +183,18 @@
             tasks[key] = new
         if old == new:
             return
-        if old is not None and old.placed:
-            self._placed[job_id] -= 1
-            self._tasks_by_host[old.host].pop(task_id_of(job_id, key), None)
-        if new is not None and new.placed:
+        steps = self._steps.setdefault(job_id, {})
+        counts = steps.setdefault(key.rpartition(".")[0], StepCounts())
+        if old is not None:
+            counts.add(old, -1)
+            if old.placed:
+                self._placed[job_id] -= 1
+                self._tasks_by_host[old.host].pop(task_id_of(job_id, key), None)
+        if new is None:
+            counts.first_open = 0
+            return
+        counts.add(new, 1)
+        if new.placed:
             self._placed[job_id] += 1
             on_host = self._tasks_by_host.setdefault(new.host, {})
             on_host[task_id_of(job_id, key)] = new
