Refuse jobs at hand-in that entries can't carry or read

Cause: the bound on a job's tasks left out its occurrences, and Python's False is an integer.

Change: a job has at most 10,000 tasks with those of all occurrences, and numbers of steps are integers; anything else is refused with 400, which names the remedy.

tests/test_platform_decoders.py: both new tests failed before (the rest of the file is unchanged).

--- a/src/sequoiachute/platform/jobs.py
+++ b/src/sequoiachute/platform/jobs.py
@@ -137,9 +137,7 @@
     if not isinstance(steps, list) or not 0 < len(steps) <= MAX_STEPS:
         raise InvalidJobError(f"steps: send a list of 1 to {MAX_STEPS} steps")
     decoded = tuple(_decode_step(step, index) for index, step in enumerate(steps))
-    if sum(step.count for step in decoded) > MAX_TASKS:
-        raise InvalidJobError(f"steps: send at most {MAX_TASKS} tasks in all")
-    return JobGraph(
+    job = JobGraph(
         job_id=job_id,
         account=account,
         queue=queue.name,
@@ -155,6 +153,10 @@
         stretch=queue.stretch,
         slo_seconds=queue.slo_seconds,
     )
+    if job.tasks_per_occurrence * job.occurrence_count > MAX_TASKS:
+        reason = f"send at most {MAX_TASKS} tasks, those of all occurrences together"
+        raise InvalidJobError(f"steps and times: {reason}")
+    return job
 
 
 def _decode_step(step: Any, index: int) -> StepSpec:
@@ -162,7 +164,7 @@
         raise InvalidJobError(f"steps.{index}: send an object")
     after = step.get("deps", [])
     valid = isinstance(after, list) and all(
-        isinstance(item, int) and 0 <= item < index for item in after
+        type(item) is int and 0 <= item < index for item in after
     )
     if not valid:
         raise InvalidJobError(f"steps.{index}.deps: send indices of earlier steps")
--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -148,3 +148,22 @@
 def test_arbitrary_text_parses_as_task_id_or_none(text):
     task = parse_task_id(text)
     assert task is None or str(task).count(".") == 3
+
+
+@pytest.mark.parametrize(
+    "more",
+    [{"times": 1_000_000, "period_ms": 60_000}, {"times": 11, "steps": 1000}],
+)
+def test_job_of_more_tasks_than_a_job_may_have_is_refused(more):
+    # Guards against accepted occurrences that no entry can go through in time.
+    steps = [{"count": more.pop("steps", 1)}]
+    body = json.dumps({"steps": steps, **more}).encode()
+    with pytest.raises(InvalidJobError, match="all occurrences together"):
+        decode_job_body(body, QUEUE, "a", "0" * 16)
+
+
+def test_step_numbers_that_are_truth_values_are_refused():
+    # Guards against an accepted job whose record no entry can read.
+    steps = [{"count": 1}, {"count": 1, "deps": [False]}]
+    with pytest.raises(InvalidJobError, match="deps"):
+        decode_job_body(json.dumps({"steps": steps}).encode(), QUEUE, "a", "0" * 16)
