--- a/src/sequoiachute/replay/engine.py
+++ b/src/sequoiachute/replay/engine.py
@@ -57,7 +57,7 @@
     PlatformCatalogue,
     Queue,
 )
-from sequoiachute.transport.store import AppendError, KeyedStore
+from sequoiachute.transport.store import AppendError, KeyedStore, StoreLimits
 
 TICK_SECONDS = 0.1  # the tightest job objectives are a few seconds
 REPORT_INTERVAL_SECONDS = 0.5  # agents also report at once when a run ends
@@ -91,6 +91,11 @@
     def __init__(self) -> None:
         self._next_offset = 0
 
+    @property
+    def limits(self) -> StoreLimits:
+        """Return the usual limits, so that appends are as in production."""
+        return StoreLimits()
+
     def append(self, topic, records, **options) -> Result[int, AppendError]:
         """Return the offset of the first record."""
         first = self._next_offset
