--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -28,7 +28,7 @@
 from sequoiachute.state.operations import Operations
 from sequoiachute.transport.machines import Advisor, MachineService
 from sequoiachute.transport.ports import RpcCaller
-from sequoiachute.transport.store import KeyedStore
+from sequoiachute.transport.store import KeyedStore, TopicSnapshot
 
 PUBLISHED_TOPIC = "op"  # what operators publish
 
@@ -92,13 +92,19 @@
                 topic,
                 store,
                 partial(self._apply_job, topic),
+                partial(self._replace_ledger, topic, partial(self._apply_job, topic)),
                 pause=pause,
                 metrics=self.metrics,
             )
             for topic in JOB_TOPICS
         )
         self._runs_follower = Follower(
-            RUNS, store, self._apply_run, pause=pause, metrics=self.metrics
+            RUNS,
+            store,
+            self._apply_run,
+            partial(self._replace_ledger, RUNS, self._apply_run),
+            pause,
+            self.metrics,
         )
         self._published_follower = Follower(
             PUBLISHED_TOPIC,
@@ -241,7 +247,22 @@
         self._published_end = record.offset + 1
         self._put_published_in_force()
 
-    def _replace_published(self, records: tuple[StoredRecord, ...]) -> None:
+    def _replace_ledger(
+        self,
+        topic: str,
+        apply: Callable[[StoredRecord], None],
+        snapshot: TopicSnapshot,
+    ) -> None:
+        present = {record.key for record in snapshot.records}
+        dropped = self.ledger.drop_absent(topic, present, snapshot.end)
+        if dropped:
+            log = logger.bind(topic=topic, end=snapshot.end, keys=dropped)
+            log.info("keys dropped that the snapshot lacks")
+        for record in snapshot.records:
+            run_recorded(f"records of {topic}", apply, record, metrics=self.metrics)
+
+    def _replace_published(self, snapshot: TopicSnapshot) -> None:
+        records = snapshot.records
         self._published = {
             record.key: record.value for record in records if record.value is not None
         }
--- a/src/sequoiachute/coordination/store/follower.py
+++ b/src/sequoiachute/coordination/store/follower.py
@@ -16,6 +16,7 @@
     KeyedStore,
     RecordPage,
     StoreUnavailableError,
+    TopicSnapshot,
 )
 
 LONG_POLL_SECONDS = 2.0  # also the delay until a silent connection is noticed
@@ -36,8 +37,8 @@
     apply : callable
         Called with each record.
     replace : callable, optional
-        Called with all records of a snapshot instead of ``apply``; needed where
-        keys that are absent from the snapshot must be dropped.
+        Called with a snapshot instead of ``apply`` with each of its records; needed
+        where keys that are absent from the snapshot must be dropped.
     pause : callable, optional
         Returns when to read again after a read that failed.
     """
@@ -47,7 +48,7 @@
         topic: str,
         store: KeyedStore,
         apply: Callable[[StoredRecord], None],
-        replace: Callable[[tuple[StoredRecord, ...]], None] | None = None,
+        replace: Callable[[TopicSnapshot], None] | None = None,
         pause: Callable[[], None] = _pause,
         metrics: Metrics | None = None,
     ) -> None:
@@ -143,7 +144,7 @@
     def _read_snapshot(self) -> None:
         snapshot = self._store.snapshot(self._topic)
         if self._replace is not None:
-            self._run_recorded(self._replace, snapshot.records)
+            self._run_recorded(self._replace, snapshot)
         else:
             for record in snapshot.records:
                 self._run_recorded(self._apply, record)
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -272,6 +272,21 @@
             log.error("skipped an undecodable record: {}", type(error).__name__)
         return True
 
+    def drop_absent(self, topic: str, present: set[str], end: int) -> int:
+        """Drop the keys of a topic that a snapshot lacks; return how many were known.
+
+        Their deletion may be in a history that was never read. What was stored after
+        the snapshot's ``end`` stays.
+        """
+        absent = [
+            key
+            for (known_topic, key), offset in self._offsets.items()
+            if known_topic == topic and key not in present and offset < end
+        ]
+        for key in absent:
+            self.apply(topic, StoredRecord(end - 1, key, None))
+        return len(absent)
+
     def _apply_value(self, record: StoredRecord) -> None:
         key, value = record.key, record.value
         if key == LEADER_KEY:
