Count what is at work, not what is placed, before an upkeep ends services' tasks

It also compared the limit with one task where the machine had several of the step.

Change: a task is away unless a worker shows it at work; those on the machine are added up. What is placed on the machine itself still counts as ended, at work or not, as before.

Also looked at: the count of preemptions (ordered stops; it only bounds further stops), guarantees (reckoned from jobs, not from starts), and urgent work's wait (it ends when a worker reports work).

tests/test_upkeep.py: three of the five new cases failed before.

--- a/src/sequoiachute/coordination/dispatch/upkeep.py
+++ b/src/sequoiachute/coordination/dispatch/upkeep.py
@@ -1,5 +1,6 @@
 """Orders the upkeep of a wave's machines, a limited number at a time."""
 
+from collections import Counter
 from typing import NamedTuple
 
 import msgspec
@@ -7,8 +8,9 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.dispatch.sessions import AgentSessions, Session
+from sequoiachute.coordination.scheduling.capacity import GangKey
 from sequoiachute.protocol.decoder import decode_msgpack
-from sequoiachute.protocol.workload import JobProgress, Lifetime
+from sequoiachute.protocol.workload import Lifetime, StepSpec, TaskId, task_key
 from sequoiachute.state.ledger import Ledger
 from sequoiachute.state.operations import Operations, Wave
 from sequoiachute.transport.machines import MachineService, PlatformMachine
@@ -20,6 +22,7 @@
 MAX_LIST_AGE_SECONDS = 4.0
 UPKEEP_SECONDS = 2.0  # upkeep of one machine; the site's upkeep_s
 FINISH_MARGIN_SECONDS = 3.0
+AT_WORK_PERCENT = 100  # that a worker reports of a service after its startup
 
 
 class WaveProgress(NamedTuple):
@@ -237,21 +240,37 @@
 
     def _may_interrupt(self, session: Session) -> bool:
         """Return whether every step keeps within its ``max_unavailable`` tasks."""
+        here: Counter[GangKey] = Counter()
         for task in self._ledger.tasks_on_host(session.host):
             job = self._ledger.job(task.job_id)
             step = job.steps[task.step] if job is not None else None
             if step is None or not step.max_unavailable:
                 continue
-            progress = self._ledger.progress(task.job_id)
-            prefix = f"{task.occurrence}.{task.step}."
-            if _count_unplaced(progress, prefix, step.count) >= step.max_unavailable:
+            here[task[:3]] += 1
+            away = self._count_away(task, step, session.host)
+            if away + here[task[:3]] > step.max_unavailable:
                 return False
         return True
 
+    def _count_away(self, task: TaskId, step: StepSpec, host: str) -> int:
+        """Return how many tasks of the step of ``task`` are not at work elsewhere.
 
-def _count_unplaced(progress: JobProgress, prefix: str, count: int) -> int:
-    """Return how many tasks of a step are not placed."""
-    placed = 0
-    for key, state in progress.tasks.items():
-        placed += key.startswith(prefix) and state.placed
-    return count - placed
+        Those that are placed on ``host`` are not counted.
+        """
+        here = self._ledger.tasks_on_host(host)
+        tasks = [task._replace(index=index) for index in range(step.count)]
+        return sum(
+            other not in here and not self._is_at_work(other, step) for other in tasks
+        )
+
+    def _is_at_work(self, task: TaskId, step: StepSpec) -> bool:
+        """Return whether a worker shows a task at work; its record shows no start."""
+        state = self._ledger.progress(task.job_id).tasks.get(task_key(task))
+        session = self._agents.sessions.get(state.host) if state is not None else None
+        if session is None:
+            return False
+        run = session.runs.get((str(task), state.run))
+        if run is None:
+            return False
+        # Of a step with a target the worker reports the latency instead.
+        return bool(step.latency_target_ms) or run.percent >= AT_WORK_PERCENT
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -13,7 +13,7 @@
     encode_wave,
 )
 from sequoiachute.protocol.stored import StoredRecord
-from sequoiachute.protocol.supervision import WorkerInfo
+from sequoiachute.protocol.supervision import RunReport, WorkerInfo
 from sequoiachute.protocol.workload import (
     JobGraph,
     JobProgress,
@@ -234,6 +234,43 @@
     assert "m-2" not in site.begun
 
 
+@pytest.mark.parametrize(
+    ("listed", "interrupted"),
+    [({}, False), ({1: 40}, False), ({0: 100, 1: 100}, True), ({1: 100}, True)],
+)
+def test_upkeep_waits_for_tasks_that_are_placed_but_not_at_work(listed, interrupted):
+    # Guards against a task counted as available because it has been placed.
+    site = WaveSite(finish_by=10.0)
+    step = StepSpec(2, Resources(), lasting=True, max_unavailable=1)
+    site.record("job/j", encode(JobGraph("j", "a", "q", "s", "", (step,))))
+    states = {}
+    for index, host in enumerate(("h-2", "h-9")):
+        lifetime = Lifetime(host.replace("h", "w"), 1)
+        states[f"0.0.{index}"] = TaskState(1, host, lifetime)
+    site.record("j", encode(JobProgress("", states)))
+    other = site.agents.sessions["h-9"] = Session("h-9")
+    for index, percent in listed.items():
+        session = other if index else site.agents.sessions["h-2"]
+        run = RunReport(f"j.0.0.{index}", 1, "", percent)
+        session.runs = {(run.task, run.run): run}
+    site.run_for(30)
+    assert ("m-2" in site.begun) == interrupted
+
+
+def test_upkeep_ends_no_more_tasks_of_a_step_than_may_be_away():
+    # Guards against one upkeep that takes several tasks of a step at once.
+    site = WaveSite(finish_by=10.0)
+    step = StepSpec(2, Resources(), lasting=True, max_unavailable=1)
+    site.record("job/j", encode(JobGraph("j", "a", "q", "s", "", (step,))))
+    placed = TaskState(1, "h-2", Lifetime("w-2", 1))
+    states = {"0.0.0": placed, "0.0.1": placed}
+    site.record("j", encode(JobProgress("", states)))
+    runs = [RunReport(f"j.0.0.{index}", 1, "", 100) for index in range(2)]
+    site.agents.sessions["h-2"].runs = {(run.task, run.run): run for run in runs}
+    site.run_for(30)
+    assert "m-2" not in site.begun
+
+
 def test_lost_replies_do_not_exceed_the_limit_of_machines_down():
     site = WaveSite(most=2)
     site.machines.lose_replies = True
