Bound the open tasks of a client account, and keep only the state of ended jobs

What a job's progress takes in memory adds up over jobs: some 0.7 kB a task in each entry, of machines with 200 MB. One client account could send jobs, each within its bound, until every entry ended (seen by reckoning, not by a run).

Change: a submission that would give an account more than 30,000 open tasks is refused with 503 and a time to come back; nothing is stored. The records beyond the head of jobs that have ended are deleted from the store at the next check, so that what is kept for callers is a job's state and 64 tasks at most.

tests/test_store_limits.py: the two new tests (there was no such bound before).

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -493,6 +493,10 @@
             return
         self._retention_checked_at = now
         self._statistics.forget_ended_jobs({job.job_id for job in self._ledger.live()})
+        # Callers are shown the state of an ended job, which the head has.
+        parts: list[Record] = [(key, None) for key in self._ledger.ended_parts()]
+        for batch in in_batches([parts], self._store.limits):
+            self._append(batch)
         cutoff = clock.wall_time() - ENDED_JOB_RETENTION_SECONDS
         expired = self._ledger.ended_before(cutoff)[:MAX_JOBS_DROPPED]
         if not expired:
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -331,7 +331,7 @@
     covers starts at once.
     """
     if _is_guaranteed(job, context):
-        return job.tasks_per_occurrence * job.occurrence_count
+        return job.task_count
     is_idle = not context.ledger.placed_count(job.job_id)
     return max(ready_steps if is_idle else 0, context.runs_left // 2)
 
--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -25,6 +25,9 @@
 REFUSED_RETRY_SECONDS = 0.2  # between appends that the store refuses
 MAX_WAIT_SHARE = 0.5  # of a caller's time, so that it can go elsewhere afterwards
 MAX_WAITING_SUBMISSIONS = 32  # so that they don't flood a store that returns
+# Progress takes some 0.7 kB a task in each entry, also of tasks that are done.
+MAX_OPEN_TASKS_PER_ACCOUNT = 30_000
+FULL_RETRY_AFTER_SECONDS = 5.0
 MAX_VIEW_AGE_SECONDS = 2.0  # an older view cannot prove that a job is unknown
 
 ACCEPTED = "accepted"
@@ -79,8 +82,12 @@
             return self._repeat_outcome(existing, job)
         arrived_at = clock.now()
         record = (JOB_PREFIX + job.job_id, encode(job))
+        open_tasks = self._ledger.open_tasks(job.account)
         if record_bytes(record) > self._store.limits.record_bytes:
             outcome = IntakeOutcome(TOO_LARGE, "send fewer or shorter steps")
+        elif open_tasks + job.task_count > MAX_OPEN_TASKS_PER_ACCOUNT:
+            reason = f"the account has {open_tasks} open tasks, wait for some to end"
+            outcome = IntakeOutcome(REFUSED, reason, FULL_RETRY_AFTER_SECONDS)
         else:
             outcome = self._store_record(*record, deadline)
         self._metrics.count("jobs_submitted_total", outcome=outcome.kind)
@@ -88,6 +95,7 @@
         log = log.bind(job=job.job_id, account=job.account, queue=job.queue)
         tasks = sum(step.count for step in job.steps)
         log = log.bind(steps=len(job.steps), tasks=tasks, view=self._view())
+        log = log.bind(open_tasks=open_tasks)
         log.bind(occurrences=job.occurrences, shapes=_shapes(job)).info("job submitted")
         return outcome
 
--- a/src/sequoiachute/platform/jobs.py
+++ b/src/sequoiachute/platform/jobs.py
@@ -153,7 +153,7 @@
         stretch=queue.stretch,
         slo_seconds=queue.slo_seconds,
     )
-    if job.tasks_per_occurrence * job.occurrence_count > MAX_TASKS:
+    if job.task_count > MAX_TASKS:
         reason = f"send at most {MAX_TASKS} tasks, those of all occurrences together"
         raise InvalidJobError(f"steps and times: {reason}")
     return job
--- a/src/sequoiachute/protocol/workload.py
+++ b/src/sequoiachute/protocol/workload.py
@@ -122,6 +122,11 @@
         """Number of tasks of all steps."""
         return sum(step.count for step in self.steps)
 
+    @property
+    def task_count(self) -> int:
+        """Number of tasks of all occurrences."""
+        return self.tasks_per_occurrence * self.occurrence_count
+
     def due_at(self, occurrence: int) -> float:
         """Return the wall time in seconds at which an occurrence may begin."""
         if not self.occurrences:
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -1,7 +1,7 @@
 """In-memory view of the store: jobs, their progress, waves and the placer."""
 
 from collections.abc import Iterator
-from math import ceil
+from math import ceil, inf
 from typing import NamedTuple
 
 import msgspec
@@ -209,6 +209,13 @@
             if (topic, key) in self._offsets
         ]
 
+    def ended_parts(self) -> list[str]:
+        """Return the keys of the parts beyond the head of jobs that have ended."""
+        keys = []
+        for job_id in self.ended_before(inf):
+            keys += self.progress_keys(job_id)[:-1]
+        return keys
+
     def progress_keys(self, job_id: str) -> list[str]:
         """Return the keys of the records of a job's progress, the head last."""
         numbers = sorted(self.part_tasks(job_id), reverse=True)
@@ -228,6 +235,10 @@
             if job_id not in self._set_aside:
                 yield self._jobs[job_id]
 
+    def open_tasks(self, account: str) -> int:
+        """Return the number of tasks, done or not, of an account's live jobs."""
+        return sum(job.task_count for job in self.live() if job.account == account)
+
     def waiting_count(self, queue: str) -> int:
         """Return the number of a queue's jobs of which no task has begun yet."""
         count = 0
@@ -359,7 +370,6 @@
     """Return whether every task of every occurrence is done."""
     if job.is_lasting:
         return False
-    expected = job.occurrence_count * job.tasks_per_occurrence
-    if len(progress.tasks) < expected:
+    if len(progress.tasks) < job.task_count:
         return False
-    return sum(task.done for task in progress.tasks.values()) >= expected
+    return sum(task.done for task in progress.tasks.values()) >= job.task_count
--- a/tests/test_store_limits.py
+++ b/tests/test_store_limits.py
@@ -3,8 +3,11 @@
 import pytest
 from result import Err
 
+from sequoiachute import clock
+from sequoiachute.coordination import intake
+from sequoiachute.coordination.dispatch.placer import RETENTION_INTERVAL_SECONDS
 from sequoiachute.coordination.dispatch.settlement import ProgressDraft
-from sequoiachute.coordination.intake import TOO_LARGE
+from sequoiachute.coordination.intake import ACCEPTED, REFUSED, TOO_LARGE
 from sequoiachute.coordination.store.batches import in_batches
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.workload import (
@@ -162,3 +165,33 @@
     assert recorded.keys() == tasks.keys()
     assert sum(state.done for state in recorded.values()) == 2
     assert len(ledger.tasks_on_host("h")) == 298
+
+
+def test_account_with_too_many_open_tasks_is_told_to_come_back(monkeypatch):
+    # Guards against one client account whose jobs take up the memory of every entry.
+    monkeypatch.setattr(intake, "MAX_OPEN_TASKS_PER_ACCOUNT", 100)
+    site = limited_site()
+    job = accepted(site, 2.0, count=100)
+    job_id, outcome = site.submit(0.5)
+    assert outcome.kind == REFUSED
+    assert outcome.retry_after > 0
+    assert outcome.appends == 0
+    other = site.jobs[job_id]._replace(job_id="e" * 16, account="other")
+    control = site.entries[0].control
+    assert control.intake.submit(other, clock.now() + 3).kind == ACCEPTED
+    complete(site, [job], 6)
+    accepted(site, 0.5, job_id=job_id)
+
+
+def test_ended_large_job_leaves_only_its_state():
+    # Guards against the progress of ended jobs that adds up in every entry.
+    site = limited_site()
+    job = accepted(site, 0.5, count=300)
+    complete(site, [job], 20)
+    site.run_for(2 * RETENTION_INTERVAL_SECONDS)
+    assert {site.state(job, number) for number in range(3)} == {COMPLETE}
+    for entry in site.entries:
+        assert len(entry.control.ledger.progress(job).tasks) <= TASKS_PER_RECORD
+    site.kill_entry(site.placer())
+    site.run_for(TAKEOVER_SECONDS)
+    assert len(site.history.starts) == 300
