An upkeep that the platform refuses closes no worker and is ordered less often

Cause: the placer ordered the upkeep again each second, and each refusal closed the worker for 3.5 s, as an order does whose effect is unknown. The class: a definite refusal that is repeated for ever.

Change: the adapter says whether an order was refused (400, 409, 429: nothing has begun). A refused order closes nothing, does not count towards the machines that are down, and the next one waits 1, 2, then 4 s.

--- a/src/sequoiachute/coordination/dispatch/upkeep.py
+++ b/src/sequoiachute/coordination/dispatch/upkeep.py
@@ -22,6 +22,8 @@
 MAX_LIST_AGE_SECONDS = 4.0
 UPKEEP_SECONDS = 2.0  # upkeep of one machine; the site's upkeep_s
 FINISH_MARGIN_SECONDS = 3.0
+FIRST_REFUSAL_PAUSE_SECONDS = 1.0
+MAX_REFUSAL_PAUSE_SECONDS = 4.0
 AT_WORK_PERCENT = 100  # that a worker reports of a service after its startup
 
 
@@ -47,6 +49,16 @@
     is_acknowledged: bool
 
 
+class _Refusal(NamedTuple):
+    """Until when, on the elapsed clock, no upkeep of a machine is ordered again."""
+
+    until: float
+    pause: float
+
+
+NO_REFUSAL = _Refusal(float("-inf"), FIRST_REFUSAL_PAUSE_SECONDS / 2)
+
+
 def encode_wave(progress: WaveProgress) -> bytes:
     """Return the stored form of a wave's progress."""
     return msgspec.msgpack.encode(progress)
@@ -80,6 +92,7 @@
         self._listed: dict[str, PlatformMachine] = {}
         self._listed_at = float("-inf")
         self._orders: dict[Lifetime, _UpkeepOrder] = {}
+        self._refusals: dict[str, _Refusal] = {}
 
     def advance(self) -> dict[int, WaveProgress]:
         """Order the upkeep that is due; return the changed progress by wave."""
@@ -193,20 +206,36 @@
         for machine in self._startable(wave, progress, waiting):
             if machine.name not in down and len(down) >= wave.max_concurrent:
                 continue
-            down.add(machine.name)
+            if clock.elapsed() < self._refusals.get(machine.name, NO_REFUSAL).until:
+                continue
             outcome = machines.begin_upkeep(
                 machine.name, wave.number, self._holder, self._agents.term
             )
-            self._record_order(machine, outcome.is_ok())
             log = logger.bind(machine=machine.name, wave=wave.number)
+            if outcome.is_err() and outcome.unwrap_err().refused:
+                pause = self._record_refusal(machine.name)
+                log = log.bind(reason=outcome.unwrap_err().reason, pause=pause)
+                log.info("upkeep order refused")
+                continue
+            down.add(machine.name)
+            self._refusals.pop(machine.name, None)
+            self._record_order(machine, outcome.is_ok())
             if outcome.is_err():
                 # The upkeep may have begun anyway, so the machine counts as down.
-                log.bind(reason=outcome.unwrap_err()).info("upkeep order failed")
+                reason = outcome.unwrap_err().reason
+                log.bind(reason=reason).info("upkeep order failed")
                 continue
             log.info("upkeep ordered")
             progress = progress._replace(started=(*progress.started, machine.name))
         return progress
 
+    def _record_refusal(self, machine: str) -> float:
+        """Pause the orders for a machine; return for how many seconds."""
+        previous = self._refusals.get(machine, NO_REFUSAL).pause
+        pause = min(2 * previous, MAX_REFUSAL_PAUSE_SECONDS)
+        self._refusals[machine] = _Refusal(clock.elapsed() + pause, pause)
+        return pause
+
     def _record_order(self, machine: PlatformMachine, is_acknowledged: bool) -> None:
         """Let the present worker of a machine whose upkeep is ordered get no task."""
         for session in self._agents.sessions.values():
--- a/src/sequoiachute/platform/machines.py
+++ b/src/sequoiachute/platform/machines.py
@@ -25,7 +25,7 @@
     read_reason,
 )
 from sequoiachute.platform.store import MetadataStore
-from sequoiachute.transport.machines import Advice, PlatformMachine
+from sequoiachute.transport.machines import Advice, PlatformMachine, UpkeepError
 
 # The service takes a few ms per worker asked about and serves one call at a time.
 ADVICE_TIMEOUT_SECONDS = 2.0
@@ -57,6 +57,9 @@
         return Ok(Advice(_decode_tickets(rows), valid_seconds))
 
 
+REFUSALS = (400, 409, 429)  # statuses of an upkeep that has not begun
+
+
 class CloudMachines:
     """Calls the service that lists machines and carries out their upkeep."""
 
@@ -90,7 +93,7 @@
 
     def begin_upkeep(
         self, machine: str, wave: int, holder: str, term: int
-    ) -> Result[None, str]:
+    ) -> Result[None, UpkeepError]:
         """Take a machine down for upkeep."""
         headers = json_headers()
         headers["X-Duty-Holder"] = holder
@@ -100,7 +103,11 @@
             "POST", "/v1/machine-upkeep", CALL_TIMEOUT_SECONDS, data, headers
         )
         body = _decode_response(response)
-        return body if body.is_err() else Ok(None)
+        if body.is_ok():
+            return Ok(None)
+        is_answered = isinstance(response, HttpResponse)
+        refused = is_answered and response.status in REFUSALS
+        return Err(UpkeepError(body.unwrap_err(), refused))
 
     def publish_wave_state(self, wave: int, complete: bool) -> bool:
         """Write a wave's state to the status topic, which operators read."""
--- a/src/sequoiachute/transport/machines.py
+++ b/src/sequoiachute/transport/machines.py
@@ -33,6 +33,16 @@
     in_upkeep: bool
 
 
+class UpkeepError(NamedTuple):
+    """Why an upkeep was not acknowledged.
+
+    ``refused`` is true if it has not begun and, for this order, never will.
+    """
+
+    reason: str
+    refused: bool
+
+
 class MachineService(Protocol):
     """Service that lists the platform's machines and carries out their upkeep."""
 
@@ -42,7 +52,7 @@
 
     def begin_upkeep(
         self, machine: str, wave: int, holder: str, term: int
-    ) -> Result[None, str]:
+    ) -> Result[None, UpkeepError]:
         """Take a machine down for upkeep; its runs end at once."""
         ...
 
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -4,7 +4,9 @@
 from result import Err, Ok, Result
 
 from sequoiachute import clock
-from sequoiachute.transport.machines import Advice, PlatformMachine
+from sequoiachute.transport.machines import Advice, PlatformMachine, UpkeepError
+
+NO_ANSWER = UpkeepError("no answer", False)
 
 
 class MemoryAdvisor:
@@ -82,16 +84,16 @@
 
     def begin_upkeep(
         self, machine: str, wave: int, holder: str, term: int
-    ) -> Result[None, str]:
+    ) -> Result[None, UpkeepError]:
         """Take a machine down; a repeat for the same wave changes nothing."""
         self.terms.append(term)
         if self.refusal:
-            return Err(self.refusal)
+            return Err(UpkeepError(self.refusal, self.refusal != NO_ANSWER.reason))
         if self.late_seconds:
             eventlet.spawn_after(self.late_seconds, self._begin, machine, wave)
-            return Err("no answer")
+            return Err(NO_ANSWER)
         self._begin(machine, wave)
-        return Err("no answer") if self.lose_replies else Ok(None)
+        return Err(NO_ANSWER) if self.lose_replies else Ok(None)
 
     def _begin(self, machine: str, wave: int) -> None:
         has_begun = any(name == machine and of == wave for _, name, of in self.begun)
