--- a/src/sequoiachute/platform/worker.py
+++ b/src/sequoiachute/platform/worker.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import msgspec
+from loguru import logger
 from result import Err, Ok, Result
 
 from sequoiachute.platform.fields import items, number, required, text, whole
@@ -26,6 +27,7 @@
 
 POLL_TIMEOUT_SECONDS = 0.5  # beyond the requested wait
 ORDER_TIMEOUT_SECONDS = 0.4  # the worker is local and answers in a few ms
+MAX_TOKEN_BYTES = 1024  # a record of progress has 64 of them
 OTHER_LIFETIME = "other lifetime"
 
 
@@ -148,10 +150,19 @@
 def _decode_run(row: list[Any]) -> RunReport:
     usage = int(number(row[4])) if len(row) > 4 and row[4] is not None else 0
     percent = int(number(row[3]))
-    return RunReport(text(row[0]), whole(row[1]), text(row[2]), percent, usage)
+    return RunReport(text(row[0]), whole(row[1]), _token(row[2]), percent, usage)
 
 
 def _decode_end(row: list[Any]) -> EndReport:
     return EndReport(
-        whole(row[0]), text(row[1]), whole(row[2]), text(row[3]), text(row[4])
+        whole(row[0]), text(row[1]), whole(row[2]), text(row[3]), _token(row[4])
     )
+
+
+def _token(value: Any) -> str:
+    """Return a checkpoint token, empty if it is longer than a record bears."""
+    token = text(value)
+    if len(token.encode()) <= MAX_TOKEN_BYTES:
+        return token
+    logger.bind(bytes=len(token)).warning("checkpoint token too long, left out")
+    return ""
--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -8,16 +8,25 @@
 from sequoiachute.platform.jobs import InvalidJobError, decode_job_body
 from sequoiachute.platform.operator import apply_operator_records
 from sequoiachute.platform.store import _decode_page, _encode_record
+from sequoiachute.platform.worker import MAX_TOKEN_BYTES, _decode_end, _decode_run
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.workload import (
     JobGraph,
+    JobProgress,
+    Lifetime,
+    TaskState,
     decode_job,
     encode,
     parse_task_id,
 )
 from sequoiachute.state.ledger import Ledger
 from sequoiachute.state.operations import Operations, Queue
-from sequoiachute.transport.store import StoreUnavailableError
+from sequoiachute.state.progress import TASKS_PER_RECORD, part_record
+from sequoiachute.transport.store import (
+    StoreLimits,
+    StoreUnavailableError,
+    record_bytes,
+)
 
 QUEUE = Queue("q", "h", "/p/", "s", 1, 2, 3.0, 1.0)
 JSON = st.recursive(
@@ -167,3 +176,15 @@
     steps = [{"count": 1}, {"count": 1, "deps": [False]}]
     with pytest.raises(InvalidJobError, match="deps"):
         decode_job_body(json.dumps({"steps": steps}).encode(), QUEUE, "a", "0" * 16)
+
+
+def test_checkpoint_token_that_no_record_bears_is_left_out():
+    # Guards against tokens that let a record of progress exceed the store's limit.
+    fitting, too_long = "t" * MAX_TOKEN_BYTES, "t" * (MAX_TOKEN_BYTES + 1)
+    assert _decode_run(["j.0.0.0", 1, fitting, 5]).token == fitting
+    assert _decode_run(["j.0.0.0", 1, too_long, 5]).token == ""
+    assert _decode_end([1, "j.0.0.0", 1, "stopped", too_long]).token == ""
+    state = TaskState(1, "h" * 50, Lifetime("w" * 200, 1), token=fitting)
+    tasks = {f"9999.63.{index}": state for index in range(TASKS_PER_RECORD)}
+    record = part_record("0" * 16, 1, JobProgress(), tasks)
+    assert record_bytes(record) < StoreLimits().record_bytes
