Confirm the placer's term in the store before each order of an upkeep

Cause: Upkeep ordered without asking whether the term still holds; starts of runs are guarded by appends and leases, upkeep by nothing.

Change: before each order the placer appends the wave's progress, which the store refuses under an old epoch. An acknowledgement that took more than 1 s is asked for again, since the process may have been suspended meanwhile; the new placer orders nothing for 3.5 s. Ruled out: the age of the last confirmation alone, as a quiet topic is confirmed by long polls of 2 s.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -23,7 +23,7 @@
     Settlement,
     newest_token,
 )
-from sequoiachute.coordination.dispatch.upkeep import Upkeep, encode_wave
+from sequoiachute.coordination.dispatch.upkeep import Upkeep, WaveProgress, encode_wave
 from sequoiachute.coordination.dispatch.views import build_view
 from sequoiachute.coordination.dispatch.wait_log import WaitLog
 from sequoiachute.coordination.loop import spawn_task
@@ -63,7 +63,7 @@
     encode_speeds,
 )
 from sequoiachute.state.metrics import Metrics
-from sequoiachute.state.operations import Operations
+from sequoiachute.state.operations import Operations, Wave
 from sequoiachute.state.progress import job_of_key
 from sequoiachute.transport.machines import Advisor, MachineService
 from sequoiachute.transport.store import KeyedStore, Record, Writer
@@ -83,6 +83,7 @@
 # some seconds late.
 ENDED_JOB_RETENTION_SECONDS = 900.0
 RETENTION_INTERVAL_SECONDS = 30.0  # between two checks for jobs to drop
+MAX_CONFIRMATION_SECONDS = 1.0  # a new placer orders no upkeep for 3.5 s
 MAX_JOBS_DROPPED = 200  # at a time
 TYPICAL_SPEED = MachineSpeed(1.0, UNKNOWN_SPEED_ERROR)
 
@@ -157,7 +158,14 @@
         self._operations = operations
         self._agents = agents
         self._ticket_cache = TicketCache(advisor, self.wake)
-        self._upkeep = Upkeep(machines, identity.member, ledger, agents, operations)
+        self._upkeep = Upkeep(
+            machines,
+            identity.member,
+            ledger,
+            agents,
+            operations,
+            self._confirm_upkeep,
+        )
         self.wait_log = WaitLog()
         self._statistics = RunStatistics(ledger.speeds)
         self._settlement = Settlement(ledger, agents, self._worked_seconds)
@@ -528,6 +536,19 @@
         if records:
             self._append(records)
 
+    def _confirm_upkeep(self, wave: Wave, progress: WaveProgress) -> None:
+        """Append to the store, which refuses a placer that has been replaced.
+
+        An acknowledgement that took long, as in a process that was suspended, confirms
+        nothing about now.
+        """
+        record = (f"{WAVE_PREFIX}{wave.number}", encode_wave(progress))
+        while True:
+            began = clock.elapsed()
+            self._append([record])
+            if clock.elapsed() - began <= MAX_CONFIRMATION_SECONDS:
+                return
+
     def _observe_first_starts(self, job_ids: list[str]) -> None:
         now = clock.now()
         for job_id in job_ids:
--- a/src/sequoiachute/coordination/dispatch/upkeep.py
+++ b/src/sequoiachute/coordination/dispatch/upkeep.py
@@ -1,6 +1,7 @@
 """Orders the upkeep of a wave's machines, a limited number at a time."""
 
 from collections import Counter
+from collections.abc import Callable
 from typing import NamedTuple
 
 import msgspec
@@ -73,6 +74,17 @@
 
     Which workers are reserved or closed is derived anew in every round from the
     waves in force, their progress, the list of machines and the last orders.
+
+    Parameters
+    ----------
+    machines : MachineService or None
+    holder : str
+    ledger : Ledger
+    agents : AgentSessions
+    operations : Operations
+    confirm : callable
+        Takes a wave and its progress. Returns once the store has just confirmed that
+        no later placer has taken over; raises ``DeposedError`` if one has.
     """
 
     def __init__(
@@ -82,7 +94,9 @@
         ledger: Ledger,
         agents: AgentSessions,
         operations: Operations,
+        confirm: Callable[[Wave, WaveProgress], None],
     ) -> None:
+        self._confirm = confirm
         self._machines = machines
         self._holder = holder
         self._ledger = ledger
@@ -208,6 +222,7 @@
                 continue
             if clock.elapsed() < self._refusals.get(machine.name, NO_REFUSAL).until:
                 continue
+            self._confirm(wave, progress)
             outcome = machines.begin_upkeep(
                 machine.name, wave.number, self._holder, self._agents.term
             )
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -5,11 +5,13 @@
     MAX_WORKERS_PER_REQUEST,
     TicketCache,
 )
+from sequoiachute.coordination.dispatch.placer import DeposedError
 from sequoiachute.coordination.dispatch.sessions import AgentSessions, Session
 from sequoiachute.coordination.dispatch.upkeep import (
     LATE_ORDER_SECONDS,
     MAX_LIST_AGE_SECONDS,
     Upkeep,
+    WaveProgress,
     encode_wave,
 )
 from sequoiachute.protocol.stored import StoredRecord
@@ -25,6 +27,7 @@
 )
 from sequoiachute.state.ledger import Ledger
 from sequoiachute.state.operations import Operations, Wave
+from standins.control_site import ControlSite
 from standins.machines import MemoryAdvisor, MemoryMachines
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
@@ -41,6 +44,8 @@
         self.operations.waves = {1: Wave(1, names, finish_by, most)}
         self.agents = AgentSessions(self.ledger, 7, lambda: None, lambda: 0.0)
         self.most = most
+        self.is_deposed = False
+        self.confirmed = 0
         self._offset = 0
         for number in range(count):
             session = Session(f"h-{number}")
@@ -52,9 +57,20 @@
 
     def create_upkeep(self):
         return Upkeep(
-            self.machines, "entry-1", self.ledger, self.agents, self.operations
+            self.machines,
+            "entry-1",
+            self.ledger,
+            self.agents,
+            self.operations,
+            lambda wave, progress: self.confirm(),
         )
 
+    def confirm(self):
+        """Confirm the placer before each order, unless it has been replaced."""
+        self.confirmed += 1
+        if self.is_deposed:
+            raise DeposedError("fenced")
+
     def record(self, key, value):
         self._offset += 1
         self.ledger.apply("runs", StoredRecord(self._offset, key, value))
@@ -295,6 +311,36 @@
     assert site.machines.shown[-1] == (1, True)
 
 
+def test_placer_that_was_replaced_orders_no_upkeep():
+    # Guards against a lower fencing token after a higher one, of a placer that was
+    # suspended and has not read that it was replaced.
+    site = WaveSite()
+    site.run_for(6)
+    begun = len(site.machines.terms)
+    assert site.confirmed == begun > 0
+    site.is_deposed = True
+    with pytest.raises(DeposedError):
+        site.run_for(30)
+    assert len(site.machines.terms) == begun
+
+
+def test_suspended_placer_confirms_its_term_before_an_upkeep():
+    # Guards against an acknowledgement from before a suspension taken for a new one.
+    site = ControlSite()
+    placer = site.entries[site.placer()].control._placer
+    append = placer._append
+    confirmed = []
+
+    def append_slowly(records):
+        append(records)
+        confirmed.append(clock.now())
+        site.run_for(5.0 if len(confirmed) == 1 else 0.0)
+
+    placer._append = append_slowly
+    placer._confirm_upkeep(Wave(1, ("m-0",), 60.0, 1), WaveProgress())
+    assert len(confirmed) == 2
+
+
 def test_next_placer_resumes_the_wave():
     site = WaveSite()
     site.run_for(6)
