Bound urgent tasks without accelerators too, and what has to run at once

The bound on a large job's runs left out what a guarantee covers. Only tasks that need accelerators are exempt now, at most as many as are guaranteed.

Gangs and services are exempt as well, since they have to run whole; a job with more than 1,000 of their tasks is refused at hand-in with 400.

--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -327,15 +327,24 @@
     """Return how many more tasks of a job the scheduler may place.
 
     Half of the runs that are left beside those of all jobs, so that large jobs leave
-    room to others, and one task of each step where none is placed. What a guarantee
-    covers starts at once.
+    room to others, and one task of each step where none is placed. The accelerators
+    that a guarantee covers are used at once.
     """
-    if _is_guaranteed(job, context):
+    if _is_exempt(job, context):
         return job.task_count
     is_idle = not context.ledger.placed_count(job.job_id)
     return max(ready_steps if is_idle else 0, context.runs_left // 2)
 
 
+def _is_exempt(job: JobGraph, context: _ViewContext) -> bool:
+    """Return whether all tasks of a job start at once, as a guarantee covers them.
+
+    It bounds only tasks that need accelerators.
+    """
+    needs_gpus = all(step.need.gpus for step in job.steps)
+    return needs_gpus and _is_guaranteed(job, context)
+
+
 def _ready_steps(
     job: JobGraph, ledger: Ledger, wall_time: float
 ) -> list[tuple[int, int]]:
@@ -509,7 +518,7 @@
         chain_seconds=chain_seconds(job, index),
         accepted_at=starts_at,
         service=service,
-        step=_spread(job.steps[index], _is_guaranteed(job, context)),
+        step=_spread(job.steps[index], _is_exempt(job, context)),
         tasks=tasks,
         avoided_hosts=tried_hosts | statistics.doubted_hosts(job.job_id),
         placed_per_host=placed.per_host,
@@ -528,10 +537,10 @@
     )
 
 
-def _spread(step: StepSpec, is_guaranteed: bool) -> StepSpec:
+def _spread(step: StepSpec, is_exempt: bool) -> StepSpec:
     """Return a step that puts no more tasks on a worker than its agent bears."""
-    is_exempt = step.gang or step.lasting or is_guaranteed
-    if is_exempt or step.count <= MAX_RUNS_PER_WORKER:
+    is_whole = step.gang or step.lasting
+    if is_exempt or is_whole or step.count <= MAX_RUNS_PER_WORKER:
         return step
     limit = step.per_worker or MAX_RUNS_PER_WORKER
     return step._replace(per_worker=min(limit, MAX_RUNS_PER_WORKER))
--- a/src/sequoiachute/platform/jobs.py
+++ b/src/sequoiachute/platform/jobs.py
@@ -28,6 +28,7 @@
 DEFAULT_DEADLINE_SECONDS = 3.0  # for requests without X-Deadline-Ms
 MAX_STEPS = 64
 MAX_TASKS = 10_000
+MAX_AT_ONCE = 1000  # tasks of gangs and services, which all have to run at once
 MAX_PAYLOAD_BYTES = 4000
 RETRY_AFTER_SECONDS = 1.0
 _MILLISECONDS = re.compile(r"[0-9]{1,15}")
@@ -156,6 +157,9 @@
     if job.task_count > MAX_TASKS:
         reason = f"send at most {MAX_TASKS} tasks, those of all occurrences together"
         raise InvalidJobError(f"steps and times: {reason}")
+    if sum(step.count for step in decoded if step.gang or step.lasting) > MAX_AT_ONCE:
+        reason = f"send at most {MAX_AT_ONCE} tasks that run at the same time"
+        raise InvalidJobError(f"steps: {reason}")
     return job
 
 
--- a/tests/test_many_runs.py
+++ b/tests/test_many_runs.py
@@ -86,21 +86,23 @@
     return [len(worker.status().runs) for worker in site.workers]
 
 
-def test_large_job_takes_no_more_runs_than_agents_bear(small_tasks):
+@pytest.mark.parametrize("queue", [control_site.QUEUE, URGENT])
+def test_large_job_takes_no_more_runs_than_agents_bear(small_tasks, queue):
     # Guards against thousands of runs piled on workers whose agents fall behind.
     site = ControlSite()
-    accepted(site, 30.0, count=3000)
+    accepted(site, 30.0, count=3000, queue=queue)
     site.run_for(5.0)
     running = running_per_worker(site)
     assert max(running) <= MAX_RUNS_PER_WORKER
     assert sum(running) >= MAX_RUNS_PER_WORKER * len(site.workers) * 0.9
 
 
-def test_jobs_start_beside_large_jobs_that_hold_all_runs(small_tasks):
+@pytest.mark.parametrize("queue", [control_site.QUEUE, URGENT])
+def test_jobs_start_beside_large_jobs_that_hold_all_runs(small_tasks, queue):
     # Guards against one client account's tasks that hold all runs that agents bear.
     site = ControlSite()
     for _ in range(3):
-        accepted(site, 60.0, count=2000)
+        accepted(site, 60.0, count=2000, queue=queue)
     site.run_for(3.0)
     small = [accepted(site, 60.0, count=2) for _ in range(20)]
     site.run_for(2.0)
--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -171,6 +171,17 @@
         decode_job_body(body, QUEUE, "a", "0" * 16)
 
 
+@pytest.mark.parametrize("kind", ["gang", "persistent"])
+def test_job_of_more_tasks_at_once_than_agents_bear_is_refused(kind):
+    # Guards against accepted tasks that no bound on running tasks can hold back.
+    step = {"count": 501, kind: True}
+    body = json.dumps({"steps": [step]}).encode()
+    assert decode_job_body(body, QUEUE, "a", "0" * 16).steps[0].count == 501
+    body = json.dumps({"steps": [step, step]}).encode()
+    with pytest.raises(InvalidJobError, match="at the same time"):
+        decode_job_body(body, QUEUE, "a", "0" * 16)
+
+
 def test_step_numbers_that_are_truth_values_are_refused():
     # Guards against an accepted job whose record no entry can read.
     steps = [{"count": 1}, {"count": 1, "deps": [False]}]
