--- a/src/sequoiachute/coordination/dispatch/first_starts.py
+++ b/src/sequoiachute/coordination/dispatch/first_starts.py
@@ -54,7 +54,8 @@
         """Draft what was seen; alone only after ``MAX_DELAY_SECONDS``."""
         for job_id in list(self._seen_at):
             is_recorded = self._ledger.progress(job_id).begun
-            if is_recorded or self._ledger.job(job_id) is None:
+            is_gone = self._ledger.job(job_id) is None
+            if is_recorded or is_gone or self._ledger.is_set_aside(job_id):
                 del self._seen_at[job_id]
         oldest = min(self._seen_at.values(), default=float("inf"))
         if not draft.changed and clock.elapsed() - oldest < MAX_DELAY_SECONDS:
