Split appends and retention from the placer's rounds

TermWriter appends a term's records, Retention drops what is kept of ended jobs for a time; behaviour is unchanged.

--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -6,8 +6,9 @@
 from loguru import logger
 
 from sequoiachute import clock
-from sequoiachute.coordination.dispatch.placer import TaskPlacer, Term
+from sequoiachute.coordination.dispatch.placer import TaskPlacer
 from sequoiachute.coordination.dispatch.sessions import AgentSessions
+from sequoiachute.coordination.dispatch.term_writer import Term
 from sequoiachute.coordination.intake import Intake
 from sequoiachute.coordination.loop import run_recorded, spawn_loop, spawn_task
 from sequoiachute.coordination.scheduling.waits import Waits
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -1,7 +1,7 @@
 """The placer's rounds: settle reports, decide, record the decision, order runs."""
 
 from collections.abc import Callable, Iterable, Iterator
-from typing import NamedTuple, TypeVar
+from typing import TypeVar
 
 import eventlet
 from eventlet.event import Event
@@ -13,6 +13,7 @@
 from sequoiachute.coordination.dispatch.end_backup import EndBackup
 from sequoiachute.coordination.dispatch.first_starts import FirstStarts
 from sequoiachute.coordination.dispatch.objectives import DEFAULT_ESTIMATE_SECONDS
+from sequoiachute.coordination.dispatch.retention import Retention
 from sequoiachute.coordination.dispatch.run_statistics import (
     RunProgress,
     RunStatistics,
@@ -23,6 +24,11 @@
     Settlement,
     newest_token,
 )
+from sequoiachute.coordination.dispatch.term_writer import (
+    DeposedError,
+    Term,
+    TermWriter,
+)
 from sequoiachute.coordination.dispatch.upkeep import Upkeep, WaveProgress, encode_wave
 from sequoiachute.coordination.dispatch.views import build_view
 from sequoiachute.coordination.dispatch.wait_log import WaitLog
@@ -36,9 +42,6 @@
 )
 from sequoiachute.coordination.scheduling.capacity import REMOTE_SLOWDOWN, GangKey
 from sequoiachute.coordination.scheduling.preemption import PREEMPTED
-from sequoiachute.coordination.store.batches import in_batches
-from sequoiachute.coordination.store.election import WRITER
-from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.supervision import (
     DONE,
     RUN_FAILED,
@@ -64,40 +67,23 @@
 )
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.state.operations import Operations, Wave
-from sequoiachute.state.progress import job_of_key
 from sequoiachute.transport.machines import Advisor, MachineService
-from sequoiachute.transport.store import KeyedStore, Record, Writer
+from sequoiachute.transport.store import KeyedStore
 from sequoiachute.transport.worker import BAD_TICKET, UNHEALTHY
 
 # Expired leases and due times are checked this often without any report.
 ROUND_INTERVAL_SECONDS = 0.25
 GATHERING_INTERVAL_SECONDS = 0.05  # while agents report to a new placer
 BATCH_DELAY_SECONDS = 0.005  # collects reports that arrive together in one round
-APPEND_TIMEOUT_SECONDS = 0.8  # an unanswered append is sent again after it
-MAX_APPEND_TIMEOUT_SECONDS = 3.2
-APPEND_RETRY_SECONDS = 0.1
 SPEEDS_INTERVAL_SECONDS = 3.0  # between two records of learned speeds
 MIN_SPEED_CHANGE = 0.15  # relative; smaller changes are noise of the estimates
 MIN_ERROR_CHANGE = 0.25  # relative
-# Callers may ask for an ended job for 120 s, and a delayed append may take effect
-# some seconds late.
-ENDED_JOB_RETENTION_SECONDS = 900.0
 RETENTION_INTERVAL_SECONDS = 30.0  # between two checks for jobs to drop
-MAX_CONFIRMATION_SECONDS = 1.0  # a new placer orders no upkeep for 3.5 s
-MAX_JOBS_DROPPED = 200  # at a time
 TYPICAL_SPEED = MachineSpeed(1.0, UNKNOWN_SPEED_ERROR)
 
 RunOutcome = TypeVar("RunOutcome", EndReport, SettledStart)
 
 
-class Term(NamedTuple):
-    """A placer's term: its number, the topic that only it writes, and its member."""
-
-    number: int
-    topic: str
-    member: str
-
-
 def _has_changed(known: MachineSpeed, recorded: MachineSpeed) -> bool:
     """Return whether a speed or its error differs from what is recorded."""
     if abs(known.speed / recorded.speed - 1) > MIN_SPEED_CHANGE:
@@ -105,10 +91,6 @@
     return abs(known.error / recorded.error - 1) > MIN_ERROR_CHANGE
 
 
-class DeposedError(Exception):
-    """Raised when another entry has become the placer."""
-
-
 class TaskPlacer:
     """Places tasks for one term, until another placer takes over.
 
@@ -152,8 +134,6 @@
         self._policy = policy
         self._metrics = metrics
         self._term = identity.number
-        self._topic = identity.topic
-        self._store = store
         self._ledger = ledger
         self._operations = operations
         self._agents = agents
@@ -170,8 +150,9 @@
         self._statistics = RunStatistics(ledger.speeds)
         self._settlement = Settlement(ledger, agents, self._worked_seconds)
         self._first_starts = FirstStarts(ledger, agents)
-        self._sequence = 0
         self._end_backup = EndBackup(store, ledger, agents)
+        self._writer = TermWriter(identity, store, ledger, metrics, self._back_up_ends)
+        self._retention = Retention(store, ledger, self._writer)
         self._speeds_recorded_at = clock.now()
         self._retention_checked_at = clock.now()
         self._wake = Event()
@@ -190,6 +171,7 @@
     def end(self) -> None:
         """End the term after the round in progress."""
         self._ended = True
+        self._writer.end()
         self.wake()
 
     def run(self) -> None:
@@ -495,59 +477,27 @@
         return self._ledger.job(task.job_id).steps[task.step]
 
     def _drop_ended_jobs(self) -> None:
-        """Delete jobs from the store once their retention is over."""
+        """Drop what is kept of ended jobs, at intervals."""
         now = clock.now()
         if now < self._retention_checked_at + RETENTION_INTERVAL_SECONDS:
             return
         self._retention_checked_at = now
         self._statistics.forget_ended_jobs({job.job_id for job in self._ledger.live()})
-        # Callers are shown the state of an ended job, which the head has.
-        parts: list[Record] = [(key, None) for key in self._ledger.ended_parts()]
-        for batch in in_batches([parts], self._store.limits):
-            self._append(batch)
-        cutoff = clock.wall_time() - ENDED_JOB_RETENTION_SECONDS
-        expired = self._ledger.ended_before(cutoff)[:MAX_JOBS_DROPPED]
-        if not expired:
-            return
-        deletions: dict[str, list[Record]] = {}
-        for job_id in expired:
-            for topic, key in self._ledger.stored_keys(job_id):
-                deletions.setdefault(topic, []).append((key, None))
-        limits = self._store.limits
-        for topic, records in deletions.items():
-            for batch in in_batches([records], limits):
-                outcome = self._store.append(
-                    topic, batch, timeout=APPEND_TIMEOUT_SECONDS
-                )
-                if outcome.is_err():
-                    reason = outcome.unwrap_err().reason
-                    logger.bind(reason=reason).info("dropping ended jobs failed")
-                    return
-        progress_keys = [self._ledger.progress_keys(job_id) for job_id in expired]
-        groups = [[(key, None) for key in keys] for keys in progress_keys]
-        for batch in in_batches(groups, limits):
-            self._append(batch)
-        logger.bind(jobs=len(expired)).info("ended jobs dropped")
+        self._retention.drop()
 
     def _record_waves(self) -> None:
         records = []
         for number, progress in self._upkeep.advance().items():
             records.append((f"{WAVE_PREFIX}{number}", encode_wave(progress)))
         if records:
-            self._append(records)
+            self._writer.append(records)
 
     def _confirm_upkeep(self, wave: Wave, progress: WaveProgress) -> None:
-        """Append to the store, which refuses a placer that has been replaced.
+        key = f"{WAVE_PREFIX}{wave.number}"
+        self._writer.confirm((key, encode_wave(progress)))
 
-        An acknowledgement that took long, as in a process that was suspended, confirms
-        nothing about now.
-        """
-        record = (f"{WAVE_PREFIX}{wave.number}", encode_wave(progress))
-        while True:
-            began = clock.elapsed()
-            self._append([record])
-            if clock.elapsed() - began <= MAX_CONFIRMATION_SECONDS:
-                return
+    def _back_up_ends(self) -> None:
+        spawn_task("backup of ends", self._end_backup.record, metrics=self._metrics)
 
     def _observe_first_starts(self, job_ids: list[str]) -> None:
         now = clock.now()
@@ -568,7 +518,7 @@
         recorded = self._ledger.speeds
         for machine, known in speeds.items():
             if _has_changed(known, recorded.get(machine, TYPICAL_SPEED)):
-                self._append([(SPEEDS_KEY, encode_speeds(speeds))])
+                self._writer.append([(SPEEDS_KEY, encode_speeds(speeds))])
                 return
 
     def _newest_gang_token(self, task: TaskId, count: int) -> str:
@@ -586,56 +536,4 @@
         for job_id in draft.changed:
             if not self._ledger.is_set_aside(job_id):
                 groups.append(draft.records(job_id))
-        for batch in in_batches(groups, self._store.limits):
-            self._append(batch)
-
-    def _append(self, records: list[Record]) -> None:
-        """Append records until acknowledged, then apply them to the ledger.
-
-        Those that the store rejects are left out, each by itself. Raises
-        ``DeposedError`` if a later placer has fenced this one or the term has ended.
-        """
-        writer = Writer(WRITER, self._term, self._sequence + 1)
-        timeout = APPEND_TIMEOUT_SECONDS
-        while True:
-            outcome = self._store.append(
-                self._topic, records, writer=writer, timeout=timeout
-            )
-            if outcome.is_ok():
-                break
-            error = outcome.unwrap_err()
-            if error.fenced or self._ended:
-                self._ended = True
-                raise DeposedError(error.reason)
-            if error.rejected:
-                self._append_parts(records, error.reason)
-                return
-            log = logger.bind(term=self._term, reason=error.reason)
-            log.bind(records=len(records)).info("append failed, retrying")
-            if error.applied is None:
-                # A store slower than the timeout would never be heard.
-                timeout = min(2 * timeout, MAX_APPEND_TIMEOUT_SECONDS)
-            spawn_task("backup of ends", self._end_backup.record, metrics=self._metrics)
-            clock.sleep(APPEND_RETRY_SECONDS)
-        self._sequence += 1
-        first_offset = outcome.unwrap()
-        for number, (key, value) in enumerate(records):
-            self._ledger.apply(
-                self._topic, StoredRecord(first_offset + number, key, value)
-            )
-
-    def _append_parts(self, records: list[Record], reason: str) -> None:
-        """Append what the store has rejected in two halves; set a single record aside.
-
-        It would be rejected again: neither its job nor any other may wait for it.
-        """
-        middle = len(records) // 2
-        if middle:
-            self._append(records[:middle])
-            self._append(records[middle:])
-            return
-        ((key, value),) = records
-        log = logger.bind(key=key, bytes=len(value or b""), reason=reason)
-        log.error("record rejected by the store, its job is set aside")
-        self._metrics.count("records_rejected_total")
-        self._ledger.set_aside(job_of_key(key))
+        self._writer.append_groups(groups)
--- a/src/sequoiachute/replay/engine.py
+++ b/src/sequoiachute/replay/engine.py
@@ -12,8 +12,9 @@
 from result import Ok, Result
 
 from sequoiachute import clock
-from sequoiachute.coordination.dispatch.placer import TaskPlacer, Term
+from sequoiachute.coordination.dispatch.placer import TaskPlacer
 from sequoiachute.coordination.dispatch.sessions import AgentSessions
+from sequoiachute.coordination.dispatch.term_writer import Term
 from sequoiachute.coordination.scheduling import (
     SchedulingDecision,
     SchedulingView,
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -5,8 +5,8 @@
     MAX_WORKERS_PER_REQUEST,
     TicketCache,
 )
-from sequoiachute.coordination.dispatch.placer import DeposedError
 from sequoiachute.coordination.dispatch.sessions import AgentSessions, Session
+from sequoiachute.coordination.dispatch.term_writer import DeposedError
 from sequoiachute.coordination.dispatch.upkeep import (
     LATE_ORDER_SECONDS,
     MAX_LIST_AGE_SECONDS,
@@ -328,7 +328,8 @@
     # Guards against an acknowledgement from before a suspension taken for a new one.
     site = ControlSite()
     placer = site.entries[site.placer()].control._placer
-    append = placer._append
+    writer = placer._writer
+    append = writer.append
     confirmed = []
 
     def append_slowly(records):
@@ -336,7 +337,7 @@
         confirmed.append(clock.now())
         site.run_for(5.0 if len(confirmed) == 1 else 0.0)
 
-    placer._append = append_slowly
+    writer.append = append_slowly
     placer._confirm_upkeep(Wave(1, ("m-0",), 60.0, 1), WaveProgress())
     assert len(confirmed) == 2
 
