--- a/src/sequoiachute/coordination/dispatch/first_starts.py
+++ b/src/sequoiachute/coordination/dispatch/first_starts.py
@@ -9,7 +9,7 @@
 from sequoiachute.coordination.dispatch.sessions import AgentSessions, Session
 from sequoiachute.coordination.dispatch.settlement import ProgressDraft
 from sequoiachute.protocol.supervision import DONE, RUN_FAILED
-from sequoiachute.protocol.workload import TaskId, parse_task_id
+from sequoiachute.protocol.workload import JobGraph, JobProgress
 from sequoiachute.state.ledger import Ledger
 
 # Callers may see a count that is 2 s old; until then another record may carry this.
@@ -66,30 +66,41 @@
             logger.bind(job=job_id, age=age).info("job begun")
 
     def _begun_jobs(self) -> Iterator[str]:
-        """Yield the jobs that have a run at work, some of them repeatedly.
+        """Yield the jobs not known to have begun that have a run at work."""
+        for job in self._ledger.live():
+            progress = self._ledger.progress(job.job_id)
+            if progress.begun or job.job_id in self._seen_at or not progress.tasks:
+                continue
+            if self._has_begun(job, progress):
+                yield job.job_id
+
+    def _has_begun(self, job: JobGraph, progress: JobProgress) -> bool:
+        """Return whether workers list a run of a job.
 
         Members of a gang wait for each other: they have begun when all are present.
         """
-        members: Counter[tuple[str, int, int, int]] = Counter()
-        for session in self._agents.sessions.values():
-            for task, run, is_at_work in self._listed_runs(session):
-                step = self._ledger.job(task.job_id).steps[task.step]
-                key = (*task[:3], run)
-                members[key] += 1
-                if is_at_work or not step.gang or members[key] == step.count:
-                    yield task.job_id
-
-    def _listed_runs(self, session: Session) -> Iterator[tuple[TaskId, int, bool]]:
-        """Yield the runs of jobs not begun yet, and whether each is surely at work."""
-        rows = [(run.task, run.run, run.percent > 0) for run in session.runs.values()]
-        rows += [(end.task, end.run, end.outcome in WORKED) for end in session.ends]
-        placed = self._ledger.tasks_on_host(session.host)
-        for name, run, is_at_work in rows:
-            job_id = name.partition(".")[0]
-            if job_id in self._seen_at or self._ledger.progress(job_id).begun:
+        members: Counter[tuple[int, int, int]] = Counter()
+        for key, state in progress.tasks.items():
+            session = self._agents.sessions.get(state.host)
+            if session is None:
                 continue
-            task = parse_task_id(name)
-            if task not in placed or placed[task].run != run:
+            is_at_work = _is_at_work(session, f"{job.job_id}.{key}", state.run)
+            if is_at_work is None:
                 continue
-            if self._ledger.job(job_id) is not None:
-                yield task, run, is_at_work
+            occurrence, step, _ = map(int, key.split("."))
+            members[(occurrence, step, state.run)] += 1
+            is_whole = members[(occurrence, step, state.run)] == job.steps[step].count
+            if is_at_work or is_whole or not job.steps[step].gang:
+                return True
+        return False
+
+
+def _is_at_work(session: Session, task: str, run: int) -> bool | None:
+    """Return whether a listed run is surely at work, ``None`` if it is not listed."""
+    report = session.runs.get((task, run))
+    if report is not None:
+        return report.percent > 0
+    for end in session.ends:
+        if (end.task, end.run) == (task, run):
+            return end.outcome in WORKED
+    return None
