--- a/src/sequoiachute/coordination/dispatch/retention.py
+++ b/src/sequoiachute/coordination/dispatch/retention.py
@@ -3,7 +3,10 @@
 from loguru import logger
 
 from sequoiachute import clock
-from sequoiachute.coordination.dispatch.term_writer import TermWriter
+from sequoiachute.coordination.dispatch.term_writer import (
+    APPEND_TIMEOUT_SECONDS,
+    TermWriter,
+)
 from sequoiachute.coordination.store.batches import in_batches
 from sequoiachute.state.ledger import Ledger
 from sequoiachute.transport.store import KeyedStore, Record
@@ -12,7 +15,6 @@
 # some seconds late.
 ENDED_JOB_RETENTION_SECONDS = 900.0
 MAX_JOBS_DROPPED = 200  # at a time
-APPEND_TIMEOUT_SECONDS = 0.8
 
 
 class Retention:
