Log for how long the store has answered nobody when a submission is refused

A caller whose whole time lies in an outage of the store could be told from one that was refused too early only by the lines of all its tries and of the store's loss and return at each entry. The last refusal now says it alone: unanswered is longer than left of the first try.

The fixture that collects log lines moves to conftest.py.

--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -91,7 +91,7 @@
         else:
             outcome = self._store_record(*record, deadline)
         self._metrics.count("jobs_submitted_total", outcome=outcome.kind)
-        log = _bind_outcome(outcome, arrived_at, deadline)
+        log = self._bind_outcome(outcome, arrived_at, deadline)
         log = log.bind(job=job.job_id, account=job.account, queue=job.queue)
         tasks = sum(step.count for step in job.steps)
         log = log.bind(steps=len(job.steps), tasks=tasks, view=self._view())
@@ -107,7 +107,7 @@
             return IntakeOutcome(ACCEPTED)
         arrived_at = clock.now()
         outcome = self._store_record(CANCEL_PREFIX + job_id, b"1", deadline)
-        log = _bind_outcome(outcome, arrived_at, deadline)
+        log = self._bind_outcome(outcome, arrived_at, deadline)
         log.bind(job=job_id).info("job cancelled")
         return outcome
 
@@ -137,6 +137,20 @@
         logger.bind(job=job_id, view=self._view()).info("unknown job")
         return IntakeOutcome(ABSENT, "no such job")
 
+    def _bind_outcome(
+        self, outcome: IntakeOutcome, arrived_at: float, deadline: float
+    ) -> Any:
+        """Return a logger bound to an outcome and what it was based on."""
+        unanswered = self._store.availability.unanswered_seconds
+        return logger.bind(
+            outcome=outcome.kind,
+            reason=outcome.reason,
+            appends=outcome.appends,
+            left=round(deadline - arrived_at, 3),
+            took=round(clock.now() - arrived_at, 3),
+            unanswered=round(unanswered, 3),
+        )
+
     def _view(self) -> list[int]:
         """Return the offsets up to which the jobs' topics have been read."""
         return [follower.next_offset for follower in self._followers]
@@ -257,17 +271,6 @@
         return True
 
 
-def _bind_outcome(outcome: IntakeOutcome, arrived_at: float, deadline: float) -> Any:
-    """Return a logger bound to an outcome and the times that it was based on."""
-    return logger.bind(
-        outcome=outcome.kind,
-        reason=outcome.reason,
-        appends=outcome.appends,
-        left=round(deadline - arrived_at, 3),
-        took=round(clock.now() - arrived_at, 3),
-    )
-
-
 def _shapes(job: JobGraph) -> list[str]:
     """Return a short text per step: count, resources, estimate and constraints."""
     texts = []
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 
 import pytest  # noqa: E402
 from hypothesis import HealthCheck, settings  # noqa: E402
+from loguru import logger  # noqa: E402
 
 settings.register_profile(
     "ci",
@@ -22,3 +23,16 @@
     from standins.paused import install_paused_clock
 
     install_paused_clock()
+
+
+@pytest.fixture
+def lines():
+    """Messages of log lines with their fields."""
+    found = []
+    sink = logger.add(
+        lambda message: found.append(
+            (message.record["message"], message.record["extra"])
+        )
+    )
+    yield found
+    logger.remove(sink)
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -258,6 +258,17 @@
     assert clock.now() == began
 
 
+def test_refusal_says_for_how_long_the_store_has_answered_nobody(lines):
+    """Else a caller whose whole time lies in an outage looks like one refused early."""
+    site = ControlSite()
+    for entry in site.entries:
+        entry.store.rejecting = True
+    site.run_for(5)
+    site.submit(1.0, wait=1.0)
+    fields = [fields for message, fields in lines if message == "job submitted"][-1]
+    assert 5.0 < fields["unanswered"] < 6.0
+
+
 def test_waiting_submissions_are_bounded():
     site = ControlSite()
     site.store.down = True
--- a/tests/test_wait_reasons.py
+++ b/tests/test_wait_reasons.py
@@ -1,7 +1,6 @@
 """What is said about work that waits beside free capacity."""
 
 import pytest
-from loguru import logger
 
 from sequoiachute.coordination.dispatch.wait_log import (
     MAX_LINES,
@@ -41,18 +40,6 @@
     return waiting(count, gpus=4, step=step, **fields)
 
 
-@pytest.fixture
-def lines():
-    found = []
-    sink = logger.add(
-        lambda message: found.append(
-            (message.record["message"], message.record["extra"])
-        )
-    )
-    yield found
-    logger.remove(sink)
-
-
 def test_work_that_waits_for_a_short_time_is_not_looked_at():
     units = [waiting(waiting_seconds=1.0), unit(job="other")]
     assert find_waits(view_of([host("a")], units), NOTHING) == reasons.Waits()
