A run that is moved because it is too slow does not start on the same worker

Callers saw: a job was late though other workers were free.

Cause: whether to move a run was decided on a layout that could be the worker that the run was on, as quick by what is known of its speed; a run at 0 percent gives no sample. The placement after the stop is a new decision, to which the reason of the stop is not known.

Ruled out: that no other worker had room (three did); that the layout of the first decision was taken by other work.

Now the layout leaves out the workers on which the runs stand still, or on which a single run is too slow, so that a run is not stopped if nothing else has room, and the task remembers the worker like one on which it has failed. A gang that works is as slow as its slowest member, so that its hosts are not left out: a split gang may be moved to one of its racks.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -403,7 +403,8 @@
             session.stops[stop.task] = stop.run
             reason = stop.reason.partition(" for ")[0]
             if stop.is_migration:
-                self._statistics.moved_tasks.add(stop.task)
+                left_host = stop.host if stop.leaves_host else ""
+                self._statistics.record_move(stop.task, left_host)
             elif reason == PREEMPTED:
                 preemptions = self._statistics.preemptions
                 preemptions[stop.task] = preemptions.get(stop.task, 0) + 1
--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -138,6 +138,7 @@
         self.wait_times = WaitTimes()
         self.start_doubts = StartDoubts()
         self.moved_tasks: set[TaskId] = set()
+        self._left_hosts: dict[TaskId, str] = {}
         self.preemptions: dict[TaskId, int] = {}
         self.charged_work: dict[tuple[str, int, int], float] = defaultdict(float)
 
@@ -196,6 +197,8 @@
         self.wait_times.forget_ended_jobs(live)
         self.start_doubts.forget_ended_jobs(live)
         self.moved_tasks = {task for task in self.moved_tasks if task.job_id in live}
+        for task in [task for task in self._left_hosts if task.job_id not in live]:
+            del self._left_hosts[task]
         self._blamed_tasks = {t for t in self._blamed_tasks if t.job_id in live}
         for task in [task for task in self.preemptions if task.job_id not in live]:
             del self.preemptions[task]
@@ -284,6 +287,15 @@
             if all(failure.task in self._blamed_tasks for failure in failures):
                 failures.clear()
 
+    def record_move(self, task: TaskId, left_host: str = "") -> None:
+        """Record that a run is stopped to start again on a faster worker.
+
+        ``left_host`` is where it was too slow, empty if its host is not at fault.
+        """
+        self.moved_tasks.add(task)
+        if left_host:
+            self._left_hosts[task] = left_host
+
     def record_doubt(self, lifetime: Lifetime, now: float) -> None:
         """Record that a worker refused to start a run."""
         self._failures.setdefault(lifetime, []).append(_Failure(now))
@@ -335,17 +347,19 @@
         return now - self._failed_at.get(job_id, float("-inf"))
 
     def tried_hosts(self, task: TaskId) -> frozenset[str]:
-        """Return the hosts on which a task has failed.
+        """Return the hosts on which a task has failed or was too slow.
 
-        Of a task that is at fault itself, those on which something else has failed too.
+        Of a task that is at fault itself, those of the hosts where it has failed on
+        which something else has failed too.
         """
+        left = {self._left_hosts[task]} if task in self._left_hosts else set()
         failed_on = self._failed_on.get(task.job_id)
         if not failed_on:
-            return frozenset()
+            return frozenset(left)
         hosts = failed_on.get(task, set())
         if task in self._blamed_tasks:
-            return frozenset(hosts & self._suspected_hosts())
-        return frozenset(hosts)
+            hosts = hosts & self._suspected_hosts()
+        return frozenset(hosts | left)
 
     def doubted_hosts(self, job_id: str) -> frozenset[str]:
         """Return the hosts on which a job has failed and nothing has succeeded since.
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -408,8 +408,8 @@
 ) -> list[tuple[float, tuple[TaskId, ...]]]:
     """Return the tasks in groups, each with the seconds for which it has waited.
 
-    Tasks that have failed or were not started are apart from the others, by the hosts
-    on which that was, and so are those that have waited as long as they may; these come
+    Tasks that have tried hosts in vain are apart from the others, by these hosts, and
+    so are those that have waited as long as they may; these come
     first. A gang stays together, a suspected task is by itself.
     """
     now = clock.elapsed()
@@ -435,7 +435,7 @@
 def _tried_hosts(
     task: TaskId, record: CrashRecord, context: _ViewContext
 ) -> frozenset[str]:
-    """Return the hosts on which a task has failed, crashed or was not started."""
+    """Return the hosts on which a task was not done, for whatever cause."""
     statistics = context.statistics
     doubted = statistics.start_doubts.doubted_hosts(task, clock.elapsed())
     crashed = {record.host} if record.host else set()
--- a/src/sequoiachute/coordination/scheduling/migration.py
+++ b/src/sequoiachute/coordination/scheduling/migration.py
@@ -44,8 +44,16 @@
         if not _is_candidate(group):
             continue
         if _should_migrate(group, capacity, now):
+            left_hosts = _left_hosts(group)
             for host, run in group:
-                yield RunStop(run.task, run.run, host.name, "too slow here", True)
+                yield RunStop(
+                    run.task,
+                    run.run,
+                    host.name,
+                    "too slow here",
+                    is_migration=True,
+                    leaves_host=host.name in left_hosts,
+                )
 
 
 def _is_candidate(group: RunGroup) -> bool:
@@ -85,6 +93,17 @@
     return stalled_seconds >= lost_seconds
 
 
+def _left_hosts(group: RunGroup) -> frozenset[str]:
+    """Return the hosts on which ``group`` must not start again.
+
+    The members of a gang that works are as slow as the slowest of them, so that its
+    progress does not tell which of its hosts is too slow.
+    """
+    if len(group) > 1 and not _is_stalled(group):
+        return frozenset()
+    return frozenset(host.name for host, _ in group)
+
+
 def _group_runs(capacity: FreeCapacity) -> list[RunGroup]:
     """Return single runs and whole gangs, the most urgent first."""
     groups: dict[tuple, RunGroup] = {}
@@ -101,7 +120,7 @@
     first = group[0][1]
     if now + remaining_seconds + first.downstream_seconds <= first.deadline:
         return False
-    unit = _unit_of(group)
+    unit = _unit_of(group)._replace(tried_hosts=_left_hosts(group), needs_untried=True)
     for host, run in group:
         capacity.release(host, run.need)
     layout = best_layout(unit, capacity, len(group), now)
--- a/src/sequoiachute/coordination/scheduling/model.py
+++ b/src/sequoiachute/coordination/scheduling/model.py
@@ -137,8 +137,8 @@
     accepted_at : float
         Start of the job's objective, on the same scale.
     avoided_hosts : frozenset of str
-        Hosts on which the tasks have failed, and those on which others of the job have
-        failed and nothing has succeeded since.
+        The ``tried_hosts``, and those on which others of the job have failed and
+        nothing has succeeded since.
     placed_per_host : dict of str to int
         Tasks of the step already placed on each host.
     last_attempt : bool
@@ -173,9 +173,10 @@
         Permits by worker ID; only these workers may run the tasks. ``None``
         means that no permit is needed.
     tried_hosts : frozenset of str
-        Hosts on which the tasks have failed or have lately not been started.
+        Hosts on which the tasks have failed, were too slow or have lately not been
+        started.
     needs_untried : bool
-        Whether only hosts on which the tasks have not failed may get them.
+        Whether ``tried_hosts`` may not get the tasks.
     paused_hosts : frozenset of str
         Hosts that have refused to start the tasks a moment ago.
     suspected : bool
@@ -269,9 +270,10 @@
 class RunStop(NamedTuple):
     """A run to stop; ``is_migration`` if it should run again on a faster worker.
 
-    The part of ``reason`` before " for " is a label of the metric
-    ``runs_stopped_total``. ``beneficiary`` is the job ID, occurrence and step that it
-    makes room for, ``lost_work`` the core-seconds that it throws away.
+    ``leaves_host`` says that it should not start on the same worker again. The part of
+    ``reason`` before " for " is a label of the metric ``runs_stopped_total``.
+    ``beneficiary`` is the job ID, occurrence and step that it makes room for,
+    ``lost_work`` the core-seconds that it throws away.
     """
 
     task: TaskId
@@ -279,6 +281,7 @@
     host: str
     reason: str
     is_migration: bool = False
+    leaves_host: bool = False
     beneficiary: tuple[str, int, int] | None = None
     lost_work: float = 0.0
 
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -25,6 +25,7 @@
 from standins.memory import MemoryProcess
 
 STOP_DELAY_SECONDS = 0.1
+TICK_SECONDS = 0.05  # between two looks at the runs
 SHRINK_NOTICE_SECONDS = 4.5  # from a shrink until it counts; users' contact_ms and beat
 CALL_TIMEOUT_SECONDS = 0.4
 NO_CONNECTION = WorkerError("no connection", False, fenced=True, gone=True)
@@ -101,6 +102,22 @@
         self.run = run
         self.started_at = clock.now()
         self.seconds = seconds
+        self.stands_still_since: float | None = None
+
+    @property
+    def worked_seconds(self) -> float:
+        """Time for which the run has made progress."""
+        since = self.stands_still_since
+        return (clock.now() if since is None else since) - self.started_at
+
+    def set_stands_still(self, stands_still: bool) -> None:
+        """Interrupt or continue the progress."""
+        since = self.stands_still_since
+        if stands_still and since is None:
+            self.stands_still_since = clock.now()
+        elif not stands_still and since is not None:
+            self.started_at += clock.now() - since
+            self.stands_still_since = None
 
 
 class MemoryTaskWorker:
@@ -110,9 +127,10 @@
     orders are carried out but time out; with ``late_seconds`` they time out and
     are carried out that much later. ``fails_runs`` fails every run at once,
     ``refuses_starts`` refuses every start and counts them in ``refused_starts``,
-    ``silent`` answers no call, ``gone`` refuses connections and runs nothing. A run of
-    one of the ``deadly_jobs`` crashes the worker after ``crash_delay_seconds``; it is
-    back ``down_seconds`` later, under the same id if it ``keeps_id``.
+    ``silent`` answers no call, ``gone`` refuses connections and runs nothing. While it
+    ``stands_still``, its runs make no progress. A run of one of the ``deadly_jobs``
+    crashes the worker after ``crash_delay_seconds``; it is back ``down_seconds`` later,
+    under the same id if it ``keeps_id``.
     """
 
     def __init__(self, name: str, capacity: Resources, history: History) -> None:
@@ -127,6 +145,7 @@
         self.refused_starts = 0
         self.silent = False
         self.gone = False
+        self.stands_still = False
         self._late_order_at: float | None = None
         self.deadly_jobs: set[str] = set()
         self.crash_delay_seconds = 0.1
@@ -247,13 +266,14 @@
                 for run in list(self._runs.values()):
                     self._end(run, "crashed")
             for run in list(self._runs.values()):
+                run.set_stands_still(self.stands_still)
                 if self.clock_ms > self._lease_ms:
                     self._end(run, "lapsed")
                 elif self.fails_runs:
                     self._end(run, "failed")
-                elif clock.now() - run.started_at >= run.seconds:
+                elif run.worked_seconds >= run.seconds:
                     self._end(run, "done")
-            clock.sleep(0.05)
+            clock.sleep(TICK_SECONDS)
 
     def _extend_leases(self, lease_ms: int) -> None:
         if self.clock_ms > self._lease_ms:
@@ -277,7 +297,7 @@
         """Return all runs and the ends not acknowledged yet."""
         runs = []
         for run in self._runs.values():
-            percent = int(100 * (clock.now() - run.started_at) / max(run.seconds, 0.01))
+            percent = int(100 * run.worked_seconds / max(run.seconds, 0.01))
             runs.append(RunReport(run.task, run.run, "", min(100, percent)))
         return WorkerStatus(
             self.lifetime, self.clock_ms, tuple(runs), tuple(self._ends)
@@ -331,7 +351,9 @@
         self._extend_leases(lease_ms)
         self._highest_run[task] = run
         beside = tuple(other for other, _ in self._runs)
-        self._runs[(task, run)] = _Run(task, run, self.seconds_of(order.payload))
+        new = _Run(task, run, self.seconds_of(order.payload))
+        new.set_stands_still(self.stands_still)
+        self._runs[(task, run)] = new
         start = StartRecord(
             clock.now(),
             task,
--- a/tests/test_idle_capacity_views.py
+++ b/tests/test_idle_capacity_views.py
@@ -618,7 +618,8 @@
             if self.runs[stop.task].outcome == STOPPED:
                 continue
             if stop.is_migration:
-                self.statistics.moved_tasks.add(stop.task)
+                left_host = stop.host if stop.leaves_host else ""
+                self.statistics.record_move(stop.task, left_host)
             elif stop.beneficiary is not None:
                 preemptions = self.statistics.preemptions
                 preemptions[stop.task] = preemptions.get(stop.task, 0) + 1
