A stall does not count as slow work before a run's first reading

Callers saw: a job whose worker stands still stays there, although other workers are free; a job that needs its room waits for it, since the run seems to have cost too much.

Cause: the work of a run before the first reading of this placer was its percentage then, divided by its present rate. Of a run that stands still that rate is next to none: one first seen at 30 percent that stands still for 5 s after 2 s of work counted as 127 s of work, one seen at 4 percent as 23 s. A stalled run is moved once it has stood still for as long as it would lose, so that it was not; and nothing could be stopped that seemed to have cost so much.

Now the rate until the last progress counts, and the declared one if that time is too short to tell.

tests/test_moved_runs.py: the stall at 4 and 30 percent and the run that stands still midway (not moved within 8 s) failed before.

--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -50,7 +50,7 @@
     def __init__(self, now: float, percent: int) -> None:
         self.first = ProgressReading(now, percent)
         self._readings = [self.first]
-        self._progressed_at = now
+        self._progressed = self.first
 
     @property
     def window_start_percent(self) -> int:
@@ -64,9 +64,10 @@
 
     def add(self, now: float, percent: int) -> None:
         """Add a reading, which may show no progress; drop those before the window."""
+        reading = ProgressReading(now, percent)
         if percent > self.percent:
-            self._progressed_at = now
-        self._readings.append(ProgressReading(now, percent))
+            self._progressed = reading
+        self._readings.append(reading)
         while len(self._readings) > 2 and (
             self._readings[1].at <= now - RATE_WINDOW_SECONDS
         ):
@@ -85,9 +86,19 @@
             Declared time of the run in seconds.
         """
         observed = self._readings[-1].at - self.first.at
-        before = self.first.percent / (self.rate() or 100 / estimate)
+        before = self.first.percent / (self._working_rate() or 100 / estimate)
         return before + observed
 
+    def _working_rate(self) -> float | None:
+        """Return percent per second until the last progress; ``None`` if too short.
+
+        A stall tells nothing of the time before it.
+        """
+        seconds = self._progressed.at - self.first.at
+        if seconds < MIN_RATE_SECONDS:
+            return None
+        return (self._progressed.percent - self.first.percent) / seconds
+
     def stalled_seconds(self, estimate: float) -> float:
         """Return for how long the run has made no progress, zero unless it should have.
 
@@ -96,7 +107,7 @@
         estimate : float
             Declared time of the run in seconds.
         """
-        seconds = self._readings[-1].at - self._progressed_at
+        seconds = self._readings[-1].at - self._progressed.at
         expected_percent = 100 * seconds / estimate
         if seconds < RATE_WINDOW_SECONDS or expected_percent < STALL_EXPECTED_PERCENT:
             return 0.0
--- a/tests/test_moved_runs.py
+++ b/tests/test_moved_runs.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from sequoiachute.coordination.dispatch.run_statistics import RunProgress
 from sequoiachute.coordination.scheduling import SchedulingView, decide
 from standins.control_site import URGENT, ControlSite
 from tests.control_checks import accepted, complete
@@ -49,3 +50,26 @@
     first, second = site.history.starts
     assert first.worker_id == stalled.lifetime.worker_id != second.worker_id
     complete(site, [job], 4)
+
+
+@pytest.mark.parametrize("seen_at", [0, 4, 30])
+def test_stall_does_not_count_as_slow_work_before_the_first_reading(seen_at):
+    """What a move would lose seemed to be minutes of work, so that it never came."""
+    progress = RunProgress(0.0, seen_at)
+    for number in range(1, 5):
+        progress.add(number * 0.5, seen_at + 5 * number)
+    for number in range(5, 15):
+        progress.add(number * 0.5, seen_at + 20)
+    assert progress.stalled_seconds(10.0) == 5.0
+    assert progress.worked_seconds(10.0) == pytest.approx(7.0 + seen_at / 10)
+
+
+@pytest.mark.usefixtures("paused_clock")
+def test_run_that_stands_still_midway_is_moved_soon():
+    """It stood still for 14 s before it had «waited as long as it would lose»."""
+    site = ControlSite(workers=3)
+    job = accepted(site, 3.0, queue=URGENT)
+    site.run_for(0.5)
+    (worker,) = [worker for worker in site.workers if worker.running]
+    worker.stands_still = True
+    complete(site, [job], 8)
