Hold part of a rack for an urgent gang while agents report to a new placer

Cause: what urgent work waits for is held from lesser work in each round except while agents report. A gang fits only once all of a rack has reported; meanwhile every host that reported was given to urgent work behind it in the order, which was then stopped for it.

tests/test_urgent_work_in_time.py: the gang's test failed before.

--- a/src/sequoiachute/coordination/scheduling/policy.py
+++ b/src/sequoiachute/coordination/scheduling/policy.py
@@ -22,6 +22,7 @@
     Layout,
     best_layout,
     could_one_rack_hold,
+    group_by_rack,
     layout_slowdown,
     rack_wait_seconds,
 )
@@ -327,7 +328,10 @@
         remaining = self._place_fitting(unit, max_slowdown, cautious_slowdown)
         if self._view.is_gathering:
             # Agents that report in a moment may have free capacity.
-            return self._place_fitting(remaining, max_slowdown)
+            remaining = self._place_fitting(remaining, max_slowdown)
+            if remaining.tasks and unit.step.gang:
+                self._hold_part_of_gang(remaining, max_slowdown)
+            return remaining
         remaining = self._preempt_for(remaining, CERTAINTY_LOSS_RATIO, max_slowdown)
         remaining = self._place_fitting(remaining, max_slowdown)
         remaining = self._preempt_for(remaining, max_loss_ratio, max_slowdown)
@@ -385,7 +389,7 @@
         Anything placed there would be preempted again.
         """
         if not self._searches_left:
-            self._hold_free(unit)
+            self._hold_free(unit, self._capacity.hosts.values())
             return
         self._searches_left -= 1
         plan = plan_preemption(
@@ -399,6 +403,24 @@
             for host, count in plan.hosts:
                 self._hold(unit, host, count, is_firm=unit.guaranteed)
 
+    def _hold_part_of_gang(self, unit: SchedulingUnit, max_slowdown: float) -> None:
+        """Hold free capacity for a gang that does not fit while agents report.
+
+        Less urgent work placed there would be stopped for it in a moment. If the gang
+        prefers one rack, the one with most room for it is held.
+        """
+        hosts = []
+        for host in self._capacity.fitting_hosts(unit):
+            if is_eligible(unit, host) and slowdown(unit.step, host) <= max_slowdown:
+                hosts.append(host)
+        racks = group_by_rack(hosts) if unit.step.same_rack else [hosts]
+
+        def room(rack: list[Host]) -> int:
+            free = self._capacity.free
+            return sum(count_fitting(unit, host, free(host)) for host in rack)
+
+        self._hold_free(unit, max(racks, key=room, default=[]))
+
     def _hold_return(self, unit: SchedulingUnit) -> None:
         """Hold free capacity for tasks whose runs are about to end.
 
@@ -410,10 +432,10 @@
         for host, count in layout or ():
             self._hold(unit, host, count, is_firm=unit.guaranteed)
 
-    def _hold_free(self, unit: SchedulingUnit) -> None:
-        """Hold free capacity for as many tasks as fit, without a search."""
+    def _hold_free(self, unit: SchedulingUnit, hosts: Iterable[Host]) -> None:
+        """Hold free capacity of hosts for as many tasks as fit, without a search."""
         count = len(unit.tasks)
-        for host in self._capacity.hosts.values():
+        for host in hosts:
             if not count:
                 return
             if not is_eligible(unit, host):
--- a/tests/test_urgent_work_in_time.py
+++ b/tests/test_urgent_work_in_time.py
@@ -63,6 +63,37 @@
     assert sum(tasks_by_host(decide(view)).values()) == 6
 
 
+def test_gang_that_lost_power_gets_the_rack_whose_agents_report_one_by_one():
+    """Urgent work that had time took each host and was stopped for the gang at once."""
+    gang = unit(
+        3,
+        gpus=4,
+        job="gang",
+        priority=0,
+        deadline_in=1.0,
+        accepted_at=NOW - 2.5,
+        stretch=1.5,
+        step={"gang": True, "same_rack": True},
+    )
+    loose = unit(6, gpus=8, job="loose", priority=0, deadline_in=30.0)
+    view = SchedulingView(NOW, (host("a1"),), (loose, gang), is_gathering=True)
+    assert not decide(view).placements
+    view = view._replace(hosts=(host("a1"), host("b1", rack="r-2")))
+    assert tasks_by_host(decide(view)) == {"b1": 1}
+    view = view._replace(hosts=(host("a1"), host("b1", rack="r-2"), host("a2")))
+    placed = {(p.host, p.task.job_id) for p in decide(view).placements}
+    assert placed == {("a1", "gang"), ("a2", "gang"), ("b1", "loose")}
+
+
+def test_gang_that_no_reported_host_suits_holds_nothing_while_agents_report():
+    slow = host("slow", 0.3, speed_error=0.1)
+    step = {"gang": True, "same_rack": True}
+    gang = unit(2, gpus=8, job="gang", priority=0, deadline_in=8.0, step=step)
+    loose = unit(gpus=8, job="loose", priority=0, deadline_in=90.0)
+    view = SchedulingView(NOW, (slow,), (gang, loose), is_gathering=True)
+    assert {p.task.job_id for p in decide(view).placements} == {"loose"}
+
+
 def test_late_urgent_run_moves_before_lesser_work_takes_the_quick_host():
     """As 160a871d of trouble-3, seed 91003: 10.2.0.37 went to lesser work."""
     run = urgent_run(2.0, 2.1, remaining_seconds=7.0, percent=13)
