Read from the store itself once it answers, and wait at a peer for a quarter second

Cause: for a second after a call to the store has failed, an entry asks peers first, whatever has been answered meanwhile. So the placer's followers sent their long polls, of 2 s, through a peer just after the store had returned, and when that peer lost power they learned nothing for 2.5 s, although the placer's own appends and joins were answered all the time.

Ruled out: a change of the placer (term 34 from 11.06 to 34 s); missing capacity.

Now a direct answer ends the preference, and a read through a peer waits for at most 0.25 s, so that a peer that has gone silent is noticed within 0.75 s. An entry that only peers connect to the store asks them four times a second for each topic.

--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -32,6 +32,8 @@
 )
 
 PREFER_PEERS_SECONDS = 1.0  # peers are called first this long after a failed call
+# A reader learns nothing while a peer that has gone silent has its call.
+RELAYED_WAIT_SECONDS = 0.25
 PEER_CALL_MARGIN_SECONDS = 0.5  # of a peer call's timeout over the store's wait
 PEER_TIMEOUT_SHARE = 0.8  # of the time of a relayed append, for the store
 MAX_PEERS_PER_CALL = 2  # that were reached, so that one of them may be slow
@@ -317,6 +319,7 @@
         self._is_direct_failing = not answered
         if answered:
             self._answered_at = clock.now()
+            self._prefer_peers_until = float("-inf")
             self._is_isolated = self._has_no_way = False
             self.availability.end_silence()
             if was_cut_off:
@@ -416,7 +419,8 @@
             self._record_call()
         asks_peers_first = clock.now() < self._prefer_peers_until
         if asks_peers_first:
-            relayed = self._relay_read(ReadQuery(topic, offset, wait))
+            relayed_wait = min(wait, RELAYED_WAIT_SECONDS)
+            relayed = self._relay_read(ReadQuery(topic, offset, relayed_wait))
             if relayed is not None:
                 self.availability.record(topic, True)
                 return relayed
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -11,7 +11,7 @@
 )
 from sequoiachute.platform.jobs import JobsApp
 from sequoiachute.protocol.workload import COMPLETE
-from standins.control_site import ControlSite, Entry
+from standins.control_site import URGENT, ControlSite, Entry
 from tests.control_checks import (
     TAKEOVER_SECONDS,
     accepted,
@@ -22,6 +22,7 @@
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
+BUSY_ANSWER_SECONDS = 0.03  # until a busy store rejects a call
 NOTICE_SECONDS = 0.5  # of the store's return, a fraction of a caller's 3 s
 
 
@@ -92,6 +93,36 @@
     assert submission.wait()[1].kind == ACCEPTED
 
 
+@pytest.mark.parametrize("phase", [0.2, 0.4, 0.7])
+@pytest.mark.parametrize("peer", [1, 2])
+def test_placer_learns_of_jobs_though_the_peer_that_it_read_through_loses_power(
+    peer, phase
+):
+    """As 1bc56592c6b0dbbc of schaumwerk trouble-3, seed 90304: placed 2.3 s later."""
+    site = ControlSite()
+    placer = site.placer()
+    set_busy(site, True)
+    site.run_for(4.2)
+    set_busy(site, False)
+    site.run_for(phase)
+    lost = site.entries[(placer + peer) % 3]
+    site.network.frozen.add(lost.address)
+    lost.process.frozen = True
+    accepted(site, 1.0, entry=(placer + 3 - peer) % 3, queue=URGENT)
+    site.run_for(1.0)
+    assert site.placer() == placer
+    assert len(site.history.starts) == 1
+
+
+def set_busy(site, busy):
+    """Let the store reject all calls; memberships of the group don't expire."""
+    site.store.pauses_memberships = True
+    site.store.down = busy
+    for entry in site.entries:
+        entry.store.silent_seconds = BUSY_ANSWER_SECONDS
+        entry.store.rejecting = busy
+
+
 @pytest.mark.parametrize("rejecting", [False, True])
 def test_callers_that_wait_for_the_store_cause_few_calls(rejecting):
     site = ControlSite()
