Serve a last try that ends up to 45 ms after the store's return

Cause: of a caller's time 30 ms were kept for the reply and 25 ms for an append, of which a sound store needs 4 and callers of the users' network 6, there and back; and the return was noticed by a probe every 50 ms, however soon the wait ended.

Probes change nothing in the store, so that «not run» stays true.

--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -17,7 +17,7 @@
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.transport.store import AppendError, record_bytes
 
-REPLY_MARGIN_SECONDS = 0.03  # for the reply to reach the caller in time
+REPLY_MARGIN_SECONDS = 0.015  # for the reply to reach the caller in time
 APPEND_SECONDS_MARGIN = 1.25  # of the time that an append lately took
 ATTEMPT_SECONDS = 0.7  # without an answer, further appends follow
 APPEND_RETRY_SECONDS = 0.05
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -46,7 +46,10 @@
 # A process that has not looked for longer, or waited longer for replies, did not run.
 MAX_LOOK_AGE_SECONDS = 1.0
 WATCH_SECONDS = 3.0  # since the last call; a live entry joins more often
-AWAITED_PROBE_SECONDS = 0.05  # between probes while callers wait for the store
+AWAITED_PROBE_SECONDS = 0.075  # between probes while callers wait for the store
+# Before the end of a caller's wait, when a later notice of the return would be in vain.
+LAST_PROBES_SECONDS = 0.06
+LAST_PROBE_INTERVAL_SECONDS = 0.0125  # a sound store answers in 0.004
 NO_OFFSET = -1
 HISTORY_LOST_OFFSET = -2  # the reply's offset where the history is lost
 
@@ -135,7 +138,7 @@
         self._is_pinging = False
         self._is_join_answered = True
         self._next_ping_at = float("-inf")
-        self._probing_until = float("-inf")
+        self._awaited_until: set[float] = set()
         self._is_probing = False
         self._is_watching = False
         self._called_at = float("-inf")
@@ -284,7 +287,7 @@
         A caller waits for it: the turns of the followers' reads are too far apart,
         and their calls to a silent store take long to end.
         """
-        self._probing_until = max(self._probing_until, until)
+        self._awaited_until.add(until)
         if not self._is_probing:
             self._is_probing = True
             self._spawn_task("probes of the store", self._probe_repeatedly)
@@ -292,11 +295,19 @@
     def _probe_repeatedly(self) -> None:
         began = clock.now()
         try:
-            while clock.now() < self._probing_until and self._answered_at < began:
+            while self._awaited_until and self._answered_at < began:
                 self._spawn_task("probe of the store", self._probe)
-                clock.sleep(AWAITED_PROBE_SECONDS)
+                clock.sleep(self._probe_pause())
+                now = clock.now()
+                self._awaited_until = {at for at in self._awaited_until if at > now}
         finally:
             self._is_probing = False
+            self._awaited_until.clear()
+
+    def _probe_pause(self) -> float:
+        """Return seconds until the next probe; fewer while a caller's wait ends."""
+        left = min(self._awaited_until) - clock.now() - LAST_PROBES_SECONDS
+        return max(LAST_PROBE_INTERVAL_SECONDS, min(AWAITED_PROBE_SECONDS, left))
 
     def _spawn_task(self, name: str, body: Callable[..., None], *args: Any) -> None:
         spawn_task(name, body, *args, metrics=self._metrics)
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -22,6 +22,7 @@
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
+CALLER_DELAY_SECONDS = 0.006  # there and back, between a caller and an entry
 BUSY_ANSWER_SECONDS = 0.03  # until a busy store rejects a call
 NOTICE_SECONDS = 0.5  # of the store's return, a fraction of a caller's 3 s
 
@@ -505,3 +506,22 @@
         entry.store.rejecting = False
     site.run_for(0.12)
     assert submission.wait()[1].kind == ACCEPTED
+
+
+@pytest.mark.parametrize("phase", [0.01 * n for n in range(8)])
+@pytest.mark.parametrize("other_wait", [None, 0.9])
+def test_last_try_is_stored_if_the_store_returns_shortly_before_its_time_ends(
+    phase, other_wait
+):
+    """As 6572abb7a636ca27 of trouble-3, seed 90610: refused 17 ms before the return."""
+    site = ControlSite()
+    set_busy(site, True)
+    site.run_for(5 + phase)
+    if other_wait is not None:
+        eventlet.spawn(site.submit, 1.0, entry=1, wait=other_wait)
+    submission = eventlet.spawn(site.submit, 1.0, entry=1, wait=0.49)
+    site.run_for(0.445)
+    set_busy(site, False)
+    site.run_for(0.045 - CALLER_DELAY_SECONDS)
+    assert submission.dead
+    assert submission.wait()[1].kind == ACCEPTED
