--- a/src/sequoiachute/coordination/store/availability.py
+++ b/src/sequoiachute/coordination/store/availability.py
@@ -14,7 +14,7 @@
 SILENT_SECONDS = 0.6
 STAGGER_SECONDS = 0.3  # far above what a sound store needs, soon for urgent work
 SLOW_STAGGER_FACTOR = 2.0  # of what the latest appends needed
-TYPICAL_APPEND_SECONDS = 0.01  # assumed before the first append
+TYPICAL_APPEND_SECONDS = 0.008  # assumed before the first append
 # Share of a longer append that is still expected at the next one.
 APPEND_SECONDS_DECAY = 0.5
 # What an append needed is no reason to refuse one seconds later.
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -46,10 +46,10 @@
 # A process that has not looked for longer, or waited longer for replies, did not run.
 MAX_LOOK_AGE_SECONDS = 1.0
 WATCH_SECONDS = 3.0  # since the last call; a live entry joins more often
-AWAITED_PROBE_SECONDS = 0.075  # between probes while callers wait for the store
+AWAITED_PROBE_SECONDS = 0.09  # between probes while callers wait for the store
 # Before the end of a caller's wait, when a later notice of the return would be in vain.
-LAST_PROBES_SECONDS = 0.06
-LAST_PROBE_INTERVAL_SECONDS = 0.0125  # a sound store answers in 0.004
+LAST_PROBES_SECONDS = 0.05
+LAST_PROBE_INTERVAL_SECONDS = 0.008  # a sound store answers in 0.004
 NO_OFFSET = -1
 HISTORY_LOST_OFFSET = -2  # the reply's offset where the history is lost
 
