Expect the capacity of all known machines while agents report to a new placer

Cause: how many waves an objective allows is reckoned from the capacity of the service, and that counted only the workers whose agents had reported to this placer. With one worker a step of two tasks seemed to fill its service: the deadline was 15 s too late, the work not tight, and work that is not tight takes the slowest worker that is in time. (placed at 24.81 s with 12.15 s of slack after 16.3 s expected; by the whole site's capacity it had no slack there.)

Ruled out: a wrong speed (0.6 with an error of 0.19 was right); that the gang had to start at once (a job with one wave waits for a worker that is in time while agents report, for at most 1.2 s).

Now the machines whose speeds earlier placers have recorded count too while agents report, as large on average as those that have reported.

tests/test_urgent_work_in_time.py: both cases failed before.

--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -61,11 +61,11 @@
 class _ViewContext(NamedTuple):
     """Inputs of a view.
 
-    ``guaranteed`` holds the accounts within their guarantee, ``capacity`` the total
-    by service. ``restart_seconds`` are lost when a run with checkpoints is stopped,
-    which saves its work, and started again. ``stopping`` holds the tasks whose runs
-    have been asked to stop. ``runs_left`` is how many more runs the workers' agents
-    bear.
+    ``guaranteed`` holds the accounts within their guarantee, ``capacity`` the expected
+    total by service. ``restart_seconds`` are lost when a run with checkpoints is
+    stopped, which saves its work, and started again. ``stopping`` holds the tasks whose
+    runs have been asked to stop. ``runs_left`` is how many more runs the workers'
+    agents bear.
     """
 
     ledger: Ledger
@@ -108,7 +108,7 @@
         operations,
         statistics,
         guaranteed,
-        _capacity_by_service(agents),
+        _capacity_by_service(ledger, agents),
         times.restore + times.stop / 2,
         _stopping_tasks(ledger, agents),
         _runs_left(ledger, agents),
@@ -146,15 +146,25 @@
     return frozenset(found)
 
 
-def _capacity_by_service(agents: AgentSessions) -> dict[str, Resources]:
-    """Return the total capacity of the live workers by service."""
+def _capacity_by_service(ledger: Ledger, agents: AgentSessions) -> dict[str, Resources]:
+    """Return the total capacity of the live workers by service.
+
+    While agents report, the machines that earlier placers knew count too, as large as
+    those that have reported: by these alone each step would seem to fill its service.
+    """
     capacity: dict[str, Resources] = {}
+    reported = set()
     for session in agents.sessions.values():
         worker = session.worker
         if worker is not None and worker.lifetime not in session.ended_lifetimes:
             total = capacity.get(worker.service, Resources())
             capacity[worker.service] = total.plus(worker.capacity)
-    return capacity
+            reported.add(session.host)
+    if not agents.is_gathering or not reported:
+        return capacity
+    known = reported | {machine.host for machine in ledger.speeds}
+    scale = len(known) / len(reported)
+    return {service: total.times(scale) for service, total in capacity.items()}
 
 
 def _with_tickets(
--- a/src/sequoiachute/protocol/workload.py
+++ b/src/sequoiachute/protocol/workload.py
@@ -43,6 +43,14 @@
             self.gpus - other.gpus,
         )
 
+    def times(self, factor: float) -> "Resources":
+        """Return the product, field by field, rounded."""
+        return Resources(
+            round(self.cpu_millis * factor),
+            round(self.memory_mb * factor),
+            round(self.gpus * factor),
+        )
+
     def covers(self, other: "Resources") -> bool:
         """Return whether ``other`` fits into these resources."""
         return (
--- a/tests/test_urgent_work_in_time.py
+++ b/tests/test_urgent_work_in_time.py
@@ -1,7 +1,11 @@
 """Urgent jobs that were late on played days though a worker could have had them."""
 
+import pytest
+
 from sequoiachute.coordination.scheduling import SchedulingView, decide
 from sequoiachute.protocol.workload import Resources, StepSpec
+from standins.control_site import URGENT, ControlSite
+from tests.control_checks import accepted, complete
 from tests.test_scheduling_policy import (
     NOW,
     host,
@@ -85,6 +89,30 @@
     assert placed == {("a1", "gang"), ("a2", "gang"), ("b1", "loose")}
 
 
+@pytest.mark.usefixtures("paused_clock")
+@pytest.mark.parametrize("gang", [False, True])
+def test_urgent_job_does_not_start_on_a_slow_worker_that_happens_to_report_first(gang):
+    """As e33662ec36757d99 of trouble-3, seed 90606: a quick one came 0.08 s later."""
+    site = ControlSite(workers=8)
+    slow, *others = site.agents
+    slow.worker.seconds_of = lambda payload: 2.4 * float(payload)
+    complete(site, [accepted(site, 6.0, count=8, per_worker=1)], 20)
+    for agent in others:
+        agent.process.frozen = True
+    placer = site.placer()
+    site.kill_entry(placer)
+    while site.placer() < 0 or not site.entries[site.placer()].control._agents.sessions:
+        site.run_for(0.01)
+    job = accepted(site, 3.0, count=2, entry=site.placer(), queue=URGENT, gang=gang)
+    site.run_for(0.1)
+    for agent in others:
+        agent.process.frozen = False
+    site.run_for(1.0)
+    starts = [start for start in site.history.starts if start.task.startswith(job)]
+    assert len(starts) == 2
+    assert slow.worker.lifetime not in {start.lifetime for start in starts}
+
+
 def test_gang_that_no_reported_host_suits_holds_nothing_while_agents_report():
     slow = host("slow", 0.3, speed_error=0.1)
     step = {"gang": True, "same_rack": True}
