Give the answer of an append until 6 ms before the caller's time ends

Cause: one margin for two decisions. When no append may begin any more, a refusal is true and has to reach the caller; while one is pending, «unknown» tells the caller nothing, and any answer that comes before the reply would be too late is better.

Now a pending append is waited for until 6 ms before the end, which is what callers of the users' network need, and appends begin until 12 ms and what an append needs before it.

tests/test_store_outages.py: the new test failed before.

--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -17,7 +17,9 @@
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.transport.store import AppendError, record_bytes
 
-REPLY_MARGIN_SECONDS = 0.015  # for the reply to reach the caller in time
+REPLY_MARGIN_SECONDS = 0.012  # for the reply to reach the caller in time
+# The same where an append is waited for, whose outcome would be unknown without it.
+LAST_REPLY_SECONDS = 0.006
 APPEND_SECONDS_MARGIN = 1.25  # of the time that an append lately took
 ATTEMPT_SECONDS = 0.7  # without an answer, further appends follow
 APPEND_RETRY_SECONDS = 0.05
@@ -174,21 +176,22 @@
         """
         wait_until = clock.now() + MAX_WAIT_SHARE * (deadline - clock.now())
         last_moment = deadline - REPLY_MARGIN_SECONDS
+        last_answer = deadline - LAST_REPLY_SECONDS
         reason = "too little time left to store the record"
         may_exist = False
         while True:
             now = clock.now()
             # An entry that no peer answers can't tell whether others reach the store.
-            is_over = now >= (wait_until if self._store.is_isolated else last_moment)
+            is_over = now >= (wait_until if self._store.is_isolated else last_answer)
             if may_exist and is_over:
                 return IntakeOutcome(UNKNOWN, reason, appends=race.started)
             if not may_exist and last_moment - now < self._needed_seconds():
                 return self._refusal(reason, race)
-            boundary = wait_until if now < wait_until else last_moment
+            boundary = wait_until if now < wait_until else last_answer
             timeout = min(ATTEMPT_SECONDS, boundary - now)
             is_silent = not may_exist and self._store.is_silent
             if not is_silent and not self._is_unreachable():
-                race.add(self._appends(key, value, last_moment - now))
+                race.add(self._appends(key, value, last_answer - now))
             elif may_exist:
                 # Reads notice the store's return sooner than an unanswered append.
                 timeout = min(PROBE_INTERVAL_SECONDS, timeout)
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -525,3 +525,13 @@
     site.run_for(0.045 - CALLER_DELAY_SECONDS)
     assert submission.dead
     assert submission.wait()[1].kind == ACCEPTED
+
+
+def test_append_whose_answer_can_still_be_given_is_not_answered_as_unknown():
+    """The store had the job, its caller was told 4 ms too early that nobody knows."""
+    site = ControlSite()
+    accepted(site, 1.0)
+    site.store.delay = 0.015
+    began = clock.now()
+    assert site.submit(1.0, wait=0.023)[1].kind == ACCEPTED
+    assert clock.now() <= began + 0.023 - CALLER_DELAY_SECONDS
