--- a/src/sequoiachute/coordination/scheduling/capacity.py
+++ b/src/sequoiachute/coordination/scheduling/capacity.py
@@ -5,11 +5,12 @@
 from typing import NamedTuple
 
 from sequoiachute.coordination.scheduling.model import ActiveRun, Host, SchedulingUnit
-from sequoiachute.protocol.workload import Resources, StepSpec
+from sequoiachute.protocol.workload import Resources, StepSpec, TaskId
 
 REMOTE_SLOWDOWN = 3.0  # for data in another rack or a split gang; the site's far_x
 GPU_CORES = 8  # cores that one accelerator counts as
 MAX_RECENT_FAILURES = 2  # without a success since; such a host gets no tasks
+AT_WORK_PERCENT = 100  # of a lasting task that serves
 MAX_TASKS_PER_HOST = 1_000_000  # more than any host takes
 MIN_PROBE_DELAY_SECONDS = 1.5  # after a failure, where there is no other host
 
@@ -54,6 +55,29 @@
     return gangs
 
 
+def _interruptible_tasks(hosts: Iterable[Host]) -> frozenset[TaskId]:
+    by_step: dict[GangKey, list[ActiveRun]] = {}
+    for host in hosts:
+        for run in host.running:
+            if run.lasting:
+                by_step.setdefault(run.task[:3], []).append(run)
+    found: set[TaskId] = set()
+    for runs in by_step.values():
+        step = runs[0].step
+        at_work = []
+        for run in runs:
+            if run.percent >= AT_WORK_PERCENT and not run.stopping:
+                at_work.append(run.task)
+            else:
+                found.add(run.task)
+        allowance = len(at_work)
+        if step.max_unavailable:
+            away = step.count - len(at_work)
+            allowance = max(0, step.max_unavailable - away)
+        found.update(sorted(at_work)[:allowance])
+    return frozenset(found)
+
+
 class FreeCapacity:
     """The free resources of each host, updated as a decision is made.
 
@@ -68,6 +92,7 @@
         self._free: dict[str, Resources] = {}
         self._soft_holds: list[tuple[Host, Resources]] = []
         self._gangs: dict[GangKey, Gang] | None = None
+        self._interruptible: frozenset[TaskId] | None = None
         self._service_totals: dict[str, Resources] = {}
         self._service_free: dict[str, Resources] = {}
         for host in hosts:
@@ -104,6 +129,16 @@
             self._gangs = _running_gangs(self._hosts.values())
         return self._gangs
 
+    @property
+    def interruptible(self) -> frozenset[TaskId]:
+        """The lasting tasks that may be stopped, all of them together.
+
+        No more of a step than its ``max_unavailable`` are away then.
+        """
+        if self._interruptible is None:
+            self._interruptible = _interruptible_tasks(self._hosts.values())
+        return self._interruptible
+
     def end_of(self, run: ActiveRun) -> tuple[float, bool]:
         """Return the seconds until ``run`` ends, and whether they are measured."""
         if not run.gang:
--- a/src/sequoiachute/coordination/scheduling/preemption.py
+++ b/src/sequoiachute/coordination/scheduling/preemption.py
@@ -166,10 +166,12 @@
     def _may_stop(self, run: ActiveRun, host: Host) -> bool:
         if run.stopping:
             return True
-        if run.lasting:
+        if run.lasting and run.task not in self._capacity.interruptible:
             return False
         if self._unit.guaranteed:
             return not run.guaranteed
+        if run.lasting:
+            return False
         if run.suspected:
             return False
         if run.preemptions >= MAX_PREEMPTIONS:
@@ -226,6 +228,8 @@
 
     def _ends_soon(self, run: ActiveRun) -> bool:
         """Return whether the run should end as soon as a stop would take effect."""
+        if run.lasting:
+            return False
         remaining_seconds, measured = self._capacity.end_of(run)
         return measured and remaining_seconds <= STOP_SECONDS
 
