Log withheld losses, unanswered starts and the term of the placer's lines

- loss withheld: task, run, host, reason, for how long the host is silent and the seconds left; again when the reason changes.
Gauge losses_withheld and counter losses_withheld_total by reason.
- start not answered: the first, second, fourth... call of an agent.
- All lines of the placer's rounds name the term; run lost says for how long the loss was withheld.

The reckoning of leases returns a time and its reason instead of an age; hosts that are heard of are left out before it, while agents gather nothing is settled.

--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -200,6 +200,7 @@
         metrics.gauge(
             "units_waiting_beside_capacity", lambda: self._waits.beside_capacity
         )
+        metrics.gauge("losses_withheld", lambda: self._withheld_losses)
 
     @property
     def _waits(self) -> Waits:
@@ -208,6 +209,12 @@
             return Waits()
         return self._placer.wait_log.waits
 
+    @property
+    def _withheld_losses(self) -> int:
+        if self._placer is None or not self.is_leading:
+            return 0
+        return self._placer.withheld_losses
+
     def leave(self) -> None:
         """Give up the placer's role and report not ready; go on serving callers."""
         self._ended = True
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -12,6 +12,7 @@
 from sequoiachute.coordination.dispatch.crashes import Crash
 from sequoiachute.coordination.dispatch.end_backup import EndBackup
 from sequoiachute.coordination.dispatch.first_starts import FirstStarts
+from sequoiachute.coordination.dispatch.losses import Losses
 from sequoiachute.coordination.dispatch.objectives import DEFAULT_ESTIMATE_SECONDS
 from sequoiachute.coordination.dispatch.retention import Retention
 from sequoiachute.coordination.dispatch.run_statistics import (
@@ -148,7 +149,10 @@
         )
         self.wait_log = WaitLog()
         self._statistics = RunStatistics(ledger.speeds)
-        self._settlement = Settlement(ledger, agents, self._worked_seconds)
+        self._losses = Losses(agents, metrics)
+        self._settlement = Settlement(
+            ledger, agents, self._losses, self._worked_seconds
+        )
         self._first_starts = FirstStarts(ledger, agents)
         self._end_backup = EndBackup(store, ledger, agents)
         self._writer = TermWriter(identity, store, ledger, metrics, self._back_up_ends)
@@ -163,6 +167,11 @@
         """Number of this placer's term."""
         return self._term
 
+    @property
+    def withheld_losses(self) -> int:
+        """Number of runs on silent hosts that may still exist."""
+        return self._losses.withheld_count
+
     def wake(self) -> None:
         """Start the next round at once."""
         if not self._wake.ready():
@@ -175,13 +184,14 @@
         self.wake()
 
     def run(self) -> None:
-        """Run rounds until the term is over."""
-        try:
-            while not self._ended:
-                self._wait_for_wake()
-                self.run_round()
-        except DeposedError as error:
-            logger.bind(term=self._term, reason=str(error)).warning("deposed")
+        """Run rounds until the term is over; each line that they log names the term."""
+        with logger.contextualize(term=self._term):
+            try:
+                while not self._ended:
+                    self._wait_for_wake()
+                    self.run_round()
+            except DeposedError as error:
+                logger.bind(reason=str(error)).warning("deposed")
 
     def _wait_for_wake(self) -> None:
         is_gathering = self._agents.is_gathering
--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -1,6 +1,7 @@
 """The placer's sessions with agents: their reports, its orders and leases."""
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 import eventlet
 from eventlet.event import Event
@@ -38,6 +39,18 @@
 # Agents find a new placer within some 0.3 s, and 1 s after a loss of power.
 GATHERING_PAUSE_SECONDS = 0.25
 MAX_GATHERING_SECONDS = 1.2
+# Why a run on a silent host may still exist.
+LEASE = "lease"
+LEASE_OF_EARLIER_LIFE = "lease of an earlier life"
+LEASE_OF_EARLIER_PLACER = "lease of an earlier placer"
+LATE_START = "start without an answer"
+
+
+class Hold(NamedTuple):
+    """Why a run may exist, at the latest ``until`` a time of ``clock.elapsed``."""
+
+    reason: str
+    until: float
 
 
 class Session:
@@ -161,15 +174,14 @@
         for key in report.late_starts:
             self._late_starts[tuple(key)] = self.reported_at
 
-    def late_start_age(self, task: TaskId, run: int) -> float:
-        """Return seconds since a report that the start of a run may come late."""
-        reported_at = self._late_starts.get((str(task), run), float("-inf"))
-        return clock.elapsed() - reported_at
+    def late_start_reported_at(self, task: TaskId, run: int) -> float:
+        """Return when a report last said that the start of a run may come late."""
+        return self._late_starts.get((str(task), run), float("-inf"))
 
-    def reporting_seconds(self) -> float:
-        """Return seconds since the present lifetime was first reported as fenced."""
+    def reporting_since(self) -> float:
+        """Return when the present lifetime was first reported as fenced."""
         lifetime, since = self._reporting_since
-        return clock.elapsed() - since if lifetime == self.lifetime else 0.0
+        return since if lifetime == self.lifetime else clock.elapsed()
 
     def is_over(self, lifetime: Lifetime) -> bool:
         """Return whether a later lifetime has been reported."""
@@ -368,20 +380,46 @@
         seconds = self._max_lease_seconds * (1 + MAX_CLOCK_DRIFT)
         return seconds + LEASE_EXPIRY_MARGIN_SECONDS
 
-    def may_start_late(self, host: str, task: TaskId, run: int) -> bool:
-        """Return whether a lost worker may yet begin a run, or run it.
+    def is_silent(self, host: str) -> bool:
+        """Return whether an agent or its worker has not been heard of lately."""
+        session = self.sessions.get(host)
+        if session is None:
+            return True
+        if session.age() > MAX_REPORT_AGE_SECONDS:
+            return True
+        return session.worker_age() > MAX_WORKER_AGE_SECONDS
+
+    def silent_seconds(self, host: str) -> float:
+        """Return seconds since a worker's newest reading, or since this term began."""
+        session = self.sessions.get(host)
+        began_at = self.began_at
+        if session is not None:
+            began_at = max(began_at, session.newest_reading_at)
+        return clock.elapsed() - began_at
+
+    def hold(self, host: str, task: TaskId, run: int) -> Hold:
+        """Return what may still keep a run on a silent host, and until when."""
+        holds = (self._lease_hold(host), self._late_start_hold(host, task, run))
+        return max(holds, key=lambda hold: hold.until)
+
+    def is_lost(self, host: str) -> bool:
+        """Return whether every lease of an agent's worker has certainly expired."""
+        return self._lease_hold(host).until < clock.elapsed()
+
+    def _late_start_hold(self, host: str, task: TaskId, run: int) -> Hold:
+        """Return until when a lost worker may yet begin a run, or run it.
 
         An agent repeats a start while its lease lasts. It may be carried out late by
         the worker's next lifetime, on whose clock the longest lease then counts.
         """
         session = self.sessions.get(host)
         if session is None:
-            return False
+            return Hold(LATE_START, float("-inf"))
         longest = 2 * self._longest_lease + MAX_CALL_DELAY_SECONDS
-        return session.late_start_age(task, run) <= longest
+        return Hold(LATE_START, session.late_start_reported_at(task, run) + longest)
 
-    def is_lost(self, host: str) -> bool:
-        """Return whether every lease of an agent's worker has certainly expired.
+    def _lease_hold(self, host: str) -> Hold:
+        """Return until when the last lease of an agent's worker may last.
 
         No lease ends later than the longest one from the newest reading of the
         worker's clock, however often its agent reports that reading again.
@@ -390,15 +428,15 @@
             self._lease_seconds * (1 + MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_SECONDS
         )
         session = self.sessions.get(host)
+        holds = []
         if session is not None:
-            reading_age = clock.elapsed() - session.newest_reading_at
-            if reading_age <= lease_lifetime:
-                return False
+            holds.append(Hold(LEASE, session.newest_reading_at + lease_lifetime))
+        if session is not None and session.is_fenced:
             # A call to an earlier lifetime may have granted the longest lease.
-            if session.is_fenced and session.reporting_seconds() <= self._longest_lease:
-                return False
-        # An earlier placer may have granted leases until its confirmation expired.
-        handover = MAX_CONFIRMATION_AGE_SECONDS + lease_lifetime
-        if session is None or not session.is_fenced:
-            return clock.elapsed() - self.began_at > handover
-        return True
+            until = session.reporting_since() + self._longest_lease
+            holds.append(Hold(LEASE_OF_EARLIER_LIFE, until))
+        else:
+            # An earlier placer may have granted leases until its confirmation expired.
+            handover = MAX_CONFIRMATION_AGE_SECONDS + lease_lifetime
+            holds.append(Hold(LEASE_OF_EARLIER_PLACER, self.began_at + handover))
+        return max(holds, key=lambda hold: hold.until)
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -18,6 +18,7 @@
     proven_sound,
     records_after_crash,
 )
+from sequoiachute.coordination.dispatch.losses import Losses
 from sequoiachute.coordination.dispatch.sessions import (
     AgentSessions,
     Session,
@@ -136,6 +137,8 @@
     ----------
     ledger : Ledger
     agents : AgentSessions
+    losses : Losses
+        Tells which runs of silent hosts are over.
     worked_seconds : callable
         Returns for how long a run of a task has been seen at work.
     """
@@ -144,10 +147,12 @@
         self,
         ledger: Ledger,
         agents: AgentSessions,
+        losses: Losses,
         worked_seconds: Callable[[TaskId, int], float] = lambda task, run: 0.0,
     ) -> None:
         self._ledger = ledger
         self._agents = agents
+        self._losses = losses
         self._worked_seconds = worked_seconds
         self._settled: dict[str, tuple[int, int, bool, bool]] = {}
         # Runs whose leases ran out, by the lifetime that may turn out to have crashed.
@@ -166,12 +171,17 @@
             self._settle_refused_starts(session, draft)
             self._settle_proofs(session, draft)
             crashes += self._settle_ended_lifetimes(session, draft)
-        for host in self._ledger.hosts():
-            if self._agents.is_lost(host):
-                self._settle_expired_leases(host, draft)
+        if not self._agents.is_gathering:
+            self._settle_silent_hosts(draft)
         self._settle_jobs(draft)
         return crashes
 
+    def _settle_silent_hosts(self, draft: ProgressDraft) -> None:
+        for host in self._ledger.hosts():
+            if self._agents.is_silent(host):
+                self._settle_lost_runs(host, draft)
+        self._losses.end_round()
+
     def _settle_jobs(self, draft: ProgressDraft) -> None:
         """Settle the jobs with new records or a draft."""
         settled = {}
@@ -344,13 +354,13 @@
             log = log.bind(beside=beside[:MAX_LOGGED_TASKS], others=len(beside))
             log.warning("worker crashed under task")
 
-    def _settle_expired_leases(self, host: str, draft: ProgressDraft) -> None:
+    def _settle_lost_runs(self, host: str, draft: ProgressDraft) -> None:
         session = self._agents.sessions.get(host)
         for task in list(self._ledger.tasks_on_host(host)):
             state = draft.task(task)
             if state.host != host:
                 continue
-            if self._agents.may_start_late(host, task, state.run):
+            if not self._losses.is_over(host, task, state.run):
                 continue
             if session is not None:
                 # Until the loss is recorded, a worker that answers again would get
@@ -374,6 +384,8 @@
         draft.set_task(task, state._replace(host="", lifetime=Lifetime(), token=token))
         log = logger.bind(task=str(task), run=state.run, host=state.host)
         log = log.bind(life=state.lifetime.worker_id, born=state.lifetime.started_ms)
+        withheld_seconds = self._losses.withheld_seconds(task, state.run)
+        log = log.bind(withheld=round(withheld_seconds, 3))
         log.bind(reason=reason).warning("run lost")
 
     def _settle_recorded_ends(self, job: JobGraph, draft: ProgressDraft) -> None:
--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -192,6 +192,7 @@
         lifetime = self.lifetime
         began_at = clock.now()
         may_exist = False
+        unanswered_calls = 0
         while True:
             order = self.orders.get(key)
             if order is None or order.stop or lifetime != self.lifetime:
@@ -222,7 +223,9 @@
             error = outcome.unwrap_err()
             if error.applied is None:
                 may_exist = True
+                unanswered_calls += 1
                 self._unanswered_at[key] = clock.elapsed()
+                self._log_unanswered(key, unanswered_calls, error.reason)
             elif not may_exist:
                 self._attempted.discard(key)
                 self._release(key)
@@ -232,6 +235,14 @@
                 return
             clock.sleep(CALL_RETRY_SECONDS)
 
+    def _log_unanswered(self, key: tuple[str, int], calls: int, reason: str) -> None:
+        """Log the first, second, fourth... call without an answer."""
+        if calls & (calls - 1):
+            return
+        log = logger.bind(task=key[0], run=key[1], term=self.term, calls=calls)
+        log = log.bind(life=self.lifetime.worker_id, reason=reason)
+        log.info("start not answered")
+
     def _rule_out(self, key: tuple[str, int], reason: str, may_exist: bool) -> None:
         """Settle a start that is not tried again.
 
--- a/src/sequoiachute/state/exposition.py
+++ b/src/sequoiachute/state/exposition.py
@@ -19,6 +19,8 @@
     "worker_crashes_total": "Crashes of workers on which tasks were placed.",
     "agents": "Agents that report to this placer.",
     "leading": "1 while this entry is the placer.",
+    "losses_withheld": "Runs on silent hosts that may still exist.",
+    "losses_withheld_total": "Losses of runs that were withheld, by reason.",
     "units_waiting": "Steps or gangs that have waited for more than 1 s.",
     "units_waiting_beside_capacity": "Those of them that there is room for.",
     "store_age_seconds": "Time since the store confirmed the view of runs.",
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -4,6 +4,7 @@
 import pytest
 
 from sequoiachute import clock
+from sequoiachute.coordination.dispatch.losses import Losses
 from sequoiachute.coordination.dispatch.sessions import (
     LEASE_EXPIRY_MARGIN_SECONDS,
     LEASE_SECONDS,
@@ -23,6 +24,7 @@
     encode,
 )
 from sequoiachute.state.ledger import Ledger
+from sequoiachute.state.metrics import Metrics
 from standins.task_worker import CLOCK_RATE
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
@@ -91,7 +93,7 @@
     assert not order.stop
     clock.sleep(LEASE_LIFETIME_SECONDS + 0.1)
     draft = ProgressDraft(ledger)
-    Settlement(ledger, agents).settle(draft)
+    Settlement(ledger, agents, Losses(agents, Metrics())).settle(draft)
     assert draft.changed
     [order] = agents.handle_report(report(lifetime, 9001, sequence=3), REPLY).runs
     assert order.stop
