Count a doubt about a late start from its call, and end it once the run is listed

Cause: a start that got no answer may be carried out up to 12 s after it was sent, by the worker's next life. The placer withheld the loss of such a run for 33 s from the last report of the doubt, and the agent reported it for 12 s, also where the run was at work 0.1 s later. The doubt outlasted the call that it guards against.

Ruled out: the lease.

Change: the agent looks at the worker before it repeats a start. A run that is listed after a single call was started by it, and nothing is left that could come late. Otherwise the agent reports how long ago the last call without an answer was sent, and the loss is withheld until that call can't come any more and the longest lease from then is over: 22.8 s after it was sent. While the run has not been listed the agent may go on repeating the start, so that its lease counts too, as before.

A look costs one poll of the agent's own worker, of a few ms, after each call without an answer.

--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.dispatch.late_starts import LateStarts
 from sequoiachute.protocol.supervision import (
     EndReport,
     Orders,
@@ -16,6 +17,7 @@
     RunReport,
     SettledStart,
     WorkerInfo,
+    late_start_ages,
 )
 from sequoiachute.protocol.workload import (
     Lifetime,
@@ -84,7 +86,7 @@
         self.runs: dict[tuple[str, int], RunReport] = {}
         self.checkpoint_tokens: dict[tuple[str, int], str] = {}
         self.ends: tuple[EndReport, ...] = ()
-        self._late_starts: dict[tuple[str, int], float] = {}
+        self._late_starts = LateStarts()
         self._reporting_since = (Lifetime(), 0.0)
         self.settled: tuple[SettledStart, ...] = ()
         self.stops: dict[TaskId, int] = {}
@@ -139,7 +141,6 @@
         if report.worker is not None and self.is_over(report.worker.lifetime):
             return False
         before = self._decision_inputs()
-        is_same_agent = report.incarnation == self.incarnation
         self.incarnation = report.incarnation
         self.sequence = report.sequence
         self.reported_at = clock.elapsed()
@@ -152,7 +153,6 @@
             if lifetime not in self._upkeep_lifetimes:
                 self.crashes[lifetime] = frozenset(runs)
         self._apply_worker(report.worker)
-        self._record_late_starts(report, is_same_agent)
         self.is_fenced = report.term == term and report.worker is not None
         if self.is_fenced and self._reporting_since[0] != self.lifetime:
             self._reporting_since = (self.lifetime, self.reported_at)
@@ -165,18 +165,13 @@
                 self.checkpoint_tokens[key] = run.token
         self.ends = report.ends
         self.settled = report.settled
+        listed = self.runs.keys() | {(end.task, end.run) for end in self.ends}
+        self._late_starts.record(late_start_ages(report), listed)
         return self._decision_inputs() != before
 
-    def _record_late_starts(self, report: Report, is_same_agent: bool) -> None:
-        """Record starts that may be carried out late; a new agent knows of none."""
-        if is_same_agent:
-            self._late_starts.clear()
-        for key in report.late_starts:
-            self._late_starts[tuple(key)] = self.reported_at
-
-    def late_start_reported_at(self, task: TaskId, run: int) -> float:
-        """Return when a report last said that the start of a run may come late."""
-        return self._late_starts.get((str(task), run), float("-inf"))
+    def late_start_sent_at(self, task: TaskId, run: int) -> float:
+        """Return when the last call was sent that may start a run late."""
+        return self._late_starts.sent_at((str(task), run))
 
     def reporting_since(self) -> float:
         """Return when the present lifetime was first reported as fenced."""
@@ -374,6 +369,12 @@
             return 0
         return report.worker_clock_ms + int(self._lease_seconds * 1000)
 
+    @property
+    def _lease_lifetime(self) -> float:
+        """Seconds from a reading of a worker's clock until its lease is over."""
+        seconds = self._lease_seconds * (1 + MAX_CLOCK_DRIFT)
+        return seconds + LEASE_EXPIRY_MARGIN_SECONDS
+
     @property
     def _longest_lease(self) -> float:
         """Seconds that the longest lease lasts, whoever has granted it."""
@@ -409,14 +410,18 @@
     def _late_start_hold(self, host: str, task: TaskId, run: int) -> Hold:
         """Return until when a lost worker may yet begin a run, or run it.
 
-        An agent repeats a start while its lease lasts. It may be carried out late by
-        the worker's next lifetime, on whose clock the longest lease then counts.
+        A call without an answer may be carried out late by the worker's next lifetime,
+        on whose clock the longest lease then counts. An agent repeats the call while
+        its lease lasts, unless it has reported the run as begun.
         """
         session = self.sessions.get(host)
         if session is None:
             return Hold(LATE_START, float("-inf"))
-        longest = 2 * self._longest_lease + MAX_CALL_DELAY_SECONDS
-        return Hold(LATE_START, session.late_start_reported_at(task, run) + longest)
+        sent_at = session.late_start_sent_at(task, run)
+        if sent_at > float("-inf") and not session.lists(task, run):
+            sent_at = max(sent_at, session.newest_reading_at + self._lease_lifetime)
+        until = sent_at + MAX_CALL_DELAY_SECONDS + self._longest_lease
+        return Hold(LATE_START, until)
 
     def _lease_hold(self, host: str) -> Hold:
         """Return until when the last lease of an agent's worker may last.
@@ -424,19 +429,17 @@
         No lease ends later than the longest one from the newest reading of the
         worker's clock, however often its agent reports that reading again.
         """
-        lease_lifetime = (
-            self._lease_seconds * (1 + MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_SECONDS
-        )
         session = self.sessions.get(host)
         holds = []
         if session is not None:
-            holds.append(Hold(LEASE, session.newest_reading_at + lease_lifetime))
+            until = session.newest_reading_at + self._lease_lifetime
+            holds.append(Hold(LEASE, until))
         if session is not None and session.is_fenced:
             # A call to an earlier lifetime may have granted the longest lease.
             until = session.reporting_since() + self._longest_lease
             holds.append(Hold(LEASE_OF_EARLIER_LIFE, until))
         else:
             # An earlier placer may have granted leases until its confirmation expired.
-            handover = MAX_CONFIRMATION_AGE_SECONDS + lease_lifetime
+            handover = MAX_CONFIRMATION_AGE_SECONDS + self._lease_lifetime
             holds.append(Hold(LEASE_OF_EARLIER_PLACER, self.began_at + handover))
         return max(holds, key=lambda hold: hold.until)
--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -7,13 +7,13 @@
 from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.hosting.unanswered import UnansweredStarts
 from sequoiachute.errors import describe_failure
 from sequoiachute.protocol.supervision import WITHDRAWN, RunOrder, SettledStart
 from sequoiachute.protocol.workload import Lifetime, Resources
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.transport.worker import (
     ALREADY_RAN,
-    MAX_CALL_DELAY_SECONDS,
     TaskWorker,
     WorkerStatus,
 )
@@ -31,8 +31,9 @@
 class RunReconciler:
     """Starts ordered runs that are missing and stops those not ordered.
 
-    A start is repeated until the worker answers. A withdrawn start is settled by
-    a stop, after which the worker refuses the run for good.
+    A start is repeated until the worker answers, each time only if a later reading
+    does not list the run. A withdrawn start is settled by a stop, after which the
+    worker refuses the run for good.
 
     Parameters
     ----------
@@ -40,14 +41,21 @@
     on_settled : callable
         Called when it is certain that an ordered run never ran.
     metrics : Metrics
+    look : callable
+        Begins a poll that is answered at once.
     """
 
     def __init__(
-        self, worker: TaskWorker, on_settled: Callable[[], None], metrics: Metrics
+        self,
+        worker: TaskWorker,
+        on_settled: Callable[[], None],
+        metrics: Metrics,
+        look: Callable[[], None] = lambda: None,
     ) -> None:
         self._worker = worker
         self._metrics = metrics
         self._on_settled = on_settled
+        self._look = look
         self.orders: dict[tuple[str, int], RunOrder] = {}
         self.settled: dict[tuple[str, int], SettledStart] = {}
         self._present: set[tuple[str, int]] = set()
@@ -55,7 +63,7 @@
         self._attempted: set[tuple[str, int]] = set()
         self._started: set[tuple[str, int]] = set()
         self._stopped_at: dict[tuple[str, int], float] = {}
-        self._unanswered_at: dict[tuple[str, int], float] = {}
+        self._unanswered = UnansweredStarts()
         self._reading = (0, 0.0)
         self._in_flight: set[tuple[str, int]] = set()
         self._calls = Semaphore(MAX_CONCURRENT_CALLS)
@@ -98,13 +106,9 @@
         self._capacity = capacity
         self._announced_at = clock.elapsed()
 
-    def late_starts(self) -> tuple[tuple[str, int], ...]:
-        """Return the starts without an answer that may still be carried out."""
-        oldest = clock.elapsed() - MAX_CALL_DELAY_SECONDS
-        for key, at in list(self._unanswered_at.items()):
-            if at < oldest:
-                del self._unanswered_at[key]
-        return tuple(self._unanswered_at)
+    def late_starts(self) -> dict[tuple[str, int], float]:
+        """Return the starts that may be carried out late, by seconds since sent."""
+        return self._unanswered.ages()
 
     def set_orders(self, orders: tuple[RunOrder, ...]) -> None:
         """Replace all orders and reconcile.
@@ -131,6 +135,7 @@
         self._reading = (status.clock_ms, polled_at)
         self._present = {(run.task, run.run) for run in status.runs}
         self._ended = {(end.task, end.run) for end in status.ends}
+        self._unanswered.record_listed(self._present | self._ended)
         for key, stopped_at in list(self._stopped_at.items()):
             if polled_at <= stopped_at:
                 continue
@@ -192,16 +197,19 @@
         lifetime = self.lifetime
         began_at = clock.now()
         may_exist = False
-        unanswered_calls = 0
+        unanswered_at = float("-inf")
         while True:
             order = self.orders.get(key)
             if order is None or order.stop or lifetime != self.lifetime:
                 return
+            if key in self._present or key in self._ended:
+                self._record_started(key)
+                return
             obstacle = self._obstacle(key, order, began_at)
             if obstacle:
                 self._rule_out(key, obstacle, may_exist)
                 return
-            if self._has_unordered_runs() or not self._has_lease():
+            if self._must_wait(unanswered_at):
                 clock.sleep(CALL_RETRY_SECONDS)
                 continue
             if self._calls.locked():
@@ -211,21 +219,22 @@
             self._attempted.add(key)
             self._hold(key, order.need)
             with self._calls:
+                sent_at = clock.elapsed()
                 outcome = self._worker.start(lifetime, order, self.term, self.lease_ms)
             label = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
             self._metrics.count("orders_total", kind="start", outcome=label)
             if lifetime != self.lifetime:
                 return
             if outcome.is_ok():
-                self._started.add(key)
-                logger.bind(task=key[0], run=key[1], term=self.term).info("started")
+                self._unanswered.record_answered(key, sent_at)
+                self._record_started(key)
                 return
             error = outcome.unwrap_err()
             if error.applied is None:
                 may_exist = True
-                unanswered_calls += 1
-                self._unanswered_at[key] = clock.elapsed()
-                self._log_unanswered(key, unanswered_calls, error.reason)
+                unanswered_at = clock.now()
+                calls = self._unanswered.record_unanswered(key, sent_at)
+                self._log_unanswered(key, calls, error.reason)
             elif not may_exist:
                 self._attempted.discard(key)
                 self._release(key)
@@ -235,6 +244,23 @@
                 return
             clock.sleep(CALL_RETRY_SECONDS)
 
+    def _must_wait(self, unanswered_at: float) -> bool:
+        """Return whether no start may be sent now; look if a newer reading is needed.
+
+        A call without an answer may have been carried out by ``unanswered_at``.
+        """
+        if self._has_unordered_runs() or not self._has_lease():
+            return True
+        _, read_at = self._reading
+        if read_at < unanswered_at:
+            self._look()
+            return True
+        return False
+
+    def _record_started(self, key: tuple[str, int]) -> None:
+        self._started.add(key)
+        logger.bind(task=key[0], run=key[1], term=self.term).info("started")
+
     def _log_unanswered(self, key: tuple[str, int], calls: int, reason: str) -> None:
         """Log the first, second, fourth... call without an answer."""
         if calls & (calls - 1):
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -84,7 +84,10 @@
         self._zone_closed = False
         self._changed = Event()
         self._pacer = Pacer()
-        self._reconciler = RunReconciler(worker, self._request_report, self.metrics)
+        self._is_looking = False
+        self._reconciler = RunReconciler(
+            worker, self._request_report, self.metrics, self._begin_look
+        )
 
     def run(self) -> None:
         """Start polling and reporting, each in its own green thread."""
@@ -185,8 +188,24 @@
         is_same_worker = answered.worker_id == announced.worker_id
         return answered if is_newer and is_same_worker else announced
 
-    def _poll_once(self) -> bool:
-        """Poll the worker; return whether the next poll may follow at once."""
+    def _begin_look(self) -> None:
+        """Begin a poll without a wait, unless one is on its way."""
+        if self._is_looking:
+            return
+        self._is_looking = True
+        self._spawn_task("look at the worker", self._look)
+
+    def _look(self) -> None:
+        try:
+            self._poll_once(0.0)
+        finally:
+            self._is_looking = False
+
+    def _poll_once(self, max_wait: float = POLL_WAIT_SECONDS) -> bool:
+        """Poll the worker; return whether the next poll may follow at once.
+
+        The worker answers after ``max_wait`` seconds, or when a run has ended.
+        """
         expected = self._newest_lifetime()
         if expected is None:
             return False
@@ -198,7 +217,7 @@
         ack = self._pending_ack() if is_same_lifetime else 0
         # The placer orders nothing before the worker has answered under its term.
         is_fenced = is_same_lifetime and term == self._fenced_term
-        wait = POLL_WAIT_SECONDS if is_fenced else 0.0
+        wait = max_wait if is_fenced else 0.0
         outcome = self._worker.poll(expected, term, lease_ms, ack, wait)
         label = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
         self.metrics.count("looks_total", outcome=label)
@@ -359,8 +378,9 @@
             settled=tuple(self._reconciler.settled.values()) if has_worker else (),
             known_version=self._version,
             wait=wait,
-            late_starts=late_starts,
+            late_starts=tuple(late_starts),
             crashes=self._crashes,
+            late_start_ages=tuple(late_starts.values()),
         )
 
     def _apply_orders(self, address: str, orders: Orders) -> bool:
--- a/src/sequoiachute/protocol/supervision.py
+++ b/src/sequoiachute/protocol/supervision.py
@@ -88,6 +88,7 @@
     version of the orders that the agent has, and ``wait`` the seconds for which
     the placer may delay the reply until there are newer ones. ``late_starts`` holds
     task and run of starts that were not answered and may still be carried out,
+    ``late_start_ages`` for each the seconds since the last such call was sent,
     ``crashes`` the newest lifetimes that ended without a word while this agent ran.
     """
 
@@ -105,6 +106,17 @@
     wait: float = 0.0
     late_starts: tuple[tuple[str, int], ...] = ()
     crashes: tuple[CrashReport, ...] = ()
+    late_start_ages: tuple[float, ...] = ()
+
+
+def late_start_ages(report: Report) -> dict[tuple[str, int], float]:
+    """Return the seconds since each late start was sent, by task and run.
+
+    An agent of an earlier version reports no ages: the starts count as just sent.
+    """
+    keys = [tuple(key) for key in report.late_starts]
+    ages = report.late_start_ages or (0.0,) * len(keys)
+    return dict(zip(keys, ages, strict=False))
 
 
 class RunOrder(NamedTuple):
