Keep what an agent's earlier process has reported of late starts

Change: late starts are kept by the process that has reported them. A process that lists a run ends only its own doubt.

--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -166,7 +166,7 @@
         self.ends = report.ends
         self.settled = report.settled
         listed = self.runs.keys() | {(end.task, end.run) for end in self.ends}
-        self._late_starts.record(late_start_ages(report), listed)
+        self._late_starts.record(self.incarnation, late_start_ages(report), listed)
         return self._decision_inputs() != before
 
     def late_start_sent_at(self, task: TaskId, run: int) -> float:
--- a/tests/test_lost_machines.py
+++ b/tests/test_lost_machines.py
@@ -33,6 +33,13 @@
     return [worker.lifetime.worker_id for worker in site.workers].index(first)
 
 
+def host_index(site, job):
+    """Return the index of the agent on whose worker a job's first task is placed."""
+    ledger = site.entries[site.placer()].control.ledger
+    placed = ledger.progress(job).tasks["0.0.0"]
+    return [agent.address for agent in site.agents].index(placed.host)
+
+
 def lose_machine(site, index):
     """Lose a worker and its agent for good."""
     worker = site.workers[index]
@@ -86,3 +93,31 @@
     late = sent_at + MAX_CALL_DELAY_SECONDS + LONGEST_LEASE_SECONDS
     assert late - 0.5 <= clock.now() <= late + RESTART_SECONDS, waited
     assert_no_duplicate_runs(site.history)
+
+
+@pytest.mark.parametrize("listed", [False, True])
+def test_new_agent_process_does_not_end_the_doubt_of_the_one_before(listed):
+    # The second report of a new process voided what the first process had reported.
+    site = ControlSite(workers=2)
+    site.run_for(30.0)  # a lease on this life's clock is the longest on the next one's
+    for worker in site.workers:
+        worker.late_seconds = 11.5
+    job = accepted(site, 500.0)
+    site.run_for(0.1)
+    for worker in site.workers:
+        worker.late_seconds = 0.0 if listed else 11.5
+    site.run_for(0.9)
+    index = host_index(site, job)
+    worker, supervisor = site.workers[index], site.agents[index].supervisor
+    supervisor.handle_heartbeat = lambda heartbeat: None
+    for other in site.workers:
+        other.late_seconds = 0.0
+    site.kill_agent(index)
+    site.restart_agent(index)
+    site.run_for(1.0 if listed else 0.0)
+    site.agents[index].supervisor.handle_heartbeat = lambda heartbeat: None
+    worker.silent = True
+    worker.restart(same_id=True)
+    site.run_for(40.0)
+    assert any(start.late for start in site.history.starts)
+    assert_no_duplicate_runs(site.history, crashes=True)
