Record silent hosts, so that a later placer counts on instead of beginning anew

Cause: a new placer knows nothing of a host that never reports to it. Nor did it know of late starts that only an earlier placer had been told of, so that it gave up such a run too early (TWICE).

Change: a placer records a host with tasks as silent once it has not been heard of for 1.5 to 2 s: in how many seconds all its leases are over, and which starts may come late. Until the record is deleted, which the store acknowledges, no placer grants the host a lease; a placer that is deposed without knowing can not delete it. A later placer counts from when its process read the record, which is never earlier than it was written, so no clocks are compared. It renews the records of the terms before it once, since a process that starts in between reads them late. Late starts outlast the record in the session of the host that is heard of again.

Cost: two appends for a host that falls silent with tasks and comes back, one for all that do so in a round. A placer whose rounds have stood still for more than a second records nothing in the next one.

Not covered: a placer that is lost within 2 s of the machine writes no record; the next one waits 19.5 s from its beginning.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -25,6 +25,7 @@
     Settlement,
     newest_token,
 )
+from sequoiachute.coordination.dispatch.silences import SilenceRecorder
 from sequoiachute.coordination.dispatch.term_writer import (
     DeposedError,
     Term,
@@ -68,6 +69,7 @@
 )
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.state.operations import Operations, Wave
+from sequoiachute.state.silences import host_of_silence
 from sequoiachute.transport.machines import Advisor, MachineService
 from sequoiachute.transport.store import KeyedStore
 from sequoiachute.transport.worker import BAD_TICKET, UNHEALTHY
@@ -153,6 +155,7 @@
         self._settlement = Settlement(
             ledger, agents, self._losses, self._worked_seconds
         )
+        self._silences = SilenceRecorder(ledger, agents)
         self._first_starts = FirstStarts(ledger, agents)
         self._end_backup = EndBackup(store, ledger, agents)
         self._writer = TermWriter(identity, store, ledger, metrics, self._back_up_ends)
@@ -218,6 +221,7 @@
         self._first_starts.draft(draft)
         self._append_draft(draft)
         self._record_crashes(crashes)
+        self._record_silences()
         wall_time = clock.wall_time()
         view = build_view(
             self._ledger,
@@ -496,6 +500,17 @@
         self._statistics.forget_ended_jobs({job.job_id for job in self._ledger.live()})
         self._retention.drop()
 
+    def _record_silences(self) -> None:
+        records = self._silences.draft()
+        if not records:
+            return
+        self._writer.append_groups([records])
+        for key, value in records:
+            session = self._agents.sessions.get(host_of_silence(key))
+            if value is None and session is not None:
+                # It has been granted no lease until now.
+                session.end_wait()
+
     def _record_waves(self) -> None:
         records = []
         for number, progress in self._upkeep.advance().items():
--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -27,6 +27,7 @@
     parse_task_id,
 )
 from sequoiachute.state.ledger import Ledger
+from sequoiachute.state.silences import Silence
 from sequoiachute.transport.worker import MAX_CALL_DELAY_SECONDS
 
 LEASE_SECONDS = 9.0  # if workers allow as much
@@ -46,6 +47,7 @@
 LEASE_OF_EARLIER_LIFE = "lease of an earlier life"
 LEASE_OF_EARLIER_PLACER = "lease of an earlier placer"
 LATE_START = "start without an answer"
+RECORDED = "recorded"  # as a process of an agent, the source of recorded late starts
 
 
 class Hold(NamedTuple):
@@ -173,6 +175,12 @@
         """Return when the last call was sent that may start a run late."""
         return self._late_starts.sent_at((str(task), run))
 
+    def adopt_late_starts(self, sent_at: dict[tuple[str, int], float]) -> None:
+        """Count on late starts that an earlier placer has recorded."""
+        now = clock.elapsed()
+        ages = {key: now - at for key, at in sent_at.items()}
+        self._late_starts.record(RECORDED, ages, ())
+
     def reporting_since(self) -> float:
         """Return when the present lifetime was first reported as fenced."""
         lifetime, since = self._reporting_since
@@ -252,11 +260,15 @@
         without_payloads = tuple(order._replace(payload="") for order in orders)
         if without_payloads != self._sent_orders or ack != self._sent_ack:
             self._sent_orders, self._sent_ack = without_payloads, ack
-            self.version += 1
-            changed, self._changed = self._changed, Event()
-            changed.send(None)
+            self.end_wait()
         return orders, ack
 
+    def end_wait(self) -> None:
+        """Answer a waiting report now."""
+        self.version += 1
+        changed, self._changed = self._changed, Event()
+        changed.send(None)
+
     def _forget_checkpoint_tokens(self, ledger: Ledger) -> None:
         placed = ledger.tasks_on_host(self.host)
         held = {(str(task), state.run) for task, state in placed.items()}
@@ -338,7 +350,8 @@
         if report.worker is None or not session.is_over(report.worker.lifetime):
             session.record_reading(report)
         lease_ms = self._lease_ms(report)
-        if session.apply_report(report, self.term):
+        is_changed = session.apply_report(report, self.term)
+        if is_changed or self._is_recorded_silent(report.host):
             self._wake()
         if report.wait and not is_first:
             session.wait_for_change(report.known_version, report.wait)
@@ -347,16 +360,21 @@
         is_of_lifetime = (
             report.worker is not None and report.worker.lifetime == session.lifetime
         )
+        may_grant = is_of_lifetime and not self._is_recorded_silent(report.host)
         return reply._replace(
             leading=True,
             version=session.version,
             lifetime=session.lifetime,
-            lease_ms=lease_ms if is_of_lifetime else 0,
+            lease_ms=lease_ms if may_grant else 0,
             ack=ack,
             zone_closed=session.zone_closed,
             runs=orders,
         )
 
+    def _is_recorded_silent(self, host: str) -> bool:
+        """Return whether later placers count on no lease being granted to a host."""
+        return self._ledger.silences.get(host) is not None
+
     def _lease_ms(self, report: Report) -> int:
         """Return the lease's end on the worker's clock, zero to grant none.
 
@@ -414,15 +432,41 @@
         on whose clock the longest lease then counts. An agent repeats the call while
         its lease lasts, unless it has reported the run as begun.
         """
-        session = self.sessions.get(host)
-        if session is None:
-            return Hold(LATE_START, float("-inf"))
-        sent_at = session.late_start_sent_at(task, run)
-        if sent_at > float("-inf") and not session.lists(task, run):
-            sent_at = max(sent_at, session.newest_reading_at + self._lease_lifetime)
+        sent_at = self.late_start_sent_at(host, task, run)
         until = sent_at + MAX_CALL_DELAY_SECONDS + self._longest_lease
         return Hold(LATE_START, until)
 
+    def late_start_sent_at(self, host: str, task: TaskId, run: int) -> float:
+        """Return when the last call that may start a run late can have been sent."""
+        sent_at = float("-inf")
+        silence = self._ledger.silences.get(host)
+        if silence is not None:
+            sent_at = silence.late_starts_sent_at().get((str(task), run), sent_at)
+        session = self.sessions.get(host)
+        if session is None:
+            return sent_at
+        reported = session.late_start_sent_at(task, run)
+        if reported > float("-inf") and not session.lists(task, run):
+            reported = max(reported, session.newest_reading_at + self._lease_lifetime)
+        return max(sent_at, reported)
+
+    def silence(self, host: str) -> Silence:
+        """Return what is known now of a host that is to be recorded as silent."""
+        now = clock.elapsed()
+        late_starts = []
+        for task, state in self._ledger.tasks_on_host(host).items():
+            seconds = now - self.late_start_sent_at(host, task, state.run)
+            if seconds <= MAX_CALL_DELAY_SECONDS + self._longest_lease:
+                late_starts.append((str(task), state.run, round(seconds, 3)))
+        lease_seconds = self._lease_hold(host).until - now
+        return Silence(max(0.0, round(lease_seconds, 3)), tuple(late_starts))
+
+    def adopt_late_starts(self, host: str) -> None:
+        """Take over the late starts of a host's record before it is deleted."""
+        session, silence = self.sessions.get(host), self._ledger.silences.get(host)
+        if session is not None and silence is not None:
+            session.adopt_late_starts(silence.late_starts_sent_at())
+
     def _lease_hold(self, host: str) -> Hold:
         """Return until when the last lease of an agent's worker may last.
 
@@ -441,5 +485,9 @@
         else:
             # An earlier placer may have granted leases until its confirmation expired.
             handover = MAX_CONFIRMATION_AGE_SECONDS + self._lease_lifetime
-            holds.append(Hold(LEASE_OF_EARLIER_PLACER, self.began_at + handover))
+            until = self.began_at + handover
+            silence = self._ledger.silences.get(host)
+            if silence is not None:
+                until = min(until, silence.lease_until)
+            holds.append(Hold(LEASE_OF_EARLIER_PLACER, until))
         return max(holds, key=lambda hold: hold.until)
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -1,4 +1,4 @@
-"""In-memory view of the store: jobs, their progress, waves and the placer."""
+"""In-memory view of the store: jobs, their progress, waves, hosts and the placer."""
 
 from collections.abc import Iterator
 from math import ceil, inf
@@ -30,6 +30,7 @@
     StepCounts,
     parse_part_key,
 )
+from sequoiachute.state.silences import SILENCE_PREFIX, SilenceTable
 
 # Topics of records that never change: jobs, cancellations and ends of tasks. Each
 # record is in the first topic that took it, since an outage may hit some topics only.
@@ -109,6 +110,7 @@
         self.leader: Leader | None = None
         self.speeds: dict[Machine, MachineSpeed] = {}
         self._waves: dict[str, bytes] = {}
+        self.silences = SilenceTable()
 
     def wave(self, number: int) -> bytes:
         """Return the encoded record of a wave, empty if there is none."""
@@ -300,14 +302,29 @@
 
     def _apply_value(self, record: StoredRecord) -> None:
         key, value = record.key, record.value
-        if key == LEADER_KEY:
+        if key.startswith((JOB_PREFIX, CANCEL_PREFIX, END_PREFIX)):
+            self._apply_job_value(record)
+        elif key == LEADER_KEY:
             if value is not None:
                 self.leader = decode_msgpack(value, Leader)
         elif key == SPEEDS_KEY:
             self.speeds = decode_speeds(value or b"")
         elif key.startswith(WAVE_PREFIX):
             self._waves[key] = value or b""
-        elif key.startswith(JOB_PREFIX):
+        elif key.startswith(SILENCE_PREFIX):
+            self.silences.apply(key, value)
+        elif key.startswith(PART_PREFIX):
+            part = parse_part_key(key)
+            self._progress.apply_part(part, value)
+            self._update_live(part.job_id)
+        else:
+            self._progress.apply_head(key, value)
+            self._update_live(key)
+
+    def _apply_job_value(self, record: StoredRecord) -> None:
+        """Apply a record of the jobs' topics."""
+        key, value = record.key, record.value
+        if key.startswith(JOB_PREFIX):
             self._apply_job(key.removeprefix(JOB_PREFIX), value)
         elif key.startswith(CANCEL_PREFIX):
             job_id = key.removeprefix(CANCEL_PREFIX)
@@ -315,22 +332,18 @@
                 self._cancelled.pop(job_id, None)
             else:
                 self._cancelled.setdefault(job_id, record.offset)
-        elif key.startswith(END_PREFIX):
-            job_id, _, task = key.removeprefix(END_PREFIX).partition(".")
-            if value is None:
-                self._ends.pop(job_id, None)
-            elif is_task_key(task):
-                run = decode_msgpack(value, int)
-                self._ends.setdefault(job_id, {}).setdefault(task, run)
-            else:
-                raise msgspec.ValidationError("the key of an end names no task")
-        elif key.startswith(PART_PREFIX):
-            part = parse_part_key(key)
-            self._progress.apply_part(part, value)
-            self._update_live(part.job_id)
         else:
-            self._progress.apply_head(key, value)
-            self._update_live(key)
+            self._apply_end(key, value)
+
+    def _apply_end(self, key: str, value: bytes | None) -> None:
+        job_id, _, task = key.removeprefix(END_PREFIX).partition(".")
+        if value is None:
+            self._ends.pop(job_id, None)
+        elif is_task_key(task):
+            run = decode_msgpack(value, int)
+            self._ends.setdefault(job_id, {}).setdefault(task, run)
+        else:
+            raise msgspec.ValidationError("the key of an end names no task")
 
     def _apply_job(self, job_id: str, value: bytes | None) -> None:
         if value is None:
--- a/tests/test_lost_machines.py
+++ b/tests/test_lost_machines.py
@@ -8,10 +8,10 @@
     LEASE_SECONDS,
     MAX_CLOCK_DRIFT,
 )
-from sequoiachute.protocol.workload import TYPICAL_TIMES
+from sequoiachute.protocol.workload import ACTIVE, TYPICAL_TIMES
 from sequoiachute.transport.worker import MAX_CALL_DELAY_SECONDS
 from standins.control_site import ControlSite
-from tests.control_checks import accepted
+from tests.control_checks import TAKEOVER_SECONDS, accepted, complete, cut_links
 from tests.run_checks import assert_no_duplicate_runs
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
@@ -121,3 +121,105 @@
     site.run_for(40.0)
     assert any(start.late for start in site.history.starts)
     assert_no_duplicate_runs(site.history, crashes=True)
+
+
+def change_placer(site, down_seconds=0.5):
+    """Kill the placer and start its process again."""
+    placer = site.placer()
+    site.kill_entry(placer)
+    site.run_for(down_seconds)
+    site.restart_entry(placer)
+
+
+@pytest.mark.parametrize("seconds", [2.0, 3.0, 5.0, 8.0])
+def test_new_placer_counts_the_silence_of_a_lost_machine_from_its_record(seconds):
+    # A new placer began the wait for the leases of a host that never reports to it.
+    site = ControlSite()
+    accepted(site, 500.0)
+    site.run_for(7.3)
+    lost_at = clock.now()
+    lose_machine(site, start_index(site))
+    site.run_for(seconds)
+    change_placer(site)
+    seconds_until_next_start(site)
+    earliest = max(seconds + TAKEOVER_SECONDS, LEASE_LIFETIME_SECONDS)
+    assert clock.now() - lost_at <= earliest + RESTART_SECONDS
+    assert_no_duplicate_runs(site.history)
+
+
+@pytest.mark.parametrize("changes", [1, 2])
+def test_new_placer_waits_for_a_late_start_that_an_earlier_one_was_told_of(changes):
+    # Only the placer that an agent had told of a late start waited for it.
+    site = ControlSite(workers=2)
+    site.run_for(30.0)  # a lease on this life's clock is the longest on the next one's
+    for worker in site.workers:
+        worker.late_seconds = 11.5
+    job = accepted(site, 500.0)
+    sent_at = clock.now()
+    site.run_for(0.1)
+    for worker in site.workers:
+        worker.late_seconds = 0.0
+    site.run_for(4.9)
+    index = host_index(site, job)
+    worker = site.workers[index]
+    site.kill_agent(index)
+    worker.silent = True
+    worker.restart(same_id=True)
+    site.run_for(2.0)
+    for _ in range(changes):
+        change_placer(site)
+        site.run_for(4.0)
+    while clock.now() < sent_at + 60.0 and len(site.history.starts) < 3:
+        site.run_for(0.05)
+    assert [start.late for start in site.history.starts] == [False, True, False]
+    late = sent_at + MAX_CALL_DELAY_SECONDS + LONGEST_LEASE_SECONDS
+    assert clock.now() <= late + RESTART_SECONDS
+    assert_no_duplicate_runs(site.history, crashes=True)
+
+
+@pytest.mark.parametrize("seconds", [1.0, 2.5, 5.0, 8.0])
+def test_host_that_is_heard_of_again_keeps_its_runs_whoever_is_placer(seconds):
+    site = ControlSite()
+    job = accepted(site, 30.0)
+    site.run_for(1.0)
+    index = start_index(site)
+    site.agents[index].process.frozen = True
+    site.run_for(2.0)
+    change_placer(site)
+    site.run_for(seconds - 2.0 if seconds > 2.0 else 0.0)
+    site.agents[index].process.frozen = False
+    complete(site, [job], 60.0)
+    if seconds <= 5.0:
+        assert len(site.history.starts) == 1
+
+
+def test_no_lease_is_granted_while_later_placers_count_on_a_silence():
+    # A placer that is deposed without knowing would grant a lease beside the record.
+    site = ControlSite()
+    job = accepted(site, 500.0)
+    site.run_for(1.0)
+    index, placer = start_index(site), site.placer()
+    site.agents[index].process.frozen = True
+    site.run_for(3.0)
+    assert site.store.newest("runs").get(f"silent/{site.agents[index].address}")
+    cut_links(site, placer)
+    site.entries[placer].store.unresponsive = True
+    site.agents[index].process.frozen = False
+    site.run_for(30.0)
+    assert_no_duplicate_runs(site.history)
+    site.entries[placer].store.unresponsive = False
+    site.network.cut.clear()
+    site.run_for(5.0)
+    assert site.state(job, site.placer()) == ACTIVE
+    assert_no_duplicate_runs(site.history)
+
+
+def test_record_of_a_lost_host_is_deleted_with_its_last_run():
+    site = ControlSite()
+    accepted(site, 500.0)
+    site.run_for(1.0)
+    lose_machine(site, start_index(site))
+    seconds_until_next_start(site)
+    site.run_for(1.0)
+    kept = [key for key, record in site.store.newest("runs").items() if record.value]
+    assert not [key for key in kept if key.startswith("silent/")]
