Wait for a worker that crashes while the soak test's keeper waits for it

A crashing stand-in writes its event and exits; the system closes its sockets before the process counts as ended. wait_up first found no ended worker, then no listening one, and took the end that it saw 50 ms later for an error, although the keeper restarts the worker 2 s after it.

Change: a worker that ends during the wait is waited for once more. One that nobody restarts is found as before by the bound of 4 s for a restart (at once before, if it ended during the wait), one that ends again at once.

Tests: a worker without a socket that ends 0.2 s into the wait; one that ends again; one that nobody restarts.

--- a/soak/keeper.py
+++ b/soak/keeper.py
@@ -38,12 +38,30 @@
             self._restart_at[index] = time.monotonic() + down_seconds
 
     def wait_up(self) -> None:
-        """Wait until every worker accepts connections."""
+        """Wait until every worker accepts connections.
+
+        A worker that ends meanwhile is waited for once more.
+
+        Raises
+        ------
+        RuntimeError
+            If a worker ends meanwhile for the second time.
+        TimeoutError
+            If a worker does not start again or accepts no connection.
+        """
+        self._wait_restarted()
+        for index in range(len(self._cluster.workers)):
+            try:
+                self._cluster.wait_listening(self._cluster.workers[index])
+            except RuntimeError:
+                # A worker that crashes closes its socket before it has ended.
+                self._wait_restarted()
+                self._cluster.wait_listening(self._cluster.workers[index])
+
+    def _wait_restarted(self) -> None:
         self._cluster.wait_until(
             lambda: not self._ended_workers(), 2 * CRASH_RESTART_SECONDS
         )
-        for worker in list(self._cluster.workers):
-            self._cluster.wait_listening(worker)
 
     def stop(self) -> None:
         """Stop watching; workers that end from now on stay down."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,7 @@
 from soak.__main__ import describe
 from soak.events import read_events
 from soak.histories import Call, JobSample, RequestRun, TaskStart
-from soak.keeper import WorkerKeeper
+from soak.keeper import CRASH_RESTART_SECONDS, WorkerKeeper
 from soak.plan import (
     FAULT_KINDS,
     LATE_CALLS,
@@ -29,10 +29,11 @@
     Link,
 )
 from soak.trial import MAX_CALL_SECONDS, Trial, TrialResult
-from standins.cluster import Cluster
+from standins.cluster import Cluster, Process
 from standins.ports import free_address
 
 HOLD_SECONDS = 0.3
+CRASH_STATUS = 70
 CI_SEED = 7
 CI_SECONDS = 8.0
 LATE_CALLS_SEED = 601
@@ -333,6 +334,85 @@
     assert [crash.job_id for crash in history.crashes] == ["j"]
 
 
+class FakeLife:
+    """Process of a worker that ends after ``seconds``."""
+
+    def __init__(self, seconds):
+        self._ends_at = time.monotonic() + seconds
+
+    def poll(self):
+        return CRASH_STATUS if time.monotonic() >= self._ends_at else None
+
+    def kill(self):
+        self._ends_at = 0.0
+
+    def wait(self):
+        return CRASH_STATUS
+
+
+class FakeCluster(Cluster):
+    """One worker that accepts connections only in a life that does not end."""
+
+    def __init__(self, *lives):
+        super().__init__((), workers=1)
+        self._lives = iter(lives)
+        self.listener = socket.socket()
+        self.workers = [self.start_worker(0, free_address())]
+
+    def start_worker(self, index, address=""):
+        seconds = next(self._lives)
+        if seconds == float("inf"):
+            host, _, port = address.rpartition(":")
+            self.listener.bind((host, int(port)))
+            self.listener.listen()
+        return Process("worker-0", FakeLife(seconds), address)
+
+    def close(self):
+        self.listener.close()
+        super().close()
+
+
+@pytest.fixture
+def fake_cluster():
+    clusters = []
+
+    def create(*lives):
+        clusters.append(FakeCluster(*lives))
+        return clusters[-1]
+
+    yield create
+    for cluster in clusters:
+        cluster.close()
+
+
+def test_worker_that_ends_while_it_is_waited_for_is_up_once_it_has_restarted(
+    fake_cluster,
+):
+    """It accepts no connection any more when the wait begins, but has not ended."""
+    cluster = fake_cluster(0.2, float("inf"))
+    keeper = WorkerKeeper(cluster)
+    keeper.start()
+    keeper.wait_up()
+    keeper.stop()
+    cluster.wait_listening(cluster.workers[0])
+
+
+def test_worker_that_ends_again_and_again_is_not_up(fake_cluster):
+    keeper = WorkerKeeper(fake_cluster(0.2, 0.2, float("inf")))
+    keeper.start()
+    with pytest.raises(RuntimeError, match="worker-0 has ended"):
+        keeper.wait_up()
+    keeper.stop()
+
+
+def test_worker_that_nobody_restarts_is_not_up(fake_cluster):
+    keeper = WorkerKeeper(fake_cluster(0.2))
+    began = time.monotonic()
+    with pytest.raises(TimeoutError):
+        keeper.wait_up()
+    assert time.monotonic() - began < 2 * CRASH_RESTART_SECONDS + 1.0
+
+
 def start_task(address, task):
     response = urllib3.request("POST", f"http://{address}/tasks", json=task)
     assert response.status == 200
