Keep a run of a worker that has left while its start may still come late

Cause: the agent withholds the end of a lifetime that has left while it knows of starts without an answer. An agent that starts again knows of none: it reported the end at once, and the placer gave up the run although the earlier process had reported a call of it that the worker's next life under the same id may carry out. The run was placed elsewhere and ran twice at a time.

Evidence: test_late_start_in_the_life_after_a_departure_runs_alone failed before in the three cases in which the agent restarts (overlaps of 0.4 to 0.5 s, until the next life's first poll) and passes in the three others.

Ruled out: that the run's own end is what starts it again. The stand-in's worker answered an open poll with the ends of its runs after it was gone; it does not any more, as one that is down does not.

The life's other runs are given up at once, as before.

--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -173,6 +173,11 @@
         """Return when the last call was sent that may start a run late."""
         return self._late_starts.sent_at((str(task), run))
 
+    def may_start_late(self, task: TaskId, run: int) -> bool:
+        """Return whether a call that starts a run may yet be carried out."""
+        sent_at = self.late_start_sent_at(task, run)
+        return clock.elapsed() <= sent_at + MAX_CALL_DELAY_SECONDS
+
     def reporting_since(self) -> float:
         """Return when the present lifetime was first reported as fenced."""
         lifetime, since = self._reporting_since
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -303,8 +303,9 @@
         """Draft the loss of the runs of lifetimes that are certainly over.
 
         A later lifetime can carry out a start to an earlier one until it has seen a
-        fencing token of its own; what it then does not list, it does not start. Return
-        the crashes that have ended the lifetimes.
+        fencing token of its own; what it then does not list, it does not start. A
+        lifetime that has left may get a later one: a run of it is kept while its start
+        may be carried out late. Return the crashes that have ended the lifetimes.
         """
         lost: dict[Lifetime, dict[TaskId, TaskState]] = {}
         for task in list(self._ledger.tasks_on_host(session.host)):
@@ -312,7 +313,10 @@
             if state.host != session.host:
                 continue
             is_superseded = session.is_fenced and state.lifetime != session.lifetime
-            if is_superseded or state.lifetime == session.left_lifetime:
+            has_left = state.lifetime == session.left_lifetime
+            if is_superseded or (
+                has_left and not session.may_start_late(task, state.run)
+            ):
                 self._draft_loss(task, state, session, draft, "lifetime over")
                 lost.setdefault(state.lifetime, {})[task] = state
         for lifetime in self._expired.keys() & session.ended_lifetimes:
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -414,7 +414,7 @@
             return Err(NO_CONNECTION)
         outcome = self._worker.poll(lifetime, term, lease_ms, ack, wait)
         self._process.apply_faults()
-        if self._worker.is_down:
+        if self._worker.is_down or self._worker.gone:
             return Err(WorkerError("no answer", None))
         return outcome
 
