Let one late start delay no other run of a worker that has left

Work that was lost with a worker that left started elsewhere late.

Cause: the agent withheld the end of the lifetime from its report while it knew of any start without an answer, since the worker's next life may carry that start out. All runs of the worker waited for the doubt about one of them (12 s from its call at most, or until their leases were over, 9.5 s).

Change: the agent reports the lifetime that has left at once, in a new last field, beside the starts without an answer; the placer gives up all its runs but those. `ended_lifetime` keeps its meaning and is withheld as before.

Versions: an entry of the earlier version drops the field that it does not know (MessageCodec) and reads `ended_lifetime` as before, so it gives up no late start too soon; an agent of the earlier version reports no departed lifetime, and a new placer falls back to the ended one. Both wait as before.

Tests: test_late_start_of_one_run_delays_no_other_run_of_a_worker_that_has_left and test_life_is_withheld_from_an_entry_that_gives_up_late_starts_with_it failed before; test_worker_lives.py is unchanged.

--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -144,9 +144,10 @@
         self.incarnation = report.incarnation
         self.sequence = report.sequence
         self.reported_at = clock.elapsed()
-        if report.ended_lifetime is not None:
-            self.left_lifetime = report.ended_lifetime
-            self.ended_lifetimes.add(report.ended_lifetime)
+        departed = report.departed_lifetime or report.ended_lifetime
+        if departed is not None:
+            self.left_lifetime = departed
+            self.ended_lifetimes.add(departed)
         if self.upkeep_lifetime is not None:
             self._upkeep_lifetimes.add(self.upkeep_lifetime)
         for lifetime, runs in report.crashes:
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -369,7 +369,7 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             worker=info,
-            # The worker's next lifetime may carry out a start to the ended one.
+            # An entry of an earlier version gives up late starts with the lifetime.
             ended_lifetime=None if late_starts else self._ended_lifetime,
             term=self._fenced_term,
             worker_clock_ms=status.clock_ms if has_worker else 0,
@@ -381,6 +381,7 @@
             late_starts=tuple(late_starts),
             crashes=self._crashes,
             late_start_ages=tuple(late_starts.values()),
+            departed_lifetime=self._ended_lifetime,
         )
 
     def _apply_orders(self, address: str, orders: Orders) -> bool:
--- a/src/sequoiachute/protocol/supervision.py
+++ b/src/sequoiachute/protocol/supervision.py
@@ -81,15 +81,17 @@
 class Report(NamedTuple):
     """State of a worker, reported by its agent.
 
-    ``ended_lifetime`` is the last lifetime of the worker that is known to be over.
-    ``term`` is the term under which the worker last answered, so that a placer
-    knows whether its fencing is in force there. ``worker_clock_ms`` is a reading
-    of the worker's clock taken before this report. ``known_version`` is the
-    version of the orders that the agent has, and ``wait`` the seconds for which
-    the placer may delay the reply until there are newer ones. ``late_starts`` holds
-    task and run of starts that were not answered and may still be carried out,
-    ``late_start_ages`` for each the seconds since the last such call was sent,
-    ``crashes`` the newest lifetimes that ended without a word while this agent ran.
+    ``departed_lifetime`` is the last lifetime of the worker that is known to be over,
+    ``ended_lifetime`` the same once none of its starts may be carried out late any
+    more, for entries that know only this one. ``term`` is the term under which the
+    worker last answered, so that a placer knows whether its fencing is in force there.
+    ``worker_clock_ms`` is a reading of the worker's clock taken before this report.
+    ``known_version`` is the version of the orders that the agent has, and ``wait`` the
+    seconds for which the placer may delay the reply until there are newer ones.
+    ``late_starts`` holds task and run of starts that were not answered and may still be
+    carried out, ``late_start_ages`` for each the seconds since the last such call was
+    sent, ``crashes`` the newest lifetimes that ended without a word while this agent
+    ran.
     """
 
     host: str
@@ -107,6 +109,7 @@
     late_starts: tuple[tuple[str, int], ...] = ()
     crashes: tuple[CrashReport, ...] = ()
     late_start_ages: tuple[float, ...] = ()
+    departed_lifetime: Lifetime | None = None
 
 
 def late_start_ages(report: Report) -> dict[tuple[str, int], float]:
