Close a zone in the first orders of a new placer as well

Cause: whether a worker's zone is evacuated was set in a placer's rounds only. The reply to an agent's first report comes before the first round and said that the zone is open, beside the orders of the placer before. An agent that had begun anew as well, or had been cut off since before the evacuation, started what was ordered there and had not begun yet (rule EVAC once evac_ms, 5 s, have passed).

Evidence: in memory, a task placed on a worker that gives no answer, its agent killed, the zone evacuated, the placer killed, the agent started again: the task starts in the closed zone 1.85 s after the evacuation. With the placer or the agent replaced alone it does not.

Ruled out: an agent that has heard of the evacuation keeps the start settled.

Change: every reply closes a zone that the placer knows to be evacuated; only rounds open it again. A placer that has not read what operators published knows of none (not changed).

Test: test_nothing_starts_in_a_closed_zone_after_placer_and_agent_were_replaced failed before.

--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -298,6 +298,7 @@
             self._wake,
             self._runs_follower.age,
             self._times.max_lease,
+            lambda: self.operations.closed_zones,
         )
         placer = TaskPlacer(
             Term(term, RUNS, self._member),
--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -301,6 +301,8 @@
         Returns seconds since the store last confirmed this placer.
     max_lease_seconds : float
         Longest lease that workers grant.
+    closed_zones : callable
+        Returns the zones in which nothing may start.
     """
 
     def __init__(
@@ -310,12 +312,14 @@
         wake: Callable[[], None],
         confirmation_age: Callable[[], float],
         max_lease_seconds: float = LEASE_SECONDS,
+        closed_zones: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         self._ledger = ledger
         self._wake = wake
         self._confirmation_age = confirmation_age
         self._lease_seconds = min(LEASE_SECONDS, max_lease_seconds)
         self._max_lease_seconds = max_lease_seconds
+        self._closed_zones = closed_zones
         self.term = term
         self.began_at = clock.elapsed()
         self._newest_agent_at = self.began_at
@@ -349,6 +353,9 @@
         if report.wait and not is_first:
             session.wait_for_change(report.known_version, report.wait)
         orders, ack = session.refresh(self._ledger)
+        if session.worker is not None and session.worker.zone in self._closed_zones():
+            # Before the first round of a placer nothing else says so.
+            session.zone_closed = True
         # The lease counts on the clock of the lifetime that the report is about.
         is_of_lifetime = (
             report.worker is not None and report.worker.lifetime == session.lifetime
--- /dev/null
+++ b/tests/test_new_processes.py
@@ -0,0 +1,46 @@
+"""What processes know of what happened before they began."""
+
+import pytest
+
+from standins.control_site import ControlSite
+from tests.control_checks import accepted
+
+pytestmark = pytest.mark.usefixtures("paused_clock")
+
+
+def replace_placer(site):
+    """Kill the placer; return once another entry is the placer."""
+    placer = site.placer()
+    site.kill_entry(placer)
+    while site.placer() in (-1, placer):
+        site.run_for(0.05)
+
+
+def host_index(site, job):
+    """Return the index of the agent on whose worker a job's first task is placed."""
+    ledger = site.entries[site.placer()].control.ledger
+    placed = ledger.progress(job).tasks["0.0.0"]
+    return [agent.address for agent in site.agents].index(placed.host)
+
+
+def test_nothing_starts_in_a_closed_zone_after_placer_and_agent_were_replaced():
+    # The first orders of a new placer told the agent that its zone was open.
+    site = ControlSite()
+    for index, worker in enumerate(site.workers):
+        worker.zone = f"zone-{index}"
+    site.run_for(1.0)
+    for worker in site.workers:
+        worker.silent = True
+    job = accepted(site, 50.0)
+    site.run_for(0.2)
+    index = host_index(site, job)
+    site.kill_agent(index)
+    site.store.publish(f"evacuate/zone-{index}", b"1")
+    site.run_for(0.5)
+    replace_placer(site)
+    for worker in site.workers:
+        worker.silent = False
+    site.restart_agent(index)
+    site.run_for(3.0)
+    [start] = site.history.starts
+    assert start.lifetime != site.workers[index].lifetime
