Set the pace of filling runs that an agent's earlier process may have slowed

Cause: an agent slows filling tasks, down to a pause, while serving ones are near their targets. A worker keeps a run's pace until the next call; an agent that begins anew took every run to be at full pace. A run that the process before had paused stood still for the rest of its time, since nothing differed from what the new process wanted, though no serving task was left.

Evidence: in memory, a filling run at pace 0, the agent killed and started again: no call in 2 s (nor later: none is ever made before the wanted pace changes). Now one call sets it to 100.

Ruled out: a later life of the worker begins without runs and paces.

Change: the pace of runs that a life has when the agent first sees it counts as unknown and is set once.

Test: test_new_agent_process_ends_the_pause_of_a_filling_run failed before for filling runs; test_pacing.py is unchanged. The stand-in's worker takes paces.

--- a/src/sequoiachute/coordination/hosting/pacing.py
+++ b/src/sequoiachute/coordination/hosting/pacing.py
@@ -36,6 +36,14 @@
     def __init__(self) -> None:
         self._percent = FULL_PACE_PERCENT
         self._acknowledged: dict[tuple[str, int], int] = {}
+        self._found: set[tuple[str, int]] = set()
+
+    def begin_lifetime(self, runs: tuple[RunReport, ...]) -> None:
+        """Take over the runs that a lifetime of the worker has when it is first seen.
+
+        An earlier process of the agent may have slowed them.
+        """
+        self._found = {(run.task, run.run) for run in runs}
 
     def pending_changes(
         self, runs: tuple[RunReport, ...], orders: dict[tuple[str, int], RunOrder]
@@ -51,17 +59,21 @@
                 worst = max(worst, run.usage / order.target_ms)
             elif order.filling:
                 filling.append((run.task, run.run))
-        self._acknowledged = {
-            key: self._acknowledged.get(key, FULL_PACE_PERCENT) for key in filling
-        }
+        present = {(run.task, run.run) for run in runs}
+        for key in self._acknowledged.keys() - present:
+            del self._acknowledged[key]
         self._percent = next_pace(self._percent, worst)
         pending_changes = []
         for key in filling:
-            if self._acknowledged[key] != self._percent:
+            if self._pace_of(key) != self._percent:
                 pending_changes.append((*key, self._percent))
         return pending_changes
 
     def acknowledge(self, task: str, run: int, percent: int) -> None:
         """Record that the worker has set a run's pace."""
-        if (task, run) in self._acknowledged:
-            self._acknowledged[(task, run)] = percent
+        self._acknowledged[(task, run)] = percent
+
+    def _pace_of(self, key: tuple[str, int]) -> int | None:
+        """Return the pace of a run, ``None`` if it is not known."""
+        unset = None if key in self._found else FULL_PACE_PERCENT
+        return self._acknowledged.get(key, unset)
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -232,6 +232,7 @@
         self._status = status
         if previous is None or previous.lifetime != status.lifetime:
             self._start_lifetime(status.lifetime)
+            self._pacer.begin_lifetime(status.runs)
         if status.lifetime != expected:
             # The call was meant for an earlier lifetime, and so was its fencing token.
             log = logger.bind(worker=expected.worker_id, expected=expected.started_ms)
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -130,7 +130,7 @@
     ``silent`` answers no call, ``gone`` refuses connections and runs nothing. While it
     ``stands_still``, its runs make no progress. A run of one of the ``deadly_jobs``
     crashes the worker after ``crash_delay_seconds``; it is back ``down_seconds`` later,
-    under the same id if it ``keeps_id``.
+    under the same id if it ``keeps_id``. ``paces`` holds the paces that have been set.
     """
 
     def __init__(self, name: str, capacity: Resources, history: History) -> None:
@@ -219,6 +219,7 @@
         self._lease_ms = 0
         self._ends: list[EndReport] = []
         self._highest_run: dict[str, int] = {}
+        self.paces: dict[tuple[str, int], int] = {}
         self._end_count = 0
         self._lapsed_ends = 0
         self._ended = Event()
@@ -385,6 +386,17 @@
             eventlet.spawn_after(STOP_DELAY_SECONDS, self._finish_stop, active)
         return Ok(None)
 
+    def pace(
+        self, lifetime: Lifetime, task: str, run: int, percent: int, term: int
+    ) -> Result[None, WorkerError]:
+        """Record a run's pace, which does not change its progress."""
+        if lifetime.worker_id != self.lifetime.worker_id:
+            return Err(WorkerError("other lifetime", False))
+        if fencing_token(lifetime, term) < self._highest_fence:
+            return Err(WorkerError("fence", False, fenced=True))
+        self.paces[(task, run)] = percent
+        return Ok(None)
+
     def _finish_stop(self, run: _Run) -> None:
         if self._runs.get((run.task, run.run)) is run:
             self._end(run, "stopped")
@@ -431,6 +443,13 @@
         """Stop a run."""
         return self._order(lambda: self._worker.stop(lifetime, task, run, term))
 
+    def pace(
+        self, lifetime: Lifetime, task: str, run: int, percent: int, term: int
+    ) -> Result[None, WorkerError]:
+        """Limit a run's speed."""
+        pace = self._worker.pace
+        return self._order(lambda: pace(lifetime, task, run, percent, term))
+
     def _carry_out_late(self, operation: Callable[[], object], sent_at: float) -> None:
         self._worker._late_order_at = sent_at
         operation()
--- a/tests/test_new_processes.py
+++ b/tests/test_new_processes.py
@@ -44,3 +44,19 @@
     site.run_for(3.0)
     [start] = site.history.starts
     assert start.lifetime != site.workers[index].lifetime
+
+
+@pytest.mark.parametrize("filling", [False, True])
+def test_new_agent_process_ends_the_pause_of_a_filling_run(filling):
+    # A run that the process before had paused stood still although nothing else ran.
+    site = ControlSite(workers=1)
+    job = accepted(site, 50.0, filling=filling)
+    site.run_for(2.0)
+    paces = site.workers[0].paces
+    assert paces == {}
+    key = (f"{job}.0.0.0", 1)
+    paces[key] = 0
+    site.kill_agent(0)
+    site.restart_agent(0)
+    site.run_for(2.0)
+    assert paces == {key: 100 if filling else 0}
