Repeat the pace of a filling run while an earlier call may come late

Cause: a call without an answer may be carried out seconds later, after newer ones. An agent that had paused a run without an answer and then let it go on took the later call's answer for the last word; the late one paused the run for good, since nothing differed from what the agent wanted.

Evidence: in memory, a pace of 10 % set 6 s late, 100 % acknowledged meanwhile: the run stays at 10 %.

Change: for 13 s after a call without an answer (the 12 s in which it may be carried out, and a poll) the pace of its run counts as unknown and is set at each poll of the worker. Nothing is sent beyond that.

Test: test_pace_that_is_set_late_does_not_outlast_a_later_one failed before.

--- a/src/sequoiachute/coordination/hosting/pacing.py
+++ b/src/sequoiachute/coordination/hosting/pacing.py
@@ -3,13 +3,17 @@
 Latencies are measured every half second, so the control loop runs in the agent.
 """
 
+from sequoiachute import clock
 from sequoiachute.protocol.supervision import RunOrder, RunReport
+from sequoiachute.transport.worker import MAX_CALL_DELAY_SECONDS
 
 THROTTLE_SHARE = 0.85  # of a latency target; above it filling tasks are slowed
 RECOVERY_SHARE = 0.6  # of a latency target; below it they speed up
 RECOVERY_STEP_PERCENT = 10
 FULL_PACE_PERCENT = 100
 MIN_PACE_PERCENT = 10  # a lower pace becomes 0, which pauses the task
+# For which a call without an answer may undo later ones, and one more is due.
+DOUBT_SECONDS = MAX_CALL_DELAY_SECONDS + 1.0
 
 
 def next_pace(percent: int, worst_share: float) -> int:
@@ -37,6 +41,7 @@
         self._percent = FULL_PACE_PERCENT
         self._acknowledged: dict[tuple[str, int], int] = {}
         self._found: set[tuple[str, int]] = set()
+        self._doubtful_until: dict[tuple[str, int], float] = {}
 
     def begin_lifetime(self, runs: tuple[RunReport, ...]) -> None:
         """Take over the runs that a lifetime of the worker has when it is first seen.
@@ -62,6 +67,8 @@
         present = {(run.task, run.run) for run in runs}
         for key in self._acknowledged.keys() - present:
             del self._acknowledged[key]
+        for key in self._doubtful_until.keys() - present:
+            del self._doubtful_until[key]
         self._percent = next_pace(self._percent, worst)
         pending_changes = []
         for key in filling:
@@ -73,7 +80,13 @@
         """Record that the worker has set a run's pace."""
         self._acknowledged[(task, run)] = percent
 
+    def record_unanswered(self, task: str, run: int) -> None:
+        """Record a call without an answer, which may be carried out late."""
+        self._doubtful_until[(task, run)] = clock.elapsed() + DOUBT_SECONDS
+
     def _pace_of(self, key: tuple[str, int]) -> int | None:
         """Return the pace of a run, ``None`` if it is not known."""
+        if clock.elapsed() < self._doubtful_until.get(key, float("-inf")):
+            return None
         unset = None if key in self._found else FULL_PACE_PERCENT
         return self._acknowledged.get(key, unset)
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -280,6 +280,8 @@
             if outcome.is_ok():
                 self._pacer.acknowledge(task, run, percent)
                 logger.bind(task=task, run=run, percent=percent).info("paced")
+            elif outcome.unwrap_err().applied is None:
+                self._pacer.record_unanswered(task, run)
 
     def _start_lifetime(self, lifetime: Lifetime) -> None:
         logger.bind(worker=lifetime.worker_id, born=lifetime.started_ms).info(
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -1,5 +1,9 @@
+import pytest
+
 from sequoiachute.coordination.hosting.pacing import Pacer, next_pace
 from sequoiachute.protocol.supervision import RunOrder, RunReport
+from standins.control_site import ControlSite
+from tests.control_checks import accepted
 
 SERVING = RunOrder("s", 1, "", target_ms=100)
 FILLING = RunOrder("f", 1, "", filling=True)
@@ -46,3 +50,26 @@
         percent = next_pace(percent, 2.0)
         reports += 1
     assert reports * 0.5 < 4.0
+
+
+@pytest.mark.usefixtures("paused_clock")
+def test_pace_that_is_set_late_does_not_outlast_a_later_one():
+    # The run stayed at the pace of the late call for good.
+    site = ControlSite(workers=1)
+    job = accepted(site, 50.0, filling=True)
+    site.run_for(1.0)
+    worker, pacer = site.workers[0], site.agents[0].supervisor._pacer
+    worker.late_seconds = 6.0
+    pacer._percent = 0
+    site.run_for(0.5)
+    worker.late_seconds = 0.0
+    key = (f"{job}.0.0.0", 1)
+    site.run_for(5.0)
+    assert worker.paces == {key: 100}
+    site.run_for(3.0)
+    assert worker.paces == {key: 100}
+    # Once nothing can come late any more no further call is made.
+    site.run_for(8.0)
+    worker.paces.clear()
+    site.run_for(2.0)
+    assert worker.paces == {}
