Count what a task had waited before the placer's term

Cause: a preference (a rack, hosts without doubt, hosts that don't wait for upkeep) holds work for 2 s at most beside idle capacity, by a clock of the placer's own. Each new placer began it anew: work was held for 2 s beyond each change of the placer, however long it had waited.

Evidence: in memory, a gang whose rack is full, the placer killed 0.5 and 1.9 s after the gang's acceptance: it starts 3.6 and 5.1 s after its acceptance, 2.1 s after the new placer's election; 2.3 s if the placer stays. Now 2.3 and 3.3 s.

Change: a task that has not run yet, of a step that waits for no other, has waited since its job's acceptance or its occurrence's time; what lies before the term is added, once the agents have reported to the new placer. Both times are of the wall clock: one that is some seconds ahead ends the preference early for what waits when the placer changes, and for nothing else.

What remains: tasks that have run and those of later steps count from the new placer's beginning, as before; no record says when their turn came.

Test: test_wait_for_a_preferred_rack_does_not_begin_anew_with_a_placer failed before in both cases.

--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -65,7 +65,7 @@
     total by service. ``restart_seconds`` are lost when a run with checkpoints is
     stopped, which saves its work, and started again. ``stopping`` holds the tasks whose
     runs have been asked to stop. ``runs_left`` is how many more runs the workers'
-    agents bear.
+    agents bear. The placer's term began at ``began_at``, in wall time.
     """
 
     ledger: Ledger
@@ -76,6 +76,8 @@
     restart_seconds: float
     stopping: frozenset[TaskId]
     runs_left: int
+    began_at: float
+    is_gathering: bool
 
 
 def build_view(
@@ -112,6 +114,8 @@
         times.restore + times.stop / 2,
         _stopping_tasks(ledger, agents),
         _runs_left(ledger, agents),
+        wall_time - (clock.elapsed() - agents.began_at),
+        agents.is_gathering,
     )
     for session in agents.sessions.values():
         host = _build_host(session, context)
@@ -429,6 +433,7 @@
     waits: dict[_WaitKey, float] = {}
     for task in tasks:
         seconds = context.statistics.wait_times.seconds(task, now)
+        seconds += _earlier_wait(job, progress, task, context)
         record = _crashes(job, progress, task)
         tried = tuple(sorted(_tried_hosts(task, record, context)))
         paused = tuple(sorted(start_doubts.paused_hosts(task, now)))
@@ -442,6 +447,22 @@
     return [(waits[key], tuple(groups[key])) for key in sorted(groups)]
 
 
+def _earlier_wait(
+    job: JobGraph, progress: JobProgress, task: TaskId, context: _ViewContext
+) -> float:
+    """Return for how long a task had waited before this placer's term.
+
+    Zero if its turn is not known to have come by then, and while agents report: what
+    has waited too long takes any host.
+    """
+    state = progress.tasks.get(task_key(task))
+    has_run = state is not None and state.run > 0
+    if context.is_gathering or has_run or job.steps[task.step].after:
+        return 0.0
+    turn_at = max(job.accepted_at, job.due_at(task.occurrence))
+    return max(0.0, context.began_at - turn_at)
+
+
 def _tried_hosts(
     task: TaskId, record: CrashRecord, context: _ViewContext
 ) -> frozenset[str]:
--- a/tests/test_new_processes.py
+++ b/tests/test_new_processes.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from sequoiachute import clock
+from sequoiachute.coordination.scheduling.model import MAX_IDLE_WAIT_SECONDS
 from standins.control_site import ControlSite
 from tests.control_checks import accepted
 
@@ -23,6 +25,30 @@
     return [agent.address for agent in site.agents].index(placed.host)
 
 
+@pytest.mark.parametrize("waited", [0.5, 1.9])
+def test_wait_for_a_preferred_rack_does_not_begin_anew_with_a_placer(waited):
+    # The gang waited for 2 s more, however long it had waited before.
+    site = ControlSite(workers=6)
+    for index, worker in enumerate(site.workers):
+        # The rack that could hold the gang is full.
+        worker.rack = f"rack-{max(index, 1)}"
+        worker.refuses_starts = index > 1
+    site.run_for(2.0)
+    accepted(site, 300.0, count=8)
+    site.run_for(0.15)
+    for worker in site.workers:
+        worker.refuses_starts = False
+    site.run_for(12.0)
+    job, accepted_at = accepted(site, 500.0, 6, gang=True, same_rack=True), clock.now()
+    site.run_for(waited)
+    replace_placer(site)
+    elected_at = clock.now()
+    site.run_for(5.0)
+    starts = [start.at for start in site.history.starts if start.task.startswith(job)]
+    due_at = max(accepted_at + MAX_IDLE_WAIT_SECONDS, elected_at)
+    assert due_at <= min(starts) <= due_at + 1.0
+
+
 def test_nothing_starts_in_a_closed_zone_after_placer_and_agent_were_replaced():
     # The first orders of a new placer told the agent that its zone was open.
     site = ControlSite()
