Send the placer's append again as soon as its topic answers

Cause: an append of the placer without an answer is repeated once its timeout is over, which doubles up to 3.2 s, since a slow store would never be heard otherwise. The placer's round waits for it. After an outage the call is often dead (a channel on which a response is lost returns nothing further), so that the timeout went on after the store had come back: nothing was placed or recorded until then. If memberships expire in the outage, a new placer is elected, so that the wait shows only where they pause.

Evidence: in memory, memberships paused, a run ends 0.5 s into an outage and another task waits for its worker.

Change: appends of a writer that are not conditional are sent again when their topic answers after it has failed; the earlier calls go on. A writer's repeat has no effect and gets the first response again. The claim of a term is conditional and not repeated.

--- a/src/sequoiachute/coordination/store/availability.py
+++ b/src/sequoiachute/coordination/store/availability.py
@@ -35,6 +35,7 @@
         self._has_failed = False
         self._unanswered_since: float | None = None
         self._return_listeners: list[Callable[[], None]] = []
+        self._recovery_listeners: list[Callable[[str], None]] = []
         self._failing_since: dict[str, float] = {}
         self._recovered = Event()
         self._next_probe_at = float("-inf")
@@ -87,6 +88,10 @@
         """Have ``listener`` called when the store answers after a silence."""
         self._return_listeners.append(listener)
 
+    def call_on_recovery(self, listener: Callable[[str], None]) -> None:
+        """Have ``listener`` called with a topic that failed and answers a call."""
+        self._recovery_listeners.append(listener)
+
     def record_call(self) -> None:
         """Record that a call begins that a sound store would answer at once.
 
@@ -150,6 +155,8 @@
             log.bind(seconds=failed_for).info("calls to the store succeed")
             del self._failing_since[topic]
             self._wake_waiting()
+            for listener in self._recovery_listeners:
+                listener(topic)
         elif not answered and since is None:
             log.info("calls to the store fail")
             self._failing_since[topic] = clock.now()
--- a/src/sequoiachute/coordination/store/race.py
+++ b/src/sequoiachute/coordination/store/race.py
@@ -54,6 +54,12 @@
         self._waiting.extend(alternatives)
         self._next_start = clock.now()
 
+    def repeat(self, alternative: Callable[[], Result[Position, AppendError]]) -> None:
+        """Start a further way at once, while the race runs."""
+        self._waiting.insert(0, alternative)
+        self._next_start = clock.now()
+        self._results.put(None)
+
     def confirm(self, position: Position) -> None:
         """End the race as won: the record has been read back at ``position``."""
         self._results.put(Ok(position))
--- a/src/sequoiachute/coordination/store/relay.py
+++ b/src/sequoiachute/coordination/store/relay.py
@@ -145,6 +145,8 @@
         self._looked_at = float("-inf")
         self._does_peer_reach = True
         self.availability = Availability()
+        self.availability.call_on_recovery(self._repeat_appends)
+        self._pending: dict[Race[int], AppendQuery] = {}
 
     @property
     def is_isolated(self) -> bool:
@@ -242,7 +244,21 @@
             routes.reverse()
         race: Race[int] = Race(self.availability.stagger_seconds)
         race.add(partial(route, query) for route in routes)
-        return race.run(timeout)
+        self._pending[race] = query
+        try:
+            return race.run(timeout)
+        finally:
+            del self._pending[race]
+
+    def _repeat_appends(self, topic: str) -> None:
+        """Send the writers' appends again that wait for an answer of ``topic``.
+
+        The connections of their calls may be dead; a writer's repeat has no effect.
+        """
+        for race, query in list(self._pending.items()):
+            is_repeatable = query.writer is not None and query.at is None
+            if is_repeatable and query.topic == topic:
+                race.repeat(partial(self._append_directly, query))
 
     def _append_directly(self, query: AppendQuery) -> Result[int, AppendError]:
         records = list(query.records)
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -11,6 +11,7 @@
 )
 from sequoiachute.platform.jobs import JobsApp
 from sequoiachute.protocol.workload import COMPLETE
+from sequoiachute.state.ledger import RUNS
 from standins.control_site import URGENT, ControlSite, Entry
 from tests.control_checks import (
     TAKEOVER_SECONDS,
@@ -535,3 +536,21 @@
     began = clock.now()
     assert site.submit(1.0, wait=0.023)[1].kind == ACCEPTED
     assert clock.now() <= began + 0.023 - CALLER_DELAY_SECONDS
+
+
+@pytest.mark.parametrize("topics", [set(), {RUNS}])
+@pytest.mark.parametrize("seconds", [2.0, 4.0, 4.5, 5.0, 8.0])
+def test_placer_goes_on_soon_after_the_store_returns(seconds, topics):
+    # It waited for the end of a call without an answer, for 3.2 s at most.
+    site = ControlSite(workers=1, gpus=1)
+    site.store.pauses_memberships = True
+    accepted(site, 1.2)
+    accepted(site, 5.0)
+    site.run_for(0.7)
+    site.store.down_topics = topics
+    site.store.down = not topics
+    site.run_for(seconds)
+    site.store.down_topics = set()
+    site.store.down = False
+    site.run_for(NOTICE_SECONDS)
+    assert len(site.history.starts) == 2
