Let polls and leases not wait for paces without an answer

Not seen by users; found while the pace of doubtful runs was mended.

Cause: the agent set the paces of filling runs one after the other between two polls of its worker. A worker that leaves orders unanswered costs 0.4 s for each, in every poll. In memory, with paces that get no answer for 10 s: polls were 2.0 s apart with 4 filling runs (2.0 s is also the age at which a placer takes a worker for silent), 3.3 s with 8, and there was no second poll in 10 s with 16 (leases last 9 s). Ends and leases wait for the polls. What a placer then does was not run.

Change: each call has a green thread of its own, one at a time for a run.

Test: test_polls_do_not_wait_for_paces_without_an_answer failed before in both cases. The rest of test_pacing.py is unchanged.

--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -84,6 +84,7 @@
         self._zone_closed = False
         self._changed = Event()
         self._pacer = Pacer()
+        self._pacing: set[tuple[str, int]] = set()
         self._is_looking = False
         self._reconciler = RunReconciler(
             worker, self._request_report, self.metrics, self._begin_look
@@ -271,17 +272,29 @@
         return status.clock_ms < newest.clock_ms
 
     def _adjust_pace(self, status: WorkerStatus) -> None:
-        """Set the pace of filling tasks by the latency of serving ones."""
-        lifetime = status.lifetime
-        for task, run, percent in self._pacer.pending_changes(
-            status.runs, self._reconciler.orders
-        ):
+        """Set the pace of filling tasks by the latency of serving ones.
+
+        Polls, and the leases that they renew, don't wait for the calls.
+        """
+        orders = self._reconciler.orders
+        for change in self._pacer.pending_changes(status.runs, orders):
+            key = change[:2]
+            if key not in self._pacing:
+                self._pacing.add(key)
+                self._spawn_task("pace of a run", self._pace, status.lifetime, *change)
+
+    def _pace(self, lifetime: Lifetime, task: str, run: int, percent: int) -> None:
+        try:
             outcome = self._worker.pace(lifetime, task, run, percent, self._term)
-            if outcome.is_ok():
-                self._pacer.acknowledge(task, run, percent)
-                logger.bind(task=task, run=run, percent=percent).info("paced")
-            elif outcome.unwrap_err().applied is None:
-                self._pacer.record_unanswered(task, run)
+        finally:
+            self._pacing.discard((task, run))
+        if lifetime != self._newest_lifetime():
+            return
+        if outcome.is_ok():
+            self._pacer.acknowledge(task, run, percent)
+            logger.bind(task=task, run=run, percent=percent).info("paced")
+        elif outcome.unwrap_err().applied is None:
+            self._pacer.record_unanswered(task, run)
 
     def _start_lifetime(self, lifetime: Lifetime) -> None:
         logger.bind(worker=lifetime.worker_id, born=lifetime.started_ms).info(
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -1,6 +1,8 @@
 import pytest
 
+from sequoiachute import clock
 from sequoiachute.coordination.hosting.pacing import Pacer, next_pace
+from sequoiachute.coordination.hosting.supervisor import POLL_WAIT_SECONDS
 from sequoiachute.protocol.supervision import RunOrder, RunReport
 from standins.control_site import ControlSite
 from tests.control_checks import accepted
@@ -73,3 +75,25 @@
     worker.paces.clear()
     site.run_for(2.0)
     assert worker.paces == {}
+
+
+@pytest.mark.usefixtures("paused_clock")
+@pytest.mark.parametrize("count", [4, 16])
+def test_polls_do_not_wait_for_paces_without_an_answer(count):
+    # Each such call held up the next poll, and with it the leases, for 0.4 s.
+    site = ControlSite(workers=1, gpus=16)
+    accepted(site, 50.0, count=count, filling=True)
+    site.run_for(1.0)
+    worker, polled_at = site.workers[0], []
+    poll = worker.poll
+
+    def record_and_poll(*arguments):
+        polled_at.append(clock.now())
+        return poll(*arguments)
+
+    worker.poll = record_and_poll
+    worker.late_seconds = 5.0
+    site.agents[0].supervisor._pacer._percent = 0
+    site.run_for(10.0)
+    pauses = [b - a for a, b in zip(polled_at, polled_at[1:], strict=False)]
+    assert max(pauses) < 2 * POLL_WAIT_SECONDS
