Known red: the proof of a suspected task begins anew with each placer

Seen: a task that is suspected of crashing its workers is cleared once its next run has been seen at work for twice its work before the crash, 2 s at least. Its host takes nothing else until then. A placer counts what it has seen itself. After two crashes at 10 s of work: 20.4 s after the run's start, 31.1 s if the placer changes 10 s after it, 42.3 s if it does so twice. After one crash at 0.5 s: 2.4, 5.4 and 7.9 s with a change every 1.5 s.

Why it stays: a run's progress does not tell for how long it has worked, since it may have begun at a checkpoint.

--- a/tests/test_new_processes.py
+++ b/tests/test_new_processes.py
@@ -86,3 +86,19 @@
     site.restart_agent(0)
     site.run_for(2.0)
     assert paces == {key: 100 if filling else 0}
+
+
+def test_proof_of_a_suspected_task_does_not_begin_anew_with_a_placer():
+    site = ControlSite(workers=3)
+    job = accepted(site, 200.0)
+    site.run_for(10.0)
+    for _ in range(2):
+        # It worked for 10 s before each crash: 20 s prove it sound.
+        [worker] = [worker for worker in site.workers if worker.running]
+        worker.crash()
+        site.run_for(10.0)
+    second_began_at = site.history.starts[-1].at
+    replace_placer(site)
+    site.run_for(second_began_at + 2 * 10.0 + 2.0 - clock.now())
+    progress = site.entries[site.placer()].control.ledger.progress(job)
+    assert not progress.tasks["0.0.0"].crashes.suspected
