--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -146,9 +146,10 @@
         self.incarnation = report.incarnation
         self.sequence = report.sequence
         self.reported_at = clock.elapsed()
-        if report.ended_lifetime is not None:
-            self.left_lifetime = report.ended_lifetime
-            self.ended_lifetimes.add(report.ended_lifetime)
+        departed = report.departed_lifetime or report.ended_lifetime
+        if departed is not None:
+            self.left_lifetime = departed
+            self.ended_lifetimes.add(departed)
         if self.upkeep_lifetime is not None:
             self._upkeep_lifetimes.add(self.upkeep_lifetime)
         for lifetime, runs in report.crashes:
@@ -181,6 +182,11 @@
         ages = {key: now - at for key, at in sent_at.items()}
         self._late_starts.record(RECORDED, ages, ())
 
+    def may_start_late(self, task: TaskId, run: int) -> bool:
+        """Return whether a call that starts a run may yet be carried out."""
+        sent_at = self.late_start_sent_at(task, run)
+        return clock.elapsed() <= sent_at + MAX_CALL_DELAY_SECONDS
+
     def reporting_since(self) -> float:
         """Return when the present lifetime was first reported as fenced."""
         lifetime, since = self._reporting_since
@@ -307,6 +313,8 @@
         Returns seconds since the store last confirmed this placer.
     max_lease_seconds : float
         Longest lease that workers grant.
+    closed_zones : callable
+        Returns the zones in which nothing may start.
     """
 
     def __init__(
@@ -316,12 +324,14 @@
         wake: Callable[[], None],
         confirmation_age: Callable[[], float],
         max_lease_seconds: float = LEASE_SECONDS,
+        closed_zones: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         self._ledger = ledger
         self._wake = wake
         self._confirmation_age = confirmation_age
         self._lease_seconds = min(LEASE_SECONDS, max_lease_seconds)
         self._max_lease_seconds = max_lease_seconds
+        self._closed_zones = closed_zones
         self.term = term
         self.began_at = clock.elapsed()
         self._newest_agent_at = self.began_at
@@ -356,6 +366,9 @@
         if report.wait and not is_first:
             session.wait_for_change(report.known_version, report.wait)
         orders, ack = session.refresh(self._ledger)
+        if session.worker is not None and session.worker.zone in self._closed_zones():
+            # Before the first round of a placer nothing else says so.
+            session.zone_closed = True
         # The lease counts on the clock of the lifetime that the report is about.
         is_of_lifetime = (
             report.worker is not None and report.worker.lifetime == session.lifetime
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -84,6 +84,7 @@
         self._zone_closed = False
         self._changed = Event()
         self._pacer = Pacer()
+        self._pacing: set[tuple[str, int]] = set()
         self._is_looking = False
         self._reconciler = RunReconciler(
             worker, self._request_report, self.metrics, self._begin_look
@@ -232,6 +233,7 @@
         self._status = status
         if previous is None or previous.lifetime != status.lifetime:
             self._start_lifetime(status.lifetime)
+            self._pacer.begin_lifetime(status.runs)
         if status.lifetime != expected:
             # The call was meant for an earlier lifetime, and so was its fencing token.
             log = logger.bind(worker=expected.worker_id, expected=expected.started_ms)
@@ -270,15 +272,29 @@
         return status.clock_ms < newest.clock_ms
 
     def _adjust_pace(self, status: WorkerStatus) -> None:
-        """Set the pace of filling tasks by the latency of serving ones."""
-        lifetime = status.lifetime
-        for task, run, percent in self._pacer.pending_changes(
-            status.runs, self._reconciler.orders
-        ):
+        """Set the pace of filling tasks by the latency of serving ones.
+
+        Polls, and the leases that they renew, don't wait for the calls.
+        """
+        orders = self._reconciler.orders
+        for change in self._pacer.pending_changes(status.runs, orders):
+            key = change[:2]
+            if key not in self._pacing:
+                self._pacing.add(key)
+                self._spawn_task("pace of a run", self._pace, status.lifetime, *change)
+
+    def _pace(self, lifetime: Lifetime, task: str, run: int, percent: int) -> None:
+        try:
             outcome = self._worker.pace(lifetime, task, run, percent, self._term)
-            if outcome.is_ok():
-                self._pacer.acknowledge(task, run, percent)
-                logger.bind(task=task, run=run, percent=percent).info("paced")
+        finally:
+            self._pacing.discard((task, run))
+        if lifetime != self._newest_lifetime():
+            return
+        if outcome.is_ok():
+            self._pacer.acknowledge(task, run, percent)
+            logger.bind(task=task, run=run, percent=percent).info("paced")
+        elif outcome.unwrap_err().applied is None:
+            self._pacer.record_unanswered(task, run)
 
     def _start_lifetime(self, lifetime: Lifetime) -> None:
         logger.bind(worker=lifetime.worker_id, born=lifetime.started_ms).info(
@@ -369,7 +385,7 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             worker=info,
-            # The worker's next lifetime may carry out a start to the ended one.
+            # An entry of an earlier version gives up late starts with the lifetime.
             ended_lifetime=None if late_starts else self._ended_lifetime,
             term=self._fenced_term,
             worker_clock_ms=status.clock_ms if has_worker else 0,
@@ -381,6 +397,7 @@
             late_starts=tuple(late_starts),
             crashes=self._crashes,
             late_start_ages=tuple(late_starts.values()),
+            departed_lifetime=self._ended_lifetime,
         )
 
     def _apply_orders(self, address: str, orders: Orders) -> bool:
