Record a call without an answer though the worker's life has changed meanwhile

An agent that saw another life of its worker while a start was on its way returned before it recorded that the call had got no answer, so that neither it nor the placer counted on the call.

Evidence: test_call_without_an_answer_is_known_though_the_life_changes_meanwhile failed before. Change: what became of a call is recorded before the life is compared.

--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -5,6 +5,7 @@
 import eventlet
 from eventlet.semaphore import Semaphore
 from loguru import logger
+from result import Result
 
 from sequoiachute import clock
 from sequoiachute.coordination.hosting.unanswered import UnansweredStarts
@@ -15,6 +16,7 @@
 from sequoiachute.transport.worker import (
     ALREADY_RAN,
     TaskWorker,
+    WorkerError,
     WorkerStatus,
 )
 
@@ -221,20 +223,16 @@
             with self._calls:
                 sent_at = clock.elapsed()
                 outcome = self._worker.start(lifetime, order, self.term, self.lease_ms)
-            label = "ok" if outcome.is_ok() else outcome.unwrap_err().reason
-            self._metrics.count("orders_total", kind="start", outcome=label)
+            self._record_answer(key, sent_at, outcome)
             if lifetime != self.lifetime:
                 return
             if outcome.is_ok():
-                self._unanswered.record_answered(key, sent_at)
                 self._record_started(key)
                 return
             error = outcome.unwrap_err()
             if error.applied is None:
                 may_exist = True
                 unanswered_at = clock.now()
-                calls = self._unanswered.record_unanswered(key, sent_at)
-                self._log_unanswered(key, calls, error.reason)
             elif not may_exist:
                 self._attempted.discard(key)
                 self._release(key)
@@ -261,6 +259,20 @@
         self._started.add(key)
         logger.bind(task=key[0], run=key[1], term=self.term).info("started")
 
+    def _record_answer(
+        self, key: tuple[str, int], sent_at: float, outcome: Result[None, WorkerError]
+    ) -> None:
+        """Record the outcome of a call to start a run, also if the life has changed."""
+        if outcome.is_ok():
+            self._metrics.count("orders_total", kind="start", outcome="ok")
+            self._unanswered.record_answered(key, sent_at)
+            return
+        error = outcome.unwrap_err()
+        self._metrics.count("orders_total", kind="start", outcome=error.reason)
+        if error.applied is None:
+            calls = self._unanswered.record_unanswered(key, sent_at)
+            self._log_unanswered(key, calls, error.reason)
+
     def _log_unanswered(self, key: tuple[str, int], calls: int, reason: str) -> None:
         """Log the first, second, fourth... call without an answer."""
         if calls & (calls - 1):
--- a/tests/test_lost_machines.py
+++ b/tests/test_lost_machines.py
@@ -8,6 +8,7 @@
     LEASE_SECONDS,
     MAX_CLOCK_DRIFT,
 )
+from sequoiachute.coordination.hosting.supervisor import Heartbeat
 from sequoiachute.protocol.workload import ACTIVE, TYPICAL_TIMES
 from sequoiachute.transport.worker import MAX_CALL_DELAY_SECONDS
 from standins.control_site import ControlSite
@@ -223,3 +224,16 @@
     site.run_for(1.0)
     kept = [key for key, record in site.store.newest("runs").items() if record.value]
     assert not [key for key in kept if key.startswith("silent/")]
+
+
+def test_call_without_an_answer_is_known_though_the_life_changes_meanwhile():
+    # The agent forgot a call that got no answer in the life that it was sent to.
+    site = ControlSite(workers=1)
+    worker, supervisor = site.workers[0], site.agents[0].supervisor
+    worker.late_seconds = 8.0
+    job = accepted(site, 500.0)
+    site.run_for(0.1)
+    worker.restart(same_id=True)
+    supervisor.handle_heartbeat(Heartbeat(worker.info(), 10**6, worker.clock_ms))
+    site.run_for(0.5)
+    assert (f"{job}.0.0.0", 1) in supervisor._create_report(0.0).late_starts
