Read the list of machines in one place, and tell whether it is whole

No behaviour changes.

- MachineList reads the list, keeps the last reading and its time.
Upkeep uses a reading that it has not used yet if it is younger than 1 s, else it reads, as before.
- MachineListing says whether rows were left out.
An incomplete list still serves upkeep, and will be no evidence of absence.

test_upkeep.py passes with its construction adapted; test_foreign_input.py compares the new field as well.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -13,6 +13,7 @@
 from sequoiachute.coordination.dispatch.end_backup import EndBackup
 from sequoiachute.coordination.dispatch.first_starts import FirstStarts
 from sequoiachute.coordination.dispatch.losses import Losses
+from sequoiachute.coordination.dispatch.machine_list import MachineList
 from sequoiachute.coordination.dispatch.objectives import DEFAULT_ESTIMATE_SECONDS
 from sequoiachute.coordination.dispatch.retention import Retention
 from sequoiachute.coordination.dispatch.run_statistics import (
@@ -139,8 +140,9 @@
         self._operations = operations
         self._agents = agents
         self._ticket_cache = TicketCache(advisor, self.wake)
+        machine_list = MachineList(machines) if machines is not None else None
         self._upkeep = Upkeep(
-            machines,
+            machine_list,
             identity.member,
             ledger,
             agents,
--- a/src/sequoiachute/coordination/dispatch/upkeep.py
+++ b/src/sequoiachute/coordination/dispatch/upkeep.py
@@ -8,15 +8,16 @@
 from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.dispatch.machine_list import ListReading, MachineList
 from sequoiachute.coordination.dispatch.sessions import AgentSessions, Session
 from sequoiachute.coordination.scheduling.capacity import GangKey
 from sequoiachute.protocol.decoder import decode_msgpack
 from sequoiachute.protocol.workload import Lifetime, StepSpec, TaskId, task_key
 from sequoiachute.state.ledger import Ledger
 from sequoiachute.state.operations import Operations, Wave
-from sequoiachute.transport.machines import MachineService, PlatformMachine
+from sequoiachute.transport.machines import PlatformMachine
 
-POLL_INTERVAL_SECONDS = 1.0  # for the list of machines while a wave is active
+POLL_INTERVAL_SECONDS = 1.0  # between two looks at the list while a wave is active
 HANDOVER_SECONDS = 3.5  # orders of the previous placer may arrive this late
 LATE_ORDER_SECONDS = 3.5  # an order without an answer may be carried out this late
 # A list of machines that is older than this reserves no worker.
@@ -77,7 +78,7 @@
 
     Parameters
     ----------
-    machines : MachineService or None
+    machine_list : MachineList or None
     holder : str
     ledger : Ledger
     agents : AgentSessions
@@ -89,7 +90,7 @@
 
     def __init__(
         self,
-        machines: MachineService | None,
+        machine_list: MachineList | None,
         holder: str,
         ledger: Ledger,
         agents: AgentSessions,
@@ -97,30 +98,29 @@
         confirm: Callable[[Wave, WaveProgress], None],
     ) -> None:
         self._confirm = confirm
-        self._machines = machines
+        self._list = machine_list
         self._holder = holder
         self._ledger = ledger
         self._agents = agents
         self._operations = operations
         self._polled_at = float("-inf")
-        self._listed: dict[str, PlatformMachine] = {}
-        self._listed_at = float("-inf")
+        self._used_reading: ListReading | None = None
         self._orders: dict[Lifetime, _UpkeepOrder] = {}
         self._refusals: dict[str, _Refusal] = {}
 
     def advance(self) -> dict[int, WaveProgress]:
         """Order the upkeep that is due; return the changed progress by wave."""
-        if self._machines is None:
+        if self._list is None:
             return {}
         waves = self._incomplete_waves()
         records = {}
-        if waves and self._is_poll_due() and self._read_list(self._machines):
+        if waves and self._is_poll_due() and self._refresh_list(self._list):
             for wave in waves:
                 progress = self._progress(wave)
-                new = self._advance_wave(self._machines, wave, progress)
+                new = self._advance_wave(self._list, wave, progress)
                 if new != progress:
                     records[wave.number] = new
-        self._mark_sessions(records)
+        self._mark_sessions(self._list.newest, records)
         return records
 
     def _incomplete_waves(self) -> list[Wave]:
@@ -130,32 +130,36 @@
                 waves.append(wave)
         return waves
 
-    def _read_list(self, machines: MachineService) -> bool:
-        self._polled_at = clock.now()
-        began_at = clock.elapsed()
-        listed = machines.machines()
-        if listed.is_err():
-            logger.bind(reason=listed.unwrap_err()).info(
-                "list of machines not available"
-            )
+    def _refresh_list(self, machine_list: MachineList) -> bool:
+        """Return whether the list has been read lately, since the last orders."""
+        if machine_list.is_reading:
             return False
-        self._listed = {machine.name: machine for machine in listed.unwrap()}
-        self._listed_at = began_at
-        self._forget_completed_orders()
+        self._polled_at = clock.now()
+        if machine_list.is_due or machine_list.newest is self._used_reading:
+            listed = machine_list.read()
+            if listed.is_err():
+                logger.bind(reason=listed.unwrap_err()).info(
+                    "list of machines not available"
+                )
+                return False
+        self._used_reading = machine_list.newest
+        self._forget_completed_orders(machine_list.newest)
         return True
 
-    def _forget_completed_orders(self) -> None:
+    def _forget_completed_orders(self, reading: ListReading) -> None:
         """Open the workers whose machines are up after an acknowledged order."""
-        up = {machine.worker_id for machine in self._listed.values() if machine.is_up}
+        up = {m.worker_id for m in reading.machines.values() if m.is_up}
         now = clock.elapsed()
         for lifetime, order in list(self._orders.items()):
             is_over = order.is_acknowledged and lifetime.worker_id in up
             if is_over or now - order.ordered_at > LATE_ORDER_SECONDS:
                 del self._orders[lifetime]
 
-    def _mark_sessions(self, records: dict[int, WaveProgress]) -> None:
+    def _mark_sessions(
+        self, reading: ListReading, records: dict[int, WaveProgress]
+    ) -> None:
         """Mark the workers that wait for their upkeep and those it is ordered for."""
-        waiting = self._waiting_workers(records)
+        waiting = self._waiting_workers(reading, records)
         now = clock.elapsed()
         for session in self._agents.sessions.values():
             lifetime = session.lifetime
@@ -167,9 +171,11 @@
             )
             session.upkeep_lifetime = lifetime if is_closed else None
 
-    def _waiting_workers(self, records: dict[int, WaveProgress]) -> set[str]:
+    def _waiting_workers(
+        self, reading: ListReading, records: dict[int, WaveProgress]
+    ) -> set[str]:
         """Return the worker IDs of the machines that wait for their upkeep."""
-        if clock.elapsed() - self._listed_at > MAX_LIST_AGE_SECONDS:
+        if clock.elapsed() - reading.began_at > MAX_LIST_AGE_SECONDS:
             return set()
         workers = set()
         for wave in self._operations.waves.values():
@@ -177,7 +183,7 @@
             if progress.complete:
                 continue
             for name in wave.machines:
-                machine = self._listed.get(name)
+                machine = reading.machines.get(name)
                 if machine is None or name in progress.started:
                     continue
                 if machine.worker_id:
@@ -201,14 +207,15 @@
 
     def _advance_wave(
         self,
-        machines: MachineService,
+        machine_list: MachineList,
         wave: Wave,
         progress: WaveProgress,
     ) -> WaveProgress:
+        machines, listed = machine_list.service, machine_list.newest.machines
         if not progress.first_seen_at:
             progress = progress._replace(first_seen_at=clock.wall_time())
             machines.publish_wave_state(wave.number, False)
-        present = [self._listed[name] for name in wave.machines if name in self._listed]
+        present = [listed[name] for name in wave.machines if name in listed]
         waiting = [
             machine for machine in present if machine.name not in progress.started
         ]
--- a/src/sequoiachute/platform/machines.py
+++ b/src/sequoiachute/platform/machines.py
@@ -25,7 +25,12 @@
     read_reason,
 )
 from sequoiachute.platform.store import MetadataStore
-from sequoiachute.transport.machines import Advice, PlatformMachine, UpkeepError
+from sequoiachute.transport.machines import (
+    Advice,
+    MachineListing,
+    PlatformMachine,
+    UpkeepError,
+)
 
 # The service takes a few ms per worker asked about and serves one call at a time.
 ADVICE_TIMEOUT_SECONDS = 2.0
@@ -67,9 +72,10 @@
         self._http = HttpClient(address, 2)
         self._store = store
 
-    def machines(self) -> Result[tuple[PlatformMachine, ...], str]:
+    def machines(self) -> Result[MachineListing, str]:
         """Return every machine of all pages; leave out those that can't be read."""
         machines: list[PlatformMachine] = []
+        row_count = 0
         token = ""
         tokens = set()
         while True:
@@ -85,8 +91,10 @@
             except FieldError as error:
                 return Err(f"invalid machine list: {error}")
             machines += _decode_machines(rows)
+            row_count += len(rows)
             if not token:
-                return Ok(tuple(machines))
+                is_whole = len(machines) == row_count
+                return Ok(MachineListing(tuple(machines), is_whole))
             if token in tokens:
                 return Err("invalid machine list: a page was repeated")
             tokens.add(token)
--- a/src/sequoiachute/transport/machines.py
+++ b/src/sequoiachute/transport/machines.py
@@ -33,6 +33,16 @@
     in_upkeep: bool
 
 
+class MachineListing(NamedTuple):
+    """The platform's machines.
+
+    ``is_whole`` is false if some are left out because they could not be read.
+    """
+
+    machines: tuple[PlatformMachine, ...]
+    is_whole: bool = True
+
+
 class UpkeepError(NamedTuple):
     """Why an upkeep was not acknowledged.
 
@@ -46,8 +56,8 @@
 class MachineService(Protocol):
     """Service that lists the platform's machines and carries out their upkeep."""
 
-    def machines(self) -> Result[tuple[PlatformMachine, ...], str]:
-        """Return every machine."""
+    def machines(self) -> Result[MachineListing, str]:
+        """Return every machine that can be read."""
         ...
 
     def begin_upkeep(
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -4,7 +4,12 @@
 from result import Err, Ok, Result
 
 from sequoiachute import clock
-from sequoiachute.transport.machines import Advice, PlatformMachine, UpkeepError
+from sequoiachute.transport.machines import (
+    Advice,
+    MachineListing,
+    PlatformMachine,
+    UpkeepError,
+)
 
 NO_ANSWER = UpkeepError("no answer", False)
 
@@ -72,7 +77,7 @@
         self._renewed.update(found)
         return found
 
-    def machines(self) -> Result[tuple[PlatformMachine, ...], str]:
+    def machines(self) -> Result[MachineListing, str]:
         """Return every machine."""
         if self.cannot_list:
             return Err("no answer")
@@ -80,7 +85,7 @@
         for name, worker in self.workers.items():
             down = self._down_until(name) > clock.now()
             found.append(PlatformMachine(name, worker, "muc-1", not down, down))
-        return Ok(tuple(found))
+        return Ok(MachineListing(tuple(found)))
 
     def begin_upkeep(
         self, machine: str, wave: int, holder: str, term: int
--- a/tests/test_foreign_input.py
+++ b/tests/test_foreign_input.py
@@ -41,7 +41,7 @@
 from sequoiachute.state.ledger import Ledger, decode_speeds
 from sequoiachute.state.operations import Operations, Queue, Wave
 from sequoiachute.transport.address import parse_address
-from sequoiachute.transport.machines import Advice, PlatformMachine
+from sequoiachute.transport.machines import Advice, MachineListing, PlatformMachine
 from sequoiachute.transport.rpc import RpcClient, RpcPool
 from sequoiachute.transport.store import StoreUnavailableError
 from sequoiachute.transport.webserver import ARRIVED_AT
@@ -390,17 +390,19 @@
     pages = [{"machines": [odd, MACHINE], "next_token": "a b&c"}]
     pages.append({"machines": [other, odd], "next_token": None})
     service, paths = answering_machines(monkeypatch, pages)
-    assert service.machines().unwrap() == (
+    known = (
         PlatformMachine("m-1", "w", "z", True, False),
         PlatformMachine("m-2", "", "", False, True),
     )
+    assert service.machines().unwrap() == MachineListing(known, is_whole=False)
     assert paths == ["/v1/machines", "/v1/machines?page_token=a+b%26c"]
 
 
 def test_machine_in_a_state_without_a_name_is_neither_up_nor_in_upkeep(monkeypatch):
     page = {"machines": [{**MACHINE, "state": "odd"}]}
     service, _ = answering_machines(monkeypatch, [page])
-    (machine,) = service.machines().unwrap()
+    (machine,), is_whole = service.machines().unwrap()
+    assert is_whole
     assert not (machine.is_up or machine.in_upkeep)
 
 
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -5,6 +5,7 @@
     MAX_WORKERS_PER_REQUEST,
     TicketCache,
 )
+from sequoiachute.coordination.dispatch.machine_list import MachineList
 from sequoiachute.coordination.dispatch.sessions import AgentSessions, Session
 from sequoiachute.coordination.dispatch.term_writer import DeposedError
 from sequoiachute.coordination.dispatch.upkeep import (
@@ -57,7 +58,7 @@
 
     def create_upkeep(self):
         return Upkeep(
-            self.machines,
+            MachineList(self.machines),
             "entry-1",
             self.ledger,
             self.agents,
