--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -263,6 +263,13 @@
         """Return the tasks that may be running on the worker of agent ``host``."""
         return self._progress.tasks_on_host(host)
 
+    def placed_at(self, task: TaskId) -> float:
+        """Return when the present run of a placed task was first applied.
+
+        It is a time of ``clock.elapsed``; infinite if the task is not placed.
+        """
+        return self._progress.placed_at(task)
+
     def hosts(self) -> tuple[str, ...]:
         """Return the agents on whose workers tasks may be running."""
         return self._progress.hosts()
--- a/src/sequoiachute/state/progress.py
+++ b/src/sequoiachute/state/progress.py
@@ -6,10 +6,12 @@
 """
 
 from collections import Counter
+from math import inf
 from typing import NamedTuple
 
 import msgspec
 
+from sequoiachute import clock
 from sequoiachute.protocol.decoder import decode_msgpack
 from sequoiachute.protocol.workload import (
     JobGraph,
@@ -107,6 +109,7 @@
         self._steps: dict[str, dict[str, StepCounts]] = {}
         self._versions: Counter[str] = Counter()
         self._tasks_by_host: dict[str, dict[TaskId, TaskState]] = {}
+        self._placed_at: dict[TaskId, float] = {}
 
     @property
     def progress(self) -> dict[str, JobProgress]:
@@ -137,6 +140,13 @@
         """Return the tasks that may be running on the worker of agent ``host``."""
         return self._tasks_by_host.get(host, {})
 
+    def placed_at(self, task: TaskId) -> float:
+        """Return when the present run of a placed task was first applied.
+
+        It is a time of ``clock.elapsed``; infinite if the task is not placed.
+        """
+        return self._placed_at.get(task, inf)
+
     def hosts(self) -> tuple[str, ...]:
         """Return the agents on whose workers tasks may be running."""
         return tuple(host for host, tasks in self._tasks_by_host.items() if tasks)
@@ -185,11 +195,13 @@
             return
         steps = self._steps.setdefault(job_id, {})
         counts = steps.setdefault(key.rpartition(".")[0], StepCounts())
+        task = task_id_of(job_id, key)
+        self._set_placed_at(task, old, new)
         if old is not None:
             counts.add(old, -1)
             if old.placed:
                 self._placed[job_id] -= 1
-                self._tasks_by_host[old.host].pop(task_id_of(job_id, key), None)
+                self._tasks_by_host[old.host].pop(task, None)
         if new is None:
             counts.first_open = 0
             return
@@ -197,7 +209,16 @@
         if new.placed:
             self._placed[job_id] += 1
             on_host = self._tasks_by_host.setdefault(new.host, {})
-            on_host[task_id_of(job_id, key)] = new
+            on_host[task] = new
+
+    def _set_placed_at(
+        self, task: TaskId, old: TaskState | None, new: TaskState | None
+    ) -> None:
+        if new is None or not new.placed:
+            self._placed_at.pop(task, None)
+            return
+        if old is None or not old.placed or old.run != new.run:
+            self._placed_at[task] = clock.elapsed()
 
 
 def _is_in_a_part(key: str, stored: dict[int, frozenset[str]]) -> bool:
--- a/standins/control_site.py
+++ b/standins/control_site.py
@@ -21,6 +21,7 @@
     Queue,
 )
 from standins.keyed_store import MemoryKeyedStore
+from standins.machines import SiteMachines
 from standins.memory import MemoryNetwork, MemoryProcess
 from standins.task_worker import History, MemoryTaskWorker
 
@@ -50,6 +51,7 @@
             lambda: site.seeds,
             operations,
             lambda records: site.apply_published(records, operations),
+            machines=site.machines.link(self.process) if site.machines else None,
             times=site.times,
         )
         site.network.serve(self.address, self.control.handlers())
@@ -91,7 +93,8 @@
 
     The constructor lets time pass until a placer is elected. ``jobs`` holds every job
     submitted by its job id, whether it was accepted or not. The tasks of
-    ``deadly_jobs`` crash the workers that start them.
+    ``deadly_jobs`` crash the workers that start them. Entries can read a list of the
+    ``machines`` only if ``lists_machines``.
     """
 
     def __init__(
@@ -100,6 +103,7 @@
         workers: int = 4,
         gpus: int = 4,
         times: WorkerTimes = TYPICAL_TIMES,
+        lists_machines: bool = False,
     ) -> None:
         self.times = times
         self.store = MemoryKeyedStore()
@@ -109,9 +113,10 @@
         self.deadly_jobs: set[str] = set()
         self._last_number = 0
         self.seeds = tuple(f"10.0.0.{index}:7000" for index in range(entries))
-        self.entries = [Entry(self, index) for index in range(entries)]
         capacity = Resources(64_000, 256_000, gpus)
-        self.workers = []
+        self.workers: list[MemoryTaskWorker] = []
+        self.machines = SiteMachines(self.workers) if lists_machines else None
+        self.entries = [Entry(self, index) for index in range(entries)]
         for index in range(workers):
             name = f"worker-{index}"
             worker = MemoryTaskWorker(name, capacity, self.history)
@@ -209,3 +214,17 @@
     def restart_agent(self, index: int) -> None:
         """Start a new agent process beside the same worker."""
         self.agents[index] = Agent(self, index, self.workers[index])
+
+    def lose_power(self, index: int) -> None:
+        """Cut the power of a worker's machine, on which its agent runs too."""
+        self.workers[index].lose_power()
+        self.kill_agent(index)
+        if self.machines is not None:
+            self.machines.without_power.add(index)
+
+    def restore_power(self, index: int, same_id: bool = False) -> None:
+        """Start a worker's machine again."""
+        if self.machines is not None:
+            self.machines.without_power.discard(index)
+        self.workers[index].restore_power(same_id)
+        self.restart_agent(index)
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -10,7 +10,10 @@
     PlatformMachine,
     UpkeepError,
 )
+from standins.memory import MemoryProcess
+from standins.task_worker import MemoryTaskWorker
 
+LIST_DELAY_SECONDS = 0.02
 NO_ANSWER = UpkeepError("no answer", False)
 
 
@@ -109,3 +112,72 @@
         """Record what is shown to operators."""
         self.shown.append((wave, complete))
         return True
+
+
+class SiteMachines:
+    """The machines of a site's workers, one each, as the platform lists them.
+
+    A machine without power is down and has no worker; one that is ``taken_away`` is not
+    listed. ``without_power`` and ``taken_away`` hold the indices of workers. With
+    ``cannot_list`` the list can't be read; ``left_out`` are the indices of those that
+    can't be; with ``is_empty`` it has no rows, with ``has_no_ids`` no workers.
+    ``delay`` is how long a reading takes; ``read_at`` holds when each began.
+    """
+
+    def __init__(self, workers: list[MemoryTaskWorker]) -> None:
+        self._workers = workers
+        self.without_power: set[int] = set()
+        self.taken_away: set[int] = set()
+        self.left_out: set[int] = set()
+        self.cannot_list = False
+        self.is_empty = False
+        self.has_no_ids = False
+        self.delay = LIST_DELAY_SECONDS
+        self.read_at: list[float] = []
+
+    def listing(self) -> MachineListing:
+        """Return the machines as they are now."""
+        if self.is_empty:
+            return MachineListing(())
+        machines = []
+        for index, worker in enumerate(self._workers):
+            if index in self.taken_away | self.left_out:
+                continue
+            is_up = index not in self.without_power
+            has_id = is_up and not self.has_no_ids
+            worker_id = worker.lifetime.worker_id if has_id else ""
+            name = f"m-{index}"
+            machines.append(PlatformMachine(name, worker_id, worker.zone, is_up, False))
+        return MachineListing(tuple(machines), not self.left_out)
+
+    def link(self, process: MemoryProcess) -> "SiteMachinesLink":
+        """Return a client of the service for an entry."""
+        return SiteMachinesLink(self, process)
+
+
+class SiteMachinesLink:
+    """Client of a site's machines for one process."""
+
+    def __init__(self, machines: SiteMachines, process: MemoryProcess) -> None:
+        self._machines = machines
+        self._process = process
+
+    def machines(self) -> Result[MachineListing, str]:
+        """Return every machine that can be read."""
+        self._process.apply_faults()
+        self._machines.read_at.append(clock.now())
+        clock.sleep(self._machines.delay)
+        self._process.apply_faults()
+        if self._machines.cannot_list:
+            return Err("no answer")
+        return Ok(self._machines.listing())
+
+    def begin_upkeep(
+        self, machine: str, wave: int, holder: str, term: int
+    ) -> Result[None, UpkeepError]:
+        """Refuse the upkeep."""
+        return Err(UpkeepError("no such wave", True))
+
+    def publish_wave_state(self, wave: int, complete: bool) -> bool:
+        """Show nothing."""
+        return True
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -231,13 +231,21 @@
     def _crash(self, lifetime: Lifetime) -> None:
         if self.is_down or lifetime != self.lifetime:
             return
+        self.lose_power()
+        clock.sleep(self.down_seconds)
+        self.restore_power(self.keeps_id)
+
+    def lose_power(self) -> None:
+        """End all runs and stay down until ``restore_power``."""
         for run in self._runs.values():
             self._record_end(run, "crashed")
         self._runs.clear()
         self.is_down = True
-        clock.sleep(self.down_seconds)
+
+    def restore_power(self, same_id: bool = False) -> None:
+        """Come back in a new lifetime."""
         self.is_down = False
-        self.restart(self.keeps_id)
+        self.restart(same_id)
 
     @property
     def clock_ms(self) -> int:
