Give up the runs of a machine that the platform lists as down

Seen: a task whose machine loses power starts elsewhere only when its leases are reckoned over: 9.0 to 9.4 s on the stand-ins, 20.1 to 24.9 s if the placer is lost 0 to 5 s after the machine, 22.7 s after the call if a start got no answer.

Cause: the placer knew silence only.

Change: while a silent host has tasks, the placer reads the list in a green thread, at most once a second. Two lists in a row that lack the worker of a life, both read while its host was silent, end the life's runs. The leases still count: whichever ends a run first. - A list is evidence only if it is whole and names a worker that is heard of. The second rules out lists without ids, or of other machines; it costs nothing, since without a host that is heard of nothing can start. - A later life under the same id may carry a start out late. The newest list must have been read 12 s after the last start without an answer; if no report lists the run, also 12 s after this entry read that it was placed. A run that has never been listed counts calls until the agent's lease ends, as before. - Lost runs say machine down; loss withheld says machine down, start may come late, with the seconds until the list decides.

Ruled out: judging by state instead of id (a machine is up again with another worker within seconds), one list (pages are read one after the other), reading in the round (a slow service would stop it).

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.dispatch.absences import Absences
 from sequoiachute.coordination.dispatch.advice import TicketCache
 from sequoiachute.coordination.dispatch.crashes import Crash
 from sequoiachute.coordination.dispatch.end_backup import EndBackup
@@ -151,7 +152,8 @@
         )
         self.wait_log = WaitLog()
         self._statistics = RunStatistics(ledger.speeds)
-        self._losses = Losses(agents, metrics)
+        self._absences = Absences(machine_list, ledger, agents, metrics, self.wake)
+        self._losses = Losses(agents, metrics, self._absences)
         self._settlement = Settlement(
             ledger, agents, self._losses, self._worked_seconds
         )
@@ -240,6 +242,8 @@
             self.wake()
         self._record_speeds()
         self._record_waves()
+        if not self._agents.is_gathering:
+            self._absences.read_if_needed()
         self._drop_ended_jobs()
         for session in self._agents.sessions.values():
             session.refresh(self._ledger)
--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -390,6 +390,17 @@
             return True
         return session.worker_age() > MAX_WORKER_AGE_SECONDS
 
+    def silent_since(self, host: str) -> float:
+        """Return since when a host has counted as silent, if it does now."""
+        session = self.sessions.get(host)
+        if session is None:
+            return self.began_at
+        since = min(
+            session.reported_at + MAX_REPORT_AGE_SECONDS,
+            session.worker_answered_at + MAX_WORKER_AGE_SECONDS,
+        )
+        return max(self.began_at, since)
+
     def silent_seconds(self, host: str) -> float:
         """Return seconds since a worker's newest reading, or since this term began."""
         session = self.sessions.get(host)
@@ -414,14 +425,18 @@
         on whose clock the longest lease then counts. An agent repeats the call while
         its lease lasts, unless it has reported the run as begun.
         """
+        until = self.last_late_call(host, task, run) + self._longest_lease
+        return Hold(LATE_START, until)
+
+    def last_late_call(self, host: str, task: TaskId, run: int) -> float:
+        """Return until when a call without an answer may yet start a run."""
         session = self.sessions.get(host)
         if session is None:
-            return Hold(LATE_START, float("-inf"))
+            return float("-inf")
         sent_at = session.late_start_sent_at(task, run)
         if sent_at > float("-inf") and not session.lists(task, run):
             sent_at = max(sent_at, session.newest_reading_at + self._lease_lifetime)
-        until = sent_at + MAX_CALL_DELAY_SECONDS + self._longest_lease
-        return Hold(LATE_START, until)
+        return sent_at + MAX_CALL_DELAY_SECONDS
 
     def _lease_hold(self, host: str) -> Hold:
         """Return until when the last lease of an agent's worker may last.
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -155,7 +155,7 @@
         self._losses = losses
         self._worked_seconds = worked_seconds
         self._settled: dict[str, tuple[int, int, bool, bool]] = {}
-        # Runs whose leases ran out, by the lifetime that may turn out to have crashed.
+        # Runs given up on silent hosts, by the lifetime that may have crashed.
         self._expired: dict[Lifetime, dict[TaskId, TaskState]] = {}
 
     def settle(self, draft: ProgressDraft) -> list[Crash]:
@@ -177,6 +177,7 @@
         return crashes
 
     def _settle_silent_hosts(self, draft: ProgressDraft) -> None:
+        self._losses.begin_round()
         for host in self._ledger.hosts():
             if self._agents.is_silent(host):
                 self._settle_lost_runs(host, draft)
@@ -360,14 +361,15 @@
             state = draft.task(task)
             if state.host != host:
                 continue
-            if not self._losses.is_over(host, task, state.run):
+            reason = self._losses.reason(host, task, state)
+            if not reason:
                 continue
             if session is not None:
                 # Until the loss is recorded, a worker that answers again would get
                 # the order to start a run that it has not started yet.
                 session.stops[task] = state.run
             self._expired.setdefault(state.lifetime, {})[task] = state
-            self._draft_loss(task, state, session, draft, "lease run out")
+            self._draft_loss(task, state, session, draft, reason)
 
     def _draft_loss(
         self,
--- a/src/sequoiachute/state/exposition.py
+++ b/src/sequoiachute/state/exposition.py
@@ -21,6 +21,7 @@
     "leading": "1 while this entry is the placer.",
     "losses_withheld": "Runs on silent hosts that may still exist.",
     "losses_withheld_total": "Losses of runs that were withheld, by reason.",
+    "machine_list_readings_total": "Readings of machines for silent hosts, by outcome.",
     "units_waiting": "Steps or gangs that have waited for more than 1 s.",
     "units_waiting_beside_capacity": "Those of them that there is room for.",
     "store_age_seconds": "Time since the store confirmed the view of runs.",
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -57,8 +57,9 @@
         self.upkeep = self.create_upkeep()
 
     def create_upkeep(self):
+        self.machine_list = MachineList(self.machines)
         return Upkeep(
-            MachineList(self.machines),
+            self.machine_list,
             "entry-1",
             self.ledger,
             self.agents,
