--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -8,11 +8,13 @@
 from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.dispatch.absences import Absences
 from sequoiachute.coordination.dispatch.advice import TicketCache
 from sequoiachute.coordination.dispatch.crashes import Crash
 from sequoiachute.coordination.dispatch.end_backup import EndBackup
 from sequoiachute.coordination.dispatch.first_starts import FirstStarts
 from sequoiachute.coordination.dispatch.losses import Losses
+from sequoiachute.coordination.dispatch.machine_list import MachineList
 from sequoiachute.coordination.dispatch.objectives import DEFAULT_ESTIMATE_SECONDS
 from sequoiachute.coordination.dispatch.retention import Retention
 from sequoiachute.coordination.dispatch.run_statistics import (
@@ -141,8 +143,9 @@
         self._operations = operations
         self._agents = agents
         self._ticket_cache = TicketCache(advisor, self.wake)
+        machine_list = MachineList(machines) if machines is not None else None
         self._upkeep = Upkeep(
-            machines,
+            machine_list,
             identity.member,
             ledger,
             agents,
@@ -151,7 +154,8 @@
         )
         self.wait_log = WaitLog()
         self._statistics = RunStatistics(ledger.speeds)
-        self._losses = Losses(agents, metrics)
+        self._absences = Absences(machine_list, ledger, agents, metrics, self.wake)
+        self._losses = Losses(agents, metrics, self._absences)
         self._settlement = Settlement(
             ledger, agents, self._losses, self._worked_seconds
         )
@@ -242,6 +246,8 @@
             self.wake()
         self._record_speeds()
         self._record_waves()
+        if not self._agents.is_gathering:
+            self._absences.read_if_needed()
         self._drop_ended_jobs()
         for session in self._agents.sessions.values():
             session.refresh(self._ledger)
--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -421,6 +421,17 @@
             return True
         return session.worker_age() > MAX_WORKER_AGE_SECONDS
 
+    def silent_since(self, host: str) -> float:
+        """Return since when a host has counted as silent, if it does now."""
+        session = self.sessions.get(host)
+        if session is None:
+            return self.began_at
+        since = min(
+            session.reported_at + MAX_REPORT_AGE_SECONDS,
+            session.worker_answered_at + MAX_WORKER_AGE_SECONDS,
+        )
+        return max(self.began_at, since)
+
     def silent_seconds(self, host: str) -> float:
         """Return seconds since a worker's newest reading, or since this term began."""
         session = self.sessions.get(host)
@@ -445,10 +456,13 @@
         on whose clock the longest lease then counts. An agent repeats the call while
         its lease lasts, unless it has reported the run as begun.
         """
-        sent_at = self.late_start_sent_at(host, task, run)
-        until = sent_at + MAX_CALL_DELAY_SECONDS + self._longest_lease
+        until = self.last_late_call(host, task, run) + self._longest_lease
         return Hold(LATE_START, until)
 
+    def last_late_call(self, host: str, task: TaskId, run: int) -> float:
+        """Return until when a call without an answer may yet start a run."""
+        return self.late_start_sent_at(host, task, run) + MAX_CALL_DELAY_SECONDS
+
     def late_start_sent_at(self, host: str, task: TaskId, run: int) -> float:
         """Return when the last call that may start a run late can have been sent."""
         sent_at = float("-inf")
--- a/tests/test_upkeep.py
+++ b/tests/test_upkeep.py
@@ -5,6 +5,7 @@
     MAX_WORKERS_PER_REQUEST,
     TicketCache,
 )
+from sequoiachute.coordination.dispatch.machine_list import MachineList
 from sequoiachute.coordination.dispatch.sessions import AgentSessions, Session
 from sequoiachute.coordination.dispatch.term_writer import DeposedError
 from sequoiachute.coordination.dispatch.upkeep import (
@@ -56,8 +57,9 @@
         self.upkeep = self.create_upkeep()
 
     def create_upkeep(self):
+        self.machine_list = MachineList(self.machines)
         return Upkeep(
-            self.machines,
+            self.machine_list,
             "entry-1",
             self.ledger,
             self.agents,
