Let an entry that has followed the store take over from one that restarts

Cause: a starting process ends the membership of the one before and joins the group within milliseconds; the platform gives it the partition that becomes free.

Change: if the newest claim is that of its predecessor and the group has members at other addresses, it waits for 0.6 s at most, two joins of the others, before it joins. Where all entries have restarted, only that of the last placer waits; a single entry does not wait.

Ruled out: the time of the placement in the record, which would be a time of day; a record of each start that has been answered, an append for each start.

--- a/src/sequoiachute/coordination/store/election.py
+++ b/src/sequoiachute/coordination/store/election.py
@@ -28,6 +28,9 @@
 # The list goes to agents and names the peers that relay calls to the store.
 MEMBER_LIST_INTERVAL_SECONDS = 2.0
 CLAIM_TIMEOUT_SECONDS = 1.0
+# Two joins of another candidate, in which it learns of the ended membership.
+MAX_DEFERRAL_SECONDS = 2 * JOIN_INTERVAL_SECONDS
+DEFERRAL_INTERVAL_SECONDS = 0.05
 
 
 class Election:
@@ -85,6 +88,7 @@
                 if may_have_predecessor:
                     self._remove_predecessors()
                     may_have_predecessor = False
+                    self._defer_to_others()
                 self._renew_candidacy()
             except StoreUnavailableError as error:
                 logger.bind(reason=str(error)).debug("joining the group failed")
@@ -120,6 +124,22 @@
                 logger.bind(member=member).info("removing an ended member")
                 self._store.leave(GROUP, member)
 
+    def _defer_to_others(self) -> None:
+        """Let another entry take over from this one's predecessor, if one does at once.
+
+        It has followed the store and knows since when each record holds, while this
+        process has just read them all.
+        """
+        predecessor = self._ledger.leader
+        if predecessor is None or address_of(predecessor.member) != self._address:
+            return
+        members = self._store.members(GROUP)
+        if all(address_of(member) == self._address for member in members):
+            return
+        until = clock.now() + MAX_DEFERRAL_SECONDS
+        while clock.now() < until and self._ledger.leader == predecessor:
+            clock.sleep(DEFERRAL_INTERVAL_SECONDS)
+
     def _renew_candidacy(self) -> None:
         generation = self._membership.generation
         self._membership = self._store.join(
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -41,10 +41,12 @@
     """Members of a group and the owners of its partitions.
 
     An owner that is alive keeps a partition that is due to another member until it
-    joins with the generation that says so.
+    joins with the generation that says so. With ``newest_first`` what a member leaves
+    has no owner until somebody joins, and goes to the member that has joined last.
     """
 
     def __init__(self) -> None:
+        self.newest_first = False
         self._expiry: dict[str, float] = {}
         self._generation = 0
         self._shift = 0
@@ -54,7 +56,7 @@
         """Join or renew."""
         is_new = member not in self._expiry
         self._expiry[member] = clock.now() + ttl
-        if is_new:
+        if is_new or any(owner not in self._expiry for owner in self.owners):
             self._change()
         elif generation >= self._generation:
             self._hand_over(member)
@@ -63,7 +65,11 @@
 
     def leave(self, member: str) -> None:
         """Leave the group."""
-        if self._expiry.pop(member, None) is not None:
+        if self._expiry.pop(member, None) is None:
+            return
+        if self.newest_first:
+            self._generation += 1
+        else:
             self._change()
 
     def expire(self) -> None:
@@ -101,9 +107,13 @@
                 self.owners[part] = due
 
     def _due_owners(self) -> list[str]:
-        members = sorted(self._expiry)
+        members = list(self._expiry)
         if not members:
             return []
+        if self.newest_first:
+            members.reverse()
+        else:
+            members.sort()
         return [members[(p + self._shift) % len(members)] for p in range(PARTITIONS)]
 
 
@@ -115,12 +125,14 @@
     if their condition still holds. ``delay`` is the duration of a call in seconds.
     While the store is down, memberships of groups expire unless
     ``pauses_memberships`` is set. Calls on ``down_topics`` fail, others do not;
+    With ``newest_first`` the next member that joins becomes the candidate of a group.
     ``reads`` counts the reads of all processes, ``group_reads`` those of members.
     """
 
     def __init__(self, delay: float = 0.004) -> None:
         self.delay = delay
         self.pauses_memberships = False
+        self.newest_first = False
         self._down_since: float | None = None
         self.lose_replies = False
         self.late_seconds = 0.0
@@ -264,6 +276,7 @@
 
     def _group(self, name: str) -> _Group:
         group = self._groups.setdefault(name, _Group())
+        group.newest_first = self.newest_first
         if not self.down:
             group.expire()
         return group
--- a/tests/test_lost_machines.py
+++ b/tests/test_lost_machines.py
@@ -237,3 +237,33 @@
     supervisor.handle_heartbeat(Heartbeat(worker.info(), 10**6, worker.clock_ms))
     site.run_for(0.5)
     assert (f"{job}.0.0.0", 1) in supervisor._create_report(0.0).late_starts
+
+
+@pytest.mark.parametrize("down_seconds", [0.1, 0.5, 1.0])
+def test_entry_that_has_followed_the_store_takes_over_from_one_that_restarts(
+    down_seconds,
+):
+    # The restarted process, which knew of no run since when it is placed, was elected.
+    site = ControlSite()
+    site.store.newest_first = True
+    for _ in range(3):
+        placer, killed_at = site.placer(), clock.now()
+        change_placer(site, down_seconds)
+        while site.placer() < 0:
+            site.run_for(0.05)
+        assert site.placer() != placer
+        assert clock.now() - killed_at <= TAKEOVER_SECONDS - 1.0
+        site.run_for(3.0)
+
+
+@pytest.mark.parametrize("entries", [1, 3])
+def test_restarted_entry_takes_over_if_no_other_does(entries):
+    site = ControlSite(entries=entries)
+    placer, killed_at = site.placer(), clock.now()
+    for index in range(entries):
+        site.kill_entry(index)
+    site.run_for(0.3)
+    site.restart_entry(placer)
+    while site.placer() < 0:
+        site.run_for(0.05)
+    assert clock.now() - killed_at <= TAKEOVER_SECONDS
