Give way to other candidates only if a restarted placer has some

Change: a restarted process joins at once, as before. Where all entries have restarted, none is left of those before, and it claims at once. A new line says that it gives way.

--- a/src/sequoiachute/coordination/store/election.py
+++ b/src/sequoiachute/coordination/store/election.py
@@ -30,7 +30,7 @@
 CLAIM_TIMEOUT_SECONDS = 1.0
 # Two joins of another candidate, in which it learns of the ended membership.
 MAX_DEFERRAL_SECONDS = 2 * JOIN_INTERVAL_SECONDS
-DEFERRAL_INTERVAL_SECONDS = 0.05
+DEFERRAL_INTERVAL_SECONDS = 0.1
 
 
 class Election:
@@ -68,6 +68,7 @@
         self._membership = Membership(0, False)
         self._leaving = False
         self._last_term = 0
+        self._earlier_members: tuple[str, ...] = ()
         self._members_read_at = float("-inf")
         self._changed_at = float("-inf")
         self.term = 0
@@ -88,7 +89,6 @@
                 if may_have_predecessor:
                     self._remove_predecessors()
                     may_have_predecessor = False
-                    self._defer_to_others()
                 self._renew_candidacy()
             except StoreUnavailableError as error:
                 logger.bind(reason=str(error)).debug("joining the group failed")
@@ -119,26 +119,14 @@
         They have ended, since this process listens there. Until their memberships
         expire one of them may be the candidate, and no entry can replace it.
         """
-        for member in self._store.members(GROUP):
+        members = self._store.members(GROUP)
+        for member in members:
             if member != self._member and address_of(member) == self._address:
                 logger.bind(member=member).info("removing an ended member")
                 self._store.leave(GROUP, member)
-
-    def _defer_to_others(self) -> None:
-        """Let another entry take over from this one's predecessor, if one does at once.
-
-        It has followed the store and knows since when each record holds, while this
-        process has just read them all.
-        """
-        predecessor = self._ledger.leader
-        if predecessor is None or address_of(predecessor.member) != self._address:
-            return
-        members = self._store.members(GROUP)
-        if all(address_of(member) == self._address for member in members):
-            return
-        until = clock.now() + MAX_DEFERRAL_SECONDS
-        while clock.now() < until and self._ledger.leader == predecessor:
-            clock.sleep(DEFERRAL_INTERVAL_SECONDS)
+        self._earlier_members = tuple(
+            member for member in members if address_of(member) != self._address
+        )
 
     def _renew_candidacy(self) -> None:
         generation = self._membership.generation
@@ -154,6 +142,9 @@
             return
         leader = self._ledger.leader
         self._read_group_members()
+        if leader is not None and self._may_be_followed_by_another(leader):
+            self._give_way(leader)
+            return
         if (
             leader is None
             or leader.member == self._member
@@ -161,6 +152,32 @@
         ):
             self._claim()
 
+    def _may_be_followed_by_another(self, leader: Leader) -> bool:
+        """Return whether a placer before this process has other heirs.
+
+        They have followed the store and know since when each record holds, while this
+        process has just read them all.
+        """
+        is_predecessor = (
+            leader.member != self._member and address_of(leader.member) == self._address
+        )
+        return is_predecessor and not set(self._earlier_members).isdisjoint(
+            self.group_members
+        )
+
+    def _give_way(self, leader: Leader) -> None:
+        """Leave the group until another member has claimed, once and for a moment."""
+        logger.bind(leader=leader.member).info("giving way to another candidate")
+        self._membership = Membership(0, False)
+        self._store.leave(GROUP, self._member)
+        until = clock.now() + MAX_DEFERRAL_SECONDS
+        while clock.now() < until and self._ledger.leader == leader:
+            clock.sleep(DEFERRAL_INTERVAL_SECONDS)
+            self._read_group_members()
+            if not self._may_be_followed_by_another(leader):
+                break
+        self._earlier_members = ()
+
     def _read_group_members(self) -> None:
         self.group_members = self._store.members(GROUP)
         self._members_read_at = clock.now()
