Count calls that are on their way when their run is listed

The agent took a run that was listed after one call without an answer for started by that call, also while a second call was on its way. If that one got no answer either, it counted as the only one and was forgotten at the next reading, although it may come late (TWICE in a next life).

Evidence: the sequence of test_call_that_was_on_its_way_when_the_run_was_listed_ may_come_late, played on the class before, leaves no late start. Change: calls are counted when they are sent.

--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -222,6 +222,7 @@
             self._hold(key, order.need)
             with self._calls:
                 sent_at = clock.elapsed()
+                self._unanswered.record_sent(key, sent_at)
                 outcome = self._worker.start(lifetime, order, self.term, self.lease_ms)
             self._record_answer(key, sent_at, outcome)
             if lifetime != self.lifetime:
@@ -265,7 +266,6 @@
         """Record the outcome of a call to start a run, also if the life has changed."""
         if outcome.is_ok():
             self._metrics.count("orders_total", kind="start", outcome="ok")
-            self._unanswered.record_answered(key, sent_at)
             return
         error = outcome.unwrap_err()
         self._metrics.count("orders_total", kind="start", outcome=error.reason)
--- a/tests/test_lost_machines.py
+++ b/tests/test_lost_machines.py
@@ -9,6 +9,7 @@
     MAX_CLOCK_DRIFT,
 )
 from sequoiachute.coordination.hosting.supervisor import Heartbeat
+from sequoiachute.coordination.hosting.unanswered import UnansweredStarts
 from sequoiachute.protocol.workload import ACTIVE, TYPICAL_TIMES
 from sequoiachute.transport.worker import MAX_CALL_DELAY_SECONDS
 from standins.control_site import ControlSite
@@ -267,3 +268,26 @@
     while site.placer() < 0:
         site.run_for(0.05)
     assert clock.now() - killed_at <= TAKEOVER_SECONDS
+
+
+def test_call_that_was_on_its_way_when_the_run_was_listed_may_come_late():
+    # It counted as the only call, which had started the run.
+    starts, key = UnansweredStarts(), ("j.0.0.0", 1)
+    starts.record_sent(key, clock.elapsed())
+    starts.record_unanswered(key, clock.elapsed())
+    clock.sleep(0.5)
+    sent_at = clock.elapsed()
+    starts.record_sent(key, sent_at)
+    starts.record_listed({key})
+    clock.sleep(0.4)
+    starts.record_unanswered(key, sent_at)
+    starts.record_listed({key})
+    assert starts.ages() == {key: pytest.approx(0.4)}
+
+
+def test_only_call_of_a_listed_run_is_no_late_start_whenever_it_was_listed():
+    starts, key = UnansweredStarts(), ("j.0.0.0", 1)
+    starts.record_sent(key, clock.elapsed())
+    starts.record_listed({key})
+    starts.record_unanswered(key, clock.elapsed())
+    assert starts.ages() == {}
