State machine: machines that lose power, and the list of machines

Machines lose power and come back, under the same id or another, with and without a list of machines, which may be unreadable, empty or without ids.

--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -52,10 +52,11 @@
 class ControlMachine(RuleBasedStateMachine):
     watch = None
 
-    @initialize()
-    def create_site(self):
+    @initialize(lists_machines=st.booleans())
+    def create_site(self, lists_machines):
         install_paused_clock()
-        self.site = ControlSite(ENTRIES, WORKERS)
+        self.site = ControlSite(ENTRIES, WORKERS, lists_machines=lists_machines)
+        self.without_power = set()
         for number, worker in enumerate(self.site.workers):
             worker.rack = f"rack-{number}"
             worker.keeps_id = number % 2 == 0
@@ -203,9 +204,29 @@
     @in_trouble
     @rule(worker=workers)
     def restart_agent(self, worker):
-        if self.site.agents[worker].process.killed:
+        if self.site.agents[worker].process.killed and worker not in self.without_power:
             self.site.restart_agent(worker)
 
+    @in_trouble
+    @rule(worker=workers)
+    def lose_power(self, worker):
+        if not self.site.workers[worker].is_down:
+            self.site.lose_power(worker)
+            self.without_power.add(worker)
+
+    @in_trouble
+    @rule(worker=workers, same_id=st.booleans())
+    def restore_power(self, worker, same_id):
+        if worker in self.without_power:
+            self.without_power.discard(worker)
+            self.site.restore_power(worker, same_id)
+
+    @in_trouble
+    @rule(spoilt=st.sampled_from(["cannot_list", "is_empty", "has_no_ids"]))
+    def disturb_list(self, spoilt):
+        if self.site.machines is not None:
+            setattr(self.site.machines, spoilt, not getattr(self.site.machines, spoilt))
+
     @in_trouble
     @rule(worker=workers, frozen=st.booleans())
     def freeze_agent(self, worker, frozen):
@@ -326,6 +347,7 @@
             self.disturb_store_access(entry, False, False)
             self.restart_entry(entry)
         for worker in range(WORKERS):
+            self.restore_power(worker, same_id=False)
             site.agents[worker].process.frozen = False
             self.disturb_orders(worker, 0.0, False)
             self.restart_agent(worker)
