Grant no lease to a host whose silence may be stored without an answer

What callers would see: two runs of a task at a time (TWICE), for up to the age of a confirmation (10 s) and a lease less the silence's seconds.

Cause: the promise of a record, that no placer grants the host a lease until the record is deleted, began for the placer that wrote it when the append was acknowledged. If the answer was lost together with its way to the store, it granted leases for 10 s more to the host, which had come back to it, while the next placer counted from the record. Also while an append is held up: its seconds count from the draft, the leases granted since then do not.

Evidence: found by reading, shown in memory: the placer's append is carried out, its answer is lost and the placer cut off from store, peers and all agents but one, whose host had been silent for 2.0, 2.5 or 4.0 s.

Change: from the draft of the record until the store has answered (also with a refusal) the host gets no lease.

Cost: a host that was silent and comes back while the append waits for a store that does not answer gets no lease meanwhile, as after the record already.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -511,6 +511,7 @@
         if not records:
             return
         self._writer.append_groups([records])
+        self._agents.acknowledge_silences()
         for key, value in records:
             session = self._agents.sessions.get(host_of_silence(key))
             if value is None and session is not None:
--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -336,6 +336,7 @@
         self.began_at = clock.elapsed()
         self._newest_agent_at = self.began_at
         self.sessions: dict[str, Session] = {}
+        self._unacknowledged_silences: set[str] = set()
 
     @property
     def is_gathering(self) -> bool:
@@ -385,8 +386,12 @@
         )
 
     def _is_recorded_silent(self, host: str) -> bool:
-        """Return whether later placers count on no lease being granted to a host."""
-        return self._ledger.silences.get(host) is not None
+        """Return whether later placers may count on no lease being granted to a host.
+
+        The store may have a record that it has not acknowledged.
+        """
+        is_recorded = self._ledger.silences.get(host) is not None
+        return is_recorded or host in self._unacknowledged_silences
 
     def _lease_ms(self, report: Report) -> int:
         """Return the lease's end on the worker's clock, zero to grant none.
@@ -478,7 +483,11 @@
         return max(sent_at, reported)
 
     def silence(self, host: str) -> Silence:
-        """Return what is known now of a host that is to be recorded as silent."""
+        """Return what is known now of a host that is to be recorded as silent.
+
+        It is granted no lease from now on.
+        """
+        self._unacknowledged_silences.add(host)
         now = clock.elapsed()
         late_starts = []
         for task, state in self._ledger.tasks_on_host(host).items():
@@ -488,6 +497,10 @@
         lease_seconds = self._lease_hold(host).until - now
         return Silence(max(0.0, round(lease_seconds, 3)), tuple(late_starts))
 
+    def acknowledge_silences(self) -> None:
+        """Take note that the store has answered for all silences up to now."""
+        self._unacknowledged_silences.clear()
+
     def adopt_late_starts(self, host: str) -> None:
         """Take over the late starts of a host's record before it is deleted."""
         session, silence = self.sessions.get(host), self._ledger.silences.get(host)
--- /dev/null
+++ b/tests/test_review_49.py
@@ -0,0 +1,46 @@
+"""Runs of silent hosts under several faults at a time."""
+
+import pytest
+from result import Err
+
+from sequoiachute.transport.store import AppendError
+from standins.control_site import ControlSite
+from tests.control_checks import accepted, cut_links
+from tests.run_checks import assert_no_duplicate_runs
+from tests.test_lost_machines import start_index
+
+pytestmark = pytest.mark.usefixtures("paused_clock")
+
+
+def cut_off_at_silence(site, placer, index):
+    """Cut a placer off from all but one agent when its record of a silence arrives."""
+    append, link = site.store.append, site.entries[placer].store
+    address, host = site.entries[placer].address, site.agents[index].address
+
+    def append_and_cut(topic, records, at, writer):
+        outcome = append(topic, records, at, writer)
+        if any(key.startswith("silent/") and value for key, value in records):
+            site.store.append = append
+            link.unresponsive = True
+            cut_links(site, placer)
+            others = {agent.address for agent in site.agents} - {host}
+            site.network.cut.update((other, address) for other in others)
+            return Err(AppendError("no answer", None))
+        return outcome
+
+    site.store.append = append_and_cut
+
+
+@pytest.mark.parametrize("away_seconds", [2.0, 2.5, 4.0])
+def test_no_lease_is_granted_while_the_record_of_a_silence_may_be_stored(away_seconds):
+    # The record, whose answer was lost, was not known to the placer that wrote it.
+    site = ControlSite()
+    accepted(site, 500.0)
+    site.run_for(3.0)
+    index, placer = start_index(site), site.placer()
+    cut_off_at_silence(site, placer, index)
+    site.agents[index].process.frozen = True
+    site.run_for(away_seconds)
+    site.agents[index].process.frozen = False
+    site.run_for(40.0)
+    assert_no_duplicate_runs(site.history)
