Take over recorded late starts with a host's first report

What callers would see: two runs of a task at a time (TWICE): a run of a worker that has left was given up although a start of it could still be carried out.

Cause: a new placer took the late starts of a silent host's record over when it deleted the record, which a round does after it has settled the reports. So a departure in the first report after the silence was settled without them. And a placer that had renewed the record before the host reported to it never took them over: it has no session to know them from, and deletes the record as its own.

Evidence: found by reading, shown in memory: start unanswered (carried out 11 s later), run at work, agent killed, silence recorded, placer killed, the agent's new process reports the departure. Run lost at once, started elsewhere; the late start ran beside it for 0.2 s in the worker's next life.

Change: a session takes them over when it begins.

--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -358,6 +358,7 @@
             session = self.sessions[report.host] = Session(report.host)
             self._newest_agent_at = clock.elapsed()
             logger.bind(host=report.host, term=self.term).info("first report of agent")
+            self._adopt_late_starts(session)
         if report.worker is None or not session.is_over(report.worker.lifetime):
             session.record_reading(report)
         lease_ms = self._lease_ms(report)
@@ -501,10 +502,10 @@
         """Take note that the store has answered for all silences up to now."""
         self._unacknowledged_silences.clear()
 
-    def adopt_late_starts(self, host: str) -> None:
+    def _adopt_late_starts(self, session: Session) -> None:
         """Take over the late starts of a host's record before it is deleted."""
-        session, silence = self.sessions.get(host), self._ledger.silences.get(host)
-        if session is not None and silence is not None:
+        silence = self._ledger.silences.get(session.host)
+        if silence is not None:
             session.adopt_late_starts(silence.late_starts_sent_at())
 
     def _lease_hold(self, host: str) -> Hold:
--- a/src/sequoiachute/coordination/dispatch/silences.py
+++ b/src/sequoiachute/coordination/dispatch/silences.py
@@ -37,8 +37,6 @@
         records: list[Record] = []
         for host in self._ledger.silences.hosts():
             if self._is_over(host):
-                if host not in self._own:
-                    self._agents.adopt_late_starts(host)
                 self._own.discard(host)
                 records.append((silence_key(host), None))
                 logger.bind(host=host).info("silence of host ended")
--- a/tests/test_review_49.py
+++ b/tests/test_review_49.py
@@ -3,10 +3,12 @@
 import pytest
 from result import Err
 
+from sequoiachute import clock
 from sequoiachute.transport.store import AppendError
 from standins.control_site import ControlSite
 from tests.control_checks import accepted, cut_links
 from tests.run_checks import assert_no_duplicate_runs
+from tests.test_departures import leave, start_with_doubt
 from tests.test_lost_machines import start_index
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
@@ -44,3 +46,30 @@
     site.agents[index].process.frozen = False
     site.run_for(40.0)
     assert_no_duplicate_runs(site.history)
+
+
+@pytest.mark.parametrize("down_seconds", [0.0, 3.0])
+def test_departure_that_a_new_placer_hears_of_first_waits_for_recorded_late_starts(
+    down_seconds,
+):
+    # The record was taken over after the departure, or not if it had been renewed.
+    site, _, index, sent_at = start_with_doubt(11.0)
+    worker = site.workers[index]
+    site.kill_agent(index)
+    site.run_for(2.2)
+    assert site.store.newest("runs").get(f"silent/{site.agents[index].address}")
+    placer = site.placer()
+    site.kill_entry(placer)
+    site.run_for(down_seconds)
+    site.restart_agent(index)
+    site.run_for(0.1)
+    leave(site, index)
+    site.run_for(sent_at + 11.0 - clock.now() - 0.1)
+    worker.gone, worker.silent = False, True
+    worker.leaving_seconds = None
+    worker.restart(same_id=True)
+    site.run_for(0.2)
+    worker.silent = False
+    site.run_for(20.0)
+    assert any(start.late for start in site.history.starts)
+    assert_no_duplicate_runs(site.history, crashes=True)
