Take no first call of a new process for the only one of a run

What callers would see: two runs of a task at a time (TWICE): the loss of a run was not withheld although a call to start it could still be carried out.

Cause: a listed run counts as started by the agent's only call. A new process does not know the calls of the one before: if one of those starts the run after the new process has sent its own, the latter may come late, and its doubt ended.

Evidence: found by reading, shown in memory: first call carried out 0.6 s late, agent killed meanwhile, call of its next process 11.5 s late, machine lost and back under its id without its agent. Run lost after its lease, started elsewhere at 44.3 s; the late call ran beside it from 45.9 to 56.1 s.

Change: what the first orders of a process name counts as called once before.

Test: test_run_that_an_earlier_process_has_started_proves_nothing_of_a_later_ call (failing before). test_lost_machines.py, test_departures.py, test_new_processes.py and test_worker_lives.py pass unchanged.

--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -66,6 +66,7 @@
         self._started: set[tuple[str, int]] = set()
         self._stopped_at: dict[tuple[str, int], float] = {}
         self._unanswered = UnansweredStarts()
+        self._has_had_orders = False
         self._reading = (0, 0.0)
         self._in_flight: set[tuple[str, int]] = set()
         self._calls = Semaphore(MAX_CONCURRENT_CALLS)
@@ -124,6 +125,11 @@
             if not order.payload and key in previous:
                 order = order._replace(payload=previous[key].payload)
             self.orders[key] = order
+        if not self._has_had_orders:
+            self._has_had_orders = True
+            for key in self.orders:
+                # An earlier process of the agent may have sent a call.
+                self._unanswered.record_sent(key, clock.elapsed())
         self._attempted &= self.orders.keys()
         self._started &= self.orders.keys()
         for key in list(self.settled):
--- a/tests/test_review_49.py
+++ b/tests/test_review_49.py
@@ -8,8 +8,8 @@
 from standins.control_site import ControlSite
 from tests.control_checks import accepted, cut_links
 from tests.run_checks import assert_no_duplicate_runs
-from tests.test_departures import leave, start_with_doubt
-from tests.test_lost_machines import start_index
+from tests.test_departures import leave, set_late, start_with_doubt
+from tests.test_lost_machines import host_index, start_index
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
@@ -73,3 +73,25 @@
     site.run_for(20.0)
     assert any(start.late for start in site.history.starts)
     assert_no_duplicate_runs(site.history, crashes=True)
+
+
+def test_run_that_an_earlier_process_has_started_proves_nothing_of_a_later_call():
+    # The first call of the new process counted as the only one of the listed run.
+    site = ControlSite(workers=2)
+    site.run_for(30.0)  # a lease on this life's clock is the longest on the next one's
+    set_late(site, 0.6)
+    job = accepted(site, 500.0)
+    site.run_for(0.3)
+    set_late(site, 11.5)
+    index = host_index(site, job)
+    worker = site.workers[index]
+    site.kill_agent(index)
+    site.restart_agent(index)
+    site.run_for(1.5)
+    set_late(site, 0.0)
+    site.kill_agent(index)
+    worker.silent = True
+    worker.restart(same_id=True)
+    site.run_for(40.0)
+    assert [start.late for start in site.history.starts if start.run == 1] == [True] * 2
+    assert_no_duplicate_runs(site.history, crashes=True)
