Count on calls that an agent's process may have sent before it ended

What callers would see: two runs of a task at a time (TWICE): a lost machine's run was given up although a first call to start it could still be carried out.

Cause: an agent's process that ends before it has reported a call takes the knowledge of it along.

Evidence: found by reading, shown in memory: call carried out 11.5 s late, agent killed 0.3 s after it, run begun by the next process at 34.4 s, power lost at 39.0 s, back under its id at 43.0 s without the agent. Elsewhere the task started at 48.3 s, by the list of machines at 41.4 s; the late call ran from 45.5 to 55.8 s.

Change: when another process of an agent reports, each placed run that the one before had not listed counts as called until now. What it had listed it had reported together with its calls. A process whose worker has not answered under this term counts as having called nothing: without that, processes that end every 8 s beside a lost worker renewed the doubt (90 s).

Not covered: a placer whose first report of the host is from the new process.

--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -359,6 +359,8 @@
             self._newest_agent_at = clock.elapsed()
             logger.bind(host=report.host, term=self.term).info("first report of agent")
             self._adopt_late_starts(session)
+        elif report.incarnation != session.incarnation and session.is_fenced:
+            self._doubt_unlisted_runs(session)
         if report.worker is None or not session.is_over(report.worker.lifetime):
             session.record_reading(report)
         lease_ms = self._lease_ms(report)
@@ -508,6 +510,20 @@
         if silence is not None:
             session.adopt_late_starts(silence.late_starts_sent_at())
 
+    def _doubt_unlisted_runs(self, session: Session) -> None:
+        """Count on late starts of an ended process that it has not reported.
+
+        What it had listed it had reported together with its calls. It had sent none if
+        its worker had not answered under this term.
+        """
+        now = clock.elapsed()
+        sent_at = {
+            (str(task), state.run): now
+            for task, state in self._ledger.tasks_on_host(session.host).items()
+            if not session.lists(task, state.run)
+        }
+        session.adopt_late_starts(sent_at)
+
     def _lease_hold(self, host: str) -> Hold:
         """Return until when the last lease of an agent's worker may last.
 
--- a/tests/test_review_49.py
+++ b/tests/test_review_49.py
@@ -9,7 +9,12 @@
 from tests.control_checks import accepted, cut_links
 from tests.run_checks import assert_no_duplicate_runs
 from tests.test_departures import leave, set_late, start_with_doubt
-from tests.test_lost_machines import host_index, start_index
+from tests.test_lost_machines import (
+    LEASE_LIFETIME_SECONDS,
+    RESTART_SECONDS,
+    host_index,
+    start_index,
+)
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
@@ -95,3 +100,48 @@
     site.run_for(40.0)
     assert [start.late for start in site.history.starts if start.run == 1] == [True] * 2
     assert_no_duplicate_runs(site.history, crashes=True)
+
+
+@pytest.mark.parametrize("lists_machines", [False, True])
+def test_machine_down_proves_nothing_of_calls_that_an_agent_has_not_reported(
+    lists_machines,
+):
+    # The run was listed by a process that did not know of the first call for it.
+    site = ControlSite(workers=2, lists_machines=lists_machines)
+    site.run_for(30.0)  # a lease on this life's clock is the longest on the next one's
+    set_late(site, 11.5)
+    job = accepted(site, 500.0)
+    site.run_for(0.3)
+    set_late(site, 0.0)
+    index = host_index(site, job)
+    worker = site.workers[index]
+    site.kill_agent(index)
+    site.restart_agent(index)
+    site.run_for(4.7)
+    site.lose_power(index)
+    site.run_for(4.0)
+    if site.machines is not None:
+        site.machines.without_power.discard(index)
+    worker.silent = True
+    worker.restore_power(same_id=True)
+    site.run_for(40.0)
+    assert any(start.late for start in site.history.starts)
+    assert_no_duplicate_runs(site.history, crashes=True)
+
+
+@pytest.mark.parametrize("every_seconds", [2.0, 5.0])
+def test_new_processes_of_an_agent_beside_a_lost_worker_begin_no_new_doubt(
+    every_seconds,
+):
+    site = ControlSite()
+    accepted(site, 500.0)
+    site.run_for(13.0)
+    index, lost_at = start_index(site), clock.now()
+    site.workers[index].lose_power()
+    while clock.now() < lost_at + 30.0 and len(site.history.starts) == 1:
+        site.kill_agent(index)
+        site.restart_agent(index)
+        site.run_for(every_seconds)
+    limit = LEASE_LIFETIME_SECONDS + RESTART_SECONDS
+    assert site.history.starts[-1].at - lost_at <= limit
+    assert_no_duplicate_runs(site.history)
