--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -336,6 +336,7 @@
         self.began_at = clock.elapsed()
         self._newest_agent_at = self.began_at
         self.sessions: dict[str, Session] = {}
+        self._unacknowledged_silences: set[str] = set()
 
     @property
     def is_gathering(self) -> bool:
@@ -357,6 +358,9 @@
             session = self.sessions[report.host] = Session(report.host)
             self._newest_agent_at = clock.elapsed()
             logger.bind(host=report.host, term=self.term).info("first report of agent")
+            self._adopt_late_starts(session)
+        elif report.incarnation != session.incarnation and session.is_fenced:
+            self._doubt_unlisted_runs(session)
         if report.worker is None or not session.is_over(report.worker.lifetime):
             session.record_reading(report)
         lease_ms = self._lease_ms(report)
@@ -385,8 +389,12 @@
         )
 
     def _is_recorded_silent(self, host: str) -> bool:
-        """Return whether later placers count on no lease being granted to a host."""
-        return self._ledger.silences.get(host) is not None
+        """Return whether later placers may count on no lease being granted to a host.
+
+        The store may have a record that it has not acknowledged.
+        """
+        is_recorded = self._ledger.silences.get(host) is not None
+        return is_recorded or host in self._unacknowledged_silences
 
     def _lease_ms(self, report: Report) -> int:
         """Return the lease's end on the worker's clock, zero to grant none.
@@ -478,7 +486,11 @@
         return max(sent_at, reported)
 
     def silence(self, host: str) -> Silence:
-        """Return what is known now of a host that is to be recorded as silent."""
+        """Return what is known now of a host that is to be recorded as silent.
+
+        It is granted no lease from now on.
+        """
+        self._unacknowledged_silences.add(host)
         now = clock.elapsed()
         late_starts = []
         for task, state in self._ledger.tasks_on_host(host).items():
@@ -488,12 +500,30 @@
         lease_seconds = self._lease_hold(host).until - now
         return Silence(max(0.0, round(lease_seconds, 3)), tuple(late_starts))
 
-    def adopt_late_starts(self, host: str) -> None:
+    def acknowledge_silences(self) -> None:
+        """Take note that the store has answered for all silences up to now."""
+        self._unacknowledged_silences.clear()
+
+    def _adopt_late_starts(self, session: Session) -> None:
         """Take over the late starts of a host's record before it is deleted."""
-        session, silence = self.sessions.get(host), self._ledger.silences.get(host)
-        if session is not None and silence is not None:
+        silence = self._ledger.silences.get(session.host)
+        if silence is not None:
             session.adopt_late_starts(silence.late_starts_sent_at())
 
+    def _doubt_unlisted_runs(self, session: Session) -> None:
+        """Count on late starts of an ended process that it has not reported.
+
+        What it had listed it had reported together with its calls. It had sent none if
+        its worker had not answered under this term.
+        """
+        now = clock.elapsed()
+        sent_at = {
+            (str(task), state.run): now
+            for task, state in self._ledger.tasks_on_host(session.host).items()
+            if not session.lists(task, state.run)
+        }
+        session.adopt_late_starts(sent_at)
+
     def _lease_hold(self, host: str) -> Hold:
         """Return until when the last lease of an agent's worker may last.
 
--- /dev/null
+++ b/tests/test_review_49.py
@@ -0,0 +1,147 @@
+"""Runs of silent hosts under several faults at a time."""
+
+import pytest
+from result import Err
+
+from sequoiachute import clock
+from sequoiachute.transport.store import AppendError
+from standins.control_site import ControlSite
+from tests.control_checks import accepted, cut_links
+from tests.run_checks import assert_no_duplicate_runs
+from tests.test_departures import leave, set_late, start_with_doubt
+from tests.test_lost_machines import (
+    LEASE_LIFETIME_SECONDS,
+    RESTART_SECONDS,
+    host_index,
+    start_index,
+)
+
+pytestmark = pytest.mark.usefixtures("paused_clock")
+
+
+def cut_off_at_silence(site, placer, index):
+    """Cut a placer off from all but one agent when its record of a silence arrives."""
+    append, link = site.store.append, site.entries[placer].store
+    address, host = site.entries[placer].address, site.agents[index].address
+
+    def append_and_cut(topic, records, at, writer):
+        outcome = append(topic, records, at, writer)
+        if any(key.startswith("silent/") and value for key, value in records):
+            site.store.append = append
+            link.unresponsive = True
+            cut_links(site, placer)
+            others = {agent.address for agent in site.agents} - {host}
+            site.network.cut.update((other, address) for other in others)
+            return Err(AppendError("no answer", None))
+        return outcome
+
+    site.store.append = append_and_cut
+
+
+@pytest.mark.parametrize("away_seconds", [2.0, 2.5, 4.0])
+def test_no_lease_is_granted_while_the_record_of_a_silence_may_be_stored(away_seconds):
+    # The record, whose answer was lost, was not known to the placer that wrote it.
+    site = ControlSite()
+    accepted(site, 500.0)
+    site.run_for(3.0)
+    index, placer = start_index(site), site.placer()
+    cut_off_at_silence(site, placer, index)
+    site.agents[index].process.frozen = True
+    site.run_for(away_seconds)
+    site.agents[index].process.frozen = False
+    site.run_for(40.0)
+    assert_no_duplicate_runs(site.history)
+
+
+@pytest.mark.parametrize("down_seconds", [0.0, 3.0])
+def test_departure_that_a_new_placer_hears_of_first_waits_for_recorded_late_starts(
+    down_seconds,
+):
+    # The record was taken over after the departure, or not if it had been renewed.
+    site, _, index, sent_at = start_with_doubt(11.0)
+    worker = site.workers[index]
+    site.kill_agent(index)
+    site.run_for(2.2)
+    assert site.store.newest("runs").get(f"silent/{site.agents[index].address}")
+    placer = site.placer()
+    site.kill_entry(placer)
+    site.run_for(down_seconds)
+    site.restart_agent(index)
+    site.run_for(0.1)
+    leave(site, index)
+    site.run_for(sent_at + 11.0 - clock.now() - 0.1)
+    worker.gone, worker.silent = False, True
+    worker.leaving_seconds = None
+    worker.restart(same_id=True)
+    site.run_for(0.2)
+    worker.silent = False
+    site.run_for(20.0)
+    assert any(start.late for start in site.history.starts)
+    assert_no_duplicate_runs(site.history, crashes=True)
+
+
+def test_run_that_an_earlier_process_has_started_proves_nothing_of_a_later_call():
+    # The first call of the new process counted as the only one of the listed run.
+    site = ControlSite(workers=2)
+    site.run_for(30.0)  # a lease on this life's clock is the longest on the next one's
+    set_late(site, 0.6)
+    job = accepted(site, 500.0)
+    site.run_for(0.3)
+    set_late(site, 11.5)
+    index = host_index(site, job)
+    worker = site.workers[index]
+    site.kill_agent(index)
+    site.restart_agent(index)
+    site.run_for(1.5)
+    set_late(site, 0.0)
+    site.kill_agent(index)
+    worker.silent = True
+    worker.restart(same_id=True)
+    site.run_for(40.0)
+    assert [start.late for start in site.history.starts if start.run == 1] == [True] * 2
+    assert_no_duplicate_runs(site.history, crashes=True)
+
+
+@pytest.mark.parametrize("lists_machines", [False, True])
+def test_machine_down_proves_nothing_of_calls_that_an_agent_has_not_reported(
+    lists_machines,
+):
+    # The run was listed by a process that did not know of the first call for it.
+    site = ControlSite(workers=2, lists_machines=lists_machines)
+    site.run_for(30.0)  # a lease on this life's clock is the longest on the next one's
+    set_late(site, 11.5)
+    job = accepted(site, 500.0)
+    site.run_for(0.3)
+    set_late(site, 0.0)
+    index = host_index(site, job)
+    worker = site.workers[index]
+    site.kill_agent(index)
+    site.restart_agent(index)
+    site.run_for(4.7)
+    site.lose_power(index)
+    site.run_for(4.0)
+    if site.machines is not None:
+        site.machines.without_power.discard(index)
+    worker.silent = True
+    worker.restore_power(same_id=True)
+    site.run_for(40.0)
+    assert any(start.late for start in site.history.starts)
+    assert_no_duplicate_runs(site.history, crashes=True)
+
+
+@pytest.mark.parametrize("every_seconds", [2.0, 5.0])
+def test_new_processes_of_an_agent_beside_a_lost_worker_begin_no_new_doubt(
+    every_seconds,
+):
+    site = ControlSite()
+    accepted(site, 500.0)
+    site.run_for(13.0)
+    index, lost_at = start_index(site), clock.now()
+    site.workers[index].lose_power()
+    while clock.now() < lost_at + 30.0 and len(site.history.starts) == 1:
+        site.kill_agent(index)
+        site.restart_agent(index)
+        site.run_for(every_seconds)
+    limit = LEASE_LIFETIME_SECONDS + RESTART_SECONDS
+    assert site.history.starts[-1].at - lost_at <= limit
+    assert_no_duplicate_runs(site.history)
