Take no list for evidence on which a machine is up without a worker

A row that is up but names no worker counted as a machine without the silent one, and the list as whole: a machine that was cut off and listed so was given up after 2.45 s, beside its run for 5.5 s (TWICE).

Change: a list with such a row is incomplete. Test: test_machine_that_is_up_without_a_worker_may_have_the_silent_one failed before.

--- a/src/sequoiachute/coordination/dispatch/absences.py
+++ b/src/sequoiachute/coordination/dispatch/absences.py
@@ -133,7 +133,10 @@
     def _outcome_of(self, reading: ListReading) -> str:
         if not reading.machines:
             return EMPTY
-        if not reading.is_whole:
+        has_unknown = any(
+            m.is_up and not m.worker_id for m in reading.machines.values()
+        )
+        if not reading.is_whole or has_unknown:
             return INCOMPLETE
         sessions = self._agents.sessions
         heard_of = {
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -120,7 +120,8 @@
     A machine without power is down and has no worker; one that is ``taken_away`` is not
     listed. ``without_power`` and ``taken_away`` hold the indices of workers. With
     ``cannot_list`` the list can't be read; ``left_out`` are the indices of those that
-    can't be; with ``is_empty`` it has no rows, with ``has_no_ids`` no workers.
+    can't be; with ``is_empty`` it has no rows, with ``has_no_ids`` no workers, and none
+    of the machines ``without_id``.
     ``delay`` is how long a reading takes; ``read_at`` holds when each began.
     """
 
@@ -129,6 +130,7 @@
         self.without_power: set[int] = set()
         self.taken_away: set[int] = set()
         self.left_out: set[int] = set()
+        self.without_id: set[int] = set()
         self.cannot_list = False
         self.is_empty = False
         self.has_no_ids = False
@@ -144,7 +146,7 @@
             if index in self.taken_away | self.left_out:
                 continue
             is_up = index not in self.without_power
-            has_id = is_up and not self.has_no_ids
+            has_id = is_up and not self.has_no_ids and index not in self.without_id
             worker_id = worker.lifetime.worker_id if has_id else ""
             name = f"m-{index}"
             machines.append(PlatformMachine(name, worker_id, worker.zone, is_up, False))
--- a/tests/test_machine_list_evidence.py
+++ b/tests/test_machine_list_evidence.py
@@ -249,6 +249,17 @@
     assert_no_duplicate_runs(site.history)
 
 
+def test_machine_that_is_up_without_a_worker_may_have_the_silent_one():
+    # It counted as a machine that the worker is not on: two runs at a time.
+    site, index = site_with_a_run()
+    site.machines.without_id.add(index)
+    cut_off(site, index)
+    waited = seconds_until_next_start(site)
+    assert waited >= LEASE_LIFETIME_SECONDS - 1.0
+    assert waited <= LEASE_LIFETIME_SECONDS + RESTART_SECONDS
+    assert_no_duplicate_runs(site.history)
+
+
 def test_list_that_leaves_rows_out_still_shows_that_a_worker_is_there():
     # Between two whole lists that lack the worker, an incomplete one names it.
     site, index = site_with_a_run()
