Record silent hosts although rounds wait for a slow store

A round that waits for more than a second for the store was taken for a pause of the placer's own process, so that a slow store kept every silence from being recorded and the next placer began the wait anew. Now the time between two rounds counts.

Test: test_silence_is_recorded_although_the_store_is_slow failed before.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -215,6 +215,7 @@
 
         Raises ``DeposedError`` if the store refuses this term's records.
         """
+        self._silences.begin_round()
         self._update_statistics()
         draft = ProgressDraft(self._ledger)
         begun = self._first_starts.find()
@@ -252,6 +253,7 @@
         for session in self._agents.sessions.values():
             session.refresh(self._ledger)
         self.wait_log.record_round(view, decision, now)
+        self._silences.end_round()
 
     def _update_statistics(self) -> None:
         """Record each worker's reading once; a repeated one would look like a stall."""
--- a/src/sequoiachute/coordination/dispatch/silences.py
+++ b/src/sequoiachute/coordination/dispatch/silences.py
@@ -11,7 +11,7 @@
 from sequoiachute.state.silences import encode_silence, silence_key
 from sequoiachute.transport.store import Record
 
-# After a longer pause of the placer's own the reports of all hosts are old.
+# After a longer pause between two rounds the reports of all hosts are old.
 MAX_ROUND_GAP_SECONDS = 1.0
 
 
@@ -27,20 +27,26 @@
     def __init__(self, ledger: Ledger, agents: AgentSessions) -> None:
         self._ledger = ledger
         self._agents = agents
-        self._drafted_at = clock.elapsed()
+        self._round_began_at = self._round_ended_at = clock.elapsed()
         self._own: set[str] = set()
 
+    def begin_round(self) -> None:
+        """Take note that a round of the placer begins."""
+        self._round_began_at = clock.elapsed()
+
+    def end_round(self) -> None:
+        """Take note that a round of the placer ends."""
+        self._round_ended_at = clock.elapsed()
+
     def draft(self) -> list[Record]:
         """Return the records that are due in this round."""
-        now = clock.elapsed()
-        gap, self._drafted_at = now - self._drafted_at, now
         records: list[Record] = []
         for host in self._ledger.silences.hosts():
             if self._is_over(host):
                 self._own.discard(host)
                 records.append((silence_key(host), None))
                 logger.bind(host=host).info("silence of host ended")
-        if gap > MAX_ROUND_GAP_SECONDS:
+        if self._has_paused():
             return records
         for host in self._ledger.hosts():
             # A record of an earlier term is renewed: a process that has started since
@@ -49,6 +55,9 @@
                 records.append(self._record(host))
         return records
 
+    def _has_paused(self) -> bool:
+        return self._round_began_at - self._round_ended_at > MAX_ROUND_GAP_SECONDS
+
     def _is_over(self, host: str) -> bool:
         if not self._ledger.tasks_on_host(host):
             return True
--- a/tests/test_review_49.py
+++ b/tests/test_review_49.py
@@ -13,6 +13,7 @@
     LEASE_LIFETIME_SECONDS,
     RESTART_SECONDS,
     host_index,
+    lose_machine,
     start_index,
 )
 
@@ -145,3 +146,21 @@
     limit = LEASE_LIFETIME_SECONDS + RESTART_SECONDS
     assert site.history.starts[-1].at - lost_at <= limit
     assert_no_duplicate_runs(site.history)
+
+
+def test_silence_is_recorded_although_the_store_is_slow():
+    # Rounds that wait for a slow store were taken for a pause of the placer's own.
+    site = ControlSite()
+    accepted(site, 500.0)
+    site.run_for(3.0)
+    index = start_index(site)
+    site.store.delay = 0.6
+    site.run_for(5.0)
+    lose_machine(site, index)
+    until = clock.now() + 6.0
+    while clock.now() < until:
+        site.submit(0.5, wait=1.0, entry=(site.placer() + 1) % 3)
+        site.run_for(0.2)
+    key = f"silent/{site.agents[index].address}"
+    history = [record.key for record in site.store.history("runs") if record.value]
+    assert key in history
