Record no silence while the store is away

If the store did not answer the append, a host that had been heard of again in the meantime lost its runs with its lease.

Change: a silence is drafted only if the store has confirmed the placer within 2.5 s; a follower's poll takes 2 s.

Test: test_outage_of_the_store_ends_no_run_of_a_host_that_was_silent_in_it failed before in 2 of 3 cases.

--- a/src/sequoiachute/coordination/dispatch/silences.py
+++ b/src/sequoiachute/coordination/dispatch/silences.py
@@ -13,6 +13,9 @@
 
 # After a longer pause between two rounds the reports of all hosts are old.
 MAX_ROUND_GAP_SECONDS = 1.0
+# A follower's poll takes 2 s. While the store is away a record could not be deleted
+# either, and a host that is heard of again would get no lease.
+MAX_CONFIRMATION_AGE_SECONDS = 2.5
 
 
 class SilenceRecorder:
@@ -46,7 +49,7 @@
                 self._own.discard(host)
                 records.append((silence_key(host), None))
                 logger.bind(host=host).info("silence of host ended")
-        if self._has_paused():
+        if self._has_paused() or self._is_store_away():
             return records
         for host in self._ledger.hosts():
             # A record of an earlier term is renewed: a process that has started since
@@ -58,6 +61,9 @@
     def _has_paused(self) -> bool:
         return self._round_began_at - self._round_ended_at > MAX_ROUND_GAP_SECONDS
 
+    def _is_store_away(self) -> bool:
+        return self._agents.confirmation_age() > MAX_CONFIRMATION_AGE_SECONDS
+
     def _is_over(self, host: str) -> bool:
         if not self._ledger.tasks_on_host(host):
             return True
--- a/tests/test_review_49.py
+++ b/tests/test_review_49.py
@@ -6,7 +6,7 @@
 from sequoiachute import clock
 from sequoiachute.transport.store import AppendError
 from standins.control_site import ControlSite
-from tests.control_checks import accepted, cut_links
+from tests.control_checks import accepted, complete, cut_links
 from tests.run_checks import assert_no_duplicate_runs
 from tests.test_departures import leave, set_late, start_with_doubt
 from tests.test_lost_machines import (
@@ -148,6 +148,25 @@
     assert_no_duplicate_runs(site.history)
 
 
+@pytest.mark.parametrize("store_seconds", [8.0, 11.0, 12.0])
+def test_outage_of_the_store_ends_no_run_of_a_host_that_was_silent_in_it(store_seconds):
+    # A record that waited for the store kept the host without leases all the while.
+    site = ControlSite()
+    site.store.pauses_memberships = True
+    job = accepted(site, 30.0)
+    site.run_for(3.0)
+    agent = site.agents[start_index(site)]
+    site.store.down = True
+    site.run_for(1.0)
+    agent.process.frozen = True
+    site.run_for(2.0)
+    agent.process.frozen = False
+    site.run_for(store_seconds - 3.0)
+    site.store.down = False
+    complete(site, [job], 40.0)
+    assert len(site.history.starts) == 1
+
+
 def test_silence_is_recorded_although_the_store_is_slow():
     # Rounds that wait for a slow store were taken for a pause of the placer's own.
     site = ControlSite()
