--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -310,6 +310,7 @@
             self._advisor,
             self._machines,
             times=self._times,
+            is_store_away=partial(self._store.availability.is_away, RUNS),
         )
         self._agents, self._placer = agents, placer
         spawn_task("placer's end", self._run_placer, placer, metrics=self.metrics)
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -115,6 +115,8 @@
         Returns the decision for the view of a round.
     times : WorkerTimes
         What workers promise.
+    is_store_away : callable
+        Returns whether the store takes no records now.
 
     Attributes
     ----------
@@ -134,6 +136,7 @@
         machines: MachineService | None,
         policy: Callable[[SchedulingView], SchedulingDecision] = decide,
         times: WorkerTimes = TYPICAL_TIMES,
+        is_store_away: Callable[[], bool] = lambda: False,
     ) -> None:
         self._times = times
         self._policy = policy
@@ -159,7 +162,7 @@
         self._settlement = Settlement(
             ledger, agents, self._losses, self._worked_seconds
         )
-        self._silences = SilenceRecorder(ledger, agents)
+        self._silences = SilenceRecorder(ledger, agents, is_store_away)
         self._first_starts = FirstStarts(ledger, agents)
         self._end_backup = EndBackup(store, ledger, agents)
         self._writer = TermWriter(identity, store, ledger, metrics, self._back_up_ends)
--- a/src/sequoiachute/coordination/dispatch/sessions.py
+++ b/src/sequoiachute/coordination/dispatch/sessions.py
@@ -346,10 +346,6 @@
             return False
         return now < self._newest_agent_at + GATHERING_PAUSE_SECONDS
 
-    def confirmation_age(self) -> float:
-        """Return seconds since the store last confirmed this placer."""
-        return self._confirmation_age()
-
     def handle_report(self, report: Report, reply: Orders) -> Orders:
         """Apply a report and return ``reply`` with the agent's orders.
 
--- a/src/sequoiachute/coordination/dispatch/silences.py
+++ b/src/sequoiachute/coordination/dispatch/silences.py
@@ -1,5 +1,7 @@
 """Records hosts as silent, and as heard of again, for later placers."""
 
+from collections.abc import Callable
+
 from loguru import logger
 
 from sequoiachute import clock
@@ -13,9 +15,6 @@
 
 # After a longer pause between two rounds the reports of all hosts are old.
 MAX_ROUND_GAP_SECONDS = 1.0
-# A follower's poll takes 2 s. While the store is away a record could not be deleted
-# either, and a host that is heard of again would get no lease.
-MAX_CONFIRMATION_AGE_SECONDS = 2.5
 
 
 class SilenceRecorder:
@@ -25,11 +24,20 @@
     ----------
     ledger : Ledger
     agents : AgentSessions
+    is_store_away : callable
+        Returns whether the store takes no records now. One could not be deleted
+        either, and a host that is heard of again would get no lease.
     """
 
-    def __init__(self, ledger: Ledger, agents: AgentSessions) -> None:
+    def __init__(
+        self,
+        ledger: Ledger,
+        agents: AgentSessions,
+        is_store_away: Callable[[], bool],
+    ) -> None:
         self._ledger = ledger
         self._agents = agents
+        self._is_store_away = is_store_away
         self._round_began_at = self._round_ended_at = clock.elapsed()
         self._own: set[str] = set()
 
@@ -61,9 +69,6 @@
     def _has_paused(self) -> bool:
         return self._round_began_at - self._round_ended_at > MAX_ROUND_GAP_SECONDS
 
-    def _is_store_away(self) -> bool:
-        return self._agents.confirmation_age() > MAX_CONFIRMATION_AGE_SECONDS
-
     def _is_over(self, host: str) -> bool:
         if not self._ledger.tasks_on_host(host):
             return True
--- a/src/sequoiachute/coordination/store/availability.py
+++ b/src/sequoiachute/coordination/store/availability.py
@@ -166,6 +166,10 @@
         recovered, self._recovered = self._recovered, Event()
         recovered.send(None)
 
+    def is_away(self, topic: str) -> bool:
+        """Return whether the store, or one topic of it, answers no calls now."""
+        return topic in self._failing_since or self.unanswered_seconds > SILENT_SECONDS
+
     def is_unreachable(self, topics: Iterable[str]) -> bool:
         """Return whether all calls on all topics have failed for a while.
 
