--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -9,11 +9,13 @@
 from sequoiachute.transport.worker import MAX_CALL_DELAY_SECONDS
 from standins.control_site import ControlSite
 from tests.control_checks import accepted
+from tests.loss_checks import (
+    RESTART_SECONDS,
+)
 from tests.run_checks import assert_no_duplicate_runs
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
-RESTART_SECONDS = 1.0  # a round, a record and a start
 FILLED = {"count": 6, "seconds": 60.0}
 
 
--- a/tests/test_lost_machines.py
+++ b/tests/test_lost_machines.py
@@ -3,60 +3,25 @@
 import pytest
 
 from sequoiachute import clock
-from sequoiachute.coordination.dispatch.sessions import (
-    LEASE_EXPIRY_MARGIN_SECONDS,
-    LEASE_SECONDS,
-    MAX_CLOCK_DRIFT,
-)
 from sequoiachute.coordination.hosting.supervisor import Heartbeat
 from sequoiachute.coordination.hosting.unanswered import UnansweredStarts
-from sequoiachute.protocol.workload import ACTIVE, TYPICAL_TIMES
+from sequoiachute.protocol.workload import ACTIVE
 from sequoiachute.transport.worker import MAX_CALL_DELAY_SECONDS
 from standins.control_site import ControlSite
 from tests.control_checks import TAKEOVER_SECONDS, accepted, complete, cut_links
+from tests.loss_checks import (
+    LEASE_LIFETIME_SECONDS,
+    LONGEST_LEASE_SECONDS,
+    RESTART_SECONDS,
+    host_index,
+    lose_machine,
+    seconds_until_next_start,
+    start_index,
+)
 from tests.run_checks import assert_no_duplicate_runs
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
-# From the newest reading of the worker's clock until its leases have expired.
-LEASE_LIFETIME_SECONDS = (
-    LEASE_SECONDS * (1 + MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_SECONDS
-)
-# From the time at which a late call is carried out.
-LONGEST_LEASE_SECONDS = (
-    TYPICAL_TIMES.max_lease * (1 + MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_SECONDS
-)
-RESTART_SECONDS = 1.0  # a round, a record and a start
-
-
-def start_index(site):
-    """Return the index of the worker of the first start."""
-    first = site.history.starts[0].worker_id
-    return [worker.lifetime.worker_id for worker in site.workers].index(first)
-
-
-def host_index(site, job):
-    """Return the index of the agent on whose worker a job's first task is placed."""
-    ledger = site.entries[site.placer()].control.ledger
-    placed = ledger.progress(job).tasks["0.0.0"]
-    return [agent.address for agent in site.agents].index(placed.host)
-
-
-def lose_machine(site, index):
-    """Lose a worker and its agent for good."""
-    worker = site.workers[index]
-    worker.silent, worker.down_seconds = True, 1e6
-    worker.crash()
-    site.kill_agent(index)
-
-
-def seconds_until_next_start(site, limit=60.0):
-    """Return after how many seconds the next run starts, at most ``limit``."""
-    began, starts = clock.now(), len(site.history.starts)
-    while clock.now() < began + limit and len(site.history.starts) == starts:
-        site.run_for(0.05)
-    return clock.now() - began
-
 
 @pytest.mark.parametrize("lost_seconds", [0.05, 0.3])
 @pytest.mark.parametrize("worked_seconds", [1.0, 7.3, 13.0])
--- a/tests/test_machine_list_evidence.py
+++ b/tests/test_machine_list_evidence.py
@@ -8,9 +8,6 @@
 from sequoiachute.coordination.dispatch.losses import MACHINE_DOWN
 from sequoiachute.coordination.dispatch.machine_list import READ_INTERVAL_SECONDS
 from sequoiachute.coordination.dispatch.sessions import (
-    LEASE_EXPIRY_MARGIN_SECONDS,
-    LEASE_SECONDS,
-    MAX_CLOCK_DRIFT,
     MAX_REPORT_AGE_SECONDS,
 )
 from sequoiachute.protocol.stored import StoredRecord
@@ -25,16 +22,16 @@
 from sequoiachute.transport.worker import MAX_CALL_DELAY_SECONDS
 from standins.control_site import ControlSite
 from tests.control_checks import TAKEOVER_SECONDS, accepted, complete
+from tests.loss_checks import (
+    LEASE_LIFETIME_SECONDS,
+    RESTART_SECONDS,
+    seconds_until_next_start,
+)
 from tests.run_checks import assert_no_duplicate_runs
 from tests.test_upkeep import WaveSite
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
-# From the newest reading of the worker's clock until its leases have expired.
-LEASE_LIFETIME_SECONDS = (
-    LEASE_SECONDS * (1 + MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_SECONDS
-)
-RESTART_SECONDS = 1.0  # a round, a record and a start
 DOWN_SECONDS = MAX_REPORT_AGE_SECONDS + 2 * READ_INTERVAL_SECONDS + RESTART_SECONDS
 SETTLED_SECONDS = MAX_CALL_DELAY_SECONDS + 1.0  # no start is still under way
 
@@ -97,14 +94,6 @@
     site.agents[index].process.frozen = False
 
 
-def seconds_until_next_start(site, limit=60.0):
-    """Return after how many seconds the next run starts, at most ``limit``."""
-    began, starts = clock.now(), len(site.history.starts)
-    while clock.now() < began + limit and len(site.history.starts) == starts:
-        site.run_for(0.05)
-    return clock.now() - began
-
-
 def wait_for_readings(site, count):
     """Wait until the list has been read ``count`` times; 5 s at most."""
     until = clock.now() + 5.0
--- a/tests/test_new_processes.py
+++ b/tests/test_new_processes.py
@@ -6,6 +6,7 @@
 from sequoiachute.coordination.scheduling.model import MAX_IDLE_WAIT_SECONDS
 from standins.control_site import ControlSite
 from tests.control_checks import accepted
+from tests.loss_checks import host_index
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
@@ -18,13 +19,6 @@
         site.run_for(0.05)
 
 
-def host_index(site, job):
-    """Return the index of the agent on whose worker a job's first task is placed."""
-    ledger = site.entries[site.placer()].control.ledger
-    placed = ledger.progress(job).tasks["0.0.0"]
-    return [agent.address for agent in site.agents].index(placed.host)
-
-
 @pytest.mark.parametrize("waited", [0.5, 1.9])
 def test_wait_for_a_preferred_rack_does_not_begin_anew_with_a_placer(waited):
     # The gang waited for 2 s more, however long it had waited before.
