--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,13 +8,14 @@
 from hypothesis import HealthCheck, settings  # noqa: E402
 from loguru import logger  # noqa: E402
 
-settings.register_profile(
-    "ci",
-    derandomize=True,
-    deadline=None,
-    database=None,
-    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
-)
+for name, derandomize in (("ci", True), ("random", False)):
+    settings.register_profile(
+        name,
+        derandomize=derandomize,
+        deadline=None,
+        database=None,
+        suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+    )
 settings.load_profile("ci")
 
 
