--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,10 +12,15 @@
 
 JOB = "7000000000000001"
 FREEZE_SECONDS = 3.5
+EARLIER_JOBS = 60
 
 
 def body(site: Site) -> int:
     """Cancel a job while one agent is frozen, kill the entries, and look."""
+    for number in range(EARLIER_JOBS):
+        # Small jobs of an ordinary day, with specs of some size.
+        spec = "x" * 3900 + " work_s=0.1"
+        site.submit(f"70000000000001{number:02x}", [{"count": 1, "cpu": 100}], spec)
     step = {"count": 3, "cpu": 1000, "anti_affinity": 1, "persistent": True}
     if not site.submit(JOB, [step], "a service"):
         raise NotRunError("the job was not accepted")
--- a/review/site2.py
+++ b/review/site2.py
@@ -30,6 +30,8 @@
 METRICS = 9464
 KEPT_VARIABLES = ("PATH", "HOME", "LANG")
 PARTS = 12
+ANSWER_SECONDS = 0.004  # of the store
+READ_BYTES_PER_SECOND = 80e6  # read_mb_s
 KEY = "key-of-tenant-1"
 SERVICE, HOST = "fehlerbild", "nony24.example"
 BOUNDS = {
@@ -275,7 +277,10 @@
                 for k, (o, v) in page[:500]
             ]
             end = len(self._logs.get(topic, ()))
-            return 200, {"items": items, "has_more": len(page) > 500, "end": end}
+        answer = {"items": items, "has_more": len(page) > 500, "end": end}
+        data = json.dumps(answer).encode()
+        time.sleep(ANSWER_SECONDS + len(data) / READ_BYTES_PER_SECOND)
+        return 200, data
 
     def _join(self, fields: dict) -> dict:
         group, member = fields["group"], fields["member"]
