Review case 10: a worker whose clock was set back is never used again

Shows that a worker that flaps while its time of day jumps 2 s back gets no work any more, since its agent ignores an earlier start of a life for good (LOST).

Cases 7 and 10 use ten workers, so that one is within the shares of the site file.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -21,10 +21,11 @@
         # Small jobs of an ordinary day, with specs of some size.
         spec = "x" * 3900 + " work_s=0.1"
         site.submit(f"70000000000001{number:02x}", [{"count": 1, "cpu": 100}], spec)
-    step = {"count": 3, "cpu": 1000, "anti_affinity": 1, "persistent": True}
+    count = len(site.workers)
+    step = {"count": count, "cpu": 1000, "anti_affinity": 1, "persistent": True}
     if not site.submit(JOB, [step], "a service"):
         raise NotRunError("the job was not accepted")
-    site.wait(10, lambda: len(site.running(JOB)) == 3, "three tasks at work")
+    site.wait(10, lambda: len(site.running(JOB)) == count, "tasks at work")
     time.sleep(2.0)
     began = time.monotonic()
     if TROUBLE:
@@ -57,4 +58,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(play(FOLDER, [["a", "r1-0"], ["a", "r1-1"], ["a", "r1-2"]], body))
+    sys.exit(play(FOLDER, [["a", f"r1-{n // 3}"] for n in range(10)], body))
--- a/review/site2.py
+++ b/review/site2.py
@@ -16,6 +16,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -373,6 +374,7 @@
         self.labels = labels
         self.capacity = {"cpu": 32000, "mem_mb": 131072, "gpus": gpus}
         self.stop_seconds = 0.2
+        self.clock_offset = 0.0  # of its machine's time of day
         self.starts: list[tuple[float, str, int]] = []
         self.ends: list[tuple[float, str, int, str]] = []
         self.is_up = False
@@ -385,7 +387,7 @@
         with self._changed:
             self._life += 1
             self.is_up = True
-            self.born = int(time.time() * 1000)
+            self.born = int((time.time() + self.clock_offset) * 1000)
             self._began = time.monotonic()
             self._runs: dict[str, Run] = {}
             self._ended: list[list] = []
@@ -776,7 +778,7 @@
     for number in range(100):
         base = f"127.{60 + (os.getpid() + number) % 150}.{number + 7}"
         try:
-            for ip in (f"{base}.{n}" for n in (2, 3, 20, 21, 22, 40, 41, 42)):
+            for ip in (f"{base}.{n}" for n in (2, 3, 20, 21, 22, *range(40, 50))):
                 for port in (METRICS, FRONT, CONTROL, APP, INNER, SERVICE_PORT):
                     with socket.socket() as probe:
                         probe.bind((ip, port))
@@ -789,6 +791,7 @@
 def play(folder: pathlib.Path, kinds: list[list[str]], body) -> int:
     """Run a script's body on a new site; return the exit status."""
     site = Site(folder, kinds)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         site.start()
         status = body(site)
