Log each order to stop a run of an ended job, and why it is withheld

Three causes were possible, and no line told them apart:

The new placer doesn't count the job among its live ones: no order. 2. The session of the host is of another life, or has not reported. 3. The stop is ordered, and the agent that was frozen doesn't carry it out.

A line for each run told to stop and for each stop that is withheld, with its reason, and the gauge runs_of_ended_jobs tell them apart.

--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -192,6 +192,7 @@
         metrics.gauge("store_reachable", lambda: not self._is_store_unreachable())
         metrics.gauge("cut_off", lambda: self._store.is_cut_off)
         metrics.gauge("jobs_live", lambda: sum(1 for _ in self.ledger.live()))
+        metrics.gauge("runs_of_ended_jobs", self.ledger.runs_of_ended_jobs)
         metrics.gauge(
             "agents", lambda: len(self._agents.sessions) if self._agents else 0
         )
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -46,6 +46,9 @@
 from sequoiachute.transport.store import Record
 
 MAX_LOGGED_TASKS = 10  # in one line
+# Why a run of an ended job can't be told to stop.
+NO_REPORT = "no report of its agent"
+OTHER_LIFE = "worker in another life"
 
 
 class ProgressDraft:
@@ -157,6 +160,8 @@
         self._settled: dict[str, tuple[int, int, bool, bool]] = {}
         # Runs given up on silent hosts, by the lifetime that may have crashed.
         self._expired: dict[Lifetime, dict[TaskId, TaskState]] = {}
+        self._withheld_stops: set[tuple[TaskId, int]] = set()
+        self._logged_stops: dict[tuple[TaskId, int], str] = {}
 
     def settle(self, draft: ProgressDraft) -> list[Crash]:
         """Draft every end, loss and final state that is known now.
@@ -174,6 +179,7 @@
         if not self._agents.is_gathering:
             self._settle_silent_hosts(draft)
         self._settle_jobs(draft)
+        self._end_withheld_stops()
         return crashes
 
     def _settle_silent_hosts(self, draft: ProgressDraft) -> None:
@@ -435,14 +441,37 @@
         return ""
 
     def _order_stops(self, job: JobGraph, draft: ProgressDraft) -> None:
-        for key, state in draft.progress(job.job_id).tasks.items():
-            if not state.placed:
+        progress = draft.progress(job.job_id)
+        for key, state in progress.tasks.items():
+            if not state.placed or state.done:
                 continue
+            task = task_id_of(job.job_id, key)
             session = self._agents.sessions.get(state.host)
             if session is None or session.lifetime != state.lifetime:
+                obstacle = NO_REPORT if session is None else OTHER_LIFE
+                self._withhold_stop(task, state, obstacle)
                 continue
-            if not state.done:
-                session.stops[task_id_of(job.job_id, key)] = state.run
+            if session.stops.get(task, 0) != state.run:
+                log = logger.bind(task=str(task), run=state.run, host=state.host)
+                log.bind(reason=f"job {progress.state}").info("stopping run")
+            session.stops[task] = state.run
+
+    def _withhold_stop(self, task: TaskId, state: TaskState, obstacle: str) -> None:
+        """Log why a run of an ended job can't be told to stop, once for each reason."""
+        key = (task, state.run)
+        self._withheld_stops.add(key)
+        if self._logged_stops.get(key) == obstacle:
+            return
+        self._logged_stops[key] = obstacle
+        log = logger.bind(task=str(task), run=state.run, host=state.host)
+        log = log.bind(life=state.lifetime.worker_id, born=state.lifetime.started_ms)
+        log.bind(reason=obstacle).info("stop withheld")
+
+    def _end_withheld_stops(self) -> None:
+        """Forget the stops that were not withheld since the last call."""
+        for key in self._logged_stops.keys() - self._withheld_stops:
+            del self._logged_stops[key]
+        self._withheld_stops.clear()
 
 
 def newest_token(known: str, other: str) -> str:
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -261,6 +261,14 @@
                 ended.append(job_id)
         return ended
 
+    def runs_of_ended_jobs(self) -> int:
+        """Return how many runs of ended or cancelled jobs may exist."""
+        return sum(
+            self.placed_count(job_id)
+            for job_id, progress in self._progress.progress.items()
+            if progress.state or job_id in self._cancelled
+        )
+
     def tasks_on_host(self, host: str) -> dict[TaskId, TaskState]:
         """Return the tasks that may be running on the worker of agent ``host``."""
         return self._progress.tasks_on_host(host)
