--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -508,7 +508,9 @@
         if now < self._retention_checked_at + RETENTION_INTERVAL_SECONDS:
             return
         self._retention_checked_at = now
-        self._statistics.forget_ended_jobs({job.job_id for job in self._ledger.live()})
+        kept = {job.job_id for job in self._ledger.live()}
+        kept.update(self._ledger.ended_with_runs())
+        self._statistics.forget_ended_jobs(kept)
         self._retention.drop()
 
     def _record_silences(self) -> None:
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -190,18 +190,22 @@
         self._losses.end_round()
 
     def _settle_jobs(self, draft: ProgressDraft) -> None:
-        """Settle the jobs with new records or a draft."""
+        """Settle the jobs with new records or a draft; stop the runs of ended ones."""
+        open_jobs = {job.job_id: job for job in self._ledger.live()}
+        ended = self._ledger.ended_with_runs()
         settled = {}
-        for job in list(self._ledger.live()):
-            version = self._ledger.version(job.job_id)
-            is_drafted = job.job_id in draft.changed
-            if is_drafted or self._settled.get(job.job_id) != version:
-                self._settle_recorded_ends(job, draft)
-                self._settle_job(job, draft)
-            elif self._ledger.progress(job.job_id).state:
-                self._order_stops(job, draft)
-            settled[job.job_id] = version
+        for job_id in dict.fromkeys((*open_jobs, *ended)):
+            version = self._ledger.version(job_id)
+            is_drafted = job_id in draft.changed
+            if is_drafted or self._settled.get(job_id) != version:
+                self._settle_recorded_ends(job_id, draft)
+                if job_id in open_jobs:
+                    self._settle_state(open_jobs[job_id], draft)
+            settled[job_id] = version
         self._settled = settled
+        drafted = [job_id for job_id in open_jobs if draft.progress(job_id).state]
+        for job_id in dict.fromkeys((*drafted, *ended)):
+            self._order_stops(job_id, draft)
 
     def _settle_ends(self, session: Session, draft: ProgressDraft) -> None:
         for end in sorted(session.ends):
@@ -400,11 +404,14 @@
         log = log.bind(withheld=round(withheld_seconds, 3))
         log.bind(reason=reason).warning("run lost")
 
-    def _settle_recorded_ends(self, job: JobGraph, draft: ProgressDraft) -> None:
+    def _settle_recorded_ends(self, job_id: str, draft: ProgressDraft) -> None:
         """Take over ends that were recorded while progress could not be."""
-        for end, run in self._ledger.ends(job.job_id).items():
+        job = self._ledger.job(job_id)
+        if job is None:
+            return
+        for end, run in self._ledger.ends(job_id).items():
             for key in done_with(job, end):
-                task = task_id_of(job.job_id, key)
+                task = task_id_of(job_id, key)
                 state = draft.task(task)
                 if state.done:
                     continue
@@ -413,17 +420,17 @@
                     state = state._replace(host="", lifetime=Lifetime())
                 draft.set_task(task, state)
 
-    def _settle_job(self, job: JobGraph, draft: ProgressDraft) -> None:
+    def _settle_state(self, job: JobGraph, draft: ProgressDraft) -> None:
+        """Draft the final state of a job that has just ended."""
         progress = draft.progress(job.job_id)
-        if not progress.state:
-            state = self._final_state(job, progress)
-            if state:
-                draft.set_state(job.job_id, state)
-                took_seconds = clock.wall_time() - job.accepted_at
-                log = logger.bind(job=job.job_id, state=state)
-                log.bind(took=round(took_seconds, 3)).info("job ended")
-        if draft.progress(job.job_id).state:
-            self._order_stops(job, draft)
+        if progress.state:
+            return
+        state = self._final_state(job, progress)
+        if state:
+            draft.set_state(job.job_id, state)
+            took_seconds = clock.wall_time() - job.accepted_at
+            log = logger.bind(job=job.job_id, state=state)
+            log.bind(took=round(took_seconds, 3)).info("job ended")
 
     def _final_state(self, job: JobGraph, progress: JobProgress) -> str:
         if self._ledger.is_cancelled(job.job_id):
@@ -440,12 +447,13 @@
                 return FAILED
         return ""
 
-    def _order_stops(self, job: JobGraph, draft: ProgressDraft) -> None:
-        progress = draft.progress(job.job_id)
+    def _order_stops(self, job_id: str, draft: ProgressDraft) -> None:
+        """Order the stop of the runs of a job that has ended or been cancelled."""
+        progress = draft.progress(job_id)
         for key, state in progress.tasks.items():
             if not state.placed or state.done:
                 continue
-            task = task_id_of(job.job_id, key)
+            task = task_id_of(job_id, key)
             session = self._agents.sessions.get(state.host)
             if session is None or session.lifetime != state.lifetime:
                 obstacle = NO_REPORT if session is None else OTHER_LIFE
@@ -453,7 +461,8 @@
                 continue
             if session.stops.get(task, 0) != state.run:
                 log = logger.bind(task=str(task), run=state.run, host=state.host)
-                log.bind(reason=f"job {progress.state}").info("stopping run")
+                log = log.bind(reason=f"job {progress.state or CANCELLED}")
+                log.info("stopping run")
             session.stops[task] = state.run
 
     def _withhold_stop(self, task: TaskId, state: TaskState, obstacle: str) -> None:
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -232,13 +232,24 @@
         return job_id in self._set_aside
 
     def live(self) -> Iterator[JobGraph]:
-        """Yield the jobs that have no final state or may still have runs."""
+        """Yield the jobs that have no final state."""
         for job_id in self._live:
             if job_id not in self._set_aside:
                 yield self._jobs[job_id]
 
+    def ended_with_runs(self) -> list[str]:
+        """Return the jobs that have ended or been cancelled and may still have runs.
+
+        The record of a job may not have been read.
+        """
+        return [
+            job_id
+            for job_id in self._progress.jobs_with_runs()
+            if self.progress(job_id).state or job_id in self._cancelled
+        ]
+
     def open_tasks(self, account: str) -> int:
-        """Return the number of tasks, done or not, of an account's live jobs."""
+        """Return the number of tasks, done or not, of an account's open jobs."""
         return sum(job.task_count for job in self.live() if job.account == account)
 
     def waiting_count(self, queue: str) -> int:
@@ -263,11 +274,7 @@
 
     def runs_of_ended_jobs(self) -> int:
         """Return how many runs of ended or cancelled jobs may exist."""
-        return sum(
-            self.placed_count(job_id)
-            for job_id, progress in self._progress.progress.items()
-            if progress.state or job_id in self._cancelled
-        )
+        return sum(map(self.placed_count, self.ended_with_runs()))
 
     def tasks_on_host(self, host: str) -> dict[TaskId, TaskState]:
         """Return the tasks that may be running on the worker of agent ``host``."""
@@ -376,7 +383,7 @@
             self._live[job_id] = None
 
     def _update_live(self, job_id: str) -> None:
-        if self.progress(job_id).state and not self._progress.placed_count(job_id):
+        if self.progress(job_id).state:
             self._live.pop(job_id, None)
 
 
--- a/src/sequoiachute/state/progress.py
+++ b/src/sequoiachute/state/progress.py
@@ -128,6 +128,10 @@
         """Return how many tasks of a job may be running."""
         return self._placed[job_id]
 
+    def jobs_with_runs(self) -> tuple[str, ...]:
+        """Return the jobs of which tasks may be running."""
+        return tuple(self._placed)
+
     def step_counts(self, job_id: str, occurrence: int, step: int) -> StepCounts:
         """Return the counts of a step of an occurrence, which are updated in place."""
         return self._steps.get(job_id, {}).get(f"{occurrence}.{step}") or StepCounts()
@@ -182,7 +186,7 @@
             stored[part.number] = frozenset(new)
         if not stored:
             del self._part_tasks[job_id], self._progress[job_id]
-            del self._placed[job_id], self._versions[job_id]
+            del self._versions[job_id]
             self._steps.pop(job_id, None)
 
     def _set_task(
@@ -201,6 +205,8 @@
             counts.add(old, -1)
             if old.placed:
                 self._placed[job_id] -= 1
+                if not self._placed[job_id]:
+                    del self._placed[job_id]
                 self._tasks_by_host[old.host].pop(task, None)
         if new is None:
             counts.first_open = 0
--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -126,6 +126,7 @@
     While the store is down, memberships of groups expire unless
     ``pauses_memberships`` is set. Calls on ``down_topics`` fail, others do not;
     With ``newest_first`` the next member that joins becomes the candidate of a group.
+    A snapshot of a topic takes ``snapshot_seconds`` longer, where that is set.
     ``reads`` counts the reads of all processes, ``group_reads`` those of members.
     """
 
@@ -140,6 +141,7 @@
         self.reads = 0
         self.group_reads = 0
         self.down_topics: set[str] = set()
+        self.snapshot_seconds: dict[str, float] = {}
         self.limits = StoreLimits()
         self.rejected_appends = 0
         self._records: dict[str, list[StoredRecord]] = {}
@@ -303,6 +305,7 @@
 
     def snapshot(self, topic: str) -> TopicSnapshot:
         """Return the newest record of every key."""
+        clock.sleep(self._store.snapshot_seconds.get(topic, 0.0))
         records = tuple(self._call(lambda: self._store.newest(topic), topic).values())
         return TopicSnapshot(records, self._store.end(topic))
 
