Keep jobs' records by topic, so that no order of reading changes the ledger

Change: a module of its own, state/job_records.py, keeps the newest value of each key by topic; what counts is derived from these.

--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -24,7 +24,8 @@
     Report,
 )
 from sequoiachute.protocol.workload import TYPICAL_TIMES, WorkerTimes
-from sequoiachute.state.ledger import JOB_TOPICS, RUNS, Ledger
+from sequoiachute.state.job_records import JOB_TOPICS
+from sequoiachute.state.ledger import RUNS, Ledger
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.state.operations import Operations
 from sequoiachute.transport.machines import Advisor, MachineService
--- a/src/sequoiachute/coordination/dispatch/end_backup.py
+++ b/src/sequoiachute/coordination/dispatch/end_backup.py
@@ -9,7 +9,8 @@
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.supervision import DONE
 from sequoiachute.protocol.workload import parse_task_id, task_key
-from sequoiachute.state.ledger import JOB_TOPICS, Ledger, end_record
+from sequoiachute.state.job_records import JOB_TOPICS, end_record
+from sequoiachute.state.ledger import Ledger
 from sequoiachute.transport.store import KeyedStore, Record
 
 APPEND_TIMEOUT_SECONDS = 0.8
--- a/src/sequoiachute/coordination/intake.py
+++ b/src/sequoiachute/coordination/intake.py
@@ -13,7 +13,8 @@
 from sequoiachute.coordination.store.relay import RelayedStore
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.workload import JobGraph, encode
-from sequoiachute.state.ledger import CANCEL_PREFIX, JOB_PREFIX, JOB_TOPICS, Ledger
+from sequoiachute.state.job_records import CANCEL_PREFIX, JOB_PREFIX, JOB_TOPICS
+from sequoiachute.state.ledger import Ledger
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.transport.store import AppendError, record_bytes
 
--- a/src/sequoiachute/replay/engine.py
+++ b/src/sequoiachute/replay/engine.py
@@ -50,7 +50,8 @@
     score_job,
 )
 from sequoiachute.replay.site import ReplaySite
-from sequoiachute.state.ledger import CANCEL_PREFIX, JOB_PREFIX, JOBS, RUNS, Ledger
+from sequoiachute.state.job_records import CANCEL_PREFIX, JOB_PREFIX, JOBS
+from sequoiachute.state.ledger import RUNS, Ledger
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.state.operations import (
     Operations,
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -20,8 +20,12 @@
     MachineSpeed,
     TaskId,
     TaskState,
-    decode_job,
-    is_task_key,
+)
+from sequoiachute.state.job_records import (
+    CANCEL_PREFIX,
+    END_PREFIX,
+    JOB_PREFIX,
+    JobRecords,
 )
 from sequoiachute.state.progress import (
     PART_PREFIX,
@@ -32,17 +36,10 @@
 )
 from sequoiachute.state.silences import SILENCE_PREFIX, SilenceTable
 
-# Topics of records that never change: jobs, cancellations and ends of tasks. Each
-# record is in the first topic that took it, since an outage may hit some topics only.
-JOB_TOPICS = ("jobs", "jobs-2", "jobs-3")
-JOBS = JOB_TOPICS[0]
 RUNS = "runs"  # topic that only the placer writes
 LEADER_KEY = "leader"
 SPEEDS_KEY = "machine-speeds"
 WAVE_PREFIX = "wave/"
-CANCEL_PREFIX = "cancel/"
-JOB_PREFIX = "job/"
-END_PREFIX = "end/"
 # Of a speed of which nothing is known: 0.6, 1.0 and 1.6 are equally frequent.
 UNKNOWN_SPEED_ERROR = 0.4
 
@@ -76,11 +73,6 @@
     return msgspec.msgpack.encode(rows)
 
 
-def end_record(task: TaskId, run: int) -> tuple[str, bytes]:
-    """Return key and value of the record that a run of a task has ended done."""
-    return END_PREFIX + str(task), msgspec.msgpack.encode(run)
-
-
 def decode_speeds(data: bytes) -> dict[Machine, MachineSpeed]:
     """Return learned speeds by machine; raise ``msgspec.DecodeError``."""
     rows = decode_msgpack(data, list[_SpeedRow])
@@ -99,10 +91,8 @@
     """
 
     def __init__(self) -> None:
-        self._jobs: dict[str, JobGraph] = {}
-        self._cancelled: dict[str, float] = {}
+        self._records = JobRecords()
         self._progress = ProgressTable()
-        self._ends: dict[str, dict[str, int]] = {}
         self._offsets: dict[tuple[str, str], int] = {}
         self._live: dict[str, None] = {}
         self._first_open: dict[str, int] = {}
@@ -119,11 +109,11 @@
     @property
     def jobs(self) -> dict[str, JobGraph]:
         """Known jobs by identity."""
-        return self._jobs
+        return self._records.jobs
 
     def job(self, job_id: str) -> JobGraph | None:
         """Return a job, ``None`` if it is not known."""
-        return self._jobs.get(job_id)
+        return self._records.jobs.get(job_id)
 
     def progress(self, job_id: str) -> JobProgress:
         """Return what is recorded of a job's tasks."""
@@ -157,7 +147,7 @@
             self._progress.version(job_id),
             len(self.ends(job_id)),
             self.is_cancelled(job_id),
-            job_id in self._jobs,
+            job_id in self.jobs,
         )
 
     def part_tasks(self, job_id: str) -> dict[int, frozenset[str]]:
@@ -166,20 +156,20 @@
 
     def ends(self, job_id: str) -> dict[str, int]:
         """Return the runs that were recorded as done beside the progress, by task."""
-        return self._ends.get(job_id, {})
+        return self._records.ends(job_id)
 
     def is_cancelled(self, job_id: str) -> bool:
         """Return whether a cancellation of the job has been accepted."""
-        return job_id in self._cancelled
+        return self._records.is_cancelled(job_id)
 
     def state(self, job_id: str) -> str:
         """Return the state of the job as shown to callers."""
         progress = self.progress(job_id)
         if progress.state:
             return progress.state
-        if job_id in self._ends and self._is_complete(job_id, progress):
+        if self.ends(job_id) and self._is_complete(job_id, progress):
             return COMPLETE
-        if job_id in self._cancelled:
+        if self.is_cancelled(job_id):
             return CANCELLED
         return ACTIVE if self._has_begun(job_id) else PENDING
 
@@ -195,21 +185,14 @@
         if job is None:
             return False
         tasks = dict(progress.tasks)
-        for key in self._ends[job_id]:
+        for key in self.ends(job_id):
             for member in done_with(job, key):
                 tasks[member] = tasks.get(member, TaskState())._replace(done=True)
         return is_complete(job, progress._replace(tasks=tasks))
 
     def stored_keys(self, job_id: str) -> list[tuple[str, str]]:
         """Return topic and key of each record of a job in the jobs' topics."""
-        keys = [JOB_PREFIX + job_id, CANCEL_PREFIX + job_id]
-        keys += [f"{END_PREFIX}{job_id}.{key}" for key in self.ends(job_id)]
-        return [
-            (topic, key)
-            for topic in JOB_TOPICS
-            for key in keys
-            if (topic, key) in self._offsets
-        ]
+        return self._records.stored_keys(job_id)
 
     def ended_parts(self) -> list[str]:
         """Return the keys of the parts beyond the head of jobs that have ended."""
@@ -235,7 +218,7 @@
         """Yield the jobs that have no final state."""
         for job_id in self._live:
             if job_id not in self._set_aside:
-                yield self._jobs[job_id]
+                yield self.jobs[job_id]
 
     def ended_with_runs(self) -> list[str]:
         """Return the jobs that have ended or been cancelled and may still have runs.
@@ -245,7 +228,7 @@
         return [
             job_id
             for job_id in self._progress.jobs_with_runs()
-            if self.progress(job_id).state or job_id in self._cancelled
+            if self.progress(job_id).state or self.is_cancelled(job_id)
         ]
 
     def open_tasks(self, account: str) -> int:
@@ -256,8 +239,8 @@
         """Return the number of a queue's jobs of which no task has begun yet."""
         count = 0
         for job_id in self._live:
-            job = self._jobs[job_id]
-            if job.queue != queue or job_id in self._cancelled:
+            job = self.jobs[job_id]
+            if job.queue != queue or self.is_cancelled(job_id):
                 continue
             count += not self._has_begun(job_id)
         return count
@@ -301,7 +284,7 @@
             return False
         self._offsets[(topic, record.key)] = record.offset
         try:
-            self._apply_value(record)
+            self._apply_value(topic, record)
         except msgspec.DecodeError as error:
             log = logger.bind(topic=topic, key=record.key, offset=record.offset)
             log.error("skipped an undecodable record: {}", type(error).__name__)
@@ -322,10 +305,10 @@
             self.apply(topic, StoredRecord(end - 1, key, None))
         return len(absent)
 
-    def _apply_value(self, record: StoredRecord) -> None:
+    def _apply_value(self, topic: str, record: StoredRecord) -> None:
         key, value = record.key, record.value
         if key.startswith((JOB_PREFIX, CANCEL_PREFIX, END_PREFIX)):
-            self._apply_job_value(record)
+            self._apply_job_record(topic, record)
         elif key == LEADER_KEY:
             if value is not None:
                 self.leader = decode_msgpack(value, Leader)
@@ -338,51 +321,21 @@
         elif key.startswith(PART_PREFIX):
             part = parse_part_key(key)
             self._progress.apply_part(part, value)
-            self._update_live(part.job_id)
+            self._end_if_final(part.job_id)
         else:
             self._progress.apply_head(key, value)
-            self._update_live(key)
+            self._end_if_final(key)
 
-    def _apply_job_value(self, record: StoredRecord) -> None:
-        """Apply a record of the jobs' topics."""
-        key, value = record.key, record.value
-        if key.startswith(JOB_PREFIX):
-            self._apply_job(key.removeprefix(JOB_PREFIX), value)
-        elif key.startswith(CANCEL_PREFIX):
-            job_id = key.removeprefix(CANCEL_PREFIX)
-            if value is None:
-                self._cancelled.pop(job_id, None)
-            else:
-                self._cancelled.setdefault(job_id, record.offset)
-        else:
-            self._apply_end(key, value)
-
-    def _apply_end(self, key: str, value: bytes | None) -> None:
-        job_id, _, task = key.removeprefix(END_PREFIX).partition(".")
-        if value is None:
-            self._ends.pop(job_id, None)
-        elif is_task_key(task):
-            run = decode_msgpack(value, int)
-            self._ends.setdefault(job_id, {}).setdefault(task, run)
-        else:
-            raise msgspec.ValidationError("the key of an end names no task")
-
-    def _apply_job(self, job_id: str, value: bytes | None) -> None:
-        if value is None:
-            self._jobs.pop(job_id, None)
-            self._first_open.pop(job_id, None)
+    def _apply_job_record(self, topic: str, record: StoredRecord) -> None:
+        job_id = self._records.apply(topic, record)
+        if job_id not in self.jobs:
             self._live.pop(job_id, None)
-            return
-        job = decode_job(value)
-        # Of repeated acceptances of a job the first one counts, in whatever order the
-        # topics are read.
-        known = self._jobs.get(job_id)
-        if known is None or job.accepted_at < known.accepted_at:
-            self._jobs[job_id] = job
-        if not self.progress(job_id).state:
+            self._first_open.pop(job_id, None)
+        elif record.key.startswith(JOB_PREFIX) and not self.progress(job_id).state:
             self._live[job_id] = None
 
-    def _update_live(self, job_id: str) -> None:
+    def _end_if_final(self, job_id: str) -> None:
+        """Take note of a final state; its deletion opens a job not again."""
         if self.progress(job_id).state:
             self._live.pop(job_id, None)
 
--- a/tests/test_ended_jobs.py
+++ b/tests/test_ended_jobs.py
@@ -18,7 +18,8 @@
     TaskState,
     encode,
 )
-from sequoiachute.state.ledger import JOB_PREFIX, JOBS, RUNS, Ledger
+from sequoiachute.state.job_records import JOB_PREFIX, JOBS
+from sequoiachute.state.ledger import RUNS, Ledger
 from sequoiachute.state.operations import Operations
 from standins.control_site import CATALOGUE, URGENT, ControlSite
 from tests.control_checks import accepted
@@ -107,7 +108,6 @@
     return [task for worker in site.workers for task in worker.running]
 
 
-# A run of an ended job went on for good if its job's record was read last.
 @pytest.mark.parametrize("read_last", [JOBS, RUNS])
 @pytest.mark.parametrize("state", [CANCELLED, FAILED])
 @pytest.mark.parametrize(
@@ -117,6 +117,7 @@
 def test_run_of_an_ended_job_is_stopped_although_every_entry_restarts(
     restart, state, read_last
 ):
+    # Guards against a run that goes on for good since its job's record was read last.
     site = ControlSite()
     is_lasting = state == CANCELLED
     job = accepted(site, LASTING_SECONDS, count=2, per_worker=1, lasting=is_lasting)
@@ -133,9 +134,9 @@
         assert site.state(job) == state
 
 
-# An ended job with a run left was counted by entries that had read its record first.
 @pytest.mark.parametrize("topics", [(JOBS, RUNS), (RUNS, JOBS)])
 def test_ended_job_with_a_run_left_counts_for_no_account_and_no_queue(topics):
+    # Guards against a guarantee that is lost to a job which has ended.
     ledger = Ledger()
     job = urgent_job(GUARANTEED_GPUS)
     placed = TaskState(run=1, host="10.0.1.0", lifetime=Lifetime("worker", 1))
@@ -162,9 +163,9 @@
     assert ledger.ended_before(inf) == [job.job_id]
 
 
-# Nobody ordered a stop if the job's record could not be read.
 @pytest.mark.parametrize("state", [CANCELLED, FAILED])
 def test_run_of_an_ended_job_is_stopped_although_its_record_is_not_read(state):
+    # Guards against a run that nobody stops since its job's record can't be read.
     site = ControlSite()
     is_lasting = state == CANCELLED
     job = accepted(site, LASTING_SECONDS, count=2, per_worker=1, lasting=is_lasting)
@@ -177,9 +178,9 @@
     assert runs_left(site) == []
 
 
-# The session of the host was new, or of a later life, when the placer began.
 @pytest.mark.parametrize("starts_late", [False, True])
 def test_run_of_an_ended_job_in_a_later_life_is_stopped(starts_late):
+    # Guards against a run left since its host's session is new, or of a later life.
     site = ControlSite()
     job = accepted(site, LASTING_SECONDS, count=2, per_worker=1, lasting=True)
     site.run_for(2.0)
--- a/tests/test_lost_history.py
+++ b/tests/test_lost_history.py
@@ -1,7 +1,8 @@
 import pytest
 
 from sequoiachute.protocol.workload import COMPLETE
-from sequoiachute.state.ledger import JOB_TOPICS, RUNS
+from sequoiachute.state.job_records import JOB_TOPICS
+from sequoiachute.state.ledger import RUNS
 from standins.control_site import ControlSite
 from tests.control_checks import accepted, complete
 
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -5,7 +5,7 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.intake import ACCEPTED, REFUSED
-from sequoiachute.state.ledger import JOB_TOPICS
+from sequoiachute.state.job_records import JOB_TOPICS
 from standins.control_site import ControlSite
 from tests.control_checks import accepted, complete
 
