--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -1,6 +1,6 @@
 """In-memory view of the store: jobs, their progress, waves, hosts and the placer."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from math import ceil, inf
 from typing import NamedTuple
 
@@ -97,6 +97,7 @@
         self._live: dict[str, None] = {}
         self._first_open: dict[str, int] = {}
         self._set_aside: set[str] = set()
+        self._read_topics: set[str] = set()
         self.leader: Leader | None = None
         self.speeds: dict[Machine, MachineSpeed] = {}
         self._waves: dict[str, bytes] = {}
@@ -290,12 +291,17 @@
             log.error("skipped an undecodable record: {}", type(error).__name__)
         return True
 
+    def has_read(self, topics: Iterable[str]) -> bool:
+        """Return whether a snapshot of each of these topics has been read."""
+        return self._read_topics.issuperset(topics)
+
     def drop_absent(self, topic: str, present: set[str], end: int) -> int:
         """Drop the keys of a topic that a snapshot lacks; return how many were known.
 
         Their deletion may be in a history that was never read. What was stored after
         the snapshot's ``end`` stays.
         """
+        self._read_topics.add(topic)
         absent = [
             key
             for (known_topic, key), offset in self._offsets.items()
