Pause before a service whose runs end at once is started again

Callers saw nothing of it; workers did: tasks that last and end as soon as they begin (failed, stopped unasked, lapsed, broken, alone) were started ten times a second, each time with records, orders and looks.

Cause: only hosts are paused, after refused starts and failures; a task that has room elsewhere is placed in the same round.

Change: a task that lasts whose runs in a row last less than 2 s waits for 0.25 s after the second, doubled by each further one, 2 s at most; the first of them and any that has run longer starts at once. Stops that this placer has ordered do not count.

--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -319,6 +319,7 @@
             progress = self._statistics.progress_of(task, end.run)
             self._statistics.forget_run(task, end.run)
             self._metrics.count("runs_ended_total", how=end.outcome)
+            self._pause_restart(task, end, session)
             if end.outcome in (DONE, RUN_FAILED):
                 self._statistics.wait_times.end(task)
             if end.outcome == DONE:
@@ -333,6 +334,25 @@
                     self._count_suitable_hosts(task, session),
                 )
 
+    def _pause_restart(self, task: TaskId, end: EndReport, session: Session) -> None:
+        """Let a task that lasts pause if its runs end soon, unless it was stopped."""
+        job = self._ledger.job(task.job_id)
+        if job is None or not job.steps[task.step].lasting:
+            return
+        if session.stops.get(task, 0) == end.run:
+            return
+        placed_at = self._ledger.placed_at(task)
+        now = clock.elapsed()
+        pause = self._statistics.restart_pauses.record_end(
+            task, end.run, placed_at, now
+        )
+        if not pause:
+            return
+        self._metrics.count("restarts_paused_total")
+        log = logger.bind(task=str(task), run=end.run, host=session.host)
+        log = log.bind(how=end.outcome, lasted=round(now - placed_at, 3))
+        log.bind(pause=pause).info("restart paused")
+
     def _count_suitable_hosts(self, task: TaskId, failed: Session) -> int:
         """Return how many hosts of the failed one's service could run ``task``."""
         job = self._ledger.job(task.job_id)
--- a/src/sequoiachute/coordination/dispatch/run_statistics.py
+++ b/src/sequoiachute/coordination/dispatch/run_statistics.py
@@ -4,6 +4,7 @@
 from math import log
 from typing import NamedTuple
 
+from sequoiachute.coordination.dispatch.restart_pauses import RestartPauses
 from sequoiachute.coordination.dispatch.speeds import SpeedEstimator, SpeedSample
 from sequoiachute.coordination.dispatch.start_doubts import StartDoubts
 from sequoiachute.coordination.dispatch.wait_times import WaitTimes
@@ -148,6 +149,7 @@
         self._blamed_tasks: set[TaskId] = set()
         self.wait_times = WaitTimes()
         self.start_doubts = StartDoubts()
+        self.restart_pauses = RestartPauses()
         self.moved_tasks: set[TaskId] = set()
         self._left_hosts: dict[TaskId, str] = {}
         self.preemptions: dict[TaskId, int] = {}
@@ -207,6 +209,7 @@
         """Drop what is kept by job or task, but for the jobs that are ``live``."""
         self.wait_times.forget_ended_jobs(live)
         self.start_doubts.forget_ended_jobs(live)
+        self.restart_pauses.forget_ended_jobs(live)
         self.moved_tasks = {task for task in self.moved_tasks if task.job_id in live}
         for task in [task for task in self._left_hosts if task.job_id not in live]:
             del self._left_hosts[task]
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -327,6 +327,8 @@
         share = ceil(allowance / (len(ready) - number))
         placed = context.ledger.step_counts(job.job_id, occurrence, index)
         waiting = _waiting_tasks(job, progress, placed, occurrence, index, share)
+        if job.steps[index].lasting:
+            waiting = _unpaused(waiting, job.steps[index].gang, context)
         allowance = max(0, allowance - len(waiting))
         for seconds, tasks in _group_waiting(job, progress, waiting, context):
             unit = _build_unit(job, progress, placed, tasks, context)
@@ -414,6 +416,16 @@
     return tuple(waiting)
 
 
+def _unpaused(
+    tasks: tuple[TaskId, ...], is_gang: bool, context: _ViewContext
+) -> tuple[TaskId, ...]:
+    """Return the tasks that may run again by now, all of a gang or none."""
+    now = clock.elapsed()
+    pauses = context.statistics.restart_pauses
+    ready = tuple(task for task in tasks if not pauses.is_paused(task, now))
+    return () if is_gang and len(ready) < len(tasks) else ready
+
+
 def _group_waiting(
     job: JobGraph,
     progress: JobProgress,
--- a/standins/control_site.py
+++ b/standins/control_site.py
@@ -160,18 +160,30 @@
         **step: object,
     ) -> tuple[str, IntakeOutcome]:
         """Submit a job of equal steps in a chain; return its job id and the outcome."""
-        job_id = job_id or f"{self.next_number():016x}"
         first = StepSpec(count, TASK_NEED, seconds, **step)
         chain = [first]
         for number in range(1, steps):
             chain.append(first._replace(after=(number - 1,)))
+        return self.submit_steps(seconds, chain, entry, queue, wait, job_id)
+
+    def submit_steps(
+        self,
+        seconds: float,
+        steps: list[StepSpec],
+        entry: int = 0,
+        queue: Queue = QUEUE,
+        wait: float = 3.0,
+        job_id: str = "",
+    ) -> tuple[str, IntakeOutcome]:
+        """Submit a job whose tasks run for ``seconds`` each, as ``submit`` does."""
+        job_id = job_id or f"{self.next_number():016x}"
         job = JobGraph(
             job_id,
             "brocach",
             queue.name,
             queue.service,
             str(seconds),
-            tuple(chain),
+            tuple(steps),
             accepted_at=clock.wall_time(),
             priority=queue.priority,
             attempts=queue.attempts,
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -302,6 +302,12 @@
         end = EndRecord(clock.now(), run.task, run.run, outcome, self.lifetime)
         self.history.ends.append(end)
 
+    def end_run(self, task: str, outcome: str) -> None:
+        """End the present run of a task."""
+        for run in list(self._runs.values()):
+            if run.task == task:
+                self._end(run, outcome)
+
     def status(self) -> WorkerStatus:
         """Return all runs and the ends not acknowledged yet."""
         runs = []
--- a/tests/run_checks.py
+++ b/tests/run_checks.py
@@ -4,17 +4,23 @@
 MAX_STARTS_AFTER_CRASHES = 2
 
 
+def assert_no_overlapping_runs(history):
+    """Assert that runs of a task never overlap."""
+    for task in {start.task for start in history.starts}:
+        intervals = sorted(history.intervals(task))
+        for earlier, later in zip(intervals, intervals[1:], strict=False):
+            assert later[0] >= earlier[1], f"runs of {task} overlap: {intervals}"
+
+
 def assert_no_duplicate_runs(history, crashes=False):
     """Assert that runs of a task never overlap and that none follows completion.
 
     With ``crashes`` an end counts only if it was acknowledged: if a worker crashes
     before that, the end is lost and the task runs again.
     """
+    assert_no_overlapping_runs(history)
     tasks = {start.task for start in history.starts}
     for task in tasks:
-        intervals = sorted(history.intervals(task))
-        for earlier, later in zip(intervals, intervals[1:], strict=False):
-            assert later[0] >= earlier[1], f"runs of {task} overlap: {intervals}"
         completions = []
         for end in history.ends:
             acked = (end.task, end.run, end.lifetime) in history.acknowledged
