--- a/src/sequoiachute/coordination/dispatch/end_backup.py
+++ b/src/sequoiachute/coordination/dispatch/end_backup.py
@@ -76,6 +76,7 @@
                 if end.outcome != DONE or not needs_record(self._ledger, session, end):
                     continue
                 task = parse_task_id(end.task)
-                if task_key(task) not in self._ledger.ends(task.job_id):
+                # A task that lasts may end done again and again.
+                if self._ledger.ends(task.job_id).get(task_key(task), 0) < end.run:
                     records.append(end_record(task, end.run))
         return records
--- a/src/sequoiachute/coordination/dispatch/placer.py
+++ b/src/sequoiachute/coordination/dispatch/placer.py
@@ -59,6 +59,7 @@
     StepSpec,
     TaskId,
     WorkerTimes,
+    is_finished,
     parse_task_id,
     task_key,
 )
@@ -434,7 +435,9 @@
         for index in range(step.count):
             member = task._replace(index=index)
             state = tasks.get(task_key(member))
-            if member == task or state is None or state.run != run or state.done:
+            if member == task or state is None or state.run != run:
+                continue
+            if is_finished(step, state):
                 continue
             session = self._agents.sessions.get(state.host)
             if session is not None and session.lifetime == state.lifetime:
--- a/src/sequoiachute/coordination/dispatch/restart_pauses.py
+++ b/src/sequoiachute/coordination/dispatch/restart_pauses.py
@@ -1,12 +1,14 @@
-"""Pauses before a task that lasts, whose runs end soon after they begin, runs again."""
+"""Pauses before a task that lasts runs again."""
 
 from typing import NamedTuple
 
 from sequoiachute.protocol.workload import TaskId
 
-MIN_PAUSE_SECONDS = 0.25  # after the second short run in a row; doubled by each further
+# Also after a long run: a placer does not know of the ends before its term.
+MIN_PAUSE_SECONDS = 0.25  # doubled by each short run in a row
 # The share of its time that a service is away is counted from 6 s after a run's end.
 MAX_PAUSE_SECONDS = 2.0
+MAX_COUNT = 16
 
 
 class _ShortRuns(NamedTuple):
@@ -18,10 +20,10 @@
 
 
 class RestartPauses:
-    """Pauses of tasks that last, by their runs of less than ``MAX_PAUSE_SECONDS``.
+    """Pauses of tasks that last, longer after runs of less than ``MAX_PAUSE_SECONDS``.
 
-    Whoever runs longer starts again at once, so that no task starts more often than
-    every ``MAX_PAUSE_SECONDS`` for long. Times are of ``clock.elapsed``.
+    No task starts more often than every ``MAX_PAUSE_SECONDS`` for long. Times are of
+    ``clock.elapsed``.
     """
 
     def __init__(self) -> None:
@@ -35,14 +37,10 @@
         known = self._short_runs.get(task, _ShortRuns(0, 0, now))
         if run <= known.run:
             return 0.0
-        if now - placed_at >= MAX_PAUSE_SECONDS:
-            self._short_runs[task] = _ShortRuns(run, 0, now)
-            return 0.0
-        pause = 0.0
-        if known.count:
-            doubled = MIN_PAUSE_SECONDS * 2 ** (known.count - 1)
-            pause = min(MAX_PAUSE_SECONDS, doubled)
-        self._short_runs[task] = _ShortRuns(run, known.count + 1, now + pause)
+        is_short = now - placed_at < MAX_PAUSE_SECONDS
+        count = known.count + 1 if is_short else 0
+        pause = min(MAX_PAUSE_SECONDS, MIN_PAUSE_SECONDS * 2 ** min(count, MAX_COUNT))
+        self._short_runs[task] = _ShortRuns(run, count, now + pause)
         return pause
 
     def is_paused(self, task: TaskId, now: float) -> bool:
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -34,6 +34,7 @@
     Lifetime,
     TaskId,
     TaskState,
+    is_finished,
     parse_task_id,
     task_key,
 )
@@ -229,8 +230,8 @@
         if end.outcome == DONE:
             draft.set_task(task, ended._replace(done=True))
             self._complete_gang(task, draft)
-            return
-        draft.set_task(task, ended)
+        else:
+            draft.set_task(task, ended)
         if end.outcome == RUN_FAILED:
             self._count_failure(task, end.run, draft)
 
@@ -413,10 +414,11 @@
             for key in done_with(job, end):
                 task = task_id_of(job_id, key)
                 state = draft.task(task)
-                if state.done:
+                is_over = key == end and state.placed and state.run == run
+                if state.done and not is_over:
                     continue
                 state = state._replace(done=True)
-                if key == end and state.run == run:
+                if is_over:
                     state = state._replace(host="", lifetime=Lifetime())
                 draft.set_task(task, state)
 
@@ -439,7 +441,7 @@
             return COMPLETE
         for key, task in progress.tasks.items():
             step = job.steps[int(key.split(".")[1])]
-            if task.done:
+            if is_finished(step, task):
                 continue
             if task.crashes is not None and is_given_up(task.crashes):
                 return FAILED
@@ -450,10 +452,14 @@
     def _order_stops(self, job_id: str, draft: ProgressDraft) -> None:
         """Order the stop of the runs of a job that has ended or been cancelled."""
         progress = draft.progress(job_id)
+        job = self._ledger.job(job_id)
         for key, state in progress.tasks.items():
-            if not state.placed or state.done:
+            if not state.placed:
                 continue
             task = task_id_of(job_id, key)
+            if job is not None and is_finished(job.steps[task.step], state):
+                # A member of a gang of which another has ended done.
+                continue
             session = self._agents.sessions.get(state.host)
             if session is None or session.lifetime != state.lifetime:
                 obstacle = NO_REPORT if session is None else OTHER_LIFE
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -43,6 +43,7 @@
     TaskId,
     TaskState,
     WorkerTimes,
+    is_finished,
     task_key,
 )
 from sequoiachute.state.ledger import Ledger
@@ -371,7 +372,7 @@
             break
         for index, step in enumerate(job.steps):
             counts = ledger.step_counts(job.job_id, occurrence, index)
-            if counts.done >= step.count:
+            if counts.done >= step.count and not step.lasting:
                 continue
             if all(
                 ledger.step_counts(job.job_id, occurrence, earlier).done
@@ -408,7 +409,7 @@
         if len(waiting) >= limit:
             break
         state = progress.tasks.get(f"{occurrence}.{index}.{number}")
-        if state is not None and state.done:
+        if state is not None and is_finished(step, state):
             if number == placed.first_open:
                 placed.first_open += 1
         elif state is None or not state.placed:
@@ -516,7 +517,7 @@
     for number in range(step.count):
         task = TaskId(job.job_id, occurrence, index, number)
         state = progress.tasks.get(f"{occurrence}.{index}.{number}")
-        if state is not None and state.done:
+        if state is not None and is_finished(step, state):
             continue
         if state is None or not state.placed:
             others.append(task)
--- a/src/sequoiachute/protocol/workload.py
+++ b/src/sequoiachute/protocol/workload.py
@@ -234,6 +234,8 @@
     ``lifetime``, the run may exist; it is empty once the run has certainly ended.
     ``token`` is the newest known checkpoint. ``failed_run`` is the last run that
     failed by itself. For a gang the first member has ``failures`` and ``crashes``.
+    ``done`` is set once a run has ended done; a task that lasts runs again all the
+    same, see ``is_finished``.
     """
 
     run: int = 0
@@ -251,6 +253,14 @@
         return bool(self.host)
 
 
+def is_finished(step: StepSpec, state: TaskState) -> bool:
+    """Return whether a task of a step never runs again.
+
+    A task that lasts runs until its job is cancelled, however its runs end.
+    """
+    return state.done and not step.lasting
+
+
 class JobProgress(NamedTuple):
     """Recorded state of a job: its final state, if any, and that of its tasks.
 
--- a/src/sequoiachute/state/exposition.py
+++ b/src/sequoiachute/state/exposition.py
@@ -14,7 +14,7 @@
     "jobs_submitted_total": "Jobs handed in, by outcome.",
     "records_rejected_total": "Records that the store has rejected for good.",
     "runs_of_ended_jobs": "Runs of ended or cancelled jobs that may still exist.",
-    "restarts_paused_total": "Pauses before lasting tasks that end soon run again.",
+    "restarts_paused_total": "Pauses before lasting tasks run again.",
     "runs_ended_total": "Runs that have ended, by how.",
     "runs_placed_total": "Runs that were placed.",
     "runs_stopped_total": "Runs that the placer has stopped, by reason.",
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -125,7 +125,7 @@
         return self._progress.step_counts(job_id, occurrence, step)
 
     def first_open_occurrence(self, job: JobGraph) -> int:
-        """Return the first occurrence of which a task is not done, or the count."""
+        """Return the first occurrence with a task that may yet run, or the count."""
         occurrence = self._first_open.get(job.job_id, 0)
         while occurrence < job.occurrence_count and self._is_done(job, occurrence):
             occurrence += 1
@@ -134,7 +134,8 @@
 
     def _is_done(self, job: JobGraph, occurrence: int) -> bool:
         for index, step in enumerate(job.steps):
-            if self.step_counts(job.job_id, occurrence, index).done < step.count:
+            counts = self.step_counts(job.job_id, occurrence, index)
+            if step.lasting or counts.done < step.count:
                 return False
         return True
 
