Take a lasting task's end by itself as proof that it is sound

Callers saw: after a crash of its workers a service whose runs end after 1.5 s is short of most of its tasks for good, beside idle workers.

A suspected task runs apart from others until one of its runs has worked for twice its work before the crash, 2 s at least; a run that ends before that proves nothing, and so no other run does. Of tasks that end once the matter ends with them. Ruled out: the pauses (0.25 to 2 s each), and room.

Change: a run of a task that lasts which ends done or failed has not crashed its worker; the crashes before it count no more. Gangs count at their first member.

--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -234,6 +234,8 @@
             draft.set_task(task, ended)
         if end.outcome == RUN_FAILED:
             self._count_failure(task, end.run, draft)
+        if end.outcome in (DONE, RUN_FAILED):
+            self._prove_sound(task, draft)
 
     def _complete_gang(self, task: TaskId, draft: ProgressDraft) -> None:
         """Mark all members of a gang as done; one that is done implies the others."""
@@ -242,6 +244,20 @@
             if not state.done:
                 draft.set_task(member, state._replace(done=True))
 
+    def _prove_sound(self, task: TaskId, draft: ProgressDraft) -> None:
+        """Forget the crashes under a task that lasts, whose run has ended by itself.
+
+        Its runs may all be too short to prove it sound by their work.
+        """
+        job = self._ledger.job(task.job_id)
+        if job is None or not job.steps[task.step].lasting:
+            return
+        counting_task = self._counting_task(task)
+        state = draft.task(counting_task)
+        if state.crashes is not None and state.crashes.count:
+            proven = state._replace(crashes=proven_sound(state.crashes))
+            draft.set_task(counting_task, proven)
+
     def _count_failure(self, task: TaskId, run: int, draft: ProgressDraft) -> None:
         """Count a failed run, once per gang even if several members report it."""
         counting_task = self._counting_task(task)
--- a/tests/test_lasting_tasks.py
+++ b/tests/test_lasting_tasks.py
@@ -5,6 +5,7 @@
 import pytest
 
 from sequoiachute import clock
+from sequoiachute.coordination.dispatch.crashes import MIN_PROOF_SECONDS
 from sequoiachute.protocol.stored import StoredRecord
 from sequoiachute.protocol.workload import (
     ACTIVE,
@@ -40,6 +41,7 @@
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
 
+SHORT_RUN_SECONDS = 0.75 * MIN_PROOF_SECONDS
 CALM_SECONDS = LONGEST_LEASE_SECONDS + TAKEOVER_SECONDS  # after all faults
 
 
@@ -102,6 +104,14 @@
     assert running(site, job) == [first, second, later]
 
 
+def end_old_runs(site, seconds, outcome):
+    """End the runs that have lasted for ``seconds``."""
+    for worker in site.workers:
+        for task in worker.running:
+            if clock.now() - starts_of(site, task)[-1].at >= seconds:
+                worker.end_run(task, outcome)
+
+
 def end_first(site, job):
     """Let the first task end as done; the members of a gang do so together."""
     step = site.jobs[job].steps[0]
@@ -235,6 +245,26 @@
     assert site.state(job) == ACTIVE
 
 
+@pytest.mark.parametrize("step", [{"count": 16}, {"count": 2, "gang": True}])
+@pytest.mark.parametrize("outcome", ["done", "failed"])
+def test_service_with_short_runs_is_whole_again_after_a_crash(outcome, step):
+    # Guards against tasks kept apart for good, as no run of them lasts for a proof.
+    site = GangSite(workers=2, gpus=8)
+    count = step["count"]
+    step = {**step, "lasting": True}
+    jobs = [accepted(site, LONG_SECONDS, **step) for _ in range(16 // count)]
+    site.run_for(1.0)
+    for worker in site.workers:
+        worker.crash()
+    until = clock.now() + 40.0
+    while clock.now() < until:
+        site.run_for(0.1)
+        end_old_runs(site, SHORT_RUN_SECONDS, outcome)
+    for job in jobs:
+        for task in tasks_of(job, count):
+            assert clock.now() - starts_of(site, task)[-1].at <= MAX_ABSENCE_SECONDS
+
+
 def test_occurrence_of_tasks_that_last_stays_open():
     # Guards against an occurrence that is passed over since its tasks were done once.
     step = StepSpec(1, TASK_NEED, lasting=True)
