Log and count what becomes of a worker's status reports

Three causes were possible:

A report of a later life is believed without a word of the worker itself, and the worker's own reports are then older. 2. A report of a service that nobody names is not told from others. 3. The placer follows the agent to a worker that does not exist.

'worker announced' now names born and service; 'status report ignored' says why and which life is known; status_reports_total counts by outcome.

--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -35,6 +35,11 @@
 REFRESH_DELAY_SECONDS = 0.4  # of a search, before the entries are read anew
 REFRESH_INTERVAL_SECONDS = 1.0
 MAX_CRASHES = 8  # the newest; a placer hears of each within seconds
+# What becomes of a worker's status report.
+APPLIED = "applied"
+REPEATED = "repeated"
+EARLIER_LIFE = "earlier life"
+ENDED_LIFE = "ended life"
 
 
 class Heartbeat(NamedTuple):
@@ -75,6 +80,7 @@
         self._announced_at = 0.0
         self._departing_lifetime: Lifetime | None = None
         self._ended_lifetime: Lifetime | None = None
+        self._logged_ignored: tuple[Lifetime, str] | None = None
         self._crashes: tuple[CrashReport, ...] = ()
         self._status: WorkerStatus | None = None
         self._term = 0
@@ -101,12 +107,18 @@
         previous = self._heartbeat
         if previous is not None:
             old, new = previous.info.lifetime, heartbeat.info.lifetime
-            if new.started_ms < old.started_ms or new == self._ended_lifetime:
+            if new.started_ms < old.started_ms:
+                self._ignore(heartbeat, EARLIER_LIFE)
+                return
+            if new == self._ended_lifetime:
+                self._ignore(heartbeat, ENDED_LIFE)
                 return
             if new == old and heartbeat.sequence <= previous.sequence:
+                self.metrics.count("status_reports_total", outcome=REPEATED)
                 return
             if new != old:
                 self._record_crash(previous.info)
+        self.metrics.count("status_reports_total", outcome=APPLIED)
         self._heartbeat = heartbeat
         self._announced_at = clock.now()
         self._reconciler.set_capacity(heartbeat.info.capacity)
@@ -115,6 +127,7 @@
             info = heartbeat.info
             log = logger.bind(worker=info.lifetime.worker_id, leaving=info.leaving)
             log = log.bind(zone=info.zone, rack=info.rack, labels=info.labels)
+            log = log.bind(born=info.lifetime.started_ms, service=info.service)
             log.info("worker announced")
             self._update_may_start()
             self._request_report()
@@ -122,6 +135,19 @@
             # Until its first poll the lifetime takes calls to the one before.
             self._spawn_task("poll of the worker", self._poll_once)
 
+    def _ignore(self, heartbeat: Heartbeat, reason: str) -> None:
+        """Count a report that is not applied, and log the first of a row of them."""
+        self.metrics.count("status_reports_total", outcome=reason)
+        info, ignored = heartbeat.info, (heartbeat.info.lifetime, reason)
+        if ignored == self._logged_ignored:
+            return
+        self._logged_ignored = ignored
+        log = logger.bind(worker=info.lifetime.worker_id, reason=reason)
+        log = log.bind(born=info.lifetime.started_ms, service=info.service)
+        known = self._heartbeat.info.lifetime if self._heartbeat else Lifetime()
+        log = log.bind(known=known.worker_id, known_born=known.started_ms)
+        log.warning("status report ignored")
+
     def handle_worker_leave(self, worker_id: str) -> None:
         """Take note that a worker is about to end.
 
--- a/src/sequoiachute/state/exposition.py
+++ b/src/sequoiachute/state/exposition.py
@@ -27,6 +27,7 @@
     "units_waiting": "Steps or gangs that have waited for more than 1 s.",
     "units_waiting_beside_capacity": "Those of them that there is room for.",
     "store_age_seconds": "Time since the store confirmed the view of runs.",
+    "status_reports_total": "Status reports of the worker, by what became of them.",
     "looks_total": "Looks at the worker, by outcome.",
     "orders_total": "Orders to the worker, by kind and outcome.",
     "placer_lost_total": "Times that the placer did not answer.",
