--- a/src/sequoiachute/coordination/control.py
+++ b/src/sequoiachute/coordination/control.py
@@ -340,7 +340,13 @@
         agents = self._agents
         term = leader.term if leader is not None else 0
         address = leader.address if leader is not None else ""
-        reply = Orders(False, address, term, self._entry_addresses())
+        reply = Orders(
+            False,
+            address,
+            term,
+            self._entry_addresses(),
+            services=self.operations.services,
+        )
         if agents is None:
             return reply
         if report.term > agents.term:
--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -104,10 +104,10 @@
             return tuple(sorted(self._attempted | self._present | self._ended))
         return runs if lifetime == previous else ()
 
-    def set_capacity(self, capacity: Resources) -> None:
-        """Set the capacity that the worker has announced just now."""
+    def set_capacity(self, capacity: Resources, announced_at: float) -> None:
+        """Set the capacity that the worker has announced, on the elapsed clock."""
         self._capacity = capacity
-        self._announced_at = clock.elapsed()
+        self._announced_at = announced_at
 
     def late_starts(self) -> dict[tuple[str, int], float]:
         """Return the starts that may be carried out late, by seconds since sent."""
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -1,7 +1,7 @@
 """Polls the worker, renews its leases, reports to the placer and applies its orders."""
 
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
 from uuid import uuid4
 
 import eventlet
@@ -9,6 +9,8 @@
 from loguru import logger
 
 from sequoiachute import clock
+from sequoiachute.coordination.hosting.announcements import Announcements
+from sequoiachute.coordination.hosting.claims import Heartbeat, ReceivedHeartbeat
 from sequoiachute.coordination.hosting.entries import EntryDirectory
 from sequoiachute.coordination.hosting.pacing import Pacer
 from sequoiachute.coordination.hosting.runs import RunReconciler
@@ -23,7 +25,7 @@
 from sequoiachute.protocol.workload import Lifetime
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.transport.ports import RpcCaller
-from sequoiachute.transport.worker import TaskWorker, WorkerStatus
+from sequoiachute.transport.worker import OTHER_LIFETIME, TaskWorker, WorkerStatus
 
 POLL_WAIT_SECONDS = 0.4  # the worker updates progress every 0.5 s
 POLL_RETRY_SECONDS = 0.1
@@ -35,19 +37,6 @@
 REFRESH_DELAY_SECONDS = 0.4  # of a search, before the entries are read anew
 REFRESH_INTERVAL_SECONDS = 1.0
 MAX_CRASHES = 8  # the newest; a placer hears of each within seconds
-# What becomes of a worker's status report.
-APPLIED = "applied"
-REPEATED = "repeated"
-EARLIER_LIFE = "earlier life"
-ENDED_LIFE = "ended life"
-
-
-class Heartbeat(NamedTuple):
-    """A worker's status message; ``sequence`` increases within a lifetime."""
-
-    info: WorkerInfo
-    sequence: int
-    clock_ms: int
 
 
 class Supervisor:
@@ -61,10 +50,17 @@
     caller : RpcCaller
     entries : EntryDirectory
         Entries that may know the placer.
+    services : callable, optional
+        Returns the services that the agent's settings name.
     """
 
     def __init__(
-        self, host: str, worker: TaskWorker, caller: RpcCaller, entries: EntryDirectory
+        self,
+        host: str,
+        worker: TaskWorker,
+        caller: RpcCaller,
+        entries: EntryDirectory,
+        services: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         self.metrics = Metrics()
         self._host = host
@@ -76,11 +72,10 @@
         self._search_wake = Event()
         self._incarnation = uuid4().hex
         self._sequence = 0
-        self._heartbeat: Heartbeat | None = None
-        self._announced_at = 0.0
+        self._announcements = Announcements(
+            self._ask_for_life, self._apply_heartbeat, services, self.metrics
+        )
         self._departing_lifetime: Lifetime | None = None
-        self._ended_lifetime: Lifetime | None = None
-        self._logged_ignored: tuple[Lifetime, str] | None = None
         self._crashes: tuple[CrashReport, ...] = ()
         self._status: WorkerStatus | None = None
         self._term = 0
@@ -102,74 +97,79 @@
         spawn_loop("reports of changes", self._report_changes, self.metrics)
         spawn_loop("wait for orders", self._wait_for_orders, self.metrics)
 
+    @property
+    def _info(self) -> WorkerInfo | None:
+        """How the present life of the worker describes itself."""
+        present = self._announcements.present
+        return present.heartbeat.info if present is not None else None
+
     def handle_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Apply a heartbeat; ignore an older one or one of an ended lifetime."""
-        previous = self._heartbeat
-        if previous is not None:
-            old, new = previous.info.lifetime, heartbeat.info.lifetime
-            if new.started_ms < old.started_ms:
-                self._ignore(heartbeat, EARLIER_LIFE)
-                return
-            if new == self._ended_lifetime:
-                self._ignore(heartbeat, ENDED_LIFE)
-                return
-            if new == old and heartbeat.sequence <= previous.sequence:
-                self.metrics.count("status_reports_total", outcome=REPEATED)
-                return
-            if new != old:
-                self._record_crash(previous.info)
-        self.metrics.count("status_reports_total", outcome=APPLIED)
-        self._heartbeat = heartbeat
-        self._announced_at = clock.now()
-        self._reconciler.set_capacity(heartbeat.info.capacity)
-        changed = previous is None or previous.info != heartbeat.info
-        if changed:
-            info = heartbeat.info
+        """Apply a heartbeat, once the worker has confirmed the life that it names."""
+        self._announcements.handle(heartbeat)
+
+    def _ask_for_life(self, lifetime: Lifetime) -> Lifetime | None:
+        """Return the life that answers at the worker's address, ``None`` if none does.
+
+        The call carries no fencing token that the worker would keep if the claim of
+        ``lifetime`` were false.
+        """
+        present = self._announcements.lifetime
+        if present.worker_id == lifetime.worker_id:
+            outcome = self._worker.poll(present, self._term, 0, 0, 0.0)
+        else:
+            unfenced = Lifetime(lifetime.worker_id)
+            outcome = self._worker.poll(unfenced, 0, 0, 0, 0.0)
+        if outcome.is_ok():
+            return outcome.unwrap().lifetime
+        error = outcome.unwrap_err()
+        if error.reason == OTHER_LIFETIME:
+            return Lifetime()
+        is_known_there = error.fenced and not error.gone
+        # An earlier process of this agent has called it.
+        return lifetime if is_known_there else None
+
+    def _apply_heartbeat(
+        self, previous: ReceivedHeartbeat | None, received: ReceivedHeartbeat
+    ) -> None:
+        info = received.heartbeat.info
+        old = previous.heartbeat.info if previous is not None else None
+        is_new_life = old is None or old.lifetime != info.lifetime
+        if old is not None and is_new_life:
+            self._record_crash(old)
+        self._reconciler.set_capacity(info.capacity, received.at)
+        if info != old:
             log = logger.bind(worker=info.lifetime.worker_id, leaving=info.leaving)
             log = log.bind(zone=info.zone, rack=info.rack, labels=info.labels)
             log = log.bind(born=info.lifetime.started_ms, service=info.service)
             log.info("worker announced")
             self._update_may_start()
             self._request_report()
-        if previous is not None and previous.info.lifetime != heartbeat.info.lifetime:
+        if is_new_life:
             # Until its first poll the lifetime takes calls to the one before.
             self._spawn_task("poll of the worker", self._poll_once)
 
-    def _ignore(self, heartbeat: Heartbeat, reason: str) -> None:
-        """Count a report that is not applied, and log the first of a row of them."""
-        self.metrics.count("status_reports_total", outcome=reason)
-        info, ignored = heartbeat.info, (heartbeat.info.lifetime, reason)
-        if ignored == self._logged_ignored:
-            return
-        self._logged_ignored = ignored
-        log = logger.bind(worker=info.lifetime.worker_id, reason=reason)
-        log = log.bind(born=info.lifetime.started_ms, service=info.service)
-        known = self._heartbeat.info.lifetime if self._heartbeat else Lifetime()
-        log = log.bind(known=known.worker_id, known_born=known.started_ms)
-        log.warning("status report ignored")
-
     def handle_worker_leave(self, worker_id: str) -> None:
         """Take note that a worker is about to end.
 
         The notice names no lifetime and may come late: the lifetime is over once the
         worker, if it has said that it leaves, can't be reached any more.
         """
-        heartbeat = self._heartbeat
-        if heartbeat is None or heartbeat.info.lifetime.worker_id != worker_id:
+        info = self._info
+        if info is None or info.lifetime.worker_id != worker_id:
             return
-        log = logger.bind(worker=worker_id, leaving=heartbeat.info.leaving)
+        log = logger.bind(worker=worker_id, leaving=info.leaving)
         log.info("worker left")
-        self._departing_lifetime = heartbeat.info.lifetime
+        self._departing_lifetime = info.lifetime
 
     def _is_departing(self, lifetime: Lifetime) -> bool:
         """Return whether a lifetime has announced its end and is not over yet."""
-        info = self._heartbeat.info
+        info = self._info
         is_leaving = info.lifetime == lifetime and info.leaving
-        is_over = lifetime == self._ended_lifetime
+        is_over = lifetime == self._announcements.ended_lifetime
         return is_leaving and lifetime == self._departing_lifetime and not is_over
 
     def _end_lifetime(self, lifetime: Lifetime) -> None:
-        self._ended_lifetime = lifetime
+        self._announcements.ended_lifetime = lifetime
         log = logger.bind(worker=lifetime.worker_id, born=lifetime.started_ms)
         log.info("worker's lifetime ended")
         self._update_may_start()
@@ -185,11 +185,11 @@
         log.bind(born=last.lifetime.started_ms).warning("worker crashed")
 
     def _update_may_start(self) -> None:
-        heartbeat = self._heartbeat
+        info = self._info
         is_leaving = (
-            heartbeat is None
-            or heartbeat.info.leaving
-            or heartbeat.info.lifetime == self._ended_lifetime
+            info is None
+            or info.leaving
+            or info.lifetime == self._announcements.ended_lifetime
         )
         self._reconciler.may_start = not is_leaving and not self._zone_closed
 
@@ -207,9 +207,9 @@
 
     def _newest_lifetime(self) -> Lifetime | None:
         """Return the worker's newest lifetime known from its heartbeats and answers."""
-        if self._heartbeat is None:
+        if self._announcements.present is None:
             return None
-        announced = self._heartbeat.info.lifetime
+        announced = self._announcements.lifetime
         answered = self._status.lifetime if self._status is not None else announced
         is_newer = answered.started_ms > announced.started_ms
         is_same_worker = answered.worker_id == announced.worker_id
@@ -395,13 +395,13 @@
 
     def _create_report(self, wait: float) -> Report:
         status = self._status
-        info = self._heartbeat.info if self._heartbeat else None
+        info = self._info
         if status is None or info is None or info.lifetime != status.lifetime:
             info = None
-        if info is not None and info.lifetime == self._ended_lifetime:
+        if info is not None and info.lifetime == self._announcements.ended_lifetime:
             info = None
         if info is not None and info.leaving:
-            elapsed = clock.now() - self._announced_at
+            elapsed = clock.elapsed() - self._announcements.present.at
             remaining = max(0.0, info.leaving_seconds - elapsed)
             info = info._replace(leaving_seconds=remaining)
         has_worker = info is not None
@@ -412,7 +412,7 @@
             sequence=self._sequence,
             worker=info,
             # An entry of an earlier version gives up late starts with the lifetime.
-            ended_lifetime=None if late_starts else self._ended_lifetime,
+            ended_lifetime=None if late_starts else self._announcements.ended_lifetime,
             term=self._fenced_term,
             worker_clock_ms=status.clock_ms if has_worker else 0,
             runs=status.runs if has_worker else (),
@@ -423,11 +423,12 @@
             late_starts=tuple(late_starts),
             crashes=self._crashes,
             late_start_ages=tuple(late_starts.values()),
-            departed_lifetime=self._ended_lifetime,
+            departed_lifetime=self._announcements.ended_lifetime,
         )
 
     def _apply_orders(self, address: str, orders: Orders) -> bool:
         self._entries.set_named(orders.entries)
+        self._announcements.set_catalogue_services(orders.services)
         if orders.term < self._term or not orders.leading:
             if self._placer_address == address:
                 self._placer_address = ""
--- a/src/sequoiachute/platform/heartbeats.py
+++ b/src/sequoiachute/platform/heartbeats.py
@@ -6,7 +6,8 @@
 
 from loguru import logger
 
-from sequoiachute.coordination.hosting.supervisor import Heartbeat, Supervisor
+from sequoiachute.coordination.hosting.claims import Heartbeat
+from sequoiachute.coordination.hosting.supervisor import Supervisor
 from sequoiachute.platform.fields import (
     FieldError,
     fields,
--- a/src/sequoiachute/platform/operator.py
+++ b/src/sequoiachute/platform/operator.py
@@ -64,6 +64,7 @@
                 text(required(item, "name")) for item in services if item.get("spare")
             ),
             body_limit=whole(limits.get("max_body_bytes", DEFAULT_BODY_LIMIT)),
+            services=frozenset(text(item.get("name") or "") for item in services),
         )
     except FieldError as error:
         log = logger.bind(bytes=len(data))
--- a/src/sequoiachute/platform/processes.py
+++ b/src/sequoiachute/platform/processes.py
@@ -39,6 +39,10 @@
             self.read()
         return self._newest.inner_seeds
 
+    def services(self) -> frozenset[str]:
+        """Return the service of the worker on this machine, if it has one."""
+        return frozenset((self._newest.service,)) - {""}
+
     def read(self) -> None:
         """Read the file and log what has changed; keep the last reading on errors."""
         self._read_at = clock.now()
--- a/src/sequoiachute/platform/worker.py
+++ b/src/sequoiachute/platform/worker.py
@@ -19,6 +19,7 @@
 from sequoiachute.protocol.workload import Lifetime
 from sequoiachute.transport.worker import (
     ALREADY_RAN,
+    OTHER_LIFETIME,
     UNHEALTHY,
     WorkerError,
     WorkerStatus,
@@ -28,7 +29,6 @@
 POLL_TIMEOUT_SECONDS = 0.5  # beyond the requested wait
 ORDER_TIMEOUT_SECONDS = 0.4  # the worker is local and answers in a few ms
 MAX_TOKEN_BYTES = 1024  # a record of progress has 64 of them
-OTHER_LIFETIME = "other lifetime"
 
 
 class RpcWorker:
--- a/src/sequoiachute/protocol/supervision.py
+++ b/src/sequoiachute/protocol/supervision.py
@@ -149,7 +149,8 @@
     knows; the other fields are valid only if ``leading``. ``lease_ms`` is the time
     on the worker's clock until which its runs may continue. ``ack`` is the number
     up to which all ends are recorded. While ``zone_closed``, the worker must not
-    start any run.
+    start any run. ``services`` are those that the catalogue in force names, whoever
+    answers.
     """
 
     leading: bool
@@ -162,6 +163,7 @@
     ack: int = 0
     zone_closed: bool = False
     runs: tuple[RunOrder, ...] = ()
+    services: tuple[str, ...] = ()
 
 
 REPORT = Method("/sequoiachute.Supervision/Report", Report, Orders)
--- a/src/sequoiachute/state/operations.py
+++ b/src/sequoiachute/state/operations.py
@@ -43,13 +43,17 @@
 
 
 class PlatformCatalogue(NamedTuple):
-    """One published version of queues and accounts; ``body_limit`` is in bytes."""
+    """One published version of queues and accounts; ``body_limit`` is in bytes.
+
+    ``services`` are listed beside those of the queues.
+    """
 
     version: int
     queues: tuple[Queue, ...]
     accounts: tuple[PlatformAccount, ...]
     spare_services: frozenset[str] = frozenset()
     body_limit: int = 262144
+    services: frozenset[str] = frozenset()
 
 
 class Operations:
@@ -57,6 +61,7 @@
 
     def __init__(self) -> None:
         self._catalogue: PlatformCatalogue | None = None
+        self._services: tuple[str, ...] = ()
         self._accounts_by_key: dict[str, PlatformAccount] = {}
         self._queues_by_host: dict[str, list[Queue]] = {}
         self._queues_by_name: dict[str, Queue] = {}
@@ -73,11 +78,18 @@
         """Version of the catalogue in force, zero before the first."""
         return self._catalogue.version if self._catalogue is not None else 0
 
+    @property
+    def services(self) -> tuple[str, ...]:
+        """The services that the catalogue in force names."""
+        return self._services
+
     def publish(self, catalogue: PlatformCatalogue) -> bool:
         """Put a catalogue in force if it is newer; return whether it was."""
         if self._catalogue is not None and catalogue.version <= self.version:
             return False
         self._catalogue = catalogue
+        of_queues = {queue.service for queue in catalogue.queues}
+        self._services = tuple(sorted((of_queues | catalogue.services) - {""}))
         self._accounts_by_key = {}
         for account in catalogue.accounts:
             for key in account.keys:
--- a/src/sequoiachute/transport/worker.py
+++ b/src/sequoiachute/transport/worker.py
@@ -10,6 +10,7 @@
 ALREADY_RAN = "already ran"
 UNHEALTHY = "the worker takes no work"  # reason of a start that it refused
 MAX_CALL_DELAY_SECONDS = 12.0  # until a call without an answer is carried out
+OTHER_LIFETIME = "other lifetime"  # reason of a call that another worker answered
 BAD_TICKET = "ticket"  # reason of a start whose ticket it refused
 
 
--- a/standins/control_site.py
+++ b/standins/control_site.py
@@ -4,8 +4,9 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.control import ControlPlane
+from sequoiachute.coordination.hosting.claims import Heartbeat
 from sequoiachute.coordination.hosting.entries import EntryDirectory
-from sequoiachute.coordination.hosting.supervisor import Heartbeat, Supervisor
+from sequoiachute.coordination.hosting.supervisor import Supervisor
 from sequoiachute.coordination.intake import IntakeOutcome
 from sequoiachute.protocol.workload import (
     TYPICAL_TIMES,
@@ -73,6 +74,7 @@
             worker.link(self.process),
             site.network.caller(self.address, self.process),
             EntryDirectory(lambda: site.seeds, self.store),
+            lambda: site.settings_services,
         )
         self.supervisor.run()
         self._sequence = 0
@@ -92,7 +94,8 @@
     """Entries, agents with workers, one store and one network.
 
     The constructor lets time pass until a placer is elected. ``jobs`` holds every job
-    submitted by its job id, whether it was accepted or not. The tasks of
+    submitted by its job id, whether it was accepted or not. Agents' settings name the
+    ``settings_services``, workers are of the first queue's service. The tasks of
     ``deadly_jobs`` crash the workers that start them. Entries can read a list of the
     ``machines`` only if ``lists_machines``.
     """
@@ -106,6 +109,7 @@
         lists_machines: bool = False,
     ) -> None:
         self.times = times
+        self.settings_services = frozenset((QUEUE.service,))
         self.store = MemoryKeyedStore()
         self.network = MemoryNetwork()
         self.history = History()
--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -17,6 +17,7 @@
 from sequoiachute.protocol.workload import Lifetime, Resources
 from sequoiachute.transport.worker import (
     ALREADY_RAN,
+    OTHER_LIFETIME,
     UNHEALTHY,
     WorkerError,
     WorkerStatus,
@@ -154,6 +155,7 @@
         self.keeps_id = False
         self.max_lease_seconds = 10.0
         self.leaving_seconds: float | None = None
+        self.service = "render"
         self.zone = "muc-1"
         self.rack = "rack-1"
         self.poll_count = 0
@@ -196,7 +198,7 @@
         """Return the worker's description in its heartbeats."""
         return WorkerInfo(
             self.lifetime,
-            "render",
+            self.service,
             self.zone,
             self.rack,
             ("a", self.rack),
@@ -324,7 +326,7 @@
         """Renew the leases, acknowledge ends and return the status."""
         self.poll_count += 1
         if lifetime.worker_id != self.lifetime.worker_id:
-            return Err(WorkerError("other lifetime", False))
+            return Err(WorkerError(OTHER_LIFETIME, False))
         fence = fencing_token(lifetime, term)
         if fence < self._highest_fence:
             return Err(WorkerError("fence", False, fenced=True))
@@ -349,7 +351,7 @@
         """Start a run, unless it is fenced or has been started before."""
         task, run = order.task, order.run
         if self.is_down or lifetime.worker_id != self.lifetime.worker_id:
-            return Err(WorkerError("other lifetime", False))
+            return Err(WorkerError(OTHER_LIFETIME, False))
         if self.refuses_starts:
             self.refused_starts += 1
             return Err(WorkerError(UNHEALTHY, False))
@@ -389,7 +391,7 @@
     ) -> Result[None, WorkerError]:
         """Stop a run after ``STOP_DELAY_SECONDS`` and rule out a later start."""
         if lifetime.worker_id != self.lifetime.worker_id:
-            return Err(WorkerError("other lifetime", False))
+            return Err(WorkerError(OTHER_LIFETIME, False))
         fence = fencing_token(lifetime, term)
         if fence < self._highest_fence:
             return Err(WorkerError("fence", False, fenced=True))
@@ -405,7 +407,7 @@
     ) -> Result[None, WorkerError]:
         """Record a run's pace, which does not change its progress."""
         if lifetime.worker_id != self.lifetime.worker_id:
-            return Err(WorkerError("other lifetime", False))
+            return Err(WorkerError(OTHER_LIFETIME, False))
         if fencing_token(lifetime, term) < self._highest_fence:
             return Err(WorkerError("fence", False, fenced=True))
         self.paces[(task, run)] = percent
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -254,7 +254,7 @@
     process = MemoryProcess()
     runs = RunReconciler(worker.link(process), lambda: None, Metrics())
     runs.begin_lifetime(worker.lifetime)
-    runs.set_capacity(worker.capacity)
+    runs.set_capacity(worker.capacity, clock.elapsed())
     runs.set_orders((RunOrder("j.0.0.0", 1, "9"),))
     clock.sleep(0.5)
     assert runs.runs_of(worker.lifetime) == ()
@@ -271,7 +271,7 @@
     worker.gone = True
     runs = RunReconciler(worker.link(MemoryProcess()), lambda: None, Metrics())
     runs.begin_lifetime(worker.lifetime)
-    runs.set_capacity(worker.capacity)
+    runs.set_capacity(worker.capacity, clock.elapsed())
     runs.lease_ms = worker.clock_ms + 5000
     runs.set_orders((RunOrder("j.0.0.0", 1, "9"),))
     clock.sleep(0.5)
--- a/tests/test_lost_machines.py
+++ b/tests/test_lost_machines.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sequoiachute import clock
-from sequoiachute.coordination.hosting.supervisor import Heartbeat
+from sequoiachute.coordination.hosting.claims import Heartbeat
 from sequoiachute.coordination.hosting.unanswered import UnansweredStarts
 from sequoiachute.protocol.workload import ACTIVE
 from sequoiachute.transport.worker import MAX_CALL_DELAY_SECONDS
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -6,12 +6,12 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.dispatch.sessions import Session
+from sequoiachute.coordination.hosting.claims import Heartbeat
 from sequoiachute.coordination.hosting.runs import (
     MAX_ANNOUNCEMENT_AGE_SECONDS,
     NOT_STOPPED,
     RunReconciler,
 )
-from sequoiachute.coordination.hosting.supervisor import Heartbeat
 from sequoiachute.protocol.supervision import Report, RunOrder, WorkerInfo
 from sequoiachute.protocol.workload import COMPLETE, Lifetime, Resources
 from sequoiachute.state.metrics import Metrics
@@ -349,7 +349,7 @@
     worker = MemoryTaskWorker("w", Resources(gpus=4), History())
     runs = RunReconciler(worker.link(MemoryProcess()), lambda: None, Metrics())
     runs.begin_lifetime(worker.lifetime)
-    runs.set_capacity(worker.capacity)
+    runs.set_capacity(worker.capacity, clock.elapsed())
     runs.lease_ms = worker.clock_ms + 9000
     worker.start(worker.lifetime, RunOrder("i.0.0.0", 1, "9"), 1, runs.lease_ms)
     worker.stop = lambda *order: Err(WorkerError("no answer", None))
