Order reports of one life by the worker's own clock too

Change: a report is later if its sequence is higher or its reading of the worker's clock is; one whose reading is ahead of what the worker's own answers allow by more than 1 s is ignored ('clock ahead'). Late reports have neither.

--- a/src/sequoiachute/coordination/hosting/announcements.py
+++ b/src/sequoiachute/coordination/hosting/announcements.py
@@ -27,6 +27,7 @@
 EARLIER_LIFE = "earlier life"
 ENDED_LIFE = "ended life"
 NOT_NAMED = "service not named"
+CLOCK_AHEAD = "clock ahead"
 
 
 class Announcements:
@@ -47,6 +48,9 @@
         Called with the previous heartbeat, if any, and the one that was applied.
     services : callable
         Returns the services that the agent's settings name.
+    clock_limit : callable
+        Returns the highest reading that the clock of a lifetime can have by now, in
+        milliseconds; infinite if it is not known.
     metrics : Metrics
 
     Attributes
@@ -60,11 +64,13 @@
         ask: Callable[[Lifetime], Lifetime | None],
         on_applied: Callable[[ReceivedHeartbeat | None, ReceivedHeartbeat], None],
         services: Callable[[], frozenset[str]],
+        clock_limit: Callable[[Lifetime], float],
         metrics: Metrics,
     ) -> None:
         self._ask = ask
         self._on_applied = on_applied
         self._settings_services = services
+        self._clock_limit = clock_limit
         self._catalogue_services: frozenset[str] = frozenset()
         self._metrics = metrics
         self._present: ReceivedHeartbeat | None = None
@@ -124,7 +130,16 @@
         return not named or info.service in named
 
     def _update(self, heartbeat: Heartbeat) -> None:
-        if heartbeat.sequence <= self._present.heartbeat.sequence:
+        """Apply a report of the present life if it is a later one.
+
+        Its sequence says so or, after one of another writer, the worker's own clock.
+        """
+        newest = self._present.heartbeat
+        if heartbeat.clock_ms > self._clock_limit(self.lifetime):
+            self._ignore(heartbeat, CLOCK_AHEAD)
+            return
+        is_later = heartbeat.sequence > newest.sequence
+        if not is_later and heartbeat.clock_ms <= newest.clock_ms:
             self._metrics.count("status_reports_total", outcome=REPEATED)
             return
         self._apply(ReceivedHeartbeat(heartbeat, clock.elapsed()))
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -1,6 +1,7 @@
 """Polls the worker, renews its leases, reports to the placer and applies its orders."""
 
 from collections.abc import Callable
+from math import inf
 from typing import Any
 from uuid import uuid4
 
@@ -36,6 +37,7 @@
 SEARCH_INTERVAL_SECONDS = 0.1
 REFRESH_DELAY_SECONDS = 0.4  # of a search, before the entries are read anew
 REFRESH_INTERVAL_SECONDS = 1.0
+MAX_CLOCK_LEAD_SECONDS = 1.0  # of a report over what the worker's answers allow
 MAX_CRASHES = 8  # the newest; a placer hears of each within seconds
 
 
@@ -73,11 +75,16 @@
         self._incarnation = uuid4().hex
         self._sequence = 0
         self._announcements = Announcements(
-            self._ask_for_life, self._apply_heartbeat, services, self.metrics
+            self._ask_for_life,
+            self._apply_heartbeat,
+            services,
+            self._clock_limit,
+            self.metrics,
         )
         self._departing_lifetime: Lifetime | None = None
         self._crashes: tuple[CrashReport, ...] = ()
         self._status: WorkerStatus | None = None
+        self._status_asked_at = 0.0
         self._term = 0
         self._fenced_term = 0
         self._version = 0
@@ -128,6 +135,13 @@
         # An earlier process of this agent has called it.
         return lifetime if is_known_there else None
 
+    def _clock_limit(self, lifetime: Lifetime) -> float:
+        """Return the highest reading in ms that the worker's clock can have by now."""
+        if self._status is None or self._status.lifetime != lifetime:
+            return inf
+        seconds = clock.elapsed() - self._status_asked_at + MAX_CLOCK_LEAD_SECONDS
+        return self._status.clock_ms + 1000 * seconds
+
     def _apply_heartbeat(
         self, previous: ReceivedHeartbeat | None, received: ReceivedHeartbeat
     ) -> None:
@@ -236,7 +250,7 @@
         expected = self._newest_lifetime()
         if expected is None:
             return False
-        polled_at = clock.now()
+        polled_at, asked_at = clock.now(), clock.elapsed()
         term = self._term
         previous = self._status
         is_same_lifetime = previous is not None and previous.lifetime == expected
@@ -256,7 +270,7 @@
         if self._is_overtaken(status):
             return False
         previous = self._status
-        self._status = status
+        self._status, self._status_asked_at = status, asked_at
         if previous is None or previous.lifetime != status.lifetime:
             self._start_lifetime(status.lifetime)
             self._pacer.begin_lifetime(status.runs)
--- a/tests/test_foreign_reports.py
+++ b/tests/test_foreign_reports.py
@@ -4,7 +4,7 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.hosting.claims import MAX_CLAIMS, Heartbeat
-from sequoiachute.protocol.workload import COMPLETE, Lifetime
+from sequoiachute.protocol.workload import COMPLETE, Lifetime, Resources
 from standins.control_site import CATALOGUE, HEARTBEAT_SECONDS, QUEUE, ControlSite
 from tests.control_checks import accepted, complete
 from tests.loss_checks import start_index
@@ -248,3 +248,30 @@
     complete(site, jobs, 10)
     assert {site.state(job) for job in jobs} == {COMPLETE}
     assert len(site.history.starts) == 12
+
+
+@pytest.mark.parametrize("clock_change", [0, 10**9])
+@pytest.mark.parametrize("change", [{"leaving": True}, {"capacity": Resources()}])
+def test_foreign_report_about_the_present_life_holds_until_the_next_own_one(
+    change, clock_change
+):
+    # Guards against a sequence, or a clock, that makes all later reports look late.
+    site, supervisor = one_worker_at_work()
+    worker = site.workers[0]
+    info = worker.info()._replace(**change)
+    clock_ms = worker.clock_ms + clock_change
+    supervisor.handle_heartbeat(Heartbeat(info, 10**9, clock_ms))
+    site.run_for(2 * HEARTBEAT_SECONDS)
+    assert_in_use(site)
+
+
+def test_late_report_about_the_present_life_is_not_applied():
+    # Guards against a report that was delayed and undoes a newer one.
+    site, supervisor = one_worker_at_work()
+    worker = site.workers[0]
+    late = Heartbeat(worker.info(), 1, worker.clock_ms)
+    site.run_for(1.0)
+    worker.leaving_seconds = 20.0
+    site.run_for(1.0)
+    supervisor.handle_heartbeat(late)
+    assert supervisor._info.leaving
