--- a/src/sequoiachute/coordination/dispatch/crashes.py
+++ b/src/sequoiachute/coordination/dispatch/crashes.py
@@ -20,9 +20,9 @@
 
 
 class LostRun(NamedTuple):
-    """A run on a worker that crashed; the members of a gang share their ``task``.
+    """A run of a task on a worker that crashed; it had worked for ``worked_seconds``.
 
-    ``task`` holds the ``record``; the run had worked for ``worked_seconds``.
+    ``record`` is that of the task before the crash.
     """
 
     task: TaskId
@@ -54,7 +54,7 @@
     records = {}
     for run in runs:
         if run.run <= run.record.run:
-            # Other workers of the same run of a gang have crashed as well.
+            # The crash has been counted.
             continue
         is_cause = run.task in causes
         count = run.record.count + 1
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -252,11 +252,11 @@
         job = self._ledger.job(task.job_id)
         if job is None or not job.steps[task.step].lasting:
             return
-        counting_task = self._counting_task(task)
-        state = draft.task(counting_task)
-        if state.crashes is not None and state.crashes.count:
-            proven = state._replace(crashes=proven_sound(state.crashes))
-            draft.set_task(counting_task, proven)
+        for member in self._gang_members(task) or [task]:
+            state = draft.task(member)
+            if state.crashes is not None and state.crashes.count:
+                proven = state._replace(crashes=proven_sound(state.crashes))
+                draft.set_task(member, proven)
 
     def _count_failure(self, task: TaskId, run: int, draft: ProgressDraft) -> None:
         """Count a failed run, once per gang even if several members report it."""
@@ -268,7 +268,7 @@
         draft.set_task(counting_task, failed)
 
     def _counting_task(self, task: TaskId) -> TaskId:
-        """Return the task that counts failures and crashes of ``task`` or its gang."""
+        """Return the task that counts the failures of ``task`` or its gang."""
         members = self._gang_members(task)
         return members[0] if members else task
 
@@ -373,10 +373,9 @@
         """Count the crash of a worker for the tasks that were placed on it."""
         runs = []
         for task, state in states.items():
-            counting_task = self._counting_task(task)
             worked_seconds = self._worked_seconds(task, state.run)
-            record = draft.task(counting_task).crashes or NO_CRASHES
-            runs.append(LostRun(counting_task, state.run, worked_seconds, record))
+            record = draft.task(task).crashes or NO_CRASHES
+            runs.append(LostRun(task, state.run, worked_seconds, record))
         for task, record in records_after_crash(runs, host).items():
             draft.set_task(task, draft.task(task)._replace(crashes=record))
             beside = [str(other) for other in states if other != task]
--- a/src/sequoiachute/coordination/dispatch/views.py
+++ b/src/sequoiachute/coordination/dispatch/views.py
@@ -310,7 +310,7 @@
         downstream_seconds=chain_seconds(job, task.step) - estimate,
         accepted_at=starts_at,
         stretch=job.stretch,
-        suspected=_crashes(job, progress, task).suspected,
+        suspected=_crashes(progress, task).suspected,
     )
 
 
@@ -447,7 +447,7 @@
     for task in tasks:
         seconds = context.statistics.wait_times.seconds(task, now)
         seconds += _earlier_wait(job, progress, task, context)
-        record = _crashes(job, progress, task)
+        record = _crashes(progress, task)
         tried = tuple(sorted(_tried_hosts(task, record, context)))
         paused = tuple(sorted(start_doubts.paused_hosts(task, now)))
         may_wait = seconds < MAX_IDLE_WAIT_SECONDS
@@ -486,10 +486,8 @@
     return statistics.tried_hosts(task) | doubted | crashed
 
 
-def _crashes(job: JobGraph, progress: JobProgress, task: TaskId) -> CrashRecord:
-    """Return the crashes under a task or, for its member, under a gang."""
-    if job.steps[task.step].gang:
-        task = task._replace(index=0)
+def _crashes(progress: JobProgress, task: TaskId) -> CrashRecord:
+    """Return the crashes under a task."""
     state = progress.tasks.get(task_key(task))
     return (state.crashes if state is not None else None) or NO_CRASHES
 
@@ -551,7 +549,7 @@
     paused_hosts: frozenset[str] = frozenset()
     suspected = False
     for task in tasks:
-        record = _crashes(job, progress, task)
+        record = _crashes(progress, task)
         suspected = suspected or record.suspected
         tried_hosts |= _tried_hosts(task, record, context)
         paused_hosts |= statistics.start_doubts.paused_hosts(task, now)
--- a/src/sequoiachute/protocol/workload.py
+++ b/src/sequoiachute/protocol/workload.py
@@ -233,7 +233,7 @@
     ``run`` numbers its starts. ``host`` is the agent on whose worker, in lifetime
     ``lifetime``, the run may exist; it is empty once the run has certainly ended.
     ``token`` is the newest known checkpoint. ``failed_run`` is the last run that
-    failed by itself. For a gang the first member has ``failures`` and ``crashes``.
+    failed by itself. For a gang the first member has the ``failures``.
     ``done`` is set once a run has ended done; a task that lasts runs again all the
     same, see ``is_finished``.
     """
--- a/tests/test_crash_budget.py
+++ b/tests/test_crash_budget.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from sequoiachute.coordination.dispatch.crashes import MAX_CRASHES
 from sequoiachute.protocol.workload import COMPLETE, FAILED
 from standins.control_site import QUEUE, URGENT, ControlSite
 from tests.control_checks import TAKEOVER_SECONDS, accepted
+from tests.lasting_checks import GangSite
 from tests.run_checks import assert_crash_budget, assert_no_duplicate_runs
 
 pytestmark = pytest.mark.usefixtures("paused_clock")
@@ -104,3 +106,40 @@
         for worker in site.workers:
             worker.restart()
     run_sound(site, jobs, 60)
+
+
+@pytest.mark.parametrize("count", [4, 6])
+@pytest.mark.parametrize("queue", [URGENT, QUEUE])
+def test_gang_is_not_given_up_for_crashes_under_different_members(queue, count):
+    # Guards against a sound gang shown as failed for one crash under each member.
+    site = GangSite(workers=8)
+    job = accepted(site, 8.0, count=count, per_worker=1, gang=True, queue=queue)
+    for index in range(count):
+        site.run_for(2.5)
+        crash_under(site, f"{job}.0.0.{index}")
+    run_sound(site, [job], 40)
+
+
+def crash_under(site, task):
+    """Let the worker of a task crash and return, once the task is at work."""
+    for _ in range(100):
+        for worker in site.workers:
+            if task in worker.running:
+                worker.restart()
+                return
+        site.run_for(0.1)
+    raise AssertionError(f"{task} does not run")
+
+
+def test_member_of_a_gang_that_crashes_its_workers_is_given_up():
+    # Guards against a gang whose deadly member is never found.
+    site = GangSite(workers=8)
+    job = accepted(site, 60.0, count=4, per_worker=1, gang=True)
+    deadly = f"{job}.0.0.2"
+    crashes = 0
+    while site.state(job) != FAILED and crashes < 6:
+        crash_under(site, deadly)
+        crashes += 1
+        site.run_for(2.0)
+    assert site.state(job) == FAILED
+    assert crashes <= MAX_CRASHES
