Stops of ended jobs and refused tokens in modules of their own

Read as a newcomer: settlement.py ordered and logged stops beside what it drafts, and the supervisor kept the steps of a token. The stops are in dispatch/ended_job_stops.py, the steps in hosting/fencing.py.

--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -18,6 +18,7 @@
     proven_sound,
     records_after_crash,
 )
+from sequoiachute.coordination.dispatch.ended_job_stops import EndedJobStops
 from sequoiachute.coordination.dispatch.losses import Losses
 from sequoiachute.coordination.dispatch.sessions import (
     AgentSessions,
@@ -47,9 +48,6 @@
 from sequoiachute.transport.store import Record
 
 MAX_LOGGED_TASKS = 10  # in one line
-# Why a run of an ended job can't be told to stop.
-NO_REPORT = "no report of its agent"
-OTHER_LIFE = "worker in another life"
 
 
 class ProgressDraft:
@@ -161,8 +159,7 @@
         self._settled: dict[str, tuple[int, int, bool, bool]] = {}
         # Runs given up on silent hosts, by the lifetime that may have crashed.
         self._expired: dict[Lifetime, dict[TaskId, TaskState]] = {}
-        self._withheld_stops: set[tuple[TaskId, int]] = set()
-        self._logged_stops: dict[tuple[TaskId, int], str] = {}
+        self._stops = EndedJobStops(ledger, agents)
 
     def settle(self, draft: ProgressDraft) -> list[Crash]:
         """Draft every end, loss and final state that is known now.
@@ -180,7 +177,6 @@
         if not self._agents.is_gathering:
             self._settle_silent_hosts(draft)
         self._settle_jobs(draft)
-        self._end_withheld_stops()
         return crashes
 
     def _settle_silent_hosts(self, draft: ProgressDraft) -> None:
@@ -205,8 +201,8 @@
             settled[job_id] = version
         self._settled = settled
         drafted = [job_id for job_id in open_jobs if draft.progress(job_id).state]
-        for job_id in dict.fromkeys((*drafted, *ended)):
-            self._order_stops(job_id, draft)
+        stopping = dict.fromkeys((*drafted, *ended))
+        self._stops.order({job_id: draft.progress(job_id) for job_id in stopping})
 
     def _settle_ends(self, session: Session, draft: ProgressDraft) -> None:
         for end in sorted(session.ends):
@@ -464,45 +460,6 @@
                 return FAILED
         return ""
 
-    def _order_stops(self, job_id: str, draft: ProgressDraft) -> None:
-        """Order the stop of the runs of a job that has ended or been cancelled."""
-        progress = draft.progress(job_id)
-        job = self._ledger.job(job_id)
-        for key, state in progress.tasks.items():
-            if not state.placed:
-                continue
-            task = task_id_of(job_id, key)
-            if job is not None and is_finished(job.steps[task.step], state):
-                # A member of a gang of which another has ended done.
-                continue
-            session = self._agents.sessions.get(state.host)
-            if session is None or session.lifetime != state.lifetime:
-                obstacle = NO_REPORT if session is None else OTHER_LIFE
-                self._withhold_stop(task, state, obstacle)
-                continue
-            if session.stops.get(task, 0) != state.run:
-                log = logger.bind(task=str(task), run=state.run, host=state.host)
-                log = log.bind(reason=f"job {progress.state or CANCELLED}")
-                log.info("stopping run")
-            session.stops[task] = state.run
-
-    def _withhold_stop(self, task: TaskId, state: TaskState, obstacle: str) -> None:
-        """Log why a run of an ended job can't be told to stop, once for each reason."""
-        key = (task, state.run)
-        self._withheld_stops.add(key)
-        if self._logged_stops.get(key) == obstacle:
-            return
-        self._logged_stops[key] = obstacle
-        log = logger.bind(task=str(task), run=state.run, host=state.host)
-        log = log.bind(life=state.lifetime.worker_id, born=state.lifetime.started_ms)
-        log.bind(reason=obstacle).info("stop withheld")
-
-    def _end_withheld_stops(self) -> None:
-        """Forget the stops that were not withheld since the last call."""
-        for key in self._logged_stops.keys() - self._withheld_stops:
-            del self._logged_stops[key]
-        self._withheld_stops.clear()
-
 
 def newest_token(known: str, other: str) -> str:
     """Return the checkpoint token with more work saved.
--- a/src/sequoiachute/coordination/hosting/supervisor.py
+++ b/src/sequoiachute/coordination/hosting/supervisor.py
@@ -28,7 +28,6 @@
 from sequoiachute.state.metrics import Metrics
 from sequoiachute.transport.ports import RpcCaller
 from sequoiachute.transport.worker import (
-    MAX_CALL_DELAY_SECONDS,
     OTHER_LIFETIME,
     TaskWorker,
     WorkerStatus,
@@ -43,8 +42,6 @@
 SEARCH_INTERVAL_SECONDS = 0.1
 REFRESH_DELAY_SECONDS = 0.4  # of a search, before the entries are read anew
 REFRESH_INTERVAL_SECONDS = 1.0
-# Longer than a placer that has lost its role grants leases or its calls may take.
-MAX_FENCED_SECONDS = MAX_CALL_DELAY_SECONDS
 MAX_CLOCK_LEAD_SECONDS = 1.0  # of a report over what the worker's answers allow
 MAX_CRASHES = 8  # the newest; a placer hears of each within seconds
 
@@ -104,8 +101,6 @@
         self._pacing: set[tuple[str, int]] = set()
         self._is_looking = False
         self._fencing = Fencing()
-        self._fenced_since: float | None = None
-        self._fence_step = 1
         self._reconciler = RunReconciler(
             worker,
             self._request_report,
@@ -284,9 +279,11 @@
             error = outcome.unwrap_err()
             if error.gone and self._is_departing(expected):
                 self._end_lifetime(expected)
-            self._record_fenced(expected, error.fenced and not error.gone)
+            is_refused = error.fenced and not error.gone
+            needed = self._fencing.record_answer(expected, is_refused, clock.elapsed())
+            self._raise_fence(expected, needed)
             return False
-        self._record_fenced(expected, False)
+        self._fencing.record_answer(expected, False, clock.elapsed())
         status = outcome.unwrap()
         if self._is_overtaken(status, asked_at):
             return False
@@ -322,24 +319,6 @@
         is_pending = any(end.number <= self._ack for end in self._status.ends)
         return self._ack if is_pending else 0
 
-    def _record_fenced(self, lifetime: Lifetime, is_fenced: bool) -> None:
-        """Raise the tokens of a life that has refused them for long.
-
-        Until then an earlier process of this agent may have called the worker under a
-        later term, which this one has yet to learn.
-        """
-        if not is_fenced:
-            self._fenced_since = None
-            self._fence_step = 1
-            return
-        now = clock.elapsed()
-        if self._fenced_since is None:
-            self._fenced_since = now
-        if now < self._fenced_since + MAX_FENCED_SECONDS:
-            return
-        self._raise_fence(lifetime, self._fencing.base(lifetime) + self._fence_step)
-        self._fence_step *= 2
-
     def _raise_fence(self, lifetime: Lifetime, base: int) -> None:
         if self._fencing.raise_base(lifetime, base):
             self._fenced_term = 0
--- a/src/sequoiachute/state/ledger.py
+++ b/src/sequoiachute/state/ledger.py
@@ -342,7 +342,7 @@
             self._live[job_id] = None
 
     def _end_if_final(self, job_id: str) -> None:
-        """Take note of a final state; its deletion opens a job not again."""
+        """Take note of a final state; a job is not opened again by its deletion."""
         if self.progress(job_id).state:
             self._live.pop(job_id, None)
 
--- a/tests/test_clock_set_back.py
+++ b/tests/test_clock_set_back.py
@@ -6,8 +6,7 @@
 
 from sequoiachute import clock
 from sequoiachute.coordination.dispatch.sessions import MAX_REPORT_AGE_SECONDS, Session
-from sequoiachute.coordination.hosting.fencing import Fencing
-from sequoiachute.coordination.hosting.supervisor import MAX_FENCED_SECONDS
+from sequoiachute.coordination.hosting.fencing import MAX_REFUSED_SECONDS, Fencing
 from sequoiachute.protocol.supervision import Report, WorkerInfo
 from sequoiachute.protocol.workload import COMPLETE, FAILED, Lifetime, Resources
 from standins.control_site import HEARTBEAT_SECONDS, ControlSite
@@ -86,7 +85,7 @@
     site.kill_agent(0)
     site.restart_agent(0)
     restart_entries(site)
-    site.run_for(TAKEOVER_SECONDS + MAX_FENCED_SECONDS + 3.0)
+    site.run_for(TAKEOVER_SECONDS + MAX_REFUSED_SECONDS + 3.0)
     complete(site, [accepted(site, 0.5)], 3.0)
 
 
@@ -175,7 +174,7 @@
         jobs.append(accepted(site, rng.choice([0.5, 2.0]), count=2))
         site.run_for(rng.choice([0.1, 0.7, 1.4]))
         worker.late_seconds = 0.0
-    site.run_for(MAX_FENCED_SECONDS + LONGEST_LEASE_SECONDS + TAKEOVER_SECONDS)
+    site.run_for(MAX_REFUSED_SECONDS + LONGEST_LEASE_SECONDS + TAKEOVER_SECONDS)
     watch = IdleWatch(site)
     jobs += [accepted(site, 1.0, count=4, per_worker=1) for _ in range(2)]
     watch.run_for(30.0)
