Divide a gang's crashes that an earlier version counted together

Callers saw (by reading, then in memory): after an upgrade a sound gang is shown as failed for one crash under its first member, and a deadly member other than the first is started three times after the gang's third crash.

Ruled out: a mark in the record, which earlier versions would refuse to read in an update with entries of both (a longer row is no valid record for them); dropping the count, after which a deadly member starts up to four times more.

Change: at the next crash under a gang in which only the first member has a record, each member takes the count over, up to two, and none of the sole crashes. So two crashes of its own give a member up at the earliest ("a task under which two workers have crashed may be given up"), and the third of the gang is followed by two starts at most. Afterwards each member has a record, which marks the gang as divided.

Failed before: test_gang_is_not_given_up_for_one_crash_after_an_upgrade, 2 of 4 cases ("assert 'failed' not in ['failed']"), test_deadly_member_is_given_up_after_an_upgrade_within_its_budget, 1 of 6 cases ("assert (3 + 3) <= (4 + 1)"). Both pass now, with the unit tests of member_records.

--- a/src/sequoiachute/coordination/dispatch/crashes.py
+++ b/src/sequoiachute/coordination/dispatch/crashes.py
@@ -4,7 +4,7 @@
 started. Suspected tasks run apart from others, so that further crashes tell.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from sequoiachute.protocol.workload import CrashRecord, Lifetime, TaskId
@@ -16,6 +16,7 @@
 MAX_CRASHES = 4
 MAX_CLEAR_CRASHES = 3
 MIN_SOLE_CRASHES = 2
+MIN_OWN_CRASHES = 2  # of a task before it may be given up
 NO_CRASHES = CrashRecord()
 
 
@@ -39,6 +40,23 @@
     tasks: tuple[TaskId, ...]
 
 
+def member_records(
+    records: Sequence[CrashRecord | None],
+) -> tuple[CrashRecord, ...]:
+    """Return a record for each member of a gang, which may have none yet.
+
+    Earlier versions kept one count for all members with the first one. Any of them may
+    be the cause of those crashes, so that each takes them over, but for so many that it
+    is given up only after ``MIN_OWN_CRASHES`` of its own.
+    """
+    shared, *others = records
+    has_own = any(record is not None for record in others)
+    if shared is None or has_own or not others:
+        return tuple(record or NO_CRASHES for record in records)
+    count = min(shared.count, MAX_CRASHES - MIN_OWN_CRASHES)
+    return (shared._replace(count=count, sole=0),) * len(records)
+
+
 def proof_seconds(record: CrashRecord) -> float:
     """Return for how long a run has to work to prove its task sound."""
     seconds = PROOF_RATIO * record.worked_seconds if record.count else 0.0
--- a/src/sequoiachute/coordination/dispatch/settlement.py
+++ b/src/sequoiachute/coordination/dispatch/settlement.py
@@ -14,6 +14,7 @@
     Crash,
     LostRun,
     is_given_up,
+    member_records,
     proof_seconds,
     proven_sound,
     records_after_crash,
@@ -369,6 +370,7 @@
         """Count the crash of a worker for the tasks that were placed on it."""
         runs = []
         for task, state in states.items():
+            self._separate_members(task, draft)
             worked_seconds = self._worked_seconds(task, state.run)
             record = draft.task(task).crashes or NO_CRASHES
             runs.append(LostRun(task, state.run, worked_seconds, record))
@@ -381,6 +383,16 @@
             log = log.bind(beside=beside[:MAX_LOGGED_TASKS], others=len(beside))
             log.warning("worker crashed under task")
 
+    def _separate_members(self, task: TaskId, draft: ProgressDraft) -> None:
+        """Give each member of a gang a record of its own crashes."""
+        members = self._gang_members(task)
+        states = [draft.task(member) for member in members]
+        if all(state.crashes is not None for state in states):
+            return
+        records = member_records([state.crashes for state in states])
+        for member, state, record in zip(members, states, records, strict=True):
+            draft.set_task(member, state._replace(crashes=record))
+
     def _settle_lost_runs(self, host: str, draft: ProgressDraft) -> None:
         session = self._agents.sessions.get(host)
         for task in list(self._ledger.tasks_on_host(host)):
--- a/tests/test_crash_budget.py
+++ b/tests/test_crash_budget.py
@@ -5,8 +5,19 @@
 import pytest
 
 from sequoiachute.coordination.dispatch.crashes import MAX_CRASHES
-from sequoiachute.protocol.workload import COMPLETE, FAILED
-from standins.control_site import QUEUE, URGENT, ControlSite
+from sequoiachute.protocol.workload import (
+    COMPLETE,
+    FAILED,
+    CrashRecord,
+    JobGraph,
+    JobProgress,
+    StepSpec,
+    TaskState,
+    encode,
+)
+from sequoiachute.state.job_records import JOB_PREFIX, JOBS
+from sequoiachute.state.ledger import RUNS
+from standins.control_site import QUEUE, TASK_NEED, URGENT, ControlSite
 from tests.control_checks import TAKEOVER_SECONDS, accepted
 from tests.lasting_checks import GangSite
 from tests.run_checks import assert_crash_budget, assert_no_duplicate_runs
@@ -143,3 +154,40 @@
         site.run_for(2.0)
     assert site.state(job) == FAILED
     assert crashes <= MAX_CRASHES
+
+
+def site_of_an_earlier_version(shared):
+    """Return a site whose store holds a gang with a count shared by its members."""
+    site = GangSite(workers=8)
+    steps = (StepSpec(4, TASK_NEED, 30.0, per_worker=1, gang=True),)
+    job = JobGraph("a" * 16, "brocach", "proofs", "render", "30.0", steps)
+    site.jobs[job.job_id] = job
+    states = {f"0.0.{index}": TaskState(shared.run) for index in range(4)}
+    states["0.0.0"] = TaskState(shared.run, crashes=shared)
+    progress = JobProgress(tasks=states, begun=True)
+    site.store.put(JOBS, [(JOB_PREFIX + job.job_id, encode(job))])
+    site.store.put(RUNS, [(job.job_id, encode(progress))])
+    return site, job.job_id
+
+
+@pytest.mark.parametrize("member", [0, 1])
+@pytest.mark.parametrize("sole", [0, 1])
+def test_gang_is_not_given_up_for_one_crash_after_an_upgrade(sole, member):
+    # Guards against a first member that answers for crashes under all of its gang,
+    # which earlier versions counted together.
+    shared = CrashRecord(3, sole, 0.5, True, 3, "10.0.1.7")
+    site, job = site_of_an_earlier_version(shared)
+    crash_under(site, f"{job}.0.0.{member}")
+    run_sound(site, [job], 60)
+
+
+@pytest.mark.parametrize("member", [0, 1])
+@pytest.mark.parametrize("count", [1, 2, 3])
+def test_deadly_member_is_given_up_after_an_upgrade_within_its_budget(count, member):
+    # Guards against a deadly member whose count begins anew with an upgrade.
+    shared = CrashRecord(count, 1, 0.5, True, count, "10.0.1.7")
+    site, job = site_of_an_earlier_version(shared)
+    site.deadly_jobs.add(f"{job}.0.0.{member}")
+    site.run_for(60)
+    assert site.state(job) == FAILED
+    assert count + crash_count(site) <= MAX_CRASHES + 1
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -6,10 +6,12 @@
 from sequoiachute.coordination.dispatch.crashes import (
     MAX_CRASHES,
     MAX_PROOF_SECONDS,
+    MIN_OWN_CRASHES,
     MIN_PROOF_SECONDS,
     NO_CRASHES,
     LostRun,
     is_given_up,
+    member_records,
     proof_seconds,
     proven_sound,
     records_after_crash,
@@ -74,6 +76,32 @@
     assert not records_after_crash([lost(0, FRESH, records[task(0)])], "other")
 
 
+@pytest.mark.parametrize("sole", [0, 1])
+@pytest.mark.parametrize("count", [0, 1, 2, 3])
+def test_shared_count_of_an_earlier_version_gives_no_member_up_too_soon_or_too_late(
+    count, sole
+):
+    # Guards against a member given up for others' crashes, or let off with its own.
+    shared = CrashRecord(count, min(sole, count), FRESH, True, 5, "h")
+    for record in member_records([shared, None, None]):
+        own = 0
+        while not is_given_up(record):
+            own += 1
+            [record] = records_after_crash(
+                [lost(1, FRESH, record, 5 + own)], "h"
+            ).values()
+        assert own >= MIN_OWN_CRASHES
+        assert count + own <= MAX_CRASHES + 1
+
+
+def test_only_a_count_that_the_first_of_several_members_has_alone_is_shared():
+    # Guards against crashes under one member that count for others.
+    own = CrashRecord(3, 1, FRESH, True, 5, "h")
+    assert member_records([own]) == (own,)
+    assert member_records([own, NO_CRASHES]) == (own, NO_CRASHES)
+    assert member_records([None, own, None]) == (NO_CRASHES, own, NO_CRASHES)
+
+
 @pytest.mark.parametrize("others", [0, 1, 2])
 @pytest.mark.parametrize("worked", [0.0, 1.0, OLD])
 def test_task_is_given_up_at_most_two_starts_after_three_crashes(worked, others):
