--- a/standins/task_worker.py
+++ b/standins/task_worker.py
@@ -128,9 +128,10 @@
     are carried out that much later. ``fails_runs`` fails every run at once,
     ``refuses_starts`` refuses every start and counts them in ``refused_starts``,
     ``silent`` answers no call, ``gone`` refuses connections and runs nothing. While it
-    ``stands_still``, its runs make no progress. A run of one of the ``deadly_jobs``
-    crashes the worker after ``crash_delay_seconds``; it is back ``down_seconds`` later,
-    under the same id if it ``keeps_id``. ``paces`` holds the paces that have been set.
+    ``stands_still``, its runs make no progress. A run of one of the ``deadly_jobs``,
+    which may also hold single tasks, crashes the worker after ``crash_delay_seconds``;
+    it is back ``down_seconds`` later, under the same id if it ``keeps_id``. ``paces``
+    holds the paces that have been set.
     Lives that begin while its time of day is ahead are born ``clock_ahead_ms`` later.
     """
 
@@ -382,7 +383,7 @@
             lifetime != self.lifetime,
         )
         self.history.starts.append(start)
-        if task.partition(".")[0] in self.deadly_jobs:
+        if not self.deadly_jobs.isdisjoint((task, task.partition(".")[0])):
             eventlet.spawn_after(self.crash_delay_seconds, self._crash, self.lifetime)
         return Ok(None)
 
--- a/tests/run_checks.py
+++ b/tests/run_checks.py
@@ -49,11 +49,12 @@
     ----------
     history : History
     deadly_jobs : set of str
-        Jobs whose tasks crash the workers that start them.
+        Jobs, or single tasks, that crash the workers that start them.
     """
     crashes = {}
     for end in history.ends:
-        if end.outcome == "crashed" and end.task.partition(".")[0] in deadly_jobs:
+        names = (end.task, end.task.partition(".")[0])
+        if end.outcome == "crashed" and not deadly_jobs.isdisjoint(names):
             crashes.setdefault(end.task, []).append(end.at)
     for task, times in crashes.items():
         if len(times) < MAX_CRASHES:
--- a/tests/test_crash_budget.py
+++ b/tests/test_crash_budget.py
@@ -156,6 +156,45 @@
     assert crashes <= MAX_CRASHES
 
 
+@pytest.mark.parametrize("per_worker", [1, 2, 4])
+@pytest.mark.parametrize("deadly", [0, 2])
+@pytest.mark.parametrize("delay", [0.1, 1.0])
+def test_one_deadly_member_is_found_whatever_shares_its_worker(
+    delay, deadly, per_worker
+):
+    # Guards against workers that a gang crashes without end, whichever member it is.
+    site = GangSite(workers=6)
+    for worker in site.workers:
+        worker.crash_delay_seconds = delay
+    site.deadly_jobs.add(f"{0:016x}.0.0.{deadly}")
+    step = {"count": 4, "per_worker": per_worker, "gang": True}
+    job = accepted(site, 30.0, job_id=f"{0:016x}", **step)
+    sound = [accepted(site, 2.0, count=2) for _ in range(2)]
+    run_sound(site, sound, 60)
+    site.run_for(40)
+    check(site)
+    assert site.state(job) == FAILED
+    assert crash_count(site) <= MAX_CRASHES
+
+
+def test_gang_whose_deadly_member_changes_is_given_up_within_the_budget_of_each():
+    # Guards against workers that a gang crashes without end, each time by another task.
+    site = GangSite(workers=8)
+    job = f"{0:016x}"
+    step = {"count": 4, "per_worker": 1, "gang": True}
+    accepted(site, 30.0, job_id=job, **step)
+    for _ in range(400):
+        site.deadly_jobs.clear()
+        site.deadly_jobs.add(f"{job}.0.0.{crash_count(site) % 2}")
+        site.run_for(0.25)
+        if site.state(job) == FAILED:
+            break
+    assert site.state(job) == FAILED
+    site.deadly_jobs.update(f"{job}.0.0.{index}" for index in range(2))
+    check(site)
+    assert crash_count(site) <= 2 * MAX_CRASHES - 1
+
+
 def site_of_an_earlier_version(shared):
     """Return a site whose store holds a gang with a count shared by its members."""
     site = GangSite(workers=8)
