Take a partition without an owner for no odd member of the group

Operators saw: after a restart of all entries each of them warns `odd member of the group left out` twelve times at once.

Cause: the rows of partitions that have no owner yet were read like those of another writer. They are an ordinary state, so they are left out without a line; a row with an unreadable member is still warned of.

Failed before: test_partition_without_an_owner_is_no_odd_member, 2 of 2 cases (12 lines).

--- a/src/sequoiachute/platform/store.py
+++ b/src/sequoiachute/platform/store.py
@@ -153,6 +153,8 @@
         rows = body.get("items") or body.get("owners") or body.get("parts") or []
         members = {}
         for row in rows if isinstance(rows, list) else ():
+            if _has_no_owner(row):
+                continue
             member = _decode_member(row)
             if not member:
                 logger.bind(group=group).warning("odd member of the group left out")
@@ -218,6 +220,11 @@
         return None
 
 
+def _has_no_owner(row: Any) -> bool:
+    """Return whether a row names no member, as after a restart of all of them."""
+    return isinstance(row, list) and len(row) > 2 and row[2] in ("", None)
+
+
 def _decode_member(row: Any) -> str:
     """Return the member of a row, empty if it does not name an entry's address."""
     if not isinstance(row, list) or len(row) <= 2 or not isinstance(row[2], str):
--- a/tests/test_foreign_input.py
+++ b/tests/test_foreign_input.py
@@ -7,6 +7,7 @@
 
 import msgspec
 import pytest
+from loguru import logger
 
 from sequoiachute.coordination.store.relay import PING, PingQuery
 from sequoiachute.platform.fields import FieldError
@@ -171,6 +172,25 @@
     assert store.members("placer") == ("10.0.0.8:7000/a",)
 
 
+@pytest.mark.parametrize("member", ["", None])
+def test_partition_without_an_owner_is_no_odd_member(monkeypatch, member):
+    # Guards against warnings on each entry after every restart of all entries.
+    rows = [["t", part, member, 0] for part in range(12)]
+    rows.insert(3, ["t", 3, "10.0.0.8:7000/a", 4])
+    store = MetadataStore("127.0.0.1:1")
+    answer = HttpResponse(200, {}, json.dumps({"items": rows}).encode())
+    monkeypatch.setattr(store._http, "call", lambda *call: answer)
+    lines = []
+    sink = logger.add(lines.append, level="WARNING")
+    assert store.members("placer") == ("10.0.0.8:7000/a",)
+    assert lines == []
+    rows.append(["t", 13, "nowhere", 0])
+    answer = HttpResponse(200, {}, json.dumps({"items": rows}).encode())
+    assert store.members("placer") == ("10.0.0.8:7000/a",)
+    assert len(lines) == 1
+    logger.remove(sink)
+
+
 # Numbers and types.
 
 ODD_WHOLES = [-1, 1e300, 2**70, 10**400, True, None, "7", [7], {}, 1.5]
