Leave runs that had ended out of those of a crash

Cause: an agent reported a run among those of a crashed life though the worker had listed it as ended. If the placer had not heard of the end by then, as when the agent is cut off, the run was lost and the crash counted under its task.

Failed before: test_crash_after_the_end_of_a_run_does_not_count, 4 of 8 cases (agent cut off from the entries; with the store away the end is recorded first). "assert [1, 1] == [1]": the record of the ended run beside that of the one at work.

--- a/src/sequoiachute/coordination/hosting/runs.py
+++ b/src/sequoiachute/coordination/hosting/runs.py
@@ -105,13 +105,14 @@
         self._recount()
 
     def runs_of(self, lifetime: Lifetime) -> tuple[tuple[str, int], ...]:
-        """Return the runs that the present or previous lifetime may have run.
+        """Return the runs that the present or previous lifetime may last have had.
 
-        They include all starts that may have reached it, answered or not.
+        They include all starts that may have reached it, answered or not, but for the
+        runs that it has listed as ended.
         """
         previous, runs = self._previous
         if lifetime == self.lifetime:
-            return tuple(sorted(self._delivered | self._present | self._ended))
+            return tuple(sorted((self._delivered | self._present) - self._ended))
         return runs if lifetime == previous else ()
 
     def record_unreachable(self) -> None:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -231,6 +231,30 @@
     assert not crash_records(site)
 
 
+@pytest.mark.usefixtures("paused_clock")
+@pytest.mark.parametrize("outcome", ["failed", "stopped", "broken", "lapsed"])
+@pytest.mark.parametrize("trouble", ["store", "network"])
+def test_crash_after_the_end_of_a_run_does_not_count(trouble, outcome):
+    # Guards against crashes that count under a run whose end was not recorded in time.
+    site = site_with_runs()
+    [worker] = site.workers
+    if trouble == "store":
+        site.store.down = True
+    else:
+        site.network.cut = {(site.agents[0].address, address) for address in site.seeds}
+    [ended, _] = worker.running
+    worker.end_run(ended, outcome)
+    site.run_for(0.5)
+    worker.restart()
+    site.run_for(0.5)
+    site.store.down = False
+    site.network.cut = set()
+    site.run_for(6)
+    crashed = [end.task for end in site.history.ends if end.outcome == "crashed"]
+    assert ended not in crashed
+    assert [record.run for record in crash_records(site)] == [1]
+
+
 @pytest.mark.usefixtures("paused_clock")
 def test_crash_counts_while_the_agent_stays():
     site = site_with_runs()
