--- a/tests/test_crash_budget.py
+++ b/tests/test_crash_budget.py
@@ -230,3 +230,24 @@
     site.run_for(60)
     assert site.state(job) == FAILED
     assert count + crash_count(site) <= MAX_CRASHES + 1
+
+
+@pytest.mark.parametrize("down_seconds", [1.0, 1.5, 3.0])
+def test_job_is_not_given_up_for_crashes_before_its_starts(down_seconds):
+    # Guards against a job shown as failed since its starts met workers that were down
+    # and let the calls time out.
+    site = ControlSite(workers=4)
+    for worker in site.workers:
+        worker.down_seconds = down_seconds
+        worker.crash()
+    site.run_for(0.05)
+    job = accepted(site, 8.0)
+    for _ in range(200):
+        site.run_for(0.05)
+        if site.state(job) == FAILED:
+            break
+        if not any(worker.is_down for worker in site.workers):
+            site.run_for(0.5)
+            for worker in site.workers:
+                worker.crash()
+    assert site.state(job) != FAILED or crash_count(site) >= 2
